--- /dev/null
+++ b/packages/core/src/thorncleat_core/placement.py
@@ -0,0 +1,102 @@
+"""Choosing instances for new groups: which fabric domain, and which instances in it."""
+
+import collections
+import dataclasses
+import typing as t
+
+from returns.result import Failure
+from returns.result import Result
+from returns.result import Success
+
+from .configuration import Intent
+from .exceptions import PlacementError
+from .fleet import Fleet
+from .fleet import Instance
+from .fleet import InstanceState
+from .journal import Placement
+from .registry import Registry
+
+
+@dataclasses.dataclass(frozen=True)
+class Room:
+    """The free instances of a fabric domain.
+
+    :param free: sorted by id.
+    """
+
+    domain: str
+    failure_domain: str
+    free: tuple[Instance, ...]
+
+
+class DomainChoice(t.Protocol):
+    """Orders the fabric domains that could hold a group, the best first."""
+
+    def __call__(self, rooms: list[Room], size: int, used: t.Mapping[str, int]) -> list[Room]:
+        """Order the rooms.
+
+        :param used: groups of the same intent for each failure domain.
+        """
+        ...
+
+
+choices: Registry[DomainChoice] = Registry("domain choice")
+
+
+@choices.register("spread")
+def spread(rooms: list[Room], size: int, used: t.Mapping[str, int]) -> list[Room]:
+    """Prefer failure domains with few groups of the intent, then the tightest fit."""
+    return sorted(rooms, key=lambda one: (used[one.failure_domain], len(one.free), one.domain))
+
+
+@choices.register("first_fit")
+def first_fit(rooms: list[Room], size: int, used: t.Mapping[str, int]) -> list[Room]:
+    """Take the domains in the order of their names."""
+    return sorted(rooms, key=lambda one: one.domain)
+
+
+def free_rooms(fleet: Fleet, taken: t.Container[str]) -> list[Room]:
+    """Return the free instances of each fabric domain.
+
+    :param taken: instances that are in use or must not be used.
+    """
+    rooms: dict[str, list[Instance]] = collections.defaultdict(list)
+    for instance in fleet.endpoints():
+        if instance.id not in taken and instance.state is InstanceState.LIVE:
+            rooms[instance.fabric_domain].append(instance)
+    return [
+        Room(domain, free[0].failure_domain, tuple(free)) for domain, free in sorted(rooms.items())
+    ]
+
+
+def _fits(room: Room, intent: Intent) -> bool:
+    allowed = not intent.failure_domains or room.failure_domain in intent.failure_domains
+    return allowed and len(room.free) >= intent.instances_per_replica + intent.spares
+
+
+def place(
+    intent: Intent,
+    group: str,
+    rooms: list[Room],
+    used: t.Mapping[str, int],
+    choice: str = "spread",
+) -> Result[Placement, PlacementError]:
+    """Choose the instances of one new group.
+
+    :param rooms: free instances of each domain.
+    :param used: groups of the intent for each failure domain.
+    :return: the placement, or why there is none.
+    """
+    fitting = [room for room in rooms if _fits(room, intent)]
+    if not fitting:
+        most = max((len(room.free) for room in rooms), default=0)
+        text = (
+            f"group {group!r} needs {intent.instances_per_replica} free instances and "
+            f"{intent.spares} spares in one fabric domain; the most that is free is {most}"
+        )
+        return Failure(PlacementError(text))
+    size = intent.instances_per_replica
+    counted = collections.Counter(dict(used))
+    room = choices.get(choice)(fitting, size, counted)[0]
+    members = tuple(instance.id for instance in room.free[:size])
+    return Success(Placement(group, intent.name, room.domain, members))
--- /dev/null
+++ b/packages/core/src/thorncleat_core/retries.py
@@ -0,0 +1,83 @@
+"""When a request may be sent again, and which endpoints are left out for a while."""
+
+import dataclasses
+import typing as t
+
+
+class RetryBudget:
+    """Allows retries as a part of successes, so that a failing fleet isn't loaded further.
+
+    :param part: retries for each success.
+    :param reserve: retries that may be saved up.
+    """
+
+    def __init__(self, part: float = 0.1, reserve: float = 10.0) -> None:
+        self._part = part
+        self._reserve = reserve
+        self._level = reserve
+
+    @property
+    def level(self) -> float:
+        """Retries that are left."""
+        return self._level
+
+    def succeeded(self) -> None:
+        """Count a success."""
+        self._level = min(self._reserve, self._level + self._part)
+
+    def take(self) -> bool:
+        """Take a retry if there is one."""
+        if self._level < 1:
+            return False
+        self._level -= 1
+        return True
+
+
+@dataclasses.dataclass
+class _Record:
+    failures: int = 0
+    until: float = 0.0
+    ejections: int = 0
+
+
+class Ejection:
+    """Leaves out endpoints that fail in a row, but never more than a part of them.
+
+    :param threshold: failures in a row.
+    :param seconds: first time out; it doubles while the endpoint goes on failing.
+    :param most: part of the endpoints that may be out at once.
+    """
+
+    MAX_DOUBLINGS = 5
+
+    def __init__(self, threshold: int = 3, seconds: float = 1.0, most: float = 0.5) -> None:
+        self._threshold = threshold
+        self._seconds = seconds
+        self._most = most
+        self._records: dict[str, _Record] = {}
+
+    def failed(self, endpoint: str, now: float) -> None:
+        """Count a failure."""
+        record = self._records.setdefault(endpoint, _Record())
+        record.failures += 1
+        if record.failures >= self._threshold:
+            doublings = min(record.ejections, self.MAX_DOUBLINGS)
+            record.until = now + self._seconds * 2.0**doublings
+            record.ejections += 1
+            record.failures = 0
+
+    def succeeded(self, endpoint: str) -> None:
+        """Count a success, which ends the row of failures."""
+        self._records.pop(endpoint, None)
+
+    def usable(self, endpoints: t.Sequence[str], now: float) -> list[str]:
+        """Return the endpoints that are not out; never fewer than the cap allows."""
+        out = [one for one in endpoints if self._until(one) > now]
+        allowed = int(len(endpoints) * self._most)
+        # those that come back soonest are let in first when too many are out
+        barred = set(sorted(out, key=self._until, reverse=True)[:allowed])
+        return [one for one in endpoints if one not in barred]
+
+    def _until(self, endpoint: str) -> float:
+        record = self._records.get(endpoint)
+        return record.until if record else 0.0
--- /dev/null
+++ b/packages/core/src/thorncleat_core/routing.py
@@ -0,0 +1,99 @@
+"""Choosing the group for a request among those that this daemon may use."""
+
+import dataclasses
+import typing as t
+
+import xxhash
+
+from . import rendezvous
+from .registry import Registry
+
+# how far above the mean a group may be loaded before affinity yields
+BOUND = 1.25
+# seconds after which a reported load counts half
+REPORT_HALF_LIFE = 1.0
+PREFIX_CHARACTERS = 256
+
+
+@dataclasses.dataclass(frozen=True)
+class Candidate:
+    """A group that may take a request.
+
+    :param outstanding: tokens that this daemon has in it.
+    :param reported: tokens that all daemons had in it when it reported.
+    :param report_age: seconds since that report.
+    :param near: whether its failure domain is the daemon's own.
+    :param warmth: 1 for a warmed-up group, less for one that has just come up.
+    """
+
+    group: str
+    outstanding: int
+    reported: int = 0
+    report_age: float = 0.0
+    near: bool = True
+    warmth: float = 1.0
+
+    @property
+    def load(self) -> float:
+        """Own work, and what is left to believe of the report."""
+        trust = 0.5 ** (self.report_age / REPORT_HALF_LIFE)
+        others = max(0, self.reported - self.outstanding) * trust
+        return (self.outstanding + others) / max(self.warmth, 0.05)
+
+
+class Choice(t.Protocol):
+    """A way to choose."""
+
+    def __call__(self, prefix: str, cost: int, candidates: list[Candidate]) -> str:
+        """Return the group for a request.
+
+        :param prefix: identity of the prompt's beginning; equal prefixes may share a cache.
+        :param candidates: at least one.
+        """
+        ...
+
+
+choices: Registry[Choice] = Registry("routing choice")
+
+
+def prefix_identity(model: str, version: str, text: str) -> str:
+    """Return the identity of a prompt's beginning.
+
+    It is exact over model, version and the leading characters, after the skippy-cache
+    README's rule that state is reused only where all of these match.
+    """
+    head = text[:PREFIX_CHARACTERS]
+    return xxhash.xxh3_64_hexdigest(f"{model}\0{version}\0{head}".encode())
+
+
+@choices.register("bounded_affinity")
+def bounded_affinity(prefix: str, cost: int, candidates: list[Candidate]) -> str:
+    """Prefer the group that the prefix hashes to, unless it is loaded above the bound."""
+    by_name = {one.group: one for one in candidates}
+    total = sum(one.load for one in candidates) + cost
+    bound = BOUND * total / len(candidates)
+    for name in rendezvous.ranked(prefix, by_name):
+        if by_name[name].load + cost <= bound + cost:
+            return name
+    return least_outstanding(prefix, cost, candidates)
+
+
+@choices.register("least_outstanding")
+def least_outstanding(prefix: str, cost: int, candidates: list[Candidate]) -> str:
+    """Take the least loaded group; a near one and then the prefix decide between equals."""
+    best = min(
+        candidates,
+        key=lambda one: (one.load, not one.near, rendezvous.score(prefix, one.group)),
+    )
+    return best.group
+
+
+@choices.register("prefix_hash")
+def prefix_hash(prefix: str, cost: int, candidates: list[Candidate]) -> str:
+    """Take the group that the prefix hashes to, whatever its load."""
+    return rendezvous.ranked(prefix, [one.group for one in candidates])[0]
+
+
+def attached(daemon: str, groups: t.Iterable[str], limit: int) -> list[str]:
+    """Return the groups that a daemon uses: a bounded subset, spread evenly over daemons."""
+    return rendezvous.ranked(f"attach/{daemon}", groups)[:limit]
--- /dev/null
+++ b/packages/standins/src/thorncleat_standins/__main__.py
@@ -0,0 +1,46 @@
+"""Runs a stand-in as a process: ``python -m thorncleat_standins store|engine|service``."""
+
+import fire
+
+from . import engine
+from . import service
+from . import store
+from .process import Served
+from .process import run
+
+
+class Commands:
+    """The stand-ins that can be started; each prints one JSON line with its addresses."""
+
+    def store(self, port: int = 0, writes: float = 100) -> None:
+        """Start the platform's store and list of instances."""
+
+        async def start() -> list[Served]:
+            return [await store.serve(port=port, writes=writes)]
+
+        run(start)
+
+    def engine(
+        self, instances: str, token_seconds: float = 0.01, load_seconds: float = 0.2
+    ) -> None:
+        """Start an engine for each instance id of a comma-separated list."""
+        names = instances if isinstance(instances, tuple | list) else str(instances).split(",")
+
+        async def start() -> list[Served]:
+            behaviour = engine.Behaviour(token_seconds=token_seconds, load_seconds=load_seconds)
+            made = [engine.Engine(str(name), behaviour) for name in names]
+            return [await engine.serve(one) for one in made]
+
+        run(start)
+
+    def service(self, delay: float = 0.0) -> None:
+        """Start a plain service."""
+
+        async def start() -> list[Served]:
+            return [await service.serve(service.Service(service.Behaviour(delay=delay)))]
+
+        run(start)
+
+
+if __name__ == "__main__":
+    fire.Fire(Commands)
--- /dev/null
+++ b/packages/standins/src/thorncleat_standins/store.py
@@ -0,0 +1,268 @@
+"""The platform's key-value service, in the published JSON form of the etcd v3 interface.
+
+Beside it stand the platform's list of instances and a switchboard for faults.
+"""
+
+import asyncio
+import base64
+import collections
+import dataclasses
+import json
+import time
+import typing as t
+
+from aiohttp import web
+
+from . import kv
+from .process import Served
+
+MAX_VALUE = 1_000_000
+RESOURCE_EXHAUSTED = 8
+
+
+@dataclasses.dataclass
+class Faults:
+    """What is wrong with the store at present.
+
+    :param down: refuse every call.
+    :param delay: seconds before each call is carried out.
+    :param lose_answers: carry out this many writes more, and break the connection instead of
+        answering.
+    :param mute_watches: keep watches open and send no events.
+    :param refuse_from: daemons (by ``X-Daemon``) that are cut off.
+    """
+
+    down: bool = False
+    delay: float = 0.0
+    lose_answers: int = 0
+    mute_watches: bool = False
+    refuse_from: list[str] = dataclasses.field(default_factory=list)
+
+
+class Rate:
+    """A token bucket of one second's depth."""
+
+    def __init__(self, per_second: float, clock: t.Callable[[], float]) -> None:
+        self._per_second = per_second
+        self._clock = clock
+        self._left = per_second
+        self._at = clock()
+
+    def take(self) -> bool:
+        """Take one call, or refuse it."""
+        now = self._clock()
+        self._left = min(self._per_second, self._left + (now - self._at) * self._per_second)
+        self._at = now
+        if self._left < 1:
+            return False
+        self._left -= 1
+        return True
+
+
+def _bytes(text: str | None) -> bytes:
+    return base64.b64decode(text or "")
+
+
+def _text(data: bytes) -> str:
+    return base64.b64encode(data).decode()
+
+
+def _record_json(record: kv.Record) -> dict[str, str]:
+    return {
+        "key": _text(record.key),
+        "value": _text(record.value),
+        "create_revision": str(record.create_revision),
+        "mod_revision": str(record.mod_revision),
+        "version": str(record.version),
+        "lease": str(record.lease),
+    }
+
+
+def _event_json(event: kv.Event) -> dict[str, t.Any]:
+    if event.record is None:
+        shown = {"key": _text(event.key), "mod_revision": str(event.revision)}
+        return {"type": "DELETE", "kv": shown}
+    return {"kv": _record_json(event.record)}
+
+
+def _compare(raw: dict[str, t.Any]) -> kv.Compare:
+    field = {
+        "MOD": "mod_revision",
+        "CREATE": "create_revision",
+        "VERSION": "version",
+        "VALUE": "value",
+    }[raw["target"]]
+    wanted = _bytes(raw["value"]) if field == "value" else int(raw[field])
+    return kv.Compare(_bytes(raw["key"]), field, wanted)
+
+
+def _operation(raw: dict[str, t.Any]) -> kv.Operation:
+    if "request_put" in raw:
+        put = raw["request_put"]
+        return kv.Put(_bytes(put["key"]), _bytes(put["value"]), int(put.get("lease", 0)))
+    delete = raw["request_delete_range"]
+    return kv.Delete(_bytes(delete["key"]), _bytes(delete.get("range_end")))
+
+
+class StoreServer:
+    """Serves a :class:`kv.Store` and the list of instances over HTTP.
+
+    :param writes: writes a second that are let through.
+    :param reads: reads a second that are let through; a watch's creation is a read.
+    """
+
+    def __init__(
+        self,
+        writes: float = 100,
+        reads: float = 2000,
+        clock: t.Callable[[], float] = time.monotonic,
+    ) -> None:
+        self.store = kv.Store(clock)
+        self.faults = Faults()
+        self.calls: collections.Counter[str] = collections.Counter()
+        self.instances: list[dict[str, t.Any]] = []
+        self._write_rate = Rate(writes, clock)
+        self._read_rate = Rate(reads, clock)
+
+    def application(self) -> web.Application:
+        """Return the HTTP application."""
+        app = web.Application(client_max_size=2 * MAX_VALUE)
+        app.add_routes(
+            [
+                web.post("/v3/kv/range", self._range),
+                web.post("/v3/kv/txn", self._txn),
+                web.post("/v3/lease/grant", self._grant),
+                web.post("/v3/lease/keepalive", self._keepalive),
+                web.post("/v3/lease/revoke", self._revoke),
+                web.post("/v3/watch", self._watch),
+                web.get("/platform/instances", self._list),
+                web.put("/platform/instances", self._set_list),
+                web.post("/faults", self._set_faults),
+                web.get("/calls", self._show_calls),
+            ]
+        )
+        app.on_shutdown.append(self._end_watches)
+        return app
+
+    async def _end_watches(self, app: web.Application) -> None:
+        self.faults.down = True
+        self.store.wake_watchers()
+
+    async def _admit(self, request: web.Request, kind: str, purpose: str) -> None:
+        self.calls[kind] += 1
+        self.calls[f"{kind}:{purpose}"] += 1
+        if self.faults.down or request.headers.get("X-Daemon") in self.faults.refuse_from:
+            raise web.HTTPServiceUnavailable(text='{"message": "down"}')
+        rate = self._write_rate if kind == "write" else self._read_rate
+        if not rate.take():
+            self.calls["refused"] += 1
+            body = {"code": RESOURCE_EXHAUSTED, "message": "too many requests"}
+            raise web.HTTPTooManyRequests(text=json.dumps(body))
+        if self.faults.delay:
+            await asyncio.sleep(self.faults.delay)
+
+    def _lose(self, request: web.Request) -> None:
+        if self.faults.lose_answers > 0:
+            self.faults.lose_answers -= 1
+            if request.transport is not None:
+                request.transport.abort()
+            raise ConnectionResetError("answer lost on purpose")
+
+    def _header(self) -> dict[str, str]:
+        return {"revision": str(self.store.revision)}
+
+    async def _range(self, request: web.Request) -> web.Response:
+        raw = await request.json()
+        await self._admit(request, "read", request.headers.get("X-Purpose", "other"))
+        found = self.store.get(_bytes(raw["key"]), _bytes(raw.get("range_end")))
+        limit = int(raw.get("limit", 0)) or len(found)
+        body = {
+            "header": self._header(),
+            "kvs": [_record_json(record) for record in found[:limit]],
+            "more": len(found) > limit,
+        }
+        return web.json_response(body)
+
+    async def _txn(self, request: web.Request) -> web.Response:
+        raw = await request.json()
+        await self._admit(request, "write", request.headers.get("X-Purpose", "other"))
+        operations = [_operation(one) for one in raw.get("success", [])]
+        for operation in operations:
+            if isinstance(operation, kv.Put) and len(operation.value) > MAX_VALUE:
+                raise web.HTTPBadRequest(text='{"message": "value too large"}')
+        try:
+            done = self.store.transact([_compare(one) for one in raw["compare"]], operations)
+        except kv.LeaseNotFoundError:
+            raise web.HTTPNotFound(text='{"message": "requested lease not found"}') from None
+        self._lose(request)
+        return web.json_response({"header": self._header(), "succeeded": done})
+
+    async def _grant(self, request: web.Request) -> web.Response:
+        raw = await request.json()
+        await self._admit(request, "write", "lease")
+        lease = self.store.grant(float(raw["TTL"]))
+        self._lose(request)
+        return web.json_response({"ID": str(lease.id), "TTL": str(lease.ttl)})
+
+    async def _keepalive(self, request: web.Request) -> web.Response:
+        raw = await request.json()
+        await self._admit(request, "write", "lease")
+        lease = self.store.renew(int(raw["ID"]))
+        result = {"ID": raw["ID"], "TTL": str(lease.ttl if lease else 0)}
+        return web.json_response({"result": result})
+
+    async def _revoke(self, request: web.Request) -> web.Response:
+        raw = await request.json()
+        await self._admit(request, "write", "lease")
+        self.store.revoke(int(raw["ID"]))
+        return web.json_response({"header": self._header()})
+
+    async def _watch(self, request: web.Request) -> web.StreamResponse:
+        raw = (await request.json())["create_request"]
+        await self._admit(request, "read", "watch")
+        key, end = _bytes(raw["key"]), _bytes(raw.get("range_end"))
+        revision = int(raw.get("start_revision", 0)) or self.store.revision + 1
+        response = web.StreamResponse(headers={"Content-Type": "application/json"})
+        await response.prepare(request)
+        changed = self.store.subscribe()
+        try:
+            await self._send(response, {"created": True})
+            while not self.faults.down:
+                if not self.faults.mute_watches:
+                    events = self.store.events_since(revision, key, end)
+                    revision = self.store.revision + 1
+                    if events:
+                        await self._send(response, {"events": [_event_json(e) for e in events]})
+                await changed.wait()
+                changed.clear()
+        finally:
+            self.store.unsubscribe(changed)
+        return response
+
+    async def _send(self, response: web.StreamResponse, result: dict[str, t.Any]) -> None:
+        line = json.dumps({"result": {"header": self._header(), **result}})
+        await response.write(line.encode() + b"\n")
+
+    async def _list(self, request: web.Request) -> web.Response:
+        self.calls["list"] += 1
+        wanted = request.query.get("kind")
+        rows = [row for row in self.instances if wanted in (None, row["kind"])]
+        return web.json_response({"instances": rows})
+
+    async def _set_list(self, request: web.Request) -> web.Response:
+        self.instances = (await request.json())["instances"]
+        return web.json_response({})
+
+    async def _set_faults(self, request: web.Request) -> web.Response:
+        changes = await request.json()
+        self.faults = dataclasses.replace(self.faults, **changes)
+        self.store.wake_watchers()
+        return web.json_response(dataclasses.asdict(self.faults))
+
+    async def _show_calls(self, request: web.Request) -> web.Response:
+        return web.json_response(self.calls)
+
+
+async def serve(host: str = "127.0.0.1", port: int = 0, writes: float = 100) -> Served:
+    """Start a store on a port; 0 takes a free one."""
+    return await Served.start(StoreServer(writes=writes).application(), host, port)
