--- /dev/null
+++ b/packages/client/src/thorncleat_client/api.py
@@ -0,0 +1,99 @@
+"""Calls to the operators' side of a daemon."""
+
+import asyncio
+import typing as t
+
+import aiohttp
+
+from .exceptions import ClientError
+from .exceptions import DeniedError
+from .exceptions import NotFoundError
+from .exceptions import OutcomeUnknownError
+from .exceptions import PlanConflictError
+from .exceptions import UnavailableError
+from .exceptions import UnusableDocumentError
+
+PREFIX = "/operators/v1"
+TIMEOUT_SECONDS = 20.0
+Json = dict[str, t.Any]
+
+
+def _unusable(body: Json) -> ClientError:
+    lines = [str(body.get("detail", ""))]
+    for problem in body.get("problems", []):
+        line = f"  line {problem['line']}: " if problem.get("line") else "  "
+        lines.append(f"{line}{problem['path'] or 'document'}: {problem['message']}")
+    return UnusableDocumentError("\n".join(lines))
+
+
+def _conflict(body: Json) -> ClientError:
+    return PlanConflictError(str(body.get("detail")), body.get("fresh"))
+
+
+_ERRORS: dict[int, t.Callable[[Json], ClientError]] = {
+    400: _unusable,
+    401: lambda body: DeniedError(str(body.get("detail"))),
+    403: lambda body: DeniedError(str(body.get("detail"))),
+    404: lambda body: NotFoundError(str(body.get("detail"))),
+    409: _conflict,
+    422: _unusable,
+    503: lambda body: UnavailableError(str(body.get("detail"))),
+    504: lambda body: OutcomeUnknownError(str(body.get("detail"))),
+}
+
+
+class Api:
+    """Talks to one daemon, or to the balancer before all.
+
+    :param url: such as ``https://operators.example:8443``.
+    :param key: the operator's key.
+    """
+
+    def __init__(self, url: str, key: str) -> None:
+        self._url = url.rstrip("/")
+        self._key = key
+
+    def get(self, path: str) -> Json:
+        """Fetch.
+
+        :raises ClientError: one of its kinds for each thing that can go wrong.
+        """
+        return asyncio.run(self._call("GET", path, None))
+
+    def post(self, path: str, body: Json) -> Json:
+        """Send.
+
+        :raises ClientError: one of its kinds for each thing that can go wrong.
+        """
+        return asyncio.run(self._call("POST", path, body))
+
+    async def _call(self, method: str, path: str, body: Json | None) -> Json:
+        timeout = aiohttp.ClientTimeout(total=TIMEOUT_SECONDS)
+        headers = {"Authorization": f"Bearer {self._key}"}
+        url = f"{self._url}{PREFIX}{path}"
+        try:
+            async with (
+                aiohttp.ClientSession(timeout=timeout, headers=headers) as session,
+                session.request(method, url, json=body) as response,
+            ):
+                answer = await response.json(content_type=None)
+                return self._checked(response.status, answer)
+        except (aiohttp.ClientConnectorError, aiohttp.InvalidURL) as error:
+            raise UnavailableError(f"no daemon at {self._url!r}: {error}") from error
+        except (aiohttp.ClientError, TimeoutError) as error:
+            if path == "/confirm":
+                text = f"the answer was lost ({error!r}); confirm the same plan again"
+                raise OutcomeUnknownError(text) from error
+            raise UnavailableError(f"no answer from {self._url!r}: {error!r}") from error
+        except ValueError as error:
+            raise ClientError(f"{self._url!r} does not answer as a daemon: {error}") from error
+
+    def _checked(self, status: int, answer: t.Any) -> Json:
+        if not isinstance(answer, dict):
+            raise ClientError(f"{self._url!r} does not answer as a daemon")
+        if status == 200:
+            return answer
+        found = _ERRORS.get(status)
+        if found is None:
+            raise ClientError(f"{self._url!r} answered {status!r}: {answer.get('detail')}")
+        raise found(answer)
--- a/packages/core/src/thorncleat_core/claims.py
+++ b/packages/core/src/thorncleat_core/claims.py
@@ -151,7 +151,7 @@
         :return: the claim to make durable, if it is known.
         """
         found = self._claims.get((workspace, key))
-        if found is None or found.state not in (ClaimState.RUNNING, ClaimState.WRITING):
+        if found is None or found.state in (ClaimState.DONE, ClaimState.RELEASED):
             return None
         state = {
             "yes": ClaimState.DONE,
--- a/packages/core/src/thorncleat_core/codec.py
+++ b/packages/core/src/thorncleat_core/codec.py
@@ -17,10 +17,11 @@
 
 def pack(value: t.Any) -> bytes:
     """Encode plain values; data classes are written as maps."""
-    return t.cast(bytes, msgpack.packb({"v": VERSION, "d": value}, default=_plain))
+    return t.cast(bytes, msgpack.packb({"v": VERSION, "d": value}, default=plain))
 
 
-def _plain(value: t.Any) -> t.Any:
+def plain(value: t.Any) -> t.Any:
+    """Return a value's plain form, for the encoders."""
     if dataclasses.is_dataclass(value) and not isinstance(value, type):
         return {field.name: getattr(value, field.name) for field in dataclasses.fields(value)}
     if isinstance(value, frozenset | set):
@@ -36,9 +37,8 @@
     :raises DecodeError: if it is truncated, foreign or of another version.
     """
     try:
-        value = msgpack.unpackb(data, strict_map_key=True, max_buffer_size=2 * MAX_VALUE_BYTES)
-    except Exception as error:
-        # msgpack raises plain ValueErrors and classes of its own for broken input
+        value = msgpack.unpackb(data, strict_map_key=True)
+    except (ValueError, msgpack.exceptions.UnpackException) as error:
         raise DecodeError(f"{len(data)} bytes that are not MessagePack: {error}") from error
     if not isinstance(value, dict) or set(value) != {"v", "d"}:
         raise DecodeError(f"{len(data)} bytes without a version")
@@ -79,5 +79,5 @@
 
 def digest(value: t.Any) -> str:
     """Return the SHA-256 of a plain value in canonical JSON, in hexadecimal."""
-    text = json.dumps(value, sort_keys=True, separators=(",", ":"), default=_plain)
+    text = json.dumps(value, sort_keys=True, separators=(",", ":"), default=plain)
     return hashlib.sha256(text.encode()).hexdigest()
--- a/packages/core/src/thorncleat_core/plans.py
+++ b/packages/core/src/thorncleat_core/plans.py
@@ -23,6 +23,8 @@
 from .journal import Placement
 from .journal import State
 
+Action = t.Literal["start", "stop", "reload", "move"]
+
 
 @dataclasses.dataclass(frozen=True)
 class Estimates:
@@ -40,13 +42,14 @@
 class Step:
     """One line of a plan.
 
-    :param action: ``start``, ``stop`` or ``reload``.
+    :param action: ``start``, ``stop``, ``reload`` (with another model) or ``move`` (off an
+        instance that is drained).
     :param seconds: how long it takes.
     :param downtime_seconds: how long a group that serves now can't.
     :param idle_accelerator_seconds: accelerators times seconds without serving.
     """
 
-    action: t.Literal["start", "stop", "reload"]
+    action: Action
     group: str
     intent: str
     domain: str
@@ -138,6 +141,11 @@
         seconds = self._times.drain + self._times.load
         self._add("reload", placed, seconds, self._times.load)
 
+    def move(self, group: str) -> None:
+        placed = self._state.placements[group]
+        seconds = self._times.drain + self._times.load
+        self._add("move", placed, seconds, self._times.load)
+
     def start(self, intent: Intent, group: str, used: t.Counter[str]) -> PlacementError | None:
         rooms = placement.free_rooms(self._fleet, self._taken)
         match placement.place(intent, group, rooms, used):
@@ -159,7 +167,7 @@
 
     def _add(
         self,
-        action: t.Literal["start", "stop", "reload"],
+        action: Action,
         placed: Placement,
         seconds: float,
         downtime: float,
@@ -195,13 +203,17 @@
 ) -> Result[Plan, PlacementError]:
     """Make the plan of a change.
 
-    :param taken: instances that are in a group or leaving one at present.
+    :param state: with the placements as they stand after repairs.
+    :param taken: instances that are in a group at present.
     :return: the plan, or why an intent can't be placed.
     :raises DocumentError: if the change contradicts the configuration.
     """
     after = state.configuration.changed(change)
-    occupied = set(taken) | {one for p in state.placements.values() for one in p.members}
-    planner = _Planner(state, fleet, occupied | after.draining, times)
+    planner = _Planner(state, fleet, set(taken) | after.draining, times)
+    for group, placed in sorted(state.placements.items()):
+        emptied = after.draining - state.configuration.draining
+        if placed.intent in after.intents and emptied.intersection(placed.members):
+            planner.move(group)
     for group, placed in sorted(state.placements.items()):
         if placed.intent not in after.intents:
             planner.stop(group)
--- /dev/null
+++ b/packages/core/src/thorncleat_core/repair.py
@@ -0,0 +1,250 @@
+"""What the holder of a fabric domain changes next in its groups.
+
+Pure decisions: the present assignments, what is wanted and what is seen give a list of
+changes. Carrying one out is the holder's work, which first makes sure that the group is
+closed or empty of work.
+"""
+
+import collections
+import dataclasses
+import typing as t
+
+from .configuration import Intent
+from .groups import Assignments
+from .groups import Group
+from .journal import Placement
+from .registry import Registry
+
+
+@dataclasses.dataclass(frozen=True)
+class Start:
+    """Begin a group on free instances."""
+
+    group: Group
+
+
+@dataclasses.dataclass(frozen=True)
+class Replace:
+    """Continue a group with other members or another model.
+
+    :param graceful: let the group finish its work first.
+    """
+
+    group: Group
+    graceful: bool
+
+
+@dataclasses.dataclass(frozen=True)
+class Dissolve:
+    """End a group; if it is still wanted it starts again when there is room."""
+
+    group_id: str
+    graceful: bool
+
+
+@dataclasses.dataclass(frozen=True)
+class Release:
+    """Free instances that follow no order of their old group any more."""
+
+    instances: tuple[str, ...]
+
+
+Change = Start | Replace | Dissolve | Release
+
+
+@dataclasses.dataclass(frozen=True)
+class View:
+    """What the holder sees of its domain.
+
+    :param alive: instances that answer probes.
+    :param idle: instances that answer and follow no order of any group.
+    :param gone: instances that are neither listed nor answering.
+    :param missing_since: since when each member has not confirmed; absent while it does.
+    :param draining: instances to empty of work.
+    """
+
+    alive: frozenset[str]
+    idle: frozenset[str]
+    gone: frozenset[str] = frozenset()
+    missing_since: t.Mapping[str, float] = dataclasses.field(default_factory=dict)
+    draining: frozenset[str] = frozenset()
+
+
+@dataclasses.dataclass(frozen=True)
+class Wanted:
+    """What the configuration wants in the domain.
+
+    :param placements: by group id.
+    :param intents: by name.
+    :param repair_after: seconds for which a missing member is waited for.
+    """
+
+    placements: t.Mapping[str, Placement]
+    intents: t.Mapping[str, Intent]
+    repair_after: float
+
+
+class Strategy(t.Protocol):
+    """A way to repair groups whose members are missing."""
+
+    def __call__(
+        self, assignments: Assignments, wanted: Wanted, view: View, now: float
+    ) -> list[Change]:
+        """Return the changes to make next."""
+        ...
+
+
+strategies: Registry[Strategy] = Registry("repair strategy")
+
+
+def decide(
+    assignments: Assignments, wanted: Wanted, view: View, now: float, strategy: str = "donate"
+) -> list[Change]:
+    """Return the changes to make next, at most one for each group."""
+    released = _released(assignments, view)
+    if released:
+        return [Release(released)]
+    changes: list[Change] = [
+        Dissolve(group_id, graceful=True)
+        for group_id in assignments.groups
+        if group_id not in wanted.placements
+    ]
+    changes += strategies.get(strategy)(assignments, wanted, view, now)
+    return _one_for_each(changes)
+
+
+def _released(assignments: Assignments, view: View) -> tuple[str, ...]:
+    return tuple(sorted(one for one in assignments.leaving if one in view.idle or one in view.gone))
+
+
+def _one_for_each(changes: list[Change]) -> list[Change]:
+    seen: set[str] = set()
+    kept: list[Change] = []
+    for change in changes:
+        name = change.group_id if isinstance(change, Dissolve) else _group_of(change)
+        if name not in seen:
+            seen.add(name)
+            kept.append(change)
+    return kept
+
+
+def _group_of(change: Change) -> str:
+    return change.group.id if isinstance(change, Start | Replace) else ""
+
+
+class _Pool:
+    """The instances that are free to be placed."""
+
+    def __init__(self, assignments: Assignments, view: View) -> None:
+        taken = assignments.taken()
+        self.free = sorted(view.idle - view.draining - taken)
+
+    def take(self, wanted: t.Iterable[str], count: int) -> list[str] | None:
+        """Take instances, the wanted ones first; None if there are too few."""
+        if len(self.free) < count:
+            return None
+        preferred = [one for one in wanted if one in self.free]
+        rest = [one for one in self.free if one not in preferred]
+        found = (preferred + rest)[:count]
+        self.free = [one for one in self.free if one not in found]
+        return found
+
+
+def _lost(group: Group, wanted: Wanted, view: View, now: float) -> list[str]:
+    """Return the members that are given up for now."""
+    limit = now - wanted.repair_after
+    return [
+        one
+        for one in group.members
+        if one in view.gone or view.missing_since.get(one, now) <= limit
+    ]
+
+
+def _continued(group: Group, members: t.Iterable[str], intent: Intent) -> Group:
+    return dataclasses.replace(
+        group, model=intent.model, version=intent.version, members=tuple(members)
+    )
+
+
+def _with_spares(group: Group, lost: list[str], pool: _Pool) -> list[str] | None:
+    """Return the members with each lost one replaced by a spare, in the same place."""
+    spares = pool.take([], len(lost))
+    if spares is None:
+        return None
+    replaced = dict(zip(lost, spares, strict=True))
+    return [replaced.get(one, one) for one in group.members]
+
+
+def _repairs(
+    assignments: Assignments, wanted: Wanted, view: View, now: float, pool: _Pool
+) -> tuple[list[Change], list[Group]]:
+    """Return replacements by spares, and the groups for which there are too few."""
+    changes: list[Change] = []
+    short: list[Group] = []
+    for group in sorted(assignments.groups.values(), key=lambda one: one.id):
+        intent = _intent_of(group, wanted)
+        lost = _lost(group, wanted, view, now)
+        leaving = [one for one in group.members if one in view.draining and one not in lost]
+        if intent is None or not (lost or leaving):
+            continue
+        members = _with_spares(group, lost + leaving, pool)
+        if members is not None:
+            changes.append(Replace(_continued(group, members, intent), graceful=not lost))
+        elif lost:
+            short.append(group)
+        else:
+            changes.append(Dissolve(group.id, graceful=True))
+    return changes, short
+
+
+def _intent_of(group: Group, wanted: Wanted) -> Intent | None:
+    placed = wanted.placements.get(group.id)
+    return wanted.intents.get(placed.intent) if placed else None
+
+
+def _starts(assignments: Assignments, wanted: Wanted, pool: _Pool) -> list[Change]:
+    changes: list[Change] = []
+    for group_id, placed in sorted(wanted.placements.items()):
+        intent = wanted.intents.get(placed.intent)
+        if group_id in assignments.groups or intent is None:
+            continue
+        members = pool.take(placed.members, intent.instances_per_replica)
+        if members is not None:
+            group = Group(group_id, intent.name, intent.model, intent.version, 0, tuple(members))
+            changes.append(Start(group))
+    return changes
+
+
+def _reloads(assignments: Assignments, wanted: Wanted) -> list[Change]:
+    """Return the next group that has to change its model; one at a time."""
+    for group in sorted(assignments.groups.values(), key=lambda one: one.id):
+        intent = _intent_of(group, wanted)
+        if intent and (intent.model, intent.version) != (group.model, group.version):
+            return [Replace(_continued(group, group.members, intent), graceful=True)]
+    return []
+
+
+@strategies.register("spares")
+def with_spares(assignments: Assignments, wanted: Wanted, view: View, now: float) -> list[Change]:
+    """Replace lost members by spares; without spares wait until they come back."""
+    pool = _Pool(assignments, view)
+    changes, _ = _repairs(assignments, wanted, view, now, pool)
+    return changes + _starts(assignments, wanted, pool) + _reloads(assignments, wanted)
+
+
+@strategies.register("donate")
+def with_donors(assignments: Assignments, wanted: Wanted, view: View, now: float) -> list[Change]:
+    """As ``spares``; and of groups that are down for want of spares one gives to the others.
+
+    Several groups that each miss a member hold many accelerators idle. The one that misses
+    most is ended, so that its members can bring the others back.
+    """
+    pool = _Pool(assignments, view)
+    changes, short = _repairs(assignments, wanted, view, now, pool)
+    missing = {group.id: len(_lost(group, wanted, view, now)) for group in short}
+    if len(short) > 1:
+        donor = max(short, key=lambda one: (missing[one.id], one.id))
+        changes.append(Dissolve(donor.id, graceful=False))
+    waiting = collections.Counter(missing).total()
+    starts = [] if waiting else _starts(assignments, wanted, pool)
+    return changes + starts + _reloads(assignments, wanted)
--- a/packages/core/src/thorncleat_core/routing.py
+++ b/packages/core/src/thorncleat_core/routing.py
@@ -1,6 +1,7 @@
 """Choosing the group for a request among those that this daemon may use."""
 
 import dataclasses
+import math
 import typing as t
 
 import xxhash
@@ -36,7 +37,7 @@
     @property
     def load(self) -> float:
         """Own work, and what is left to believe of the report."""
-        trust = 0.5 ** (self.report_age / REPORT_HALF_LIFE)
+        trust = math.pow(0.5, self.report_age / REPORT_HALF_LIFE)
         others = max(0, self.reported - self.outstanding) * trust
         return (self.outstanding + others) / max(self.warmth, 0.05)
 
@@ -73,7 +74,7 @@
     total = sum(one.load for one in candidates) + cost
     bound = BOUND * total / len(candidates)
     for name in rendezvous.ranked(prefix, by_name):
-        if by_name[name].load + cost <= bound + cost:
+        if by_name[name].load <= bound:
             return name
     return least_outstanding(prefix, cost, candidates)
 
--- a/packages/core/src/thorncleat_core/settings.py
+++ b/packages/core/src/thorncleat_core/settings.py
@@ -106,6 +106,7 @@
     :param lease: time to live of a shard's lease in seconds.
     :param repair_after: seconds for which a missing member is waited for.
     :param load: estimate for loading a model, in seconds.
+    :param repair: how groups are repaired when spares are short.
     """
 
     shards: int = pydantic.Field(default=16, ge=1, le=1024)
@@ -117,6 +118,7 @@
     member_probe: Seconds = 1.0
     repair_after: Seconds = 3.0
     load: Seconds = 120.0
+    repair: t.Literal["donate", "spares"] = "donate"
 
     @pydantic.model_validator(mode="after")
     def _consistent(self) -> t.Self:
--- /dev/null
+++ b/packages/daemon/src/thorncleat_daemon/__init__.py
@@ -0,0 +1,1 @@
+"""The thorncleat daemon: ports and adapters around :mod:`thorncleat_core`."""
--- /dev/null
+++ b/packages/daemon/src/thorncleat_daemon/__main__.py
@@ -0,0 +1,5 @@
+"""Runs the daemon: ``python -m thorncleat_daemon``."""
+
+from .main import main
+
+main()
--- /dev/null
+++ b/packages/daemon/src/thorncleat_daemon/callers.py
@@ -0,0 +1,138 @@
+"""What every request of a caller has: identity, workspace, deadline, priority, key."""
+
+import dataclasses
+import math
+import time
+import uuid
+
+from aiohttp import web
+
+from thorncleat_core import keys
+from thorncleat_core.configuration import Configuration
+from thorncleat_core.configuration import Workspace
+
+from .exceptions import RequestError
+
+DEADLINE = "X-Request-Deadline"
+PRIORITY = "X-Request-Priority"
+REPEATABLE = "X-Request-Repeatable"
+KEY = "Idempotency-Key"
+MAX_PRIORITY = 9
+MAX_KEY = 200
+MAX_DEADLINE = 3600.0
+
+
+@dataclasses.dataclass(frozen=True)
+class Caller:
+    """A request's particulars.
+
+    :param id: given by this daemon; names the request in logs, errors and towards endpoints.
+    :param deadline: on the monotonic clock, in seconds.
+    :param key: the caller's name for a request that may be asked for again.
+    """
+
+    id: str
+    workspace: Workspace
+    deadline: float
+    priority: int
+    repeatable: bool
+    key: str | None
+
+    def left(self) -> float:
+        """Return the seconds to the deadline."""
+        return self.deadline - time.monotonic()
+
+
+def _bad(detail: str) -> RequestError:
+    return RequestError(400, "Bad request", detail, cause="bad_request")
+
+
+def _deadline(text: str | None, default: float) -> float:
+    if text is None:
+        return default
+    try:
+        seconds = float(text)
+    except ValueError:
+        raise _bad(f"{DEADLINE} {text!r} is not a number of seconds") from None
+    if not math.isfinite(seconds) or seconds > MAX_DEADLINE:
+        raise _bad(f"{DEADLINE} {text!r} is over {MAX_DEADLINE!r} seconds")
+    if seconds <= 0:
+        raise _bad(f"{DEADLINE} {text!r} has passed")
+    return seconds
+
+
+def _priority(text: str | None) -> int:
+    if text is None:
+        return 0
+    if not text.isdigit() or int(text) > MAX_PRIORITY:
+        raise _bad(f"{PRIORITY} {text!r} is not between 0 and {MAX_PRIORITY}")
+    return int(text)
+
+
+def _repeatable(text: str | None) -> bool:
+    if text not in (None, "yes", "no"):
+        raise _bad(f"{REPEATABLE} {text!r} is neither 'yes' nor 'no'")
+    return text != "no"
+
+
+def _key(text: str | None) -> str | None:
+    if text is not None and not 0 < len(text) <= MAX_KEY:
+        raise _bad(f"{KEY} must have 1 to {MAX_KEY} characters, not {len(text)}")
+    return text
+
+
+def identify(request: web.Request, configuration: Configuration, deadline: float) -> Caller:
+    """Return the particulars of a request.
+
+    :param deadline: seconds for a request that doesn't say.
+    :raises RequestError: if its key is unknown or a header is wrong.
+    """
+    key = keys.bearer(request.headers.get("Authorization"))
+    workspace = configuration.workspace_of(key) if key else None
+    if workspace is None:
+        raise RequestError(
+            401, "Unknown key", "a workspace's key is wanted as a bearer", cause="unauthorized"
+        )
+    found = request.headers
+    repeatable = _repeatable(found.get(REPEATABLE))
+    seconds = _deadline(found.get(DEADLINE), deadline)
+    return Caller(
+        uuid.uuid4().hex,
+        workspace,
+        time.monotonic() + seconds,
+        _priority(found.get(PRIORITY)),
+        repeatable,
+        _key(found.get(KEY)),
+    )
+
+
+async def read_body(request: web.Request, limit: int) -> bytes:
+    """Return a request's body.
+
+    :param limit: in bytes.
+    :raises RequestError: if it is too large or breaks off.
+    """
+    length = request.content_length
+    if length is not None and length > limit:
+        raise _too_large(limit)
+    try:
+        return await request.read()
+    except web.HTTPRequestEntityTooLarge:
+        raise _too_large(limit) from None
+    except (web.RequestPayloadError, ConnectionError) as error:
+        raise _bad(f"the body broke off: {error}") from error
+
+
+def _too_large(limit: int) -> RequestError:
+    detail = f"a body may have {limit} bytes"
+    return RequestError(413, "Body too large", detail, cause="bad_request")
+
+
+def require_key(caller: Caller) -> str:
+    """Return the key of a request that may not be repeated.
+
+    :raises RequestError: if it has none.
+    """
+    if caller.key is None:
+        raise _bad(f"a request that may not be repeated needs {KEY}")
+    return caller.key
--- /dev/null
+++ b/packages/daemon/src/thorncleat_daemon/claims.py
@@ -0,0 +1,282 @@
+"""Owning claims for the shards held, and asking the owners of others."""
+
+import asyncio
+import collections
+import dataclasses
+import time
+import typing as t
+
+import mode
+
+from thorncleat_core import claims
+from thorncleat_core import codec
+from thorncleat_core.budget import Purpose
+from thorncleat_core.claims import Claim
+from thorncleat_core.claims import ClaimAnswer
+from thorncleat_core.claims import ClaimBook
+from thorncleat_core.claims import Outcome
+from thorncleat_core.claims import Reply
+from thorncleat_core.exceptions import DecodeError
+from thorncleat_core.leases import HeldLease
+
+from . import background
+from . import events
+from .exceptions import PeerError
+from .exceptions import RequestError
+from .exceptions import StoreError
+from .exceptions import StoreOutcomeUnknownError
+from .exceptions import StoreUnavailableError
+from .holder import ShardHolder
+from .keyspace import Keyspace
+from .ports import Erase
+from .ports import Peers
+from .ports import SameLife
+from .ports import Store
+from .ports import Write
+
+HOUR = 3600
+MAX_BATCH = 500
+MAX_OUTCOME_BYTES = 65_536
+CLEAN_SECONDS = 600.0
+ASK_SECONDS = 3.0
+
+
+@dataclasses.dataclass
+class _Pending:
+    claim: Claim
+    done: "asyncio.Future[bool] | None"
+
+
+class _OwnedShard:
+    """The claims of one shard that this daemon holds."""
+
+    def __init__(self, lease: HeldLease, book: ClaimBook) -> None:
+        self.lease = lease
+        self.book = book
+        self.restored = False
+        self.pending: list[_Pending] = []
+        self.wake = asyncio.Event()
+        self.number = 0
+        self.hours: set[int] = set()
+        self.task: asyncio.Task[None] | None = None
+
+
+class ClaimOwner(mode.Service):
+    """Answers claims on the shards held; writes them in batches.
+
+    While a write is under way the claims that come in wait for the next one, so the delay is
+    one call to the store when it is quiet and two when it is busy, at a bounded rate.
+
+    :param keep: seconds for which a claim is kept.
+    """
+
+    def __init__(
+        self, store: Store, keys: Keyspace, holder: ShardHolder, peers: Peers, keep: int
+    ) -> None:
+        super().__init__()
+        self._store = store
+        self._keys = keys
+        self._holder = holder
+        self._keep = keep
+        self._owned: dict[int, _OwnedShard] = {}
+        self.answers: collections.Counter[str] = collections.Counter()
+        self.batches = 0
+        holder.on_change(self._acquired, self._lost)
+        peers.handle("claim", self._on_claim)
+        peers.handle("outcome", self._on_outcome)
+
+    def _acquired(self, lease: HeldLease) -> None:
+        owned = _OwnedShard(lease, ClaimBook(keep=self._keep))
+        self._owned[lease.shard] = owned
+        owned.task = asyncio.create_task(
+            background.repeat(
+                f"claims {lease.shard}",
+                lambda: self._work(owned),
+                0.001,
+                lambda: self.should_stop or owned.lease.deadline == 0,
+            )
+        )
+
+    def _lost(self, shard: int) -> None:
+        owned = self._owned.pop(shard, None)
+        if owned is None:
+            return
+        if owned.task:
+            owned.task.cancel()
+        for one in owned.pending:
+            if one.done and not one.done.done():
+                one.done.set_result(False)
+
+    async def on_stop(self) -> None:
+        """End the writers."""
+        for shard in list(self._owned):
+            self._lost(shard)
+
+    async def _work(self, owned: _OwnedShard) -> None:
+        if not owned.restored:
+            await self._restore(owned)
+        await owned.wake.wait()
+        owned.wake.clear()
+        while owned.pending:
+            batch = owned.pending[:MAX_BATCH]
+            del owned.pending[:MAX_BATCH]
+            written = await self._write(owned, [one.claim for one in batch])
+            for one in batch:
+                if one.done and not one.done.done():
+                    one.done.set_result(written)
+
+    async def _restore(self, owned: _OwnedShard) -> None:
+        prefix = self._keys.claims(owned.lease.shard)
+        try:
+            rows = await self._store.read_under(prefix, Purpose.CLAIM)
+        except StoreError:
+            await asyncio.sleep(0.5)
+            raise
+        # by epoch and number: the hours come from clocks, which may have stepped back
+        for row in sorted(rows, key=lambda one: one.key.rsplit("/", 1)[1]):
+            owned.book.restore(claims.decode_batch(row.value))
+            owned.hours.add(int(row.key.removeprefix(prefix).split("/")[0]))
+        owned.book.expire(int(time.time()))
+        owned.restored = True
+        events.CLAIMS_RESTORED.log(shard=owned.lease.shard, claims=len(owned.book))
+
+    async def _write(self, owned: _OwnedShard, batch: list[Claim]) -> bool:
+        lease = owned.lease
+        if not lease.held(time.monotonic()):
+            return False
+        owned.number += 1
+        hour = int(time.time()) // HOUR
+        key = self._keys.claim_batch(lease.shard, hour, lease.epoch, owned.number)
+        value = claims.encode_batch(batch)
+        condition = SameLife(self._keys.holder(lease.shard), lease.create_revision)
+        try:
+            write = [Write(key, value)]
+            done = await self._store.transact([condition], write, Purpose.CLAIM) is not None
+        except StoreOutcomeUnknownError:
+            done = await self._read_back(key, value)
+        except StoreError:
+            return False
+        owned.hours.add(hour)
+        self.batches += 1
+        return done and lease.held(time.monotonic())
+
+    async def _read_back(self, key: str, value: bytes) -> bool:
+        try:
+            found = await self._store.read(key, Purpose.CLAIM)
+        except StoreUnavailableError:
+            return False
+        events.STORE_READ_BACK.log(key=key, own=found is not None)
+        return found is not None and found.value == value
+
+    def _owner(self, workspace: str, key: str) -> _OwnedShard | None:
+        owned = self._owned.get(self._holder.shard_of(claim_name(workspace, key)))
+        if owned is None or not owned.restored or not owned.lease.held(time.monotonic()):
+            return None
+        return owned
+
+    async def _on_claim(self, sender: str, body: t.Any) -> t.Any:
+        workspace, key, request = str(body["workspace"]), str(body["key"]), str(body["request"])
+        owned = self._owner(workspace, key)
+        if owned is None:
+            return Reply(ClaimAnswer.BUSY)
+        now, wall = time.monotonic(), int(time.time())
+        reply, claim = owned.book.ask(workspace, key, request, now, wall)
+        if claim is not None:
+            done: asyncio.Future[bool] = asyncio.get_running_loop().create_future()
+            owned.pending.append(_Pending(claim, done))
+            owned.wake.set()
+            if await done:
+                owned.book.written(claim)
+            else:
+                # nothing was sent, whatever the store holds: the key may be asked for again
+                owned.book.not_written(claim)
+                reply = Reply(ClaimAnswer.BUSY)
+        self.answers[reply.answer] += 1
+        return reply
+
+    async def _on_outcome(self, sender: str, body: t.Any) -> t.Any:
+        workspace, key = str(body["workspace"]), str(body["key"])
+        raw = body["outcome"]
+        outcome = codec.validated(Outcome, raw) if raw is not None else None
+        owned = self._owner(workspace, key)
+        if owned is None:
+            return False
+        claim = owned.book.finish(workspace, key, outcome, str(body["ran"]))
+        if claim is not None:
+            owned.pending.append(_Pending(claim, None))
+            owned.wake.set()
+        return claim is not None
+
+    @mode.Service.task
+    async def _clean_task(self) -> None:
+        await background.repeat("clean", self._clean, CLEAN_SECONDS, lambda: self.should_stop)
+
+    async def _clean(self) -> None:
+        """Delete the hours that hold nothing but expired claims."""
+        oldest = (int(time.time()) - self._keep) // HOUR - 1
+        for owned in list(self._owned.values()):
+            owned.book.expire(int(time.time()))
+            for hour in sorted(one for one in owned.hours if one < oldest):
+                prefix = f"{self._keys.claims(owned.lease.shard)}{hour:08d}/"
+                condition = SameLife(
+                    self._keys.holder(owned.lease.shard), owned.lease.create_revision
+                )
+                await self._store.transact([condition], [Erase(prefix, True)], Purpose.READ)
+                owned.hours.discard(hour)
+
+
+def claim_name(workspace: str, key: str) -> str:
+    """Return the name by which a claim's shard is found."""
+    return f"claim/{workspace}/{key}"
+
+
+class ClaimClient:
+    """Asks the owner of a claim and tells it how the request ended."""
+
+    def __init__(self, holder: ShardHolder, peers: Peers) -> None:
+        self._holder = holder
+        self._peers = peers
+
+    async def ask(self, workspace: str, key: str, request: str) -> Reply:
+        """Ask whether a request may run.
+
+        :raises RequestError: if the owner can't be asked or can't write; the request was
+            not run.
+        """
+        body = {"workspace": workspace, "key": key, "request": request}
+        try:
+            answer = await self._ask("claim", workspace, key, body)
+            reply = codec.validated(Reply, answer)
+        except (PeerError, DecodeError) as error:
+            # a grant may have been lost on the way: nothing was sent, so it is given back
+            await self.tell(workspace, key, "no", None)
+            raise _no_owner(str(error)) from error
+        if reply.answer is ClaimAnswer.BUSY:
+            raise _no_owner("the owner of the key can't make it durable now")
+        return reply
+
+    async def tell(self, workspace: str, key: str, ran: str, outcome: Outcome | None) -> None:
+        """Tell the owner how a request ended; if that fails the claim counts as unknown."""
+        body = {"workspace": workspace, "key": key, "ran": ran, "outcome": outcome}
+        try:
+            await self._ask("outcome", workspace, key, body)
+        except PeerError:
+            return
+
+    async def _ask(self, kind: str, workspace: str, key: str, body: t.Any) -> t.Any:
+        shard = self._holder.shard_of(claim_name(workspace, key))
+        owner = self._holder.holder_of(shard)
+        if owner is None:
+            raise PeerError(f"shard {shard!r} has no holder")
+        return await self._peers.ask(owner, kind, body, ASK_SECONDS)
+
+
+def _no_owner(reason: str) -> RequestError:
+    return RequestError(
+        503, "Claims unavailable", reason, retry_after=2.0, cause="claims_unavailable"
+    )
+
+
+def kept_outcome(status: int, content_type: str, body: bytes) -> Outcome:
+    """Return an outcome as it is kept: a large body is left out."""
+    return Outcome(status, content_type, body if len(body) <= MAX_OUTCOME_BYTES else None)
--- /dev/null
+++ b/packages/daemon/src/thorncleat_daemon/config.py
@@ -0,0 +1,273 @@
+"""Keeping the configuration: loading it, accepting changes, and passing them on."""
+
+import asyncio
+import random
+import time
+import typing as t
+
+import mode
+
+from thorncleat_core import rendezvous
+from thorncleat_core.budget import Backoff
+from thorncleat_core.budget import Purpose
+from thorncleat_core.directory import Record
+from thorncleat_core.exceptions import ConflictError
+from thorncleat_core.exceptions import DecodeError
+from thorncleat_core.exceptions import JournalError
+from thorncleat_core.exceptions import ThorncleatError
+from thorncleat_core.journal import Entry
+from thorncleat_core.journal import Head
+from thorncleat_core.journal import Journal
+from thorncleat_core.journal import State
+
+from . import background
+from . import events
+from .exceptions import PeerError
+from .exceptions import StoreError
+from .exceptions import StoreOutcomeUnknownError
+from .exceptions import StoreUnavailableError
+from .gossip import Gossip
+from .keyspace import Keyspace
+from .ports import Erase
+from .ports import Operation
+from .ports import Peers
+from .ports import Store
+from .ports import Stored
+from .ports import Unchanged
+from .ports import Write
+
+WATCHERS = 3
+RECORD = "config"
+SNAPSHOT_EVERY = 64
+POLL_SECONDS = 60.0
+READ_BACK_SECONDS = 5.0
+ENTRIES_AT_ONCE = 64
+
+
+class ConfigKeeper(mode.Service):
+    """Holds this daemon's journal and keeps it up with the accepted one.
+
+    Three daemons, chosen by rendezvous hashing, watch the store; all others hear of a change
+    over the overlay and fetch the entries from whoever told them.
+    """
+
+    def __init__(self, me: str, store: Store, keys: Keyspace, gossip: Gossip, peers: Peers) -> None:
+        super().__init__()
+        self._me = me
+        self._store = store
+        self._keys = keys
+        self._gossip = gossip
+        self._peers = peers
+        self._listeners: list[t.Callable[[State], None]] = []
+        self._fetching: set[asyncio.Task[None]] = set()
+        self.journal = Journal()
+        self.loaded = False
+        self.in_force_at = 0.0
+        peers.handle("journal", self._on_journal)
+        gossip.listen(RECORD, self._on_record)
+
+    @property
+    def current(self) -> State:
+        """The configuration in force on this daemon."""
+        return self.journal.state
+
+    def listen(self, listener: t.Callable[[State], None]) -> None:
+        """Call a function with each new state."""
+        self._listeners.append(listener)
+
+    async def accept(self, entry: Entry) -> int:
+        """Make an entry durable and put it in force; return its revision.
+
+        :raises ConflictError: if another entry came first.
+        :raises StoreUnavailableError: if it was surely not accepted.
+        :raises StoreOutcomeUnknownError: if that can't be found out now.
+        """
+        head = await self._store.read(self._keys.head, Purpose.CONFIG)
+        known = Head.decode(head.value) if head else Head()
+        if known != self.journal.head:
+            await self.catch_up()
+        # checked before it is written: what is accepted must be applicable everywhere
+        try:
+            state = self.current.after(entry)
+        except JournalError as error:
+            raise ConflictError(str(error)) from error
+        operations = self._operations(entry, state)
+        condition = Unchanged(self._keys.head, head.mod_revision if head else 0)
+        try:
+            done = await self._store.transact([condition], operations, Purpose.CONFIG)
+        except StoreOutcomeUnknownError:
+            done = await self._read_back(entry)
+        if done is None:
+            await self.catch_up()
+            raise ConflictError(f"revision {entry.revision!r} was taken by another change")
+        self._apply([entry])
+        return entry.revision
+
+    def _operations(self, entry: Entry, state: State) -> list[Operation]:
+        operations: list[Operation] = [
+            Write(self._keys.entry(entry.revision), entry.encode()),
+            Write(self._keys.head, state.head.encode()),
+        ]
+        if entry.revision % SNAPSHOT_EVERY == 0:
+            operations.append(Write(self._keys.snapshot, state.encode()))
+            last = entry.revision - SNAPSHOT_EVERY
+            operations += [
+                Erase(self._keys.entry(one)) for one in range(last - SNAPSHOT_EVERY + 1, last + 1)
+            ]
+        return operations
+
+    async def _read_back(self, entry: Entry) -> int | None:
+        """Find out whether a write took effect whose answer was lost."""
+        end = time.monotonic() + READ_BACK_SECONDS
+        backoff = Backoff()
+        while time.monotonic() < end:
+            try:
+                found = await self._store.read(self._keys.entry(entry.revision), Purpose.CONFIG)
+            except StoreUnavailableError:
+                await asyncio.sleep(backoff.failed(random.random()))
+                continue
+            if found is None:
+                raise StoreUnavailableError("the write did not take effect")
+            same = Entry.decode(found.value).digest == entry.digest
+            events.STORE_READ_BACK.log(revision=entry.revision, own=same)
+            return found.mod_revision if same else None
+        raise StoreOutcomeUnknownError(f"whether revision {entry.revision!r} was accepted")
+
+    async def catch_up(self) -> None:
+        """Read what is newer from the store.
+
+        :raises StoreUnavailableError: if the store can't be read.
+        """
+        head = await self._store.read(self._keys.head, Purpose.CONFIG)
+        if head is None:
+            self.loaded = True
+            return
+        wanted = Head.decode(head.value)
+        behind = wanted.revision - self.journal.head.revision
+        if behind > SNAPSHOT_EVERY:
+            snapshot = await self._store.read(self._keys.snapshot, Purpose.CONFIG)
+            if snapshot:
+                self._restore(State.decode(snapshot.value))
+        while self.journal.head.revision < wanted.revision:
+            if not await self._catch_up_one():
+                break
+        self.loaded = True
+
+    async def _catch_up_one(self) -> bool:
+        key = self._keys.entry(self.journal.head.revision + 1)
+        found = await self._store.read(key, Purpose.CONFIG)
+        if found is None:
+            # erased since: the snapshot is newer than what was looked for
+            snapshot = await self._store.read(self._keys.snapshot, Purpose.CONFIG)
+            return bool(snapshot) and self._restore(State.decode(t.cast(Stored, snapshot).value))
+        return self._apply([Entry.decode(found.value)])
+
+    def _apply(self, entries: list[Entry]) -> bool:
+        changed = [entry for entry in entries if self.journal.append(entry)]
+        if changed:
+            self._in_force()
+        return bool(changed)
+
+    def _restore(self, state: State) -> bool:
+        changed = self.journal.restore(state)
+        if changed:
+            self._in_force()
+        return changed
+
+    def _in_force(self) -> None:
+        head = self.journal.head
+        self.in_force_at = time.time()
+        events.CONFIG_IN_FORCE.log(revision=head.revision)
+        for listener in self._listeners:
+            listener(self.current)
+        self._gossip.publish(Record(RECORD, (head.revision,), {"digest": head.digest}))
+
+    def _on_record(self, record: Record, sender: str) -> None:
+        if record.version[0] > self.journal.head.revision and sender != self._me:
+            task = asyncio.create_task(self._fetch_quietly(sender))
+            self._fetching.add(task)
+            task.add_done_callback(self._fetching.discard)
+
+    async def _fetch_quietly(self, peer: str) -> None:
+        for one in [peer, *self._gossip.some_peers(2)]:
+            try:
+                await self.fetch_from(one)
+                return
+            except (PeerError, DecodeError, JournalError) as error:
+                events.TASK_FAILED.log(task="journal", reason=str(error), expected=True)
+
+    async def fetch_from(self, peer: str) -> None:
+        """Fetch what is newer from a peer.
+
+        :raises PeerError: if it doesn't answer.
+        :raises DecodeError: if its answer is broken.
+        """
+        answer = await self._peers.ask(peer, "journal", self.journal.head.revision, 2.0)
+        if answer.get("snapshot"):
+            self._restore(State.decode(answer["snapshot"]))
+        self._apply([Entry.decode(one) for one in answer["entries"]])
+
+    async def _on_journal(self, sender: str, body: t.Any) -> t.Any:
+        entries = self.journal.since(int(body))
+        if entries is None or len(entries) > ENTRIES_AT_ONCE:
+            return {"snapshot": self.current.encode(), "entries": []}
+        return {"snapshot": None, "entries": [entry.encode() for entry in entries]}
+
+    @mode.Service.task
+    async def _load_task(self) -> None:
+        """Load at the start, from the store or else from peers, then look again now and then."""
+        backoff = Backoff()
+        while not self.should_stop and not self.loaded:
+            try:
+                await self.catch_up()
+            except ThorncleatError as error:
+                events.TASK_FAILED.log(task="load", reason=str(error), expected=True)
+                await self._load_from_peers()
+                await asyncio.sleep(backoff.failed(random.random()))
+        await background.repeat("config", self._poll, POLL_SECONDS, lambda: self.should_stop)
+
+    async def _load_from_peers(self) -> None:
+        """Take the newest configuration that the peers know; one stale peer isn't enough."""
+        answers = 0
+        others = [name for name in self._gossip.members.alive if name != self._me]
+        for peer in random.sample(others, min(3, len(others))):
+            try:
+                await self.fetch_from(peer)
+                answers += 1
+            except (PeerError, DecodeError, JournalError):
+                continue
+        if answers >= min(2, len(others)) and self.journal.head.revision > 0:
+            self.loaded = True
+
+    async def _poll(self) -> None:
+        try:
+            await self.catch_up()
+        except StoreError:
+            return
+
+    @property
+    def is_watcher(self) -> bool:
+        """Whether this daemon is one of the few that watch the store."""
+        ranked = rendezvous.ranked("config-watch", self._gossip.members.alive)
+        return self._me in ranked[:WATCHERS]
+
+    @mode.Service.task
+    async def _watch_task(self) -> None:
+        backoff = Backoff(0.2)
+        while not self.should_stop:
+            if not self.is_watcher:
+                await asyncio.sleep(1.0)
+                continue
+            try:
+                await self._watch(backoff)
+            except ThorncleatError as error:
+                events.TASK_FAILED.log(task="watch", reason=str(error), expected=True)
+                await asyncio.sleep(backoff.failed(random.random()))
+
+    async def _watch(self, backoff: Backoff) -> None:
+        async for _ in self._store.watch(self._keys.head):
+            # an event only says that there is something: late and doubled ones do no harm
+            await self.catch_up()
+            backoff.succeeded()
+            if self.should_stop or not self.is_watcher:
+                return
--- /dev/null
+++ b/packages/daemon/src/thorncleat_daemon/daemon.py
@@ -0,0 +1,245 @@
+"""The daemon: builds its parts from the settings and runs them."""
+
+import ssl
+import typing as t
+
+import aiohttp
+import mode
+from aiohttp import web
+
+from thorncleat_core.budget import FleetRates
+from thorncleat_core.budget import StoreBudget
+from thorncleat_core.configuration import Configuration
+from thorncleat_core.leases import LeaseTerms
+from thorncleat_core.settings import Settings
+from thorncleat_core.settings import Tls
+
+from . import events
+from .claims import ClaimClient
+from .claims import ClaimOwner
+from .completions import Completions
+from .config import ConfigKeeper
+from .dispatch import Dispatcher
+from .domains import Services
+from .engines import HttpEngines
+from .entry import Entry
+from .gossip import Gossip
+from .holder import ShardHolder
+from .keyspace import Keyspace
+from .metrics import Metrics
+from .operators import Operators
+from .operators import Parts
+from .peers import ZmqPeers
+from .permits import PermitKeeper
+from .plain import PlainServices
+from .platform import HttpInstanceList
+from .recent import RecentRequests
+from .store import EtcdStore
+from .upstream import Upstream
+
+FINISH_SECONDS = 60.0
+
+
+class Daemon(mode.Service):
+    """One daemon.
+
+    :param settings: its settings.
+    """
+
+    def __init__(self, settings: Settings) -> None:
+        super().__init__()
+        self._settings = settings
+        self._runners: list[web.AppRunner] = []
+        self._sessions: list[aiohttp.ClientSession] = []
+        self._stopping = False
+        self.addresses: dict[str, str] = {}
+        self.metrics = Metrics()
+
+    async def on_start(self) -> None:
+        """Build and start all parts, then listen."""
+        self._build()
+        settings = self._settings
+        self.addresses["peers"] = await self._peers.start(settings.listen.peers)
+        for part in (
+            self._gossip,
+            self._config,
+            self._holder,
+            self._claim_owner,
+            self._permits,
+            self._dispatcher,
+        ):
+            await self.add_runtime_dependency(part)
+        listen = settings.listen
+        self.addresses["operators"] = await self._listen(
+            self._operators.application(), listen.operators, listen.operators_tls, 1.0
+        )
+        self.addresses["callers"] = await self._listen(
+            self._entry.application(), listen.callers, listen.callers_tls, FINISH_SECONDS
+        )
+        events.DAEMON_STARTED.log(**self.addresses)
+
+    async def on_stop(self) -> None:
+        """Take no new requests, finish the running ones, then close."""
+        self._stopping = True
+        events.DAEMON_STOPPING.log()
+        for runner in reversed(self._runners):
+            await runner.cleanup()
+
+    async def on_shutdown(self) -> None:
+        """Close what the parts used, after they have stopped."""
+        await self._peers.stop()
+        for session in self._sessions:
+            await session.close()
+        events.DAEMON_STOPPED.log()
+
+    def not_ready(self) -> str | None:
+        """Return why this daemon should get no requests, or None if it should."""
+        if self._stopping:
+            return "stopping"
+        if not self._config.loaded:
+            return "no configuration yet"
+        if not self._gossip.fleet_known:
+            return "no list of instances yet"
+        return None
+
+    def _configuration(self) -> Configuration:
+        return self._config.current.configuration
+
+    def _session(self, **options: t.Any) -> aiohttp.ClientSession:
+        connector = aiohttp.TCPConnector(limit=0, **options)
+        session = aiohttp.ClientSession(connector=connector, auto_decompress=False)
+        self._sessions.append(session)
+        return session
+
+    def _build(self) -> None:
+        self._build_control()
+        self._build_requests()
+
+    def _build_control(self) -> None:
+        settings, control = self._settings, self._settings.control
+        me = settings.daemon.id
+        session = self._session()
+        rates = FleetRates(settings.store.writes, settings.store.reads)
+        self._budget = StoreBudget(rates)
+        self._store = EtcdStore(
+            session, settings.store.endpoints, self._budget, me, settings.store.timeout
+        )
+        keys = Keyspace(settings.cluster)
+        self._peers = ZmqPeers(
+            settings.cluster, me, settings.peer_keys, lambda: self._gossip.members.addresses
+        )
+        instances = HttpInstanceList(session, settings.platform.endpoints)
+        self._gossip = Gossip(
+            me, self._peers, instances, control.member_probe, settings.platform.poll
+        )
+        self._gossip.on_listed(self._budget.set_members)
+        self._config = ConfigKeeper(me, self._store, keys, self._gossip, self._peers)
+        terms = LeaseTerms(control.lease, control.lease_margin, control.permit)
+        services = Services(
+            me,
+            self._store,
+            keys,
+            HttpEngines(session, control.probe),
+            self._peers,
+            self._gossip,
+            lambda: self._config.current,
+            control,
+            terms,
+            settings.requests.group_tokens,
+        )
+        self._holder = ShardHolder(services, control.shards)
+        self._claim_owner = ClaimOwner(
+            self._store, keys, self._holder, self._peers, settings.requests.claim_seconds
+        )
+
+    def _build_requests(self) -> None:
+        settings, limits = self._settings, self._settings.requests
+        me = settings.daemon.id
+        self._permits = PermitKeeper(
+            me,
+            self._gossip,
+            self._holder,
+            self._peers,
+            settings.control.permit,
+            limits.attach,
+        )
+        self._dispatcher = Dispatcher(
+            self._permits, self._configuration, limits.routing, limits.queue_tokens
+        )
+        upstream = Upstream(self._session(), self._session(force_close=True))
+        claims = ClaimClient(self._holder, self._peers)
+        recent = RecentRequests(me)
+        self._entry = Entry(
+            self._configuration,
+            Completions(
+                self._configuration,
+                self._dispatcher,
+                self._permits,
+                upstream,
+                claims,
+                self.metrics,
+            ),
+            PlainServices(self._configuration, upstream, claims, self.metrics),
+            self.metrics,
+            recent,
+            self.not_ready,
+            limits.body,
+            limits.deadline,
+        )
+        parts = Parts(
+            me,
+            self._config,
+            self._gossip,
+            self._holder,
+            self._dispatcher,
+            self.metrics,
+            recent,
+            self._peers,
+            lambda: self._store.reachable,
+            settings.control.load,
+        )
+        self._operators = Operators(parts, settings.operators)
+        self._show_gauges()
+
+    def _show_gauges(self) -> None:
+        metrics = self.metrics
+        metrics.gauge(
+            "config_revision",
+            "Revision in force",
+            lambda: float(self._config.journal.head.revision),
+        )
+        metrics.gauge("shards_held", "Shards held", lambda: float(len(self._holder.held)))
+        metrics.gauge("waiting", "Requests in queues", lambda: float(self._dispatcher.waiting))
+        metrics.gauge(
+            "store_reachable", "Whether the store answers", lambda: float(self._store.reachable)
+        )
+        metrics.gauge(
+            "peer_sent_bytes", "Bytes sent to daemons", lambda: self._peers.counts["sent_bytes"]
+        )
+        metrics.gauge(
+            "peer_received_bytes",
+            "Bytes received from daemons",
+            lambda: self._peers.counts["received_bytes"],
+        )
+        metrics.gauge(
+            "store_calls", "Calls to the store", lambda: float(self._budget.calls.total())
+        )
+
+    async def _listen(
+        self, app: web.Application, address: str, tls: Tls | None, finish: float
+    ) -> str:
+        runner = web.AppRunner(app, access_log=None, shutdown_timeout=finish)
+        await runner.setup()
+        self._runners.append(runner)
+        host, _, port = address.rpartition(":")
+        site = web.TCPSite(runner, host, int(port), ssl_context=_context(tls))
+        await site.start()
+        return f"{host}:{runner.addresses[0][1]}"
+
+
+def _context(tls: Tls | None) -> ssl.SSLContext | None:
+    if tls is None:
+        return None
+    context = ssl.SSLContext(ssl.PROTOCOL_TLS_SERVER)
+    context.load_cert_chain(tls.certificate, tls.key)
+    return context
--- /dev/null
+++ b/packages/daemon/src/thorncleat_daemon/dispatch.py
@@ -0,0 +1,269 @@
+"""Deciding when and where each request is sent: queue, credits, choice of group."""
+
+import asyncio
+import collections
+import dataclasses
+import random
+import time
+import typing as t
+
+import mode
+
+from thorncleat_core import routing
+from thorncleat_core.configuration import Configuration
+from thorncleat_core.configuration import Intent
+from thorncleat_core.permits import HeldPermit
+from thorncleat_core.queues import FairQueue
+from thorncleat_core.queues import Waiting
+from thorncleat_core.retries import Ejection
+
+from .exceptions import RequestError
+from .permits import PermitKeeper
+
+TICK_SECONDS = 0.05
+CHARACTERS_PER_TOKEN = 4
+WARM_SECONDS = 5.0
+RETRY_JITTER = 0.5
+
+
+@dataclasses.dataclass
+class Slot:
+    """Room for one request in one group.
+
+    :param generation: of the group when the room was given.
+    :param leader: address to send the request to.
+    """
+
+    group: str
+    generation: int
+    leader: str
+    workspace: str
+    cost: int
+
+
+@dataclasses.dataclass(frozen=True)
+class Wish:
+    """What a request needs.
+
+    :param prefix: identity of the prompt's beginning.
+    :param avoid: groups that have just failed it.
+    """
+
+    intent: Intent
+    workspace: str
+    cost: int
+    priority: int
+    deadline: float
+    prefix: str
+    avoid: frozenset[str] = frozenset()
+
+
+@dataclasses.dataclass
+class _Place:
+    wish: Wish
+    future: "asyncio.Future[Slot]"
+
+
+def prompt_cost(characters: int, max_tokens: int) -> int:
+    """Return the tokens that a request is charged with."""
+    return characters // CHARACTERS_PER_TOKEN + max_tokens + 1
+
+
+class Ledger:
+    """What this daemon has outstanding in each group, in tokens and requests."""
+
+    def __init__(self) -> None:
+        self._tokens: dict[str, collections.Counter[str]] = {}
+        self._requests: collections.Counter[str] = collections.Counter()
+
+    def requests(self, group: str) -> int:
+        """Return the requests outstanding in a group."""
+        return self._requests[group]
+
+    def tokens(self, group: str) -> collections.Counter[str]:
+        """Return the tokens outstanding in a group, for each workspace."""
+        return self._tokens.setdefault(group, collections.Counter())
+
+    def add(self, slot: Slot) -> None:
+        """Count a request in."""
+        self._requests[slot.group] += 1
+        self.tokens(slot.group)[slot.workspace] += slot.cost
+
+    def remove(self, slot: Slot) -> None:
+        """Count a request out."""
+        self._requests[slot.group] -= 1
+        tokens = self.tokens(slot.group)
+        tokens[slot.workspace] -= slot.cost
+        if tokens[slot.workspace] <= 0:
+            del tokens[slot.workspace]
+
+    def room(self, held: HeldPermit, workspace: str) -> int:
+        """Return the tokens that a workspace may still send to a group."""
+        permit = held.permit
+        tokens = self.tokens(permit.group)
+        own = max(0, permit.credits.get(workspace, 0) - tokens[workspace])
+        borrowed = sum(
+            max(0, amount - permit.credits.get(name, 0)) for name, amount in tokens.items()
+        )
+        return own + max(0, permit.spare - borrowed)
+
+
+class Dispatcher(mode.Service):
+    """Gives out room in the groups, fairly and in time.
+
+    :param routing_choice: how a group is chosen.
+    :param queue_tokens: tokens that may wait for each workspace and intent.
+    """
+
+    def __init__(
+        self,
+        permits: PermitKeeper,
+        configuration: t.Callable[[], Configuration],
+        routing_choice: str,
+        queue_tokens: int,
+    ) -> None:
+        super().__init__()
+        self._permits = permits
+        self._configuration = configuration
+        self._choose = routing.choices.get(routing_choice)
+        self._queue_tokens = queue_tokens
+        self._queues: dict[str, FairQueue[_Place]] = {}
+        self._ledger = Ledger()
+        self._since: dict[tuple[str, int], float] = {}
+        self.ejection = Ejection()
+        permits.usage = self
+        permits.on_renewed(self._pump_all)
+
+    def in_flight(self, group: str) -> int:
+        """Return the requests that run in a group."""
+        return self._ledger.requests(group)
+
+    def demand(self, group: str) -> dict[str, int]:
+        """Return the tokens that run in a group or wait for one, for each workspace."""
+        wanted = collections.Counter(self._ledger.tokens(group))
+        intent = group.rsplit("-", 1)[0]
+        queue = self._queues.get(intent)
+        if queue:
+            found = self._configuration().intents.get(intent)
+            groups = self._permits.groups(intent, found.model) if found else []
+            for workspace, waiting in queue.waiting_cost.items():
+                wanted[workspace] += -(-waiting // max(1, len(groups)))
+        return {name: amount for name, amount in wanted.items() if amount > 0}
+
+    @property
+    def waiting(self) -> int:
+        """Requests in all queues."""
+        return sum(len(queue) for queue in self._queues.values())
+
+    async def acquire(self, wish: Wish) -> Slot:
+        """Wait for room and return it; it has to be given back with :meth:`release`.
+
+        :raises RequestError: if there will be none in time. The request was not run.
+        """
+        queue = self._queues.setdefault(wish.intent.name, FairQueue(self._queue_tokens))
+        future: asyncio.Future[Slot] = asyncio.get_running_loop().create_future()
+        waiting = Waiting(
+            _Place(wish, future), wish.workspace, wish.cost, wish.priority, wish.deadline
+        )
+        refused = queue.refuse(waiting, time.monotonic())
+        if refused is not None:
+            raise _overloaded(wish, refused)
+        ticket = queue.add(waiting)
+        self._pump(wish.intent.name)
+        if not future.done():
+            await self._permits.nudge()
+            self._pump(wish.intent.name)
+        try:
+            return await future
+        except asyncio.CancelledError:
+            self._withdraw(queue, ticket, waiting)
+            raise
+
+    def _withdraw(self, queue: FairQueue[_Place], ticket: int, waiting: Waiting[_Place]) -> None:
+        future = waiting.item.future
+        if future.done() and not future.cancelled() and future.exception() is None:
+            # the room was given at the same moment as the caller went
+            self.release(future.result())
+        else:
+            queue.drop(ticket, waiting)
+
+    def release(self, slot: Slot) -> None:
+        """Give room back."""
+        self._ledger.remove(slot)
+        self._pump(slot.group.rsplit("-", 1)[0])
+
+    @mode.Service.task
+    async def _tick_task(self) -> None:
+        while not self.should_stop:
+            await asyncio.sleep(TICK_SECONDS)
+            self._expire()
+            self._pump_all()
+
+    def _expire(self) -> None:
+        now = time.monotonic()
+        for queue in self._queues.values():
+            for waiting in queue.expired(now):
+                if not waiting.item.future.done():
+                    error = _overloaded(waiting.item.wish, 1.0, "deadline passed in the queue")
+                    waiting.item.future.set_exception(error)
+
+    def _pump_all(self) -> None:
+        for name in self._queues:
+            self._pump(name)
+
+    def _pump(self, name: str) -> None:
+        queue = self._queues.get(name)
+        intent = self._configuration().intents.get(name)
+        if not queue or intent is None:
+            return
+        weights = {key: one.share for key, one in self._configuration().workspaces.items()}
+        now = time.monotonic()
+        usable = self._permits.usable(name, intent.model)
+        while usable:
+            waiting = queue.pop(
+                lambda workspace, cost: bool(self._with_room(usable, workspace, cost)),
+                weights,
+                now,
+            )
+            if waiting is None:
+                return
+            if not waiting.item.future.done():
+                self._give(waiting.item, usable, now)
+
+    def _with_room(self, usable: list[HeldPermit], workspace: str, cost: int) -> list[HeldPermit]:
+        return [
+            one
+            for one in usable
+            if self._ledger.room(one, workspace) >= cost
+            # a request larger than any credit must get through some time
+            or (not self._ledger.requests(one.permit.group) and one.permit.spare > 0)
+        ]
+
+    def _give(self, place: _Place, usable: list[HeldPermit], now: float) -> None:
+        wish = place.wish
+        open_ones = self._with_room(usable, wish.workspace, wish.cost)
+        names = self.ejection.usable([one.permit.group for one in open_ones], now)
+        preferred = [name for name in names if name not in wish.avoid] or names
+        by_name = {one.permit.group: one.permit for one in open_ones}
+        candidates = [self._candidate(name, by_name[name].generation, now) for name in preferred]
+        permit = by_name[self._choose(wish.prefix, wish.cost, candidates)]
+        slot = Slot(permit.group, permit.generation, permit.leader, wish.workspace, wish.cost)
+        self._ledger.add(slot)
+        place.future.set_result(slot)
+
+    def _candidate(self, group: str, generation: int, now: float) -> routing.Candidate:
+        since = self._since.setdefault((group, generation), now)
+        # the first group ever seen is as warm as any other
+        warmth = min(1.0, 0.2 + (now - since) / WARM_SECONDS)
+        return routing.Candidate(group, self._ledger.tokens(group).total(), warmth=warmth)
+
+
+def _overloaded(wish: Wish, seconds: float, reason: str = "no room in time") -> RequestError:
+    spread = seconds * random.uniform(1, 1 + RETRY_JITTER)
+    return RequestError(
+        503,
+        "No room",
+        f"{reason} for model {wish.intent.model!r}",
+        retry_after=spread,
+        cause="overload",
+    )
--- /dev/null
+++ b/packages/daemon/src/thorncleat_daemon/domains.py
@@ -0,0 +1,492 @@
+"""Keeping the groups of one fabric domain: probing, ordering, repairing, permitting."""
+
+import asyncio
+import collections
+import dataclasses
+import time
+import typing as t
+
+from thorncleat_core import repair
+from thorncleat_core.budget import Purpose
+from thorncleat_core.directory import Record
+from thorncleat_core.fleet import Fleet
+from thorncleat_core.groups import Assignments
+from thorncleat_core.groups import Confirmations
+from thorncleat_core.groups import Group
+from thorncleat_core.groups import InstanceReport
+from thorncleat_core.journal import State
+from thorncleat_core.leases import MAX_DRIFT
+from thorncleat_core.leases import HeldLease
+from thorncleat_core.leases import LeaseTerms
+from thorncleat_core.permits import Permit
+from thorncleat_core.permits import PermitDesk
+from thorncleat_core.permits import PermitRequest
+from thorncleat_core.settings import Control
+
+from . import events
+from .exceptions import EndpointError
+from .exceptions import StoreError
+from .exceptions import StoreOutcomeUnknownError
+from .exceptions import StoreUnavailableError
+from .gossip import Gossip
+from .keyspace import Keyspace
+from .ports import Condition
+from .ports import Engines
+from .ports import Order
+from .ports import Peers
+from .ports import SameLife
+from .ports import Store
+from .ports import Unchanged
+from .ports import Write
+
+GONE_AFTER = 30.0
+
+
+@dataclasses.dataclass
+class Services:
+    """What a keeper uses."""
+
+    me: str
+    store: Store
+    keys: Keyspace
+    engines: Engines
+    peers: Peers
+    gossip: Gossip
+    config: t.Callable[[], State]
+    control: Control
+    terms: LeaseTerms
+    group_tokens: int
+
+
+@dataclasses.dataclass
+class Downtime:
+    """What a domain's groups have cost so far.
+
+    :param group_seconds: time in which each assigned group could not answer.
+    :param stranded_seconds: accelerators times the seconds in which their group could not.
+    """
+
+    group_seconds: dict[str, float] = dataclasses.field(
+        default_factory=lambda: collections.defaultdict(float)
+    )
+    stranded_seconds: float = 0.0
+
+
+class DomainKeeper:
+    """Keeps one fabric domain, with a lease or without.
+
+    Without a lease it goes on probing members and giving permits for the assignments that it
+    knows, which is safe because a permit rests on what the members say themselves; it gives
+    no order and changes nothing. It stops when any member names a later epoch.
+    """
+
+    def __init__(
+        self, domain: str, services: Services, epoch: int, lease: HeldLease | None
+    ) -> None:
+        self.domain = domain
+        self.epoch = epoch
+        self.lease = lease
+        self.assignments = Assignments(domain)
+        self.superseded = False
+        self.downtime = Downtime()
+        self._services = services
+        self._mod_revision = 0
+        self._loaded = False
+        self._sequence = 0
+        self._desk = PermitDesk(services.control.permit, services.group_tokens)
+        self._confirmations = Confirmations(services.control.window)
+        self._reports: dict[str, InstanceReport] = {}
+        self._heard: dict[str, float] = {}
+        self._missing_since: dict[str, float] = {}
+        self._open: set[str] = set()
+        self._safe_at: dict[str, float] = {}
+        self._pending: dict[str, repair.Change] = {}
+        self._accounted_at = time.monotonic()
+        self._telling: set[asyncio.Task[None]] = set()
+
+    @property
+    def loaded(self) -> bool:
+        """Whether the assignments are known."""
+        return self._loaded
+
+    @property
+    def open_groups(self) -> frozenset[str]:
+        """Groups that may answer."""
+        return frozenset(self._open)
+
+    @property
+    def draining(self) -> frozenset[str]:
+        """Groups that finish their work."""
+        return self._desk.draining
+
+    @property
+    def reports(self) -> t.Mapping[str, InstanceReport]:
+        """The newest report of each instance."""
+        return self._reports
+
+    def adopt(self, assignments: Assignments) -> None:
+        """Begin without a lease, from assignments known otherwise."""
+        self.assignments = assignments
+        self._loaded = True
+
+    async def load(self) -> None:
+        """Read the assignments from the store.
+
+        :raises StoreUnavailableError: if it can't be read.
+        """
+        key = self._services.keys.domain(self.domain)
+        found = await self._services.store.read(key, Purpose.ASSIGN)
+        self._mod_revision = found.mod_revision if found else 0
+        self.assignments = Assignments.decode(found.value) if found else Assignments(self.domain)
+        self._loaded = True
+        self._publish_all()
+
+    async def tick(self) -> None:
+        """Probe, account, order and repair once."""
+        if not self._loaded:
+            await self.load()
+        await self._probe_all()
+        if self.superseded:
+            self._close_all()
+            return
+        self._note_open()
+        self._account()
+        if self.lease is None:
+            return
+        await self._give_orders()
+        self._decide()
+        await self._carry_out()
+
+    def permit(self, request: PermitRequest, weights: t.Mapping[str, float]) -> Permit:
+        """Answer a daemon that wants to use a group."""
+        group = self.assignments.groups.get(request.group)
+        leader = self._address(group.leader) if group else None
+        if group is None or leader is None or self.superseded:
+            return Permit(request.group, self.epoch, 0, 0.0, True, "")
+        now = time.monotonic()
+        lease_end = self.lease.deadline if self.lease else float("inf")
+        seconds = self._desk.valid_for(request, group, self._confirmations, lease_end, now)
+        grant = self._desk.grant(group.id, request.daemon, weights, now)
+        return Permit(
+            group.id,
+            self.epoch,
+            group.generation,
+            seconds,
+            group.id in self._desk.draining,
+            leader,
+            grant.credits,
+            grant.spare,
+        )
+
+    # probing
+
+    def _members(self) -> set[str]:
+        return self.assignments.taken()
+
+    def _address(self, instance: str) -> str | None:
+        listed = self._fleet.instances.get(instance)
+        return listed.address if listed else None
+
+    @property
+    def _fleet(self) -> Fleet:
+        return self._services.gossip.fleet
+
+    async def _probe_all(self) -> None:
+        targets = {one.id: one.address for one in self._fleet.in_domain(self.domain)}
+        if self.lease is None:
+            targets = {name: where for name, where in targets.items() if name in self._members()}
+        await asyncio.gather(*(self._probe(name, where) for name, where in targets.items()))
+        for name in self._members() - set(targets):
+            self._miss(name)
+
+    async def _probe(self, name: str, address: str) -> None:
+        sent_at = time.monotonic()
+        try:
+            report = await self._services.engines.probe(address)
+        except EndpointError:
+            self._miss(name)
+            return
+        if report.instance != name:
+            # the address was given to another instance
+            self._miss(name)
+            return
+        if report.epoch > self.epoch and name in self._members():
+            self.superseded = True
+        self._reports[name] = report
+        self._heard[name] = time.monotonic()
+        self._confirm(name, report, sent_at)
+
+    def _confirm(self, name: str, report: InstanceReport, sent_at: float) -> None:
+        group = self._group_of(name)
+        if group is None or self._confirmations.confirm(group, report, sent_at):
+            self._missing_since.pop(name, None)
+        elif report.group != group.id or report.generation != group.generation:
+            # alive, but it has yet to follow: that isn't a loss
+            self._missing_since.pop(name, None)
+
+    def _miss(self, name: str) -> None:
+        self._reports.pop(name, None)
+        self._confirmations.doubt(name)
+        self._missing_since.setdefault(name, time.monotonic())
+
+    def _group_of(self, instance: str) -> Group | None:
+        for group in self.assignments.groups.values():
+            if instance in group.members:
+                return group
+        return None
+
+    # opening and closing
+
+    def _note_open(self) -> None:
+        now = time.monotonic()
+        for group in self.assignments.groups.values():
+            is_open = self._confirmations.is_open(group, now)
+            if is_open and group.id not in self._open:
+                self._open.add(group.id)
+                events.GROUP_OPENED.log(group=group.id, generation=group.generation)
+                self._publish(group)
+            elif not is_open and group.id in self._open:
+                self._close(group, self._confirmations.missing(group, now))
+
+    def _close(self, group: Group, missing: list[str]) -> None:
+        self._open.discard(group.id)
+        events.GROUP_CLOSED.log(group=group.id, generation=group.generation, missing=missing)
+        self._publish(group)
+        body = {"group": group.id, "generation": group.generation}
+        for daemon in self._desk.holders(group.id, time.monotonic()):
+            task = asyncio.create_task(self._tell_closed(daemon, body))
+            self._telling.add(task)
+            task.add_done_callback(self._telling.discard)
+
+    async def _tell_closed(self, daemon: str, body: dict[str, t.Any]) -> None:
+        # only to be quicker than the end of the permit, which needs no message
+        try:
+            await self._services.peers.tell(daemon, "closed", body)
+        except Exception as error:
+            events.TASK_FAILED.log(task="closed", reason=repr(error), expected=True)
+
+    def _close_all(self) -> None:
+        for group in self.assignments.groups.values():
+            self._desk.suspend(group.id)
+            if group.id in self._open:
+                self._close(group, [])
+
+    def _account(self) -> None:
+        now = time.monotonic()
+        elapsed, self._accounted_at = now - self._accounted_at, now
+        for group in self.assignments.groups.values():
+            if group.id in self._open:
+                continue
+            self.downtime.group_seconds[group.id] += elapsed
+            listed = [self._fleet.instances.get(one) for one in group.members]
+            accelerators = sum(one.accelerators for one in listed if one)
+            self.downtime.stranded_seconds += accelerators * elapsed
+
+    def _publish_all(self) -> None:
+        for group in self.assignments.groups.values():
+            self._publish(group)
+
+    def _publish(self, group: Group) -> None:
+        self._sequence += 1
+        placed = self._services.config().placements.get(group.id)
+        version = (placed.revision if placed else 0, self.epoch, group.generation, self._sequence)
+        body = {
+            "domain": self.domain,
+            "intent": group.intent,
+            "model": group.model,
+            "version": group.version,
+            "generation": group.generation,
+            "members": list(group.members),
+            "open": group.id in self._open,
+            "epoch": self.epoch,
+        }
+        self._services.gossip.publish(Record(f"group/{group.id}", version, body))
+
+    def _publish_gone(self, group: Group) -> None:
+        self._sequence += 1
+        placed = self._services.config().placements.get(group.id)
+        version = (placed.revision if placed else 0, self.epoch, group.generation, self._sequence)
+        record = Record(f"group/{group.id}", version, {"gone": True, "domain": self.domain})
+        self._services.gossip.publish(record)
+
+    # orders
+
+    def _check_lease(self) -> None:
+        if self.lease is None:
+            raise StoreUnavailableError("no lease")
+        self.lease.check(time.monotonic())
+
+    async def _give_orders(self) -> None:
+        orders = [
+            self._order(name, self._order_for(group, rank))
+            for group in self.assignments.groups.values()
+            for rank, name in enumerate(group.members)
+            if self._needs_order(name, group)
+        ]
+        generation = self.assignments.generation
+        orders += [
+            self._order(name, Order(self.epoch, "", generation, -1, "", ""))
+            for name, report in self._reports.items()
+            if report.group and self._group_of(name) is None
+        ]
+        await asyncio.gather(*orders)
+
+    def _order_for(self, group: Group, rank: int) -> Order:
+        return Order(self.epoch, group.id, group.generation, rank, group.model, group.version)
+
+    def _needs_order(self, name: str, group: Group) -> bool:
+        report = self._reports.get(name)
+        if report is None:
+            return False
+        placed = (report.group, report.generation, report.epoch)
+        return placed != (group.id, group.generation, self.epoch)
+
+    async def _order(self, name: str, order: Order) -> None:
+        address = self._address(name)
+        if address is None:
+            return
+        self._check_lease()
+        try:
+            await self._services.engines.order(address, order)
+        except EndpointError as error:
+            events.ORDER_REFUSED.log(instance=name, reason=str(error))
+            return
+        if order.group:
+            # whoever kept the group before sees the new epoch from now on
+            self._safe_at.setdefault(order.group, time.monotonic() + self._outlived)
+
+    @property
+    def _outlived(self) -> float:
+        control = self._services.control
+        return max(control.window, control.permit) * (1 + MAX_DRIFT)
+
+    # changes
+
+    def _view(self) -> repair.View:
+        now = time.monotonic()
+        listed = {one.id for one in self._fleet.in_domain(self.domain)}
+        leaving = {
+            one.id for one in self._fleet.in_domain(self.domain) if one.state.value == "leaving"
+        }
+        gone = {
+            name
+            for name in self._members()
+            if name not in listed and now - self._heard.get(name, 0.0) > GONE_AFTER
+        }
+        idle = {name for name, report in self._reports.items() if not report.group}
+        draining = self._services.config().configuration.draining | leaving
+        return repair.View(
+            frozenset(self._reports),
+            frozenset(idle),
+            frozenset(gone),
+            dict(self._missing_since),
+            frozenset(draining),
+        )
+
+    def _wanted(self) -> repair.Wanted:
+        state = self._services.config()
+        placements = {
+            name: placed
+            for name, placed in state.placements.items()
+            if placed.domain == self.domain
+        }
+        seconds = self._services.control.repair_after
+        return repair.Wanted(placements, state.configuration.intents, seconds)
+
+    def _decide(self) -> None:
+        strategy = self._services.control.repair
+        now = time.monotonic()
+        changes = repair.decide(self.assignments, self._wanted(), self._view(), now, strategy)
+        # decided anew each time: a member that came back makes its replacement moot
+        fresh = {_subject(change): change for change in changes}
+        for group_id in set(self._pending) - set(fresh):
+            self._desk.resume(group_id)
+        self._pending = fresh
+
+    async def _carry_out(self) -> None:
+        for subject, change in list(self._pending.items()):
+            if not self._ready_for(change):
+                continue
+            if await self._write(_applied(self.assignments, change)):
+                self._desk.resume(subject)
+                self._pending.pop(subject, None)
+                self._log(change)
+            return
+
+    def _ready_for(self, change: repair.Change) -> bool:
+        now = time.monotonic()
+        if self.lease is None or not self.lease.may_reassign(now, self._services.terms):
+            return False
+        if isinstance(change, repair.Start | repair.Release):
+            return True
+        group_id = _subject(change)
+        if now < self._safe_at.get(group_id, self.lease.acquired_at + self._outlived):
+            return False
+        if change.graceful:
+            self._desk.drain(group_id)
+            return self._desk.unused(group_id, now)
+        self._desk.suspend(group_id)
+        return now > self._desk.last_end(group_id)
+
+    async def _write(self, changed: Assignments) -> bool:
+        """Write assignments under the lease; read them again if it isn't sure what stands."""
+        changed.check()
+        self._check_lease()
+        lease = t.cast(HeldLease, self.lease)
+        services = self._services
+        key = services.keys.domain(self.domain)
+        conditions: list[Condition] = [
+            Unchanged(key, self._mod_revision),
+            SameLife(services.keys.holder(lease.shard), lease.create_revision),
+        ]
+        try:
+            write = [Write(key, changed.encode())]
+            revision = await services.store.transact(conditions, write, Purpose.ASSIGN)
+        except StoreOutcomeUnknownError:
+            self._loaded = False
+            return False
+        except StoreError as error:
+            events.TASK_FAILED.log(task="assign", reason=str(error), expected=True)
+            return False
+        if revision is None:
+            self._loaded = False
+            return False
+        self._mod_revision = revision
+        self._replace(changed)
+        return True
+
+    def _replace(self, changed: Assignments) -> None:
+        old, self.assignments = self.assignments, changed
+        for group_id, group in old.groups.items():
+            if changed.groups.get(group_id) == group:
+                continue
+            if group_id in self._open:
+                self._close(group, [])
+            if group_id not in changed.groups:
+                self._publish_gone(group)
+        for group in changed.groups.values():
+            if old.groups.get(group.id) != group:
+                self._publish(group)
+
+    def _log(self, change: repair.Change) -> None:
+        if isinstance(change, repair.Release):
+            events.INSTANCE_RELEASED.log(domain=self.domain, instances=list(change.instances))
+            return
+        group = self.assignments.groups.get(_subject(change))
+        members = list(group.members) if group else []
+        kind = type(change).__name__.lower()
+        events.GROUP_CHANGED.log(group=_subject(change), change=kind, members=members)
+
+
+def _subject(change: repair.Change) -> str:
+    if isinstance(change, repair.Release):
+        return ""
+    return change.group_id if isinstance(change, repair.Dissolve) else change.group.id
+
+
+def _applied(assignments: Assignments, change: repair.Change) -> Assignments:
+    if isinstance(change, repair.Release):
+        return assignments.released(change.instances)
+    if isinstance(change, repair.Dissolve):
+        return assignments.without_group(change.group_id)
+    return assignments.with_group(change.group)
--- /dev/null
+++ b/packages/daemon/src/thorncleat_daemon/engines.py
@@ -0,0 +1,53 @@
+"""Adapter to the control side of the model engines."""
+
+import dataclasses
+
+import aiohttp
+
+from thorncleat_core import codec
+from thorncleat_core.exceptions import DecodeError
+from thorncleat_core.groups import InstanceReport
+
+from .exceptions import EndpointError
+from .exceptions import StaleOrderError
+from .ports import Order
+
+
+class HttpEngines:
+    """Probes engines and gives them orders over HTTP.
+
+    :param timeout: seconds for a call; an order that takes longer counts as lost.
+    """
+
+    def __init__(self, session: aiohttp.ClientSession, timeout: float) -> None:
+        self._session = session
+        self._timeout = aiohttp.ClientTimeout(total=timeout)
+
+    async def probe(self, address: str) -> InstanceReport:
+        """Ask an engine what it is.
+
+        :raises EndpointError: if it doesn't answer, or not as an engine.
+        """
+        url = f"http://{address}/v1/state"
+        try:
+            async with self._session.get(url, timeout=self._timeout) as response:
+                response.raise_for_status()
+                return codec.validated(InstanceReport, await response.json())
+        except (aiohttp.ClientError, TimeoutError, ValueError, DecodeError) as error:
+            raise EndpointError(f"probe of {address!r}: {error!r}") from error
+
+    async def order(self, address: str, order: Order) -> None:
+        """Give an engine an order.
+
+        :raises StaleOrderError: if it follows a later epoch.
+        :raises EndpointError: if it doesn't answer.
+        """
+        url = f"http://{address}/v1/orders"
+        body = dataclasses.asdict(order)
+        try:
+            async with self._session.post(url, json=body, timeout=self._timeout) as response:
+                if response.status == 409:
+                    raise StaleOrderError(f"{address!r} refused epoch {order.epoch!r}")
+                response.raise_for_status()
+        except (aiohttp.ClientError, TimeoutError) as error:
+            raise EndpointError(f"order to {address!r}: {error!r}") from error
--- /dev/null
+++ b/packages/daemon/src/thorncleat_daemon/entry.py
@@ -0,0 +1,147 @@
+"""The callers' side: the HTTP application that takes requests."""
+
+import time
+import typing as t
+
+from aiohttp import web
+
+from thorncleat_core.configuration import Configuration
+
+from . import callers
+from . import events
+from . import problems
+from .callers import Caller
+from .completions import PATH
+from .completions import Completions
+from .exceptions import RequestError
+from .metrics import Metrics
+from .plain import PlainServices
+from .recent import RecentRequests
+
+Answerer = t.Callable[[web.Request, Caller, bytes], t.Awaitable[web.StreamResponse]]
+
+
+class Entry:
+    """Takes the callers' requests.
+
+    :param ready: whether this daemon should get requests.
+    :param body_limit: largest body in bytes.
+    :param deadline: seconds for a request that doesn't say.
+    """
+
+    def __init__(
+        self,
+        configuration: t.Callable[[], Configuration],
+        completions: Completions,
+        services: PlainServices,
+        metrics: Metrics,
+        recent: RecentRequests,
+        ready: t.Callable[[], str | None],
+        body_limit: int,
+        deadline: float,
+    ) -> None:
+        self._configuration = configuration
+        self._completions = completions
+        self._services = services
+        self._metrics = metrics
+        self._recent = recent
+        self._ready = ready
+        self._body_limit = body_limit
+        self._deadline = deadline
+
+    def application(self) -> web.Application:
+        """Return the HTTP application."""
+        app = web.Application(client_max_size=self._body_limit)
+        app.router.add_post(PATH, self._complete)
+        app.router.add_get("/v1/models", self._models)
+        app.router.add_route("*", "/v1/services/{service}/{tail:.*}", self._call)
+        app.router.add_get("/healthz", self._healthy)
+        app.router.add_get("/readyz", self._readyz)
+        app.router.add_get("/metrics", self._show_metrics)
+        return app
+
+    async def _complete(self, request: web.Request) -> web.StreamResponse:
+        return await self._answer(request, self._completions.answer, "completions")
+
+    async def _call(self, request: web.Request) -> web.StreamResponse:
+        name = request.match_info["service"]
+        return await self._answer(request, self._services.answer, name)
+
+    async def _answer(
+        self, request: web.Request, answerer: Answerer, target: str
+    ) -> web.StreamResponse:
+        started = time.monotonic()
+        caller: Caller | None = None
+        try:
+            caller = callers.identify(request, self._configuration(), self._deadline)
+            body = await callers.read_body(request, self._body_limit)
+            with self._metrics.in_flight.track_inprogress():
+                response = await answerer(request, caller, body)
+        except RequestError as error:
+            return self._refused(error, caller, target, started)
+        self._recent.note(
+            caller.id,
+            time.monotonic() - started,
+            workspace=caller.workspace.name,
+            target=target,
+            status=response.status,
+            cause="good",
+            executed="yes",
+            detail="",
+        )
+        return response
+
+    def _refused(
+        self, error: RequestError, caller: Caller | None, target: str, started: float
+    ) -> web.Response:
+        request_id = caller.id if caller else "none"
+        workspace = caller.workspace.name if caller else "unknown"
+        # a caller's own mistake doesn't count against the objective
+        if error.cause in ("bad_request", "unauthorized", "repeat"):
+            self._metrics.requests.labels(workspace, error.cause).inc()
+        else:
+            self._metrics.ended(workspace, target, error.cause)
+            events.REQUEST_FAILED.log(request=request_id, cause=error.cause, detail=error.detail)
+        self._recent.note(
+            request_id,
+            time.monotonic() - started,
+            workspace=workspace,
+            target=target,
+            status=error.status,
+            cause=error.cause,
+            executed=error.executed,
+            detail=error.detail,
+        )
+        return problems.response(error, request_id)
+
+    async def _models(self, request: web.Request) -> web.Response:
+        try:
+            caller = callers.identify(request, self._configuration(), self._deadline)
+        except RequestError as error:
+            return problems.response(error, "none")
+        models = sorted(
+            {
+                intent.model
+                for intent in self._configuration().intents.values()
+                if caller.workspace.name in intent.workspaces
+            }
+        )
+        rows = [
+            {"id": name, "object": "model", "created": 0, "owned_by": "thorncleat"}
+            for name in models
+        ]
+        return web.json_response({"object": "list", "data": rows})
+
+    async def _healthy(self, request: web.Request) -> web.Response:
+        return web.Response(text="ok\n")
+
+    async def _readyz(self, request: web.Request) -> web.Response:
+        reason = self._ready()
+        if reason is None:
+            return web.Response(text="ready\n")
+        return web.Response(status=503, text=f"not ready: {reason}\n")
+
+    async def _show_metrics(self, request: web.Request) -> web.Response:
+        return web.Response(
+            body=self._metrics.text(), headers={"Content-Type": "text/plain; version=0.0.4"}
+        )
--- /dev/null
+++ b/packages/daemon/src/thorncleat_daemon/gossip.py
@@ -0,0 +1,191 @@
+"""Passing records on among the daemons, and probing the neighbours."""
+
+import asyncio
+import random
+import typing as t
+
+import mode
+
+from thorncleat_core import directory
+from thorncleat_core.directory import Directory
+from thorncleat_core.directory import Record
+from thorncleat_core.fleet import Fleet
+from thorncleat_core.fleet import Instance
+from thorncleat_core.members import Members
+
+from . import background
+from . import events
+from .exceptions import PeerError
+from .exceptions import PlatformError
+from .ports import InstanceList
+from .ports import Peers
+
+FLUSH_SECONDS = 0.02
+MAX_RECORDS = 500
+Listener = t.Callable[[Record, str], None]
+
+
+class Gossip(mode.Service):
+    """Keeps the directory and the membership.
+
+    :param me: this daemon's id.
+    :param probe: seconds between probes; each goes to the next neighbour in turn.
+    :param poll: seconds between fetches of the platform's list.
+    """
+
+    def __init__(
+        self,
+        me: str,
+        peers: Peers,
+        instances: InstanceList,
+        probe: float,
+        poll: float,
+    ) -> None:
+        super().__init__()
+        self._me = me
+        self._peers = peers
+        self._instances = instances
+        self._probe = probe
+        self._poll = poll
+        self._turn = 0
+        self._outbox: list[tuple[Record, str]] = []
+        self._listeners: dict[str, Listener] = {}
+        self._listed: list[t.Callable[[int], None]] = []
+        self._flushing = asyncio.Event()
+        self.directory = Directory()
+        self.members = Members(me, self.directory)
+        self.fleet = Fleet({})
+        self.fleet_known = False
+        peers.handle("records", self._on_records)
+        peers.handle("sync", self._on_sync)
+        peers.handle("ping", self._on_ping)
+
+    def listen(self, prefix: str, listener: Listener) -> None:
+        """Call a function for each new record under a prefix; it gets the sender too."""
+        self._listeners[prefix] = listener
+
+    def on_listed(self, listener: t.Callable[[int], None]) -> None:
+        """Call a function with the number of daemons whenever the list was fetched."""
+        self._listed.append(listener)
+
+    def publish(self, record: Record) -> None:
+        """Put a record into the directory and pass it on."""
+        self._take(record, self._me)
+
+    async def on_start(self) -> None:
+        """Fetch the list once before anything else needs it."""
+        await self._fetch()
+
+    async def _fetch(self) -> None:
+        try:
+            listed = await self._instances.fetch()
+        except PlatformError as error:
+            events.PLATFORM_LOST.log(reason=str(error))
+            return
+        self._relist(listed)
+
+    def _relist(self, listed: list[Instance]) -> None:
+        self.fleet = Fleet.of(listed)
+        self.fleet_known = True
+        self.members.listed({one.id: one.address for one in self.fleet.entries()})
+        for listener in self._listed:
+            listener(len(self.members.addresses))
+
+    def _take(self, record: Record, sender: str) -> None:
+        if not self.directory.put(record):
+            return
+        self._outbox.append((record, sender))
+        self._flushing.set()
+        for prefix, listener in self._listeners.items():
+            if record.key.startswith(prefix):
+                listener(record, sender)
+        if record.key.startswith("member/"):
+            self._on_member()
+
+    def _on_member(self) -> None:
+        self.members.refresh()
+        refutation = self.members.refute()
+        if refutation:
+            events.MEMBER_REFUTED.log(incarnation=refutation.version[0])
+            self.publish(refutation)
+
+    async def _on_records(self, sender: str, body: t.Any) -> None:
+        for raw in body[:MAX_RECORDS]:
+            self._take(directory.decode(raw), sender)
+
+    async def _on_sync(self, sender: str, body: t.Any) -> t.Any:
+        versions = {key: tuple(version) for key, version in body.items()}
+        mine = self.directory.versions()
+        # what the other one has newer is asked for in the same answer
+        lacking = [key for key, version in versions.items() if mine.get(key, ()) < version]
+        return {
+            "records": self.directory.newer_than(versions)[:MAX_RECORDS],
+            "wanted": lacking[:MAX_RECORDS],
+        }
+
+    async def _on_ping(self, sender: str, body: t.Any) -> t.Any:
+        return self.directory.checksum
+
+    @mode.Service.task
+    async def _poll_task(self) -> None:
+        await background.repeat("list", self._fetch, self._poll, lambda: self.should_stop)
+
+    @mode.Service.task
+    async def _flush_task(self) -> None:
+        while not self.should_stop:
+            await self._flushing.wait()
+            # records that come together go out together
+            await asyncio.sleep(FLUSH_SECONDS)
+            self._flushing.clear()
+            await self._flush()
+
+    async def _flush(self) -> None:
+        outbox, self._outbox = self._outbox, []
+        for neighbour in self.members.neighbours:
+            records = [record for record, sender in outbox if sender != neighbour]
+            if not records:
+                continue
+            try:
+                await self._peers.tell(neighbour, "records", records[:MAX_RECORDS])
+            except PeerError:
+                continue
+
+    @mode.Service.task
+    async def _probe_task(self) -> None:
+        await background.repeat("probe", self._probe_next, self._probe, lambda: self.should_stop)
+
+    async def _probe_next(self) -> None:
+        neighbours = self.members.neighbours
+        if not neighbours:
+            return
+        self._turn = (self._turn + 1) % len(neighbours)
+        neighbour = neighbours[self._turn]
+        try:
+            checksum = await self._peers.ask(neighbour, "ping", None, self._probe)
+        except PeerError:
+            suspicion = self.members.missed(neighbour)
+            if suspicion:
+                events.MEMBER_SUSPECTED.log(member=neighbour)
+                self.publish(suspicion)
+            return
+        self.members.answered(neighbour)
+        if checksum != self.directory.checksum:
+            await self.synchronise(neighbour)
+
+    async def synchronise(self, peer: str) -> None:
+        """Exchange with a peer what either lacks.
+
+        :raises PeerError: if it doesn't answer.
+        """
+        answer = await self._peers.ask(peer, "sync", self.directory.versions())
+        for raw in answer["records"]:
+            self._take(directory.decode(raw), peer)
+        wanted = [self.directory.get(key) for key in answer["wanted"]]
+        records = [record for record in wanted if record]
+        if records:
+            await self._peers.tell(peer, "records", records)
+
+    def some_peers(self, count: int) -> list[str]:
+        """Return some other daemons, chosen at random."""
+        others = [name for name in self.members.alive if name != self._me]
+        return random.sample(others, min(count, len(others)))
--- /dev/null
+++ b/packages/daemon/src/thorncleat_daemon/holder.py
@@ -0,0 +1,315 @@
+"""Holding shards of the control work under leases, and keeping their fabric domains."""
+
+import asyncio
+import random
+import time
+import typing as t
+
+import mode
+
+from thorncleat_core import codec
+from thorncleat_core import leases
+from thorncleat_core import rendezvous
+from thorncleat_core.budget import Purpose
+from thorncleat_core.directory import Record
+from thorncleat_core.groups import Assignments
+from thorncleat_core.groups import Group
+from thorncleat_core.leases import HeldLease
+from thorncleat_core.permits import PermitRequest
+
+from . import background
+from . import events
+from .domains import DomainKeeper
+from .domains import Services
+from .exceptions import StoreError
+from .exceptions import StoreOutcomeUnknownError
+from .ports import Stored
+from .ports import Unchanged
+from .ports import Write
+
+CANDIDATES = 3
+LOOK_SECONDS = 2.0
+
+
+class ShardHolder(mode.Service):
+    """Acquires, renews and gives up shards; runs a keeper for each of their domains.
+
+    :param shards: number of control shards.
+    """
+
+    def __init__(self, services: Services, shards: int) -> None:
+        super().__init__()
+        self._services = services
+        self._shards = shards
+        self._lease_id = 0
+        self._deadline = 0.0
+        self._renewed_at = 0.0
+        self._held: dict[int, HeldLease] = {}
+        self._look_at: dict[int, float] = {}
+        self._free_since: dict[int, float] = {}
+        self._keepers: dict[str, DomainKeeper] = {}
+        self._running: dict[str, asyncio.Task[None]] = {}
+        self._lost: t.Callable[[int], None] = lambda shard: None
+        self._acquired: t.Callable[[HeldLease], None] = lambda lease: None
+        services.peers.handle("permit", self._on_permit)
+
+    @property
+    def held(self) -> t.Mapping[int, HeldLease]:
+        """The leases that are held, by shard."""
+        return self._held
+
+    @property
+    def keepers(self) -> t.Mapping[str, DomainKeeper]:
+        """The keepers, by fabric domain."""
+        return self._keepers
+
+    def on_change(
+        self, acquired: t.Callable[[HeldLease], None], lost: t.Callable[[int], None]
+    ) -> None:
+        """Call functions when a shard is acquired or lost."""
+        self._acquired = acquired
+        self._lost = lost
+
+    def shard_of(self, key: str) -> int:
+        """Return the shard of a fabric domain or a claim key."""
+        return rendezvous.shard_of(key, self._shards)
+
+    def candidates(self, shard: int) -> list[str]:
+        """Return the daemons that may take a shard, the preferred one first."""
+        alive = self._services.gossip.members.alive
+        return rendezvous.ranked(f"shard/{shard}", alive)[:CANDIDATES]
+
+    def holder_of(self, shard: int) -> str | None:
+        """Return the daemon that last said it holds a shard."""
+        record = self._services.gossip.directory.get(f"shard/{shard}")
+        return str(record.body["holder"]) if record and record.body.get("holder") else None
+
+    async def on_stop(self) -> None:
+        """Give the shards up, so that others need not wait for the lease to lapse."""
+        for task in self._running.values():
+            task.cancel()
+        if self._lease_id:
+            try:
+                await self._services.store.revoke(self._lease_id)
+            except StoreError:
+                return
+
+    # leases
+
+    @mode.Service.task
+    async def _renew_task(self) -> None:
+        seconds = self._services.terms.renew_every / 2
+        await background.repeat("renew", self._renew, seconds, lambda: self.should_stop)
+
+    async def _renew(self) -> None:
+        now = time.monotonic()
+        if not self._lease_id or now < self._renewed_at + self._services.terms.renew_every:
+            self._drop_lapsed(now)
+            return
+        try:
+            alive = await self._services.store.renew(self._lease_id)
+        except StoreError:
+            self._drop_lapsed(time.monotonic())
+            return
+        if not alive:
+            self._lease_id = 0
+            self._lose_all()
+            return
+        self._extend(now)
+
+    def _extend(self, sent_at: float) -> None:
+        self._renewed_at = sent_at
+        self._deadline = leases.deadline_of(sent_at, self._services.terms)
+        for lease in self._held.values():
+            lease.deadline = self._deadline
+
+    def _drop_lapsed(self, now: float) -> None:
+        if self._held and now >= self._deadline:
+            self._lease_id = 0
+            self._lose_all()
+
+    def _lose_all(self) -> None:
+        for shard in list(self._held):
+            self._lose(shard)
+
+    def _lose(self, shard: int) -> None:
+        lease = self._held.pop(shard)
+        lease.deadline = 0.0
+        events.SHARD_LOST.log(shard=shard, epoch=lease.epoch)
+        self._lost(shard)
+        for keeper in self._keepers.values():
+            if keeper.lease is lease:
+                # goes on giving permits for what stands, until a later epoch shows
+                keeper.lease = None
+
+    @mode.Service.task
+    async def _acquire_task(self) -> None:
+        seconds = LOOK_SECONDS / 4
+        await background.repeat("acquire", self._look, seconds, lambda: self.should_stop)
+
+    async def _look(self) -> None:
+        if self._services.me not in self._services.gossip.members.addresses:
+            # a daemon that isn't listed could not be asked for permits
+            return
+        now = time.monotonic()
+        for shard in range(self._shards):
+            if shard not in self._held and now >= self._look_at.get(shard, 0.0):
+                self._look_at[shard] = now + LOOK_SECONDS * random.uniform(0.8, 1.2)
+                await self._try_shard(shard)
+        self._keep_domains()
+
+    async def _try_shard(self, shard: int) -> None:
+        """Take a shard that is free; those less preferred leave it to the others at first."""
+        candidates = self.candidates(shard)
+        if self._services.me not in candidates:
+            self._free_since.pop(shard, None)
+            return
+        rank = candidates.index(self._services.me)
+        patience = rank * LOOK_SECONDS * 1.5
+        try:
+            await self._acquire(shard, patience)
+        except StoreError:
+            return
+
+    async def _acquire(self, shard: int, patience: float) -> None:
+        keys, store = self._services.keys, self._services.store
+        found = {one.key: one for one in await store.read_under(keys.shard(shard), Purpose.LEASE)}
+        if keys.holder(shard) in found:
+            self._note_holder(shard, found)
+            self._free_since.pop(shard, None)
+            return
+        now = time.monotonic()
+        if now < self._free_since.setdefault(shard, now) + patience:
+            return
+        epoch_row = found.get(keys.epoch(shard))
+        epoch = int(codec.unpack(epoch_row.value)) + 1 if epoch_row else 1
+        await self._ensure_lease()
+        mark = codec.pack({"holder": self._services.me, "epoch": epoch})
+        conditions = [
+            Unchanged(keys.holder(shard), 0),
+            Unchanged(keys.epoch(shard), epoch_row.mod_revision if epoch_row else 0),
+        ]
+        writes = [
+            Write(keys.holder(shard), mark, self._lease_id),
+            Write(keys.epoch(shard), codec.pack(epoch)),
+        ]
+        try:
+            revision = await store.transact(conditions, writes, Purpose.LEASE)
+        except StoreOutcomeUnknownError:
+            revision = await self._read_back(shard, mark)
+        if revision is not None and time.monotonic() < self._deadline:
+            self._hold(HeldLease(shard, epoch, revision, time.monotonic(), self._deadline))
+
+    async def _read_back(self, shard: int, mark: bytes) -> int | None:
+        found = await self._services.store.read(self._services.keys.holder(shard), Purpose.LEASE)
+        own = found is not None and found.value == mark
+        events.STORE_READ_BACK.log(shard=shard, own=own)
+        return found.create_revision if found and own else None
+
+    async def _ensure_lease(self) -> None:
+        if self._lease_id and time.monotonic() < self._deadline:
+            return
+        sent_at = time.monotonic()
+        self._lease_id = await self._services.store.grant(self._services.terms.ttl)
+        self._extend(sent_at)
+
+    def _hold(self, lease: HeldLease) -> None:
+        self._held[lease.shard] = lease
+        events.SHARD_ACQUIRED.log(shard=lease.shard, epoch=lease.epoch)
+        body = {"holder": self._services.me}
+        self._services.gossip.publish(Record(f"shard/{lease.shard}", (lease.epoch,), body))
+        self._acquired(lease)
+        self._keep_domains()
+
+    def _note_holder(self, shard: int, found: t.Mapping[str, Stored]) -> None:
+        mark = codec.unpack(found[self._services.keys.holder(shard)].value)
+        record = Record(f"shard/{shard}", (mark["epoch"],), {"holder": mark["holder"]})
+        self._services.gossip.publish(record)
+
+    # domains
+
+    def _keep_domains(self) -> None:
+        domains = set(self._services.gossip.fleet.fabric_domains())
+        placements = self._services.config().placements.values()
+        domains |= {placed.domain for placed in placements}
+        for domain in sorted(domains):
+            lease = self._held.get(self.shard_of(domain))
+            keeper = self._keepers.get(domain)
+            if lease and (keeper is None or keeper.lease is not lease):
+                self._run(DomainKeeper(domain, self._services, lease.epoch, lease))
+        for domain, keeper in list(self._keepers.items()):
+            if keeper.superseded:
+                self._end(domain)
+
+    def _run(self, keeper: DomainKeeper) -> None:
+        self._end(keeper.domain)
+        self._keepers[keeper.domain] = keeper
+        seconds = self._services.control.probe
+        self._running[keeper.domain] = asyncio.create_task(
+            background.repeat(
+                f"domain {keeper.domain}", keeper.tick, seconds, lambda: self.should_stop
+            )
+        )
+
+    def _end(self, domain: str) -> None:
+        self._keepers.pop(domain, None)
+        task = self._running.pop(domain, None)
+        if task:
+            task.cancel()
+
+    # permits
+
+    async def _on_permit(self, sender: str, body: t.Any) -> t.Any:
+        """Answer for each group asked about; groups of others are passed over."""
+        weights = {
+            name: one.share
+            for name, one in self._services.config().configuration.workspaces.items()
+        }
+        answers = []
+        for raw in body:
+            request = codec.validated(PermitRequest, raw)
+            keeper = self._keeper_of(request.group)
+            if keeper:
+                answers.append(keeper.permit(request, weights))
+        return answers
+
+    def _keeper_of(self, group_id: str) -> DomainKeeper | None:
+        record = self._services.gossip.directory.get(f"group/{group_id}")
+        if record is None or record.body.get("gone"):
+            return None
+        domain = str(record.body["domain"])
+        keeper = self._keepers.get(domain)
+        if keeper is None and self._may_stand_in(domain):
+            keeper = self._stand_in(domain)
+        return keeper
+
+    def _may_stand_in(self, domain: str) -> bool:
+        """Tell whether to keep a domain without a lease: only while the store is gone."""
+        reachable = getattr(self._services.store, "reachable", True)
+        return not reachable and self._services.me in self.candidates(self.shard_of(domain))
+
+    def _stand_in(self, domain: str) -> DomainKeeper | None:
+        records = [
+            record
+            for record in self._services.gossip.directory.under("group/")
+            if record.body.get("domain") == domain and not record.body.get("gone")
+        ]
+        if not records:
+            return None
+        groups = {}
+        for record in records:
+            name = record.key.removeprefix("group/")
+            body = record.body
+            groups[name] = Group(
+                name,
+                str(body["intent"]),
+                str(body["model"]),
+                str(body["version"]),
+                int(body["generation"]),
+                tuple(body["members"]),
+            )
+        epoch = max(int(record.body["epoch"]) for record in records)
+        keeper = DomainKeeper(domain, self._services, epoch, None)
+        keeper.adopt(Assignments(domain, groups))
+        self._run(keeper)
+        return keeper
--- /dev/null
+++ b/packages/daemon/src/thorncleat_daemon/once.py
@@ -0,0 +1,89 @@
+"""Running a request that may not be repeated: at most once, told truthfully."""
+
+import dataclasses
+import typing as t
+
+from thorncleat_core.claims import ClaimAnswer
+from thorncleat_core.claims import Outcome
+from thorncleat_core.claims import Reply
+from thorncleat_core.claims import request_digest
+
+from .callers import Caller
+from .callers import require_key
+from .claims import ClaimClient
+from .claims import kept_outcome
+from .exceptions import RequestError
+
+
+@dataclasses.dataclass(frozen=True)
+class Answered:
+    """A whole answer.
+
+    :param repeated: whether it is the answer of an earlier run.
+    """
+
+    status: int
+    content_type: str
+    body: bytes
+    repeated: bool = False
+
+
+Run = t.Callable[[], t.Awaitable[Answered]]
+
+
+def _from_earlier(reply: Reply) -> Answered:
+    """Return the answer of an earlier run, or raise what is known of it."""
+    outcome = reply.outcome
+    if reply.answer is ClaimAnswer.DONE and outcome and outcome.body is not None:
+        return Answered(outcome.status, outcome.content_type, outcome.body, repeated=True)
+    if reply.answer is ClaimAnswer.MISMATCH:
+        raise RequestError(
+            422, "Key reused", "the key was used with another request", cause="bad_request"
+        )
+    if reply.answer is ClaimAnswer.RUNNING:
+        raise RequestError(
+            409,
+            "Running",
+            "the request with this key is running",
+            executed="unknown",
+            retry_after=1.0,
+            cause="repeat",
+        )
+    if reply.answer is ClaimAnswer.DONE:
+        raise RequestError(
+            409, "Ran before", "it ran; its answer was not kept", executed="yes", cause="repeat"
+        )
+    raise RequestError(
+        409,
+        "Fate unknown",
+        "an earlier attempt with this key may have run; it is not run again",
+        executed="unknown",
+        cause="repeat",
+    )
+
+
+async def run_once(
+    claims: ClaimClient, caller: Caller, method: str, path: str, body: bytes, run: Run
+) -> Answered:
+    """Run a request unless its key was claimed before.
+
+    :raises RequestError: that says whether the request ran.
+    """
+    key = require_key(caller)
+    workspace = caller.workspace.name
+    reply = await claims.ask(workspace, key, request_digest(method, path, body))
+    if reply.answer is not ClaimAnswer.GRANTED:
+        return _from_earlier(reply)
+    ran = "unknown"
+    outcome: Outcome | None = None
+    try:
+        answered = await run()
+        ran = "yes"
+        outcome = kept_outcome(answered.status, answered.content_type, answered.body)
+        return answered
+    except RequestError as error:
+        ran = error.executed
+        raise
+    finally:
+        # also when the caller has gone: then the fate is unknown and stays so
+        await claims.tell(workspace, key, ran, outcome)
--- /dev/null
+++ b/packages/daemon/src/thorncleat_daemon/peers.py
@@ -0,0 +1,268 @@
+"""Messages between daemons over ZeroMQ with CURVE; strangers get nothing."""
+
+import asyncio
+import collections
+import itertools
+import typing as t
+
+import zmq
+import zmq.asyncio
+from zmq.auth.asyncio import AsyncioAuthenticator
+
+from thorncleat_core import codec
+from thorncleat_core.exceptions import DecodeError
+from thorncleat_core.exceptions import ThorncleatError
+from thorncleat_core.settings import PeerKeys
+
+from . import events
+from .exceptions import PeerError
+from .ports import Handler
+
+MAX_FRAME = 1_200_000
+MAX_CONNECTIONS = 64
+MAX_HANDLING = 256
+HIGH_WATER = 1000
+ZAP_DOMAIN = "thorncleat"
+
+
+class _Accepted:
+    """Tells the authenticator which public keys may connect."""
+
+    def __init__(self, accepted: t.Iterable[str]) -> None:
+        self._accepted = {key.encode() for key in accepted}
+
+    def callback(self, domain: str, key: bytes) -> bool:
+        """Return whether a key, in Z85, is accepted."""
+        return key in self._accepted
+
+
+class _Connection:
+    """A socket to one peer and the answers awaited on it."""
+
+    def __init__(self, socket: zmq.asyncio.Socket, address: str) -> None:
+        self.socket = socket
+        self.address = address
+        self.waiting: dict[int, asyncio.Future[t.Any]] = {}
+        self.reader: asyncio.Task[None] | None = None
+
+    def close(self) -> None:
+        """Close the socket; what is still awaited fails."""
+        if self.reader:
+            self.reader.cancel()
+        for future in self.waiting.values():
+            if not future.done():
+                future.set_exception(PeerError(f"connection to {self.address!r} closed"))
+        self.socket.close(linger=0)
+
+
+class ZmqPeers:
+    """Sends to peers by their listed addresses and answers them.
+
+    :param cluster: frames of other clusters are dropped.
+    :param addresses: current addresses of the daemons, by id.
+    """
+
+    def __init__(
+        self,
+        cluster: str,
+        me: str,
+        keys: PeerKeys,
+        addresses: t.Callable[[], t.Mapping[str, str]],
+    ) -> None:
+        self._cluster = cluster
+        self._me = me
+        self._keys = keys
+        self._addresses = addresses
+        self._context: zmq.asyncio.Context = zmq.asyncio.Context()
+        self._handlers: dict[str, Handler] = {}
+        self._connections: collections.OrderedDict[str, _Connection] = collections.OrderedDict()
+        self._numbers = itertools.count(1)
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._authenticator: AsyncioAuthenticator | None = None
+        self._server: zmq.asyncio.Socket | None = None
+        self.counts: collections.Counter[str] = collections.Counter()
+
+    def handle(self, kind: str, handler: Handler) -> None:
+        """Let a coroutine answer messages of a kind."""
+        self._handlers[kind] = handler
+
+    async def start(self, listen: str) -> str:
+        """Listen; return the address with the port that was taken."""
+        self._authenticator = AsyncioAuthenticator(self._context)
+        self._authenticator.start()
+        accepted = _Accepted(self._keys.accepted)
+        self._authenticator.configure_curve_callback(ZAP_DOMAIN, accepted)
+        server = self._context.socket(zmq.ROUTER)
+        self._harden(server)
+        server.curve_server = True
+        server.curve_publickey = self._keys.public.encode()
+        server.curve_secretkey = self._keys.secret.get_secret_value().encode()
+        server.zap_domain = ZAP_DOMAIN.encode()
+        host, _, port = listen.rpartition(":")
+        if port == "0":
+            port = str(server.bind_to_random_port(f"tcp://{host}"))
+        else:
+            server.bind(f"tcp://{listen}")
+        self._server = server
+        self._spawn(self._serve(server))
+        return f"{host}:{port}"
+
+    async def stop(self) -> None:
+        """Close everything."""
+        for task in list(self._tasks):
+            task.cancel()
+        for connection in self._connections.values():
+            connection.close()
+        self._connections.clear()
+        if self._server:
+            self._server.close(linger=0)
+        if self._authenticator:
+            self._authenticator.stop()
+        self._context.destroy(linger=0)
+
+    async def ask(self, peer: str, kind: str, body: t.Any, timeout: float = 1.0) -> t.Any:
+        """Send a message and return its answer.
+
+        :raises PeerError: if there is none in time, or it is an error.
+        """
+        if peer == self._me:
+            return await self._handled(self._me, kind, body)
+        connection = self._connection(peer)
+        number = next(self._numbers)
+        future: asyncio.Future[t.Any] = asyncio.get_running_loop().create_future()
+        connection.waiting[number] = future
+        try:
+            await self._send(connection.socket, kind, body, number)
+            return await asyncio.wait_for(future, timeout)
+        except TimeoutError:
+            raise PeerError(f"{peer!r} did not answer {kind!r} in {timeout!r} s") from None
+        finally:
+            connection.waiting.pop(number, None)
+
+    async def tell(self, peer: str, kind: str, body: t.Any) -> None:
+        """Send a message that needs no answer."""
+        if peer == self._me:
+            await self._handled(self._me, kind, body)
+            return
+        await self._send(self._connection(peer).socket, kind, body, 0)
+
+    def _harden(self, socket: zmq.asyncio.Socket) -> None:
+        socket.setsockopt(zmq.MAXMSGSIZE, MAX_FRAME)
+        socket.setsockopt(zmq.SNDHWM, HIGH_WATER)
+        socket.setsockopt(zmq.RCVHWM, HIGH_WATER)
+        socket.setsockopt(zmq.LINGER, 0)
+
+    def _connection(self, peer: str) -> _Connection:
+        address = self._addresses().get(peer)
+        if address is None:
+            raise PeerError(f"no address of daemon {peer!r}")
+        known = self._connections.get(peer)
+        if known and known.address == address:
+            self._connections.move_to_end(peer)
+            return known
+        if known:
+            self._connections.pop(peer).close()
+        while len(self._connections) >= MAX_CONNECTIONS:
+            self._connections.popitem(last=False)[1].close()
+        connection = self._connect(address)
+        self._connections[peer] = connection
+        return connection
+
+    def _connect(self, address: str) -> _Connection:
+        socket = self._context.socket(zmq.DEALER)
+        self._harden(socket)
+        socket.curve_serverkey = self._keys.public.encode()
+        socket.curve_publickey = self._keys.public.encode()
+        socket.curve_secretkey = self._keys.secret.get_secret_value().encode()
+        socket.connect(f"tcp://{address}")
+        connection = _Connection(socket, address)
+        connection.reader = self._spawn(self._read(connection))
+        return connection
+
+    def _spawn(self, work: t.Coroutine[t.Any, t.Any, None]) -> asyncio.Task[None]:
+        task = asyncio.create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        return task
+
+    async def _send(self, socket: zmq.asyncio.Socket, kind: str, body: t.Any, number: int) -> None:
+        frame = codec.pack({"c": self._cluster, "f": self._me, "k": kind, "n": number, "b": body})
+        self.counts["sent"] += 1
+        self.counts["sent_bytes"] += len(frame)
+        self.counts[f"sent:{kind}"] += 1
+        try:
+            await socket.send(frame, flags=zmq.NOBLOCK)
+        except zmq.ZMQError as error:
+            raise PeerError(f"can't send {kind!r}: {error}") from error
+
+    async def _read(self, connection: _Connection) -> None:
+        while True:
+            frame = await connection.socket.recv()
+            self._count_received(frame)
+            try:
+                answer = codec.unpack(frame)
+                future = connection.waiting.get(answer["n"])
+                if future is None or future.done():
+                    # an answer that came after its time, or twice
+                    self.counts["late_answers"] += 1
+                elif answer.get("e") is not None:
+                    future.set_exception(PeerError(str(answer["e"])))
+                else:
+                    future.set_result(answer.get("b"))
+            except (DecodeError, KeyError, TypeError) as error:
+                self._reject(str(error))
+
+    async def _serve(self, server: zmq.asyncio.Socket) -> None:
+        while True:
+            frames = await server.recv_multipart()
+            self._count_received(frames[-1])
+            if len(self._tasks) > MAX_HANDLING:
+                self.counts["overrun"] += 1
+                continue
+            try:
+                message = self._checked(codec.unpack(frames[-1]))
+            except DecodeError as error:
+                self._reject(str(error))
+                continue
+            self._spawn(self._answer(server, frames[0], message))
+
+    def _checked(self, message: t.Any) -> dict[str, t.Any]:
+        if not isinstance(message, dict) or set(message) != {"c", "f", "k", "n", "b"}:
+            raise DecodeError("a frame without the fields of one")
+        if message["c"] != self._cluster:
+            raise DecodeError(f"a frame for cluster {message['c']!r}")
+        if message["k"] not in self._handlers:
+            raise DecodeError(f"a frame of unknown kind {message['k']!r}")
+        return message
+
+    def _reject(self, reason: str) -> None:
+        self.counts["rejected"] += 1
+        events.PEER_REJECTED.log(reason=reason)
+
+    def _count_received(self, frame: bytes) -> None:
+        self.counts["received"] += 1
+        self.counts["received_bytes"] += len(frame)
+
+    async def _handled(self, sender: str, kind: str, body: t.Any) -> t.Any:
+        return await self._handlers[kind](sender, body)
+
+    async def _answer(
+        self, server: zmq.asyncio.Socket, identity: bytes, message: dict[str, t.Any]
+    ) -> None:
+        answer: dict[str, t.Any] = {"n": message["n"]}
+        try:
+            answer["b"] = await self._handled(message["f"], message["k"], message["b"])
+        except ThorncleatError as error:
+            answer["e"] = str(error)
+        except (KeyError, TypeError, ValueError) as error:
+            self._reject(f"{message['k']!r}: {error!r}")
+            answer["e"] = "malformed body"
+        if not message["n"]:
+            return
+        frame = codec.pack(answer)
+        self.counts["sent"] += 1
+        self.counts["sent_bytes"] += len(frame)
+        try:
+            await server.send_multipart([identity, frame], flags=zmq.NOBLOCK)
+        except zmq.ZMQError:
+            self.counts["unsendable"] += 1
--- /dev/null
+++ b/packages/daemon/src/thorncleat_daemon/permits.py
@@ -0,0 +1,187 @@
+"""Keeping permits for the groups that this daemon uses."""
+
+import asyncio
+import collections
+import time
+import typing as t
+
+import mode
+
+from thorncleat_core import codec
+from thorncleat_core import routing
+from thorncleat_core.exceptions import DecodeError
+from thorncleat_core.permits import HeldPermit
+from thorncleat_core.permits import Permit
+from thorncleat_core.permits import PermitRequest
+from thorncleat_core.permits import held
+
+from . import background
+from .exceptions import PeerError
+from .gossip import Gossip
+from .holder import ShardHolder
+from .ports import Peers
+
+NUDGE_SECONDS = 0.05
+IDLE_SECONDS = 300.0
+
+
+class Usage(t.Protocol):
+    """What this daemon has in the groups, as the dispatcher knows it."""
+
+    def in_flight(self, group: str) -> int:
+        """Return the requests that run in a group."""
+        ...
+
+    def demand(self, group: str) -> dict[str, int]:
+        """Return the tokens that run in a group or wait for one, for each workspace."""
+        ...
+
+
+class PermitKeeper(mode.Service):
+    """Asks the holders for permits before the old ones end.
+
+    :param seconds: validity that holders give; a permit is renewed four times in it.
+    :param attach: groups that are used for each model.
+    """
+
+    def __init__(
+        self,
+        me: str,
+        gossip: Gossip,
+        holder: ShardHolder,
+        peers: Peers,
+        seconds: float,
+        attach: int,
+    ) -> None:
+        super().__init__()
+        self._me = me
+        self._gossip = gossip
+        self._holder = holder
+        self._peers = peers
+        self._seconds = seconds
+        self._attach = attach
+        self._permits: dict[str, HeldPermit] = {}
+        self._models: dict[tuple[str, str], float] = {}
+        self._nudged_at = 0.0
+        self._listeners: list[t.Callable[[], None]] = []
+        self._closed: list[t.Callable[[str], None]] = []
+        self.usage: Usage | None = None
+        peers.handle("closed", self._on_closed)
+
+    def on_renewed(self, listener: t.Callable[[], None]) -> None:
+        """Call a function after permits were renewed."""
+        self._listeners.append(listener)
+
+    def on_closed(self, listener: t.Callable[[str], None]) -> None:
+        """Call a function with each group that may not answer any more."""
+        self._closed.append(listener)
+
+    def permit(self, group: str) -> HeldPermit | None:
+        """Return the permit for a group."""
+        return self._permits.get(group)
+
+    def usable(self, intent: str, model: str) -> list[HeldPermit]:
+        """Return the permits under which work for an intent may be sent now."""
+        self._models[(intent, model)] = time.monotonic()
+        now = time.monotonic()
+        found = (self._permits.get(group) for group in self.groups(intent, model))
+        return [one for one in found if one and one.takes_work(now)]
+
+    def groups(self, intent: str, model: str) -> list[str]:
+        """Return the groups of an intent that this daemon is attached to."""
+        known = [
+            record.key.removeprefix("group/")
+            for record in self._gossip.directory.under(f"group/{intent}-")
+            if record.body.get("model") == model and record.body.get("intent") == intent
+        ]
+        return routing.attached(self._me, known, self._attach)
+
+    async def nudge(self) -> None:
+        """Renew now instead of at the next turn, though not too often."""
+        now = time.monotonic()
+        if now - self._nudged_at >= NUDGE_SECONDS:
+            self._nudged_at = now
+            await self._renew()
+
+    @mode.Service.task
+    async def _renew_task(self) -> None:
+        seconds = self._seconds / 4
+        await background.repeat("permits", self._renew, seconds, lambda: self.should_stop)
+
+    async def _renew(self) -> None:
+        now = time.monotonic()
+        for key, used in list(self._models.items()):
+            if now - used > IDLE_SECONDS:
+                del self._models[key]
+        wanted = {group for key in self._models for group in self.groups(*key)}
+        for group in set(self._permits) - wanted:
+            if not self._busy(group):
+                del self._permits[group]
+        by_shard: dict[int, list[str]] = collections.defaultdict(list)
+        for group in sorted(wanted | set(self._permits)):
+            record = self._gossip.directory.get(f"group/{group}")
+            if record:
+                by_shard[self._holder.shard_of(str(record.body["domain"]))].append(group)
+        await asyncio.gather(*(self._ask(shard, names) for shard, names in by_shard.items()))
+        self._drop_ended()
+        for listener in self._listeners:
+            listener()
+
+    def _busy(self, group: str) -> bool:
+        return self.usage is not None and self.usage.in_flight(group) > 0
+
+    def _request(self, group: str) -> PermitRequest:
+        if self.usage is None:
+            return PermitRequest(self._me, group, 0)
+        demand = self.usage.demand(group)
+        return PermitRequest(self._me, group, self.usage.in_flight(group), demand)
+
+    async def _ask(self, shard: int, groups: list[str]) -> None:
+        """Ask the holder, and while it is silent those who would follow it."""
+        holder = self._holder.holder_of(shard)
+        others = [name for name in self._holder.candidates(shard) if name != holder]
+        left = groups
+        for peer in [holder, *others] if holder else others:
+            answered = await self._ask_one(peer, left)
+            left = [group for group in left if group not in answered]
+            if not left:
+                return
+
+    async def _ask_one(self, peer: str, groups: list[str]) -> set[str]:
+        asked_at = time.monotonic()
+        body = [self._request(group) for group in groups]
+        try:
+            answer = await self._peers.ask(peer, "permit", body, self._seconds / 4)
+            permits = [codec.validated(Permit, one) for one in answer]
+        except (PeerError, DecodeError, TypeError):
+            return set()
+        for permit in permits:
+            if permit.group in groups:
+                self._note(permit, asked_at)
+        return {permit.group for permit in permits}
+
+    def _note(self, permit: Permit, asked_at: float) -> None:
+        known = self._permits.get(permit.group)
+        newer = (permit.epoch, permit.generation)
+        if known and newer < (known.permit.epoch, known.permit.generation):
+            return
+        self._permits[permit.group] = held(permit, asked_at)
+        if permit.valid_for <= 0:
+            self._announce_closed(permit.group)
+
+    def _drop_ended(self) -> None:
+        now = time.monotonic()
+        for group, one in list(self._permits.items()):
+            if not one.usable(now):
+                self._announce_closed(group)
+
+    def _announce_closed(self, group: str) -> None:
+        for listener in self._closed:
+            listener(group)
+
+    async def _on_closed(self, sender: str, body: t.Any) -> None:
+        group, generation = str(body["group"]), int(body["generation"])
+        known = self._permits.get(group)
+        if known and known.permit.generation <= generation:
+            known.until = 0.0
+            self._announce_closed(group)
--- /dev/null
+++ b/packages/daemon/src/thorncleat_daemon/plain.py
@@ -0,0 +1,135 @@
+"""Answering ``/v1/services/{service}/…``: calls to plain services, passed through."""
+
+import time
+import typing as t
+
+import aiohttp
+from aiohttp import web
+
+from thorncleat_core import rendezvous
+from thorncleat_core.configuration import Configuration
+from thorncleat_core.configuration import Service
+from thorncleat_core.retries import Ejection
+from thorncleat_core.retries import RetryBudget
+
+from .callers import Caller
+from .claims import ClaimClient
+from .exceptions import RequestError
+from .metrics import GOOD
+from .metrics import Metrics
+from .once import Answered
+from .once import run_once
+from .upstream import Upstream
+from .upstream import answer_lost
+from .upstream import end_to_end
+
+MAX_ATTEMPTS = 3
+DEFAULT_TYPE = "application/octet-stream"
+
+
+class PlainServices:
+    """Serves calls to plain services."""
+
+    def __init__(
+        self,
+        configuration: t.Callable[[], Configuration],
+        upstream: Upstream,
+        claims: ClaimClient,
+        metrics: Metrics,
+    ) -> None:
+        self._configuration = configuration
+        self._upstream = upstream
+        self._claims = claims
+        self._metrics = metrics
+        self._retries = RetryBudget()
+        self._ejection = Ejection()
+
+    async def answer(self, request: web.Request, caller: Caller, body: bytes) -> web.Response:
+        """Answer a call.
+
+        :raises RequestError: if it can't be answered; it says whether the call ran.
+        """
+        service = self._service(request.match_info["service"], caller)
+        path = "/" + request.match_info["tail"]
+        target = request.rel_url.raw_path.split(f"/{service.name}", 1)[1] or "/"
+        if request.rel_url.raw_query_string:
+            target += f"?{request.rel_url.raw_query_string}"
+        repeatable = caller.repeatable and service.may_repeat(request.method, path)
+        headers = end_to_end(request.headers) | {"X-Request-Id": caller.id}
+        call = _Call(request.method, target, body, headers, repeatable)
+        if repeatable:
+            answered = await self._run(service, caller, call)
+        else:
+            answered = await run_once(
+                self._claims,
+                caller,
+                request.method,
+                f"{service.name}{target}",
+                body,
+                lambda: self._run(service, caller, call),
+            )
+        self._metrics.ended(caller.workspace.name, service.name, GOOD)
+        return _response(answered, caller)
+
+    def _service(self, name: str, caller: Caller) -> Service:
+        service = self._configuration().services.get(name)
+        if service is None or caller.workspace.name not in service.workspaces:
+            detail = f"no service {name!r} for workspace {caller.workspace.name!r}"
+            raise RequestError(404, "Unknown service", detail, cause="bad_request")
+        return service
+
+    async def _run(self, service: Service, caller: Caller, call: "_Call") -> Answered:
+        """Call endpoints in turn, as long as that is safe and within the retry budget."""
+        now = time.monotonic()
+        order = rendezvous.ranked(caller.id, self._ejection.usable(service.endpoints, now))
+        for attempt, endpoint in enumerate(order[:MAX_ATTEMPTS], start=1):
+            try:
+                answered = await self._call(endpoint, caller, call)
+                self._ejection.succeeded(endpoint)
+                self._retries.succeeded()
+                return answered
+            except RequestError as error:
+                self._ejection.failed(endpoint, time.monotonic())
+                safe = call.repeatable or error.executed == "no"
+                last = attempt == min(len(order), MAX_ATTEMPTS)
+                if not safe or last or caller.left() <= 0 or not self._retries.take():
+                    raise
+                self._metrics.retries.labels(error.cause).inc()
+        raise RequestError(503, "No endpoint", f"service {service.name!r} has none to use")
+
+    async def _call(self, endpoint: str, caller: Caller, call: "_Call") -> Answered:
+        url = f"http://{endpoint}{call.target}"
+        async with self._upstream.call(
+            call.method,
+            url,
+            call.body,
+            call.headers,
+            repeatable=call.repeatable,
+            timeout=max(0.01, caller.left()),
+        ) as response:
+            try:
+                body = await response.read()
+            except (aiohttp.ClientError, TimeoutError) as error:
+                raise answer_lost(url, error) from error
+            kind = response.headers.get("Content-Type", DEFAULT_TYPE)
+            return Answered(response.status, kind, body)
+
+
+class _Call:
+    """A call as it is passed on."""
+
+    def __init__(
+        self, method: str, target: str, body: bytes, headers: dict[str, str], repeatable: bool
+    ) -> None:
+        self.method = method
+        self.target = target
+        self.body = body
+        self.headers = headers
+        self.repeatable = repeatable
+
+
+def _response(answered: Answered, caller: Caller) -> web.Response:
+    headers = {"X-Request-Id": caller.id, "Content-Type": answered.content_type}
+    if answered.repeated:
+        headers["X-Repeated"] = "yes"
+    return web.Response(status=answered.status, body=answered.body, headers=headers)
--- /dev/null
+++ b/packages/daemon/src/thorncleat_daemon/relay.py
@@ -0,0 +1,85 @@
+"""Passing the pieces of a streamed answer on, and checking whose they are.
+
+The events are not parsed: each must begin as the engine begins the events of this request,
+which costs one comparison, and anything else is looked at more closely.
+"""
+
+import collections
+import typing as t
+
+BOUNDARY = b"\n\n"
+DATA = b"data: "
+DONE = b"data: [DONE]\n\n"
+
+
+class Pieces:
+    """Checks the bytes of one answer and cuts them into whole events.
+
+    :param request_id: the request whose answer this is.
+    """
+
+    def __init__(self, request_id: str) -> None:
+        identity = f'"id":"chatcmpl-{request_id}"'
+        self._prefix = (DATA + b"{" + identity.encode()).rstrip()
+        self._identities = (identity.encode(), identity.replace(":", ": ", 1).encode())
+        self._rest = b""
+        self.events = 0
+        self.done = False
+        self.dropped: collections.Counter[str] = collections.Counter()
+
+    def feed(self, chunk: bytes) -> bytes:
+        """Take in what arrived and return what may be passed on: whole, own events."""
+        if (
+            not self._rest
+            and chunk.startswith(self._prefix)
+            and chunk.find(BOUNDARY) == len(chunk) - 2
+        ):
+            # the usual case: one whole event of this request
+            self.events += 1
+            return chunk
+        return self._feed_slowly(chunk)
+
+    def _feed_slowly(self, chunk: bytes) -> bytes:
+        *whole, self._rest = (self._rest + chunk).split(BOUNDARY)
+        return b"".join(self._checked(event + BOUNDARY) for event in whole if event)
+
+    def _checked(self, event: bytes) -> bytes:
+        if self.done:
+            self.dropped["after_end"] += 1
+            return b""
+        if event == DONE:
+            self.done = True
+            return b""
+        if event.startswith(self._prefix) or self._is_own(event):
+            self.events += 1
+            return event
+        self.dropped["foreign" if event.startswith(DATA) else "not_an_event"] += 1
+        return b""
+
+    def _is_own(self, event: bytes) -> bool:
+        return event.startswith(DATA) and any(one in event for one in self._identities)
+
+    def forget_rest(self) -> None:
+        """Drop half an event, before the answer goes on in another group."""
+        if self._rest:
+            self.dropped["half_event"] += 1
+        self._rest = b""
+
+    @property
+    def truncated(self) -> bool:
+        """Whether the answer lacks its end."""
+        return not self.done
+
+
+def whole_answer_fault(answer: t.Any, request_id: str) -> str | None:
+    """Return what is wrong with an answer that came as a whole, or None."""
+    if not isinstance(answer, dict):
+        return "not an object"
+    if answer.get("id") != f"chatcmpl-{request_id}":
+        return "another request's identity"
+    choices = answer.get("choices")
+    if not isinstance(choices, list) or not choices:
+        return "no choices"
+    if any(not isinstance(one, dict) or one.get("finish_reason") is None for one in choices):
+        return "truncated"
+    return None
--- /dev/null
+++ b/packages/daemon/src/thorncleat_daemon/upstream.py
@@ -0,0 +1,89 @@
+"""Calls to endpoints for callers, with what is known of their fate when they fail."""
+
+import contextlib
+import typing as t
+
+import aiohttp
+
+from .exceptions import RequestError
+
+CONNECT_SECONDS = 1.0
+HOP_BY_HOP = frozenset(
+    {
+        "connection",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+        "host",
+        "content-length",
+        "authorization",
+        "accept-encoding",
+    }
+)
+
+
+class Upstream:
+    """The sessions towards endpoints.
+
+    :param shared: keeps connections.
+    :param single: opens one for each call. The client library repeats some calls by itself
+        when a kept connection turns out to be closed, which must not happen to a call that
+        may run once.
+    """
+
+    def __init__(self, shared: aiohttp.ClientSession, single: aiohttp.ClientSession) -> None:
+        self._shared = shared
+        self._single = single
+
+    @contextlib.asynccontextmanager
+    async def call(
+        self,
+        method: str,
+        url: str,
+        body: bytes,
+        headers: t.Mapping[str, str],
+        *,
+        repeatable: bool,
+        timeout: float | None,
+    ) -> t.AsyncIterator[aiohttp.ClientResponse]:
+        """Send a request and yield the response once its head is there.
+
+        :param timeout: seconds for the whole call; None for no limit.
+        :raises RequestError: if there is no answer; it says whether the request ran.
+        """
+        session = self._shared if repeatable else self._single
+        limits = aiohttp.ClientTimeout(total=timeout, sock_connect=CONNECT_SECONDS)
+        sent = session.request(
+            method, url, data=body, headers=headers, timeout=limits, allow_redirects=False
+        )
+        async with contextlib.AsyncExitStack() as stack:
+            try:
+                response = await stack.enter_async_context(sent)
+            except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
+                raise not_sent(url, error) from error
+            except (aiohttp.ClientError, TimeoutError) as error:
+                raise answer_lost(url, error) from error
+            yield response
+
+
+def not_sent(url: str, error: BaseException) -> RequestError:
+    """Return the error of a call that surely did not reach its endpoint."""
+    detail = f"no connection to the endpoint: {type(error).__name__}"
+    return RequestError(
+        502, "Endpoint unreachable", detail, retry_after=1.0, cause="endpoint_unreachable"
+    )
+
+
+def answer_lost(url: str, error: BaseException) -> RequestError:
+    """Return the error of a call that may have run."""
+    detail = f"the endpoint's answer was lost: {type(error).__name__}"
+    return RequestError(502, "Answer lost", detail, executed="unknown", cause="answer_lost")
+
+
+def end_to_end(headers: t.Mapping[str, str]) -> dict[str, str]:
+    """Return the headers that are passed on."""
+    return {name: value for name, value in headers.items() if name.lower() not in HOP_BY_HOP}
--- /dev/null
+++ b/packages/standins/src/thorncleat_standins/launch.py
@@ -0,0 +1,339 @@
+"""Starting stand-ins and daemons as plain processes, for quickstart, tests and benchmarks.
+
+This is a tool of the workbench: no part of the product starts a process.
+"""
+
+import asyncio
+import contextlib
+import dataclasses
+import hashlib
+import json
+import os
+import pathlib
+import secrets
+import signal
+import sys
+import typing as t
+
+import aiohttp
+import zmq
+
+START_SECONDS = 20.0
+STOP_SECONDS = 10.0
+Json = dict[str, t.Any]
+
+
+class LaunchError(Exception):
+    """A process did not start."""
+
+
+@dataclasses.dataclass
+class Process:
+    """A process that was started here, and the line it printed."""
+
+    name: str
+    process: asyncio.subprocess.Process
+    said: Json
+
+    @property
+    def pid(self) -> int:
+        """Its process id."""
+        return self.process.pid
+
+    def send(self, number: signal.Signals) -> None:
+        """Send it a signal, if it still runs."""
+        if self.process.returncode is None:
+            self.process.send_signal(number)
+
+    async def stop(self, number: signal.Signals = signal.SIGTERM) -> int:
+        """End it and return its exit code."""
+        self.send(signal.SIGCONT)
+        self.send(number)
+        try:
+            return await asyncio.wait_for(self.process.wait(), STOP_SECONDS)
+        except TimeoutError:
+            self.send(signal.SIGKILL)
+            return await self.process.wait()
+
+
+@dataclasses.dataclass(frozen=True)
+class Site:
+    """Where the instances stand: how many in how many fabric domains.
+
+    :param domains: fabric domains; each lies in a failure domain of its own.
+    :param instances: endpoint instances in each.
+    """
+
+    daemons: int = 3
+    domains: int = 1
+    instances: int = 4
+    accelerators: int = 8
+    token_seconds: float = 0.02
+    load_seconds: float = 0.2
+
+
+class Cluster:
+    """Stand-ins and daemons on free loopback ports.
+
+    :param directory: for settings and logs.
+    :param control: overrides of the ``control`` settings.
+    :param requests: overrides of the ``requests`` settings.
+    """
+
+    def __init__(
+        self,
+        directory: pathlib.Path,
+        site: Site,
+        control: Json | None = None,
+        requests: Json | None = None,
+    ) -> None:
+        self.directory = directory
+        self.site = site
+        self.operator_key = secrets.token_urlsafe(18)
+        self.processes: dict[str, Process] = {}
+        self.instances: dict[str, str] = {}
+        self._control = {"shards": 4, "load": 1.0, **(control or {})}
+        self._requests = requests or {}
+        public, secret = zmq.curve_keypair()
+        self._peer_keys = {"public": public.decode(), "secret": secret.decode()}
+        self._listed: list[Json] = []
+        directory.mkdir(parents=True, exist_ok=True)
+
+    # addresses
+
+    @property
+    def store(self) -> str:
+        """Address of the store."""
+        return str(self.processes["store"].said["addresses"][0])
+
+    @property
+    def service(self) -> str:
+        """Address of the plain service."""
+        return str(self.processes["service"].said["addresses"][0])
+
+    def callers(self, daemon: str) -> str:
+        """URL of a daemon's callers' side."""
+        return f"http://{self.processes[daemon].said['callers']}"
+
+    def operators(self, daemon: str) -> str:
+        """URL of a daemon's operators' side."""
+        return f"http://{self.processes[daemon].said['operators']}"
+
+    @property
+    def daemons(self) -> list[str]:
+        """Names of the daemons that were started."""
+        return sorted(name for name in self.processes if name.startswith("daemon-"))
+
+    # starting and stopping
+
+    async def start(self) -> None:
+        """Start everything and list it with the platform."""
+        await self.spawn("store", "thorncleat_standins", "store")
+        await self.spawn("service", "thorncleat_standins", "service")
+        await asyncio.gather(
+            *(
+                self._start_engine(domain, number)
+                for domain in range(self.site.domains)
+                for number in range(self.site.instances)
+            )
+        )
+        names = [f"daemon-{number}" for number in range(self.site.daemons)]
+        await asyncio.gather(*(self.start_daemon(name) for name in names))
+
+    async def _start_engine(self, domain: int, number: int) -> None:
+        await self.start_engine(f"d{domain}-i{number}", f"fabric-{domain}", f"fd-{domain}")
+
+    async def start_engine(self, name: str, fabric: str, failure: str) -> None:
+        """Start an engine as the instance of that name and list it."""
+        arguments = [
+            "engine",
+            name,
+            f"--token_seconds={self.site.token_seconds}",
+            f"--load_seconds={self.site.load_seconds}",
+        ]
+        process = await self.spawn(name, "thorncleat_standins", *arguments)
+        address = process.said["addresses"][0]
+        self.instances[name] = address
+        self._list(name, "endpoint", address, fabric, failure, self.site.accelerators)
+        await self.publish_list()
+
+    async def start_daemon(self, name: str) -> None:
+        """Start a daemon and list it."""
+        path = self.write_settings(name)
+        process = await self.spawn(name, "thorncleat_daemon", "run", str(path))
+        self._list(name, "entry", process.said["peers"], "", "fd-0", 0)
+        await self.publish_list()
+
+    def write_settings(self, name: str) -> pathlib.Path:
+        """Write a daemon's settings."""
+        digest = hashlib.sha256(self.operator_key.encode()).hexdigest()
+        settings = {
+            "cluster": "quickstart",
+            "daemon": {"id": name, "failure_domain": "fd-0", "region": "here"},
+            "listen": {
+                "callers": "127.0.0.1:0",
+                "operators": "127.0.0.1:0",
+                "peers": "127.0.0.1:0",
+            },
+            "peer_keys": {**self._peer_keys, "accepted": [self._peer_keys["public"]]},
+            "store": {"endpoints": [self.store]},
+            "platform": {"endpoints": [self.store], "poll": 0.3},
+            "operators": [{"name": "first", "key_digest": digest}],
+            "control": self._control,
+            "requests": self._requests,
+        }
+        path = self.directory / f"{name}.json"
+        path.write_text(json.dumps(settings, indent=1), encoding="utf-8")
+        path.chmod(0o600)
+        return path
+
+    async def spawn(self, name: str, module: str, *arguments: str) -> Process:
+        """Start a Python module as a process and wait for the line it prints.
+
+        :raises LaunchError: if it ends or says nothing in time.
+        """
+        with (self.directory / f"{name}.log").open("ab") as log:
+            process = await asyncio.create_subprocess_exec(
+                sys.executable,
+                "-m",
+                module,
+                *arguments,
+                stdout=asyncio.subprocess.PIPE,
+                stderr=log,
+                env={**os.environ, "PYTHONUNBUFFERED": "1"},
+            )
+        assert process.stdout is not None
+        try:
+            line = await asyncio.wait_for(process.stdout.readline(), START_SECONDS)
+            said = json.loads(line)
+        except (TimeoutError, ValueError) as error:
+            with contextlib.suppress(ProcessLookupError):
+                process.kill()
+            tail = (self.directory / f"{name}.log").read_text(errors="replace")[-2000:]
+            raise LaunchError(f"{name!r} did not start: {tail}") from error
+        started = Process(name, process, said)
+        self.processes[name] = started
+        return started
+
+    async def stop(self) -> None:
+        """End all processes that were started, daemons first."""
+        order = sorted(self.processes.values(), key=lambda one: not one.name.startswith("daemon"))
+        daemons = [one for one in order if one.name.startswith("daemon")]
+        await asyncio.gather(*(one.stop() for one in daemons))
+        await asyncio.gather(*(one.stop() for one in order if one not in daemons))
+
+    # the platform's list
+
+    def _list(
+        self, name: str, kind: str, address: str, fabric: str, failure: str, accelerators: int
+    ) -> None:
+        self.unlist(name)
+        self._listed.append(
+            {
+                "id": name,
+                "kind": kind,
+                "address": address,
+                "fabric_domain": fabric,
+                "failure_domain": failure,
+                "region": "here",
+                "accelerators": accelerators,
+                "state": "live",
+            }
+        )
+
+    def unlist(self, name: str) -> None:
+        """Take an instance off the list; published by :meth:`publish_list`."""
+        self._listed = [row for row in self._listed if row["id"] != name]
+
+    def mark_leaving(self, name: str) -> None:
+        """Mark an instance as leaving; published by :meth:`publish_list`."""
+        for row in self._listed:
+            if row["id"] == name:
+                row["state"] = "leaving"
+
+    async def publish_list(self) -> None:
+        """Put the list before the daemons."""
+        await self.control_call("PUT", self.store, "/platform/instances", instances=self._listed)
+
+    async def control_call(self, method: str, address: str, path: str, **body: t.Any) -> Json:
+        """Call a stand-in's switchboard."""
+        async with (
+            aiohttp.ClientSession() as session,
+            session.request(method, f"http://{address}{path}", json=body) as response,
+        ):
+            response.raise_for_status()
+            return t.cast(Json, await response.json())
+
+    async def store_faults(self, **faults: t.Any) -> None:
+        """Switch the store's faults."""
+        await self.control_call("POST", self.store, "/faults", **faults)
+
+    # operators
+
+    async def operate(
+        self, daemon: str, method: str, path: str, body: Json | None = None
+    ) -> tuple[int, Json]:
+        """Call a daemon's operators' side as the first operator."""
+        url = f"{self.operators(daemon)}/operators/v1{path}"
+        headers = {"Authorization": f"Bearer {self.operator_key}"}
+        async with (
+            aiohttp.ClientSession(headers=headers) as session,
+            session.request(method, url, json=body) as response,
+        ):
+            return response.status, t.cast(Json, await response.json(content_type=None))
+
+    async def apply(self, change: Json, daemon: str = "daemon-0") -> int:
+        """Plan and confirm a change; return its revision.
+
+        :raises LaunchError: if it is refused.
+        """
+        body = {"document": json.dumps(change), "name": "change"}
+        status, answer = await self.operate(daemon, "POST", "/plans", body)
+        if status != 200:
+            raise LaunchError(f"no plan: {answer}")
+        status, done = await self.operate(daemon, "POST", "/confirm", {"plan": answer["plan"]})
+        if status != 200:
+            raise LaunchError(f"not accepted: {done}")
+        return int(done["revision"])
+
+    async def wait_for(
+        self, what: str, condition: t.Callable[[], t.Awaitable[bool]], seconds: float = 30.0
+    ) -> None:
+        """Wait until a condition holds.
+
+        :raises LaunchError: naming what it waited for, if it does not in time.
+        """
+        loop = asyncio.get_running_loop()
+        end = loop.time() + seconds
+        while loop.time() < end:
+            if await condition():
+                return
+            await asyncio.sleep(0.05)
+        raise LaunchError(f"waited {seconds} s in vain for {what}")
+
+    async def wait_loaded(self) -> None:
+        """Wait until every daemon is ready."""
+
+        async def ready() -> bool:
+            async with aiohttp.ClientSession() as session:
+                for name in self.daemons:
+                    async with session.get(f"{self.callers(name)}/readyz") as response:
+                        if response.status != 200:
+                            return False
+            return True
+
+        await self.wait_for("the daemons to be ready", ready)
+
+    async def wait_open(self, groups: int) -> None:
+        """Wait until every daemon knows that many open groups."""
+
+        async def opened() -> bool:
+            for name in self.daemons:
+                if self.processes[name].process.returncode is not None:
+                    continue
+                _, answer = await self.operate(name, "GET", "/groups")
+                if sum(one["state"] == "open" for one in answer["groups"]) < groups:
+                    return False
+            return True
+
+        await self.wait_for(f"{groups} open groups", opened)
