Prove the core's decisions by tests and stateful fuzzing

Cause: nothing was tested. Found on the way: the message for a key put in place of its digest repeated the key. The keeper of a domain now watches and mends in two loops, since a slow store held up the probes that keep groups open.

--- a/packages/core/src/thorncleat_core/configuration.py
+++ b/packages/core/src/thorncleat_core/configuration.py
@@ -16,7 +16,6 @@
 
 def _checked_digest(value: str) -> str:
     if not keys.is_digest(value):
-        # the value isn't repeated: it may be the key itself, put here by mistake
         raise ValueError("a SHA-256 digest in hexadecimal is wanted, see `thorncleat key`")
     return value
 
--- a/packages/core/src/thorncleat_core/jsonc.py
+++ b/packages/core/src/thorncleat_core/jsonc.py
@@ -21,6 +21,7 @@
 Model = t.TypeVar("Model", bound=pydantic.BaseModel)
 
 MAX_DOCUMENT_BYTES = 1_000_000
+SECRET_KEYS = frozenset({"secret", "key_digest", "key_digests"})
 
 
 @dataclasses.dataclass
@@ -133,6 +134,9 @@
     if error["type"] == "missing":
         return "this key is required"
     message = str(error["msg"]).removeprefix("Value error, ")
+    if SECRET_KEYS.intersection(error["loc"]):
+        # the value may be a key itself, put there by mistake
+        return message
     if isinstance(error["input"], str | int | float | bool):
         return f"{message}, not {error['input']!r}"
     return message
--- a/packages/core/src/thorncleat_core/permits.py
+++ b/packages/core/src/thorncleat_core/permits.py
@@ -97,14 +97,10 @@
         request: PermitRequest,
         group: Group,
         confirmations: Confirmations,
-        lease_end: float,
         now: float,
     ) -> float:
-        """Return for how long a daemon may use a group, in seconds, and note that it may.
-
-        :param lease_end: the deadline of the holder's own lease.
-        """
-        end = min(confirmations.open_until(group), lease_end, now + self._longest)
+        """Return for how long a daemon may use a group, in seconds, and note that it may."""
+        end = min(confirmations.open_until(group), now + self._longest)
         if group.id in self._suspended or end <= now:
             return 0.0
         holdings = self._holdings.setdefault(group.id, {})
--- a/packages/daemon/src/thorncleat_daemon/callers.py
+++ b/packages/daemon/src/thorncleat_daemon/callers.py
@@ -2,7 +2,6 @@
 
 import dataclasses
 import math
-import time
 import uuid
 
 from aiohttp import web
@@ -11,6 +10,7 @@
 from thorncleat_core.configuration import Configuration
 from thorncleat_core.configuration import Workspace
 
+from . import clock
 from .exceptions import RequestError
 
 DEADLINE = "X-Request-Deadline"
@@ -40,7 +40,7 @@
 
     def left(self) -> float:
         """Return the seconds to the deadline."""
-        return self.deadline - time.monotonic()
+        return self.deadline - clock.now()
 
 
 def _bad(detail: str) -> RequestError:
@@ -99,7 +99,7 @@
     return Caller(
         uuid.uuid4().hex,
         workspace,
-        time.monotonic() + seconds,
+        clock.now() + seconds,
         _priority(found.get(PRIORITY)),
         repeatable,
         _key(found.get(KEY)),
--- a/packages/daemon/src/thorncleat_daemon/claims.py
+++ b/packages/daemon/src/thorncleat_daemon/claims.py
@@ -20,6 +20,7 @@
 from thorncleat_core.leases import HeldLease
 
 from . import background
+from . import clock
 from . import events
 from .exceptions import PeerError
 from .exceptions import RequestError
@@ -74,6 +75,7 @@
         self, store: Store, keys: Keyspace, holder: ShardHolder, peers: Peers, keep: int
     ) -> None:
         super().__init__()
+        self._clock = clock.now
         self._store = store
         self._keys = keys
         self._holder = holder
@@ -142,7 +144,7 @@
 
     async def _write(self, owned: _OwnedShard, batch: list[Claim]) -> bool:
         lease = owned.lease
-        if not lease.held(time.monotonic()):
+        if not lease.held(self._clock()):
             return False
         owned.number += 1
         hour = int(time.time()) // HOUR
@@ -158,7 +160,7 @@
             return False
         owned.hours.add(hour)
         self.batches += 1
-        return done and lease.held(time.monotonic())
+        return done and lease.held(self._clock())
 
     async def _read_back(self, key: str, value: bytes) -> bool:
         try:
@@ -170,7 +172,7 @@
 
     def _owner(self, workspace: str, key: str) -> _OwnedShard | None:
         owned = self._owned.get(self._holder.shard_of(claim_name(workspace, key)))
-        if owned is None or not owned.restored or not owned.lease.held(time.monotonic()):
+        if owned is None or not owned.restored or not owned.lease.held(self._clock()):
             return None
         return owned
 
@@ -179,7 +181,7 @@
         owned = self._owner(workspace, key)
         if owned is None:
             return Reply(ClaimAnswer.BUSY)
-        now, wall = time.monotonic(), int(time.time())
+        now, wall = self._clock(), int(time.time())
         reply, claim = owned.book.ask(workspace, key, request, now, wall)
         if claim is not None:
             done: asyncio.Future[bool] = asyncio.get_running_loop().create_future()
--- /dev/null
+++ b/packages/daemon/src/thorncleat_daemon/clock.py
@@ -0,0 +1,15 @@
+"""The clock that leases, permits and deadlines are measured by."""
+
+import time
+import typing as t
+
+Clock = t.Callable[[], float]
+
+
+def now() -> float:
+    """Return seconds that go on while the machine is suspended and are never set.
+
+    The ordinary monotonic clock stops with a suspended machine, on which a lease would then
+    seem to last.
+    """
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
--- a/packages/daemon/src/thorncleat_daemon/completions.py
+++ b/packages/daemon/src/thorncleat_daemon/completions.py
@@ -3,7 +3,6 @@
 import asyncio
 import dataclasses
 import json
-import time
 import typing as t
 
 import aiohttp
@@ -15,6 +14,7 @@
 from thorncleat_core.configuration import Intent
 from thorncleat_core.retries import RetryBudget
 
+from . import clock
 from . import events
 from . import problems
 from .callers import Caller
@@ -266,7 +266,7 @@
     def _check_permit(self, slot: Slot) -> None:
         """Make sure that the group may still answer, right before its answer is passed on."""
         held = self._permits.permit(slot.group)
-        now = time.monotonic()
+        now = clock.now()
         if held and held.usable(now) and held.permit.generation == slot.generation:
             return
         raise _group_closed(slot)
@@ -293,7 +293,7 @@
     def _failed(self, slot: Slot, error: RequestError, attempts: _Attempts) -> None:
         attempts.failed.add(slot.group)
         if error.cause in RETRIED:
-            self._dispatcher.ejection.failed(slot.group, time.monotonic())
+            self._dispatcher.ejection.failed(slot.group, clock.now())
 
     # streams
 
@@ -303,7 +303,7 @@
         response = web.StreamResponse(headers={**STREAM_HEADERS, "X-Request-Id": caller.id})
         attempts = _Attempts()
         pieces = Pieces(caller.id)
-        flow = _Flow(request, response, pieces, caller, time.monotonic())
+        flow = _Flow(request, response, pieces, caller, clock.now())
         while not pieces.done:
             try:
                 await self._stream_once(flow, completion, intent, attempts)
@@ -356,7 +356,7 @@
             try:
                 async for chunk in response.content.iter_any():
                     own = pieces.feed(chunk)
-                    if held is None or time.monotonic() >= held.until:
+                    if held is None or clock.now() >= held.until:
                         # permits are replaced when they are renewed
                         self._check_permit(slot)
                         held = self._permits.permit(slot.group)
@@ -420,9 +420,9 @@
         """Send a piece."""
         if not self.response.prepared:
             await self.response.prepare(self.request)
-            self.first_at = time.monotonic()
+            self.first_at = clock.now()
         await self.response.write(data)
-        self.last_at = time.monotonic()
+        self.last_at = clock.now()
 
 
 def _group_closed(slot: Slot) -> RequestError:
--- a/packages/daemon/src/thorncleat_daemon/config.py
+++ b/packages/daemon/src/thorncleat_daemon/config.py
@@ -21,6 +21,7 @@
 from thorncleat_core.journal import State
 
 from . import background
+from . import clock
 from . import events
 from .exceptions import PeerError
 from .exceptions import StoreError
@@ -118,9 +119,9 @@
 
     async def _read_back(self, entry: Entry) -> int | None:
         """Find out whether a write took effect whose answer was lost."""
-        end = time.monotonic() + READ_BACK_SECONDS
+        end = clock.now() + READ_BACK_SECONDS
         backoff = Backoff()
-        while time.monotonic() < end:
+        while clock.now() < end:
             try:
                 found = await self._store.read(self._keys.entry(entry.revision), Purpose.CONFIG)
             except StoreUnavailableError:
--- a/packages/daemon/src/thorncleat_daemon/dispatch.py
+++ b/packages/daemon/src/thorncleat_daemon/dispatch.py
@@ -4,7 +4,6 @@
 import collections
 import dataclasses
 import random
-import time
 import typing as t
 
 import mode
@@ -17,6 +16,7 @@
 from thorncleat_core.queues import Waiting
 from thorncleat_core.retries import Ejection
 
+from . import clock
 from .exceptions import RequestError
 from .permits import PermitKeeper
 
@@ -121,8 +121,10 @@
         configuration: t.Callable[[], Configuration],
         routing_choice: str,
         queue_tokens: int,
+        now: clock.Clock = clock.now,
     ) -> None:
         super().__init__()
+        self._clock = now
         self._permits = permits
         self._configuration = configuration
         self._choose = routing.choices.get(routing_choice)
@@ -165,7 +167,7 @@
         waiting = Waiting(
             _Place(wish, future), wish.workspace, wish.cost, wish.priority, wish.deadline
         )
-        refused = queue.refuse(waiting, time.monotonic())
+        refused = queue.refuse(waiting, self._clock())
         if refused is not None:
             raise _overloaded(wish, refused)
         ticket = queue.add(waiting)
@@ -200,7 +202,7 @@
             self._pump_all()
 
     def _expire(self) -> None:
-        now = time.monotonic()
+        now = self._clock()
         for queue in self._queues.values():
             for waiting in queue.expired(now):
                 if not waiting.item.future.done():
@@ -217,7 +219,7 @@
         if not queue or intent is None:
             return
         weights = {key: one.share for key, one in self._configuration().workspaces.items()}
-        now = time.monotonic()
+        now = self._clock()
         usable = self._permits.usable(name, intent.model)
         while usable:
             waiting = queue.pop(
--- a/packages/daemon/src/thorncleat_daemon/domains.py
+++ b/packages/daemon/src/thorncleat_daemon/domains.py
@@ -3,7 +3,6 @@
 import asyncio
 import collections
 import dataclasses
-import time
 import typing as t
 
 from thorncleat_core import repair
@@ -11,7 +10,6 @@
 from thorncleat_core.directory import Record
 from thorncleat_core.fleet import Fleet
 from thorncleat_core.groups import Assignments
-from thorncleat_core.groups import Confirmations
 from thorncleat_core.groups import Group
 from thorncleat_core.groups import InstanceReport
 from thorncleat_core.journal import State
@@ -23,7 +21,9 @@
 from thorncleat_core.permits import PermitRequest
 from thorncleat_core.settings import Control
 
+from . import clock
 from . import events
+from .clock import Clock
 from .exceptions import EndpointError
 from .exceptions import StoreError
 from .exceptions import StoreOutcomeUnknownError
@@ -38,6 +38,7 @@
 from .ports import Store
 from .ports import Unchanged
 from .ports import Write
+from .sightings import Sightings
 
 GONE_AFTER = 30.0
 
@@ -56,6 +57,7 @@
     control: Control
     terms: LeaseTerms
     group_tokens: int
+    clock: Clock = clock.now
 
 
 @dataclasses.dataclass
@@ -90,18 +92,18 @@
         self.superseded = False
         self.downtime = Downtime()
         self._services = services
+        self._clock = services.clock
         self._mod_revision = 0
         self._loaded = False
         self._sequence = 0
         self._desk = PermitDesk(services.control.permit, services.group_tokens)
-        self._confirmations = Confirmations(services.control.window)
-        self._reports: dict[str, InstanceReport] = {}
-        self._heard: dict[str, float] = {}
-        self._missing_since: dict[str, float] = {}
+        self._seen = Sightings(
+            services.engines, services.clock, services.control.window, self._group_of
+        )
         self._open: set[str] = set()
         self._safe_at: dict[str, float] = {}
         self._pending: dict[str, repair.Change] = {}
-        self._accounted_at = time.monotonic()
+        self._accounted_at = self._clock()
         self._telling: set[asyncio.Task[None]] = set()
 
     @property
@@ -122,7 +124,7 @@
     @property
     def reports(self) -> t.Mapping[str, InstanceReport]:
         """The newest report of each instance."""
-        return self._reports
+        return self._seen.reports
 
     def adopt(self, assignments: Assignments) -> None:
         """Begin without a lease, from assignments known otherwise."""
@@ -141,17 +143,26 @@
         self._loaded = True
         self._publish_all()
 
-    async def tick(self) -> None:
-        """Probe, account, order and repair once."""
+    async def watch(self) -> None:
+        """Probe the instances once, and open or close groups by what they say."""
         if not self._loaded:
-            await self.load()
+            return
         await self._probe_all()
         if self.superseded:
             self._close_all()
             return
         self._note_open()
         self._account()
-        if self.lease is None:
+
+    async def mend(self) -> None:
+        """Give orders and change assignments once, where that is due.
+
+        It runs beside :meth:`watch`, so that a slow store or engine delays no probe.
+        """
+        if self.lease is None or self.superseded:
+            return
+        if not self._loaded:
+            await self.load()
             return
         await self._give_orders()
         self._decide()
@@ -163,9 +174,8 @@
         leader = self._address(group.leader) if group else None
         if group is None or leader is None or self.superseded:
             return Permit(request.group, self.epoch, 0, 0.0, True, "")
-        now = time.monotonic()
-        lease_end = self.lease.deadline if self.lease else float("inf")
-        seconds = self._desk.valid_for(request, group, self._confirmations, lease_end, now)
+        now = self._clock()
+        seconds = self._desk.valid_for(request, group, self._seen.confirmations, now)
         grant = self._desk.grant(group.id, request.daemon, weights, now)
         return Permit(
             group.id,
@@ -180,9 +190,6 @@
 
     # probing
 
-    def _members(self) -> set[str]:
-        return self.assignments.taken()
-
     def _address(self, instance: str) -> str | None:
         listed = self._fleet.instances.get(instance)
         return listed.address if listed else None
@@ -193,41 +200,15 @@
 
     async def _probe_all(self) -> None:
         targets = {one.id: one.address for one in self._fleet.in_domain(self.domain)}
+        members = self.assignments.taken()
         if self.lease is None:
-            targets = {name: where for name, where in targets.items() if name in self._members()}
-        await asyncio.gather(*(self._probe(name, where) for name, where in targets.items()))
-        for name in self._members() - set(targets):
-            self._miss(name)
-
-    async def _probe(self, name: str, address: str) -> None:
-        sent_at = time.monotonic()
-        try:
-            report = await self._services.engines.probe(address)
-        except EndpointError:
-            self._miss(name)
-            return
-        if report.instance != name:
-            # the address was given to another instance
-            self._miss(name)
-            return
-        if report.epoch > self.epoch and name in self._members():
+            targets = {name: where for name, where in targets.items() if name in members}
+        await self._seen.probe(targets)
+        for name in members - set(targets):
+            self._seen.miss(name)
+        reports = self._seen.reports
+        if any(reports[name].epoch > self.epoch for name in members if name in reports):
             self.superseded = True
-        self._reports[name] = report
-        self._heard[name] = time.monotonic()
-        self._confirm(name, report, sent_at)
-
-    def _confirm(self, name: str, report: InstanceReport, sent_at: float) -> None:
-        group = self._group_of(name)
-        if group is None or self._confirmations.confirm(group, report, sent_at):
-            self._missing_since.pop(name, None)
-        elif report.group != group.id or report.generation != group.generation:
-            # alive, but it has yet to follow: that isn't a loss
-            self._missing_since.pop(name, None)
-
-    def _miss(self, name: str) -> None:
-        self._reports.pop(name, None)
-        self._confirmations.doubt(name)
-        self._missing_since.setdefault(name, time.monotonic())
 
     def _group_of(self, instance: str) -> Group | None:
         for group in self.assignments.groups.values():
@@ -238,22 +219,22 @@
     # opening and closing
 
     def _note_open(self) -> None:
-        now = time.monotonic()
+        now = self._clock()
         for group in self.assignments.groups.values():
-            is_open = self._confirmations.is_open(group, now)
+            is_open = self._seen.confirmations.is_open(group, now)
             if is_open and group.id not in self._open:
                 self._open.add(group.id)
                 events.GROUP_OPENED.log(group=group.id, generation=group.generation)
                 self._publish(group)
             elif not is_open and group.id in self._open:
-                self._close(group, self._confirmations.missing(group, now))
+                self._close(group, self._seen.confirmations.missing(group, now))
 
     def _close(self, group: Group, missing: list[str]) -> None:
         self._open.discard(group.id)
         events.GROUP_CLOSED.log(group=group.id, generation=group.generation, missing=missing)
         self._publish(group)
         body = {"group": group.id, "generation": group.generation}
-        for daemon in self._desk.holders(group.id, time.monotonic()):
+        for daemon in self._desk.holders(group.id, self._clock()):
             task = asyncio.create_task(self._tell_closed(daemon, body))
             self._telling.add(task)
             task.add_done_callback(self._telling.discard)
@@ -272,7 +253,7 @@
                 self._close(group, [])
 
     def _account(self) -> None:
-        now = time.monotonic()
+        now = self._clock()
         elapsed, self._accounted_at = now - self._accounted_at, now
         for group in self.assignments.groups.values():
             if group.id in self._open:
@@ -314,7 +295,7 @@
     def _check_lease(self) -> None:
         if self.lease is None:
             raise StoreUnavailableError("no lease")
-        self.lease.check(time.monotonic())
+        self.lease.check(self._clock())
 
     async def _give_orders(self) -> None:
         orders = [
@@ -326,7 +307,7 @@
         generation = self.assignments.generation
         orders += [
             self._order(name, Order(self.epoch, "", generation, -1, "", ""))
-            for name, report in self._reports.items()
+            for name, report in self._seen.reports.items()
             if report.group and self._group_of(name) is None
         ]
         await asyncio.gather(*orders)
@@ -335,7 +316,7 @@
         return Order(self.epoch, group.id, group.generation, rank, group.model, group.version)
 
     def _needs_order(self, name: str, group: Group) -> bool:
-        report = self._reports.get(name)
+        report = self._seen.reports.get(name)
         if report is None:
             return False
         placed = (report.group, report.generation, report.epoch)
@@ -353,7 +334,7 @@
             return
         if order.group:
             # whoever kept the group before sees the new epoch from now on
-            self._safe_at.setdefault(order.group, time.monotonic() + self._outlived)
+            self._safe_at.setdefault(order.group, self._clock() + self._outlived)
 
     @property
     def _outlived(self) -> float:
@@ -363,23 +344,22 @@
     # changes
 
     def _view(self) -> repair.View:
-        now = time.monotonic()
         listed = {one.id for one in self._fleet.in_domain(self.domain)}
         leaving = {
             one.id for one in self._fleet.in_domain(self.domain) if one.state.value == "leaving"
         }
         gone = {
             name
-            for name in self._members()
-            if name not in listed and now - self._heard.get(name, 0.0) > GONE_AFTER
+            for name in self.assignments.taken()
+            if name not in listed and self._seen.silence(name) > GONE_AFTER
         }
-        idle = {name for name, report in self._reports.items() if not report.group}
+        idle = {name for name, report in self._seen.reports.items() if not report.group}
         draining = self._services.config().configuration.draining | leaving
         return repair.View(
-            frozenset(self._reports),
+            frozenset(self._seen.reports),
             frozenset(idle),
             frozenset(gone),
-            dict(self._missing_since),
+            dict(self._seen.missing_since),
             frozenset(draining),
         )
 
@@ -395,7 +375,7 @@
 
     def _decide(self) -> None:
         strategy = self._services.control.repair
-        now = time.monotonic()
+        now = self._clock()
         changes = repair.decide(self.assignments, self._wanted(), self._view(), now, strategy)
         # decided anew each time: a member that came back makes its replacement moot
         fresh = {_subject(change): change for change in changes}
@@ -414,7 +394,7 @@
             return
 
     def _ready_for(self, change: repair.Change) -> bool:
-        now = time.monotonic()
+        now = self._clock()
         if self.lease is None or not self.lease.may_reassign(now, self._services.terms):
             return False
         if isinstance(change, repair.Start | repair.Release):
--- a/packages/daemon/src/thorncleat_daemon/gossip.py
+++ b/packages/daemon/src/thorncleat_daemon/gossip.py
@@ -74,9 +74,10 @@
 
     async def on_start(self) -> None:
         """Fetch the list once before anything else needs it."""
-        await self._fetch()
+        await self.fetch()
 
-    async def _fetch(self) -> None:
+    async def fetch(self) -> None:
+        """Fetch the platform's list."""
         try:
             listed = await self._instances.fetch()
         except PlatformError as error:
@@ -128,7 +129,7 @@
 
     @mode.Service.task
     async def _poll_task(self) -> None:
-        await background.repeat("list", self._fetch, self._poll, lambda: self.should_stop)
+        await background.repeat("list", self.fetch, self._poll, lambda: self.should_stop)
 
     @mode.Service.task
     async def _flush_task(self) -> None:
@@ -137,9 +138,10 @@
             # records that come together go out together
             await asyncio.sleep(FLUSH_SECONDS)
             self._flushing.clear()
-            await self._flush()
+            await self.flush()
 
-    async def _flush(self) -> None:
+    async def flush(self) -> None:
+        """Pass on to the neighbours what is new."""
         outbox, self._outbox = self._outbox, []
         for neighbour in self.members.neighbours:
             records = [record for record, sender in outbox if sender != neighbour]
@@ -152,9 +154,10 @@
 
     @mode.Service.task
     async def _probe_task(self) -> None:
-        await background.repeat("probe", self._probe_next, self._probe, lambda: self.should_stop)
+        await background.repeat("probe", self.probe_next, self._probe, lambda: self.should_stop)
 
-    async def _probe_next(self) -> None:
+    async def probe_next(self) -> None:
+        """Probe the next neighbour, and exchange records if it has others."""
         neighbours = self.members.neighbours
         if not neighbours:
             return
--- a/packages/daemon/src/thorncleat_daemon/holder.py
+++ b/packages/daemon/src/thorncleat_daemon/holder.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import random
-import time
 import typing as t
 
 import mode
@@ -23,32 +22,40 @@
 from .domains import Services
 from .exceptions import StoreError
 from .exceptions import StoreOutcomeUnknownError
+from .ports import Erase
+from .ports import SameLife
 from .ports import Stored
 from .ports import Unchanged
 from .ports import Write
 
 CANDIDATES = 3
 LOOK_SECONDS = 2.0
+BALANCE_SECONDS = 5.0
+BALANCE_SLACK = 1
 
 
 class ShardHolder(mode.Service):
     """Acquires, renews and gives up shards; runs a keeper for each of their domains.
 
     :param shards: number of control shards.
+    :param spawns: whether keepers run by themselves; tests step them instead.
     """
 
-    def __init__(self, services: Services, shards: int) -> None:
+    def __init__(self, services: Services, shards: int, *, spawns: bool = True) -> None:
         super().__init__()
+        self._spawns = spawns
         self._services = services
+        self._clock = services.clock
         self._shards = shards
         self._lease_id = 0
         self._deadline = 0.0
         self._renewed_at = 0.0
         self._held: dict[int, HeldLease] = {}
+        self._balanced_at = 0.0
         self._look_at: dict[int, float] = {}
         self._free_since: dict[int, float] = {}
         self._keepers: dict[str, DomainKeeper] = {}
-        self._running: dict[str, asyncio.Task[None]] = {}
+        self._running: dict[str, list[asyncio.Task[None]]] = {}
         self._lost: t.Callable[[int], None] = lambda shard: None
         self._acquired: t.Callable[[HeldLease], None] = lambda lease: None
         services.peers.handle("permit", self._on_permit)
@@ -86,8 +93,8 @@
 
     async def on_stop(self) -> None:
         """Give the shards up, so that others need not wait for the lease to lapse."""
-        for task in self._running.values():
-            task.cancel()
+        for domain in list(self._running):
+            self._end(domain)
         if self._lease_id:
             try:
                 await self._services.store.revoke(self._lease_id)
@@ -99,17 +106,18 @@
     @mode.Service.task
     async def _renew_task(self) -> None:
         seconds = self._services.terms.renew_every / 2
-        await background.repeat("renew", self._renew, seconds, lambda: self.should_stop)
+        await background.repeat("renew", self.renew, seconds, lambda: self.should_stop)
 
-    async def _renew(self) -> None:
-        now = time.monotonic()
+    async def renew(self) -> None:
+        """Renew the lease if it is due, or note that it has lapsed."""
+        now = self._clock()
         if not self._lease_id or now < self._renewed_at + self._services.terms.renew_every:
             self._drop_lapsed(now)
             return
         try:
             alive = await self._services.store.renew(self._lease_id)
         except StoreError:
-            self._drop_lapsed(time.monotonic())
+            self._drop_lapsed(self._clock())
             return
         if not alive:
             self._lease_id = 0
@@ -145,18 +153,44 @@
     @mode.Service.task
     async def _acquire_task(self) -> None:
         seconds = LOOK_SECONDS / 4
-        await background.repeat("acquire", self._look, seconds, lambda: self.should_stop)
+        await background.repeat("acquire", self.look, seconds, lambda: self.should_stop)
 
-    async def _look(self) -> None:
+    async def look(self) -> None:
+        """Look for shards to take, and keep the domains of those held."""
         if self._services.me not in self._services.gossip.members.addresses:
             # a daemon that isn't listed could not be asked for permits
             return
-        now = time.monotonic()
+        now = self._clock()
         for shard in range(self._shards):
             if shard not in self._held and now >= self._look_at.get(shard, 0.0):
                 self._look_at[shard] = now + LOOK_SECONDS * random.uniform(0.8, 1.2)
                 await self._try_shard(shard)
         self._keep_domains()
+        await self._balance()
+
+    async def _balance(self) -> None:
+        """Give one shard to a daemon that is preferred for it, if this one holds too many.
+
+        The keeper goes on without the lease until the next holder's epoch shows, so that
+        the groups stay open meanwhile.
+        """
+        alive = len(self._services.gossip.members.alive)
+        most = -(-self._shards // alive) + BALANCE_SLACK
+        now = self._clock()
+        if len(self._held) <= most or now < self._balanced_at + BALANCE_SECONDS:
+            return
+        self._balanced_at = now
+        for shard, lease in self._held.items():
+            if self.candidates(shard)[0] != self._services.me:
+                await self._hand_over(shard, lease)
+                return
+
+    async def _hand_over(self, shard: int, lease: HeldLease) -> None:
+        key = self._services.keys.holder(shard)
+        condition = SameLife(key, lease.create_revision)
+        self._lose(shard)
+        self._look_at[shard] = self._clock() + BALANCE_SECONDS
+        await self._services.store.transact([condition], [Erase(key)], Purpose.LEASE)
 
     async def _try_shard(self, shard: int) -> None:
         """Take a shard that is free; those less preferred leave it to the others at first."""
@@ -178,7 +212,7 @@
             self._note_holder(shard, found)
             self._free_since.pop(shard, None)
             return
-        now = time.monotonic()
+        now = self._clock()
         if now < self._free_since.setdefault(shard, now) + patience:
             return
         epoch_row = found.get(keys.epoch(shard))
@@ -197,8 +231,8 @@
             revision = await store.transact(conditions, writes, Purpose.LEASE)
         except StoreOutcomeUnknownError:
             revision = await self._read_back(shard, mark)
-        if revision is not None and time.monotonic() < self._deadline:
-            self._hold(HeldLease(shard, epoch, revision, time.monotonic(), self._deadline))
+        if revision is not None and self._clock() < self._deadline:
+            self._hold(HeldLease(shard, epoch, revision, self._clock(), self._deadline))
 
     async def _read_back(self, shard: int, mark: bytes) -> int | None:
         found = await self._services.store.read(self._services.keys.holder(shard), Purpose.LEASE)
@@ -207,9 +241,9 @@
         return found.create_revision if found and own else None
 
     async def _ensure_lease(self) -> None:
-        if self._lease_id and time.monotonic() < self._deadline:
+        if self._lease_id and self._clock() < self._deadline:
             return
-        sent_at = time.monotonic()
+        sent_at = self._clock()
         self._lease_id = await self._services.store.grant(self._services.terms.ttl)
         self._extend(sent_at)
 
@@ -244,17 +278,19 @@
     def _run(self, keeper: DomainKeeper) -> None:
         self._end(keeper.domain)
         self._keepers[keeper.domain] = keeper
+        if self._spawns:
+            self._running[keeper.domain] = [
+                self._spawn(f"watch {keeper.domain}", keeper.watch),
+                self._spawn(f"mend {keeper.domain}", keeper.mend),
+            ]
+
+    def _spawn(self, name: str, step: t.Callable[[], t.Awaitable[None]]) -> asyncio.Task[None]:
         seconds = self._services.control.probe
-        self._running[keeper.domain] = asyncio.create_task(
-            background.repeat(
-                f"domain {keeper.domain}", keeper.tick, seconds, lambda: self.should_stop
-            )
-        )
+        return asyncio.create_task(background.repeat(name, step, seconds, lambda: self.should_stop))
 
     def _end(self, domain: str) -> None:
         self._keepers.pop(domain, None)
-        task = self._running.pop(domain, None)
-        if task:
+        for task in self._running.pop(domain, []):
             task.cancel()
 
     # permits
--- a/packages/daemon/src/thorncleat_daemon/permits.py
+++ b/packages/daemon/src/thorncleat_daemon/permits.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import collections
-import time
 import typing as t
 
 import mode
@@ -16,6 +15,7 @@
 from thorncleat_core.permits import held
 
 from . import background
+from . import clock
 from .exceptions import PeerError
 from .gossip import Gossip
 from .holder import ShardHolder
@@ -52,9 +52,11 @@
         peers: Peers,
         seconds: float,
         attach: int,
+        now: clock.Clock = clock.now,
     ) -> None:
         super().__init__()
         self._me = me
+        self._clock = now
         self._gossip = gossip
         self._holder = holder
         self._peers = peers
@@ -82,8 +84,8 @@
 
     def usable(self, intent: str, model: str) -> list[HeldPermit]:
         """Return the permits under which work for an intent may be sent now."""
-        self._models[(intent, model)] = time.monotonic()
-        now = time.monotonic()
+        self._models[(intent, model)] = self._clock()
+        now = self._clock()
         found = (self._permits.get(group) for group in self.groups(intent, model))
         return [one for one in found if one and one.takes_work(now)]
 
@@ -98,18 +100,19 @@
 
     async def nudge(self) -> None:
         """Renew now instead of at the next turn, though not too often."""
-        now = time.monotonic()
+        now = self._clock()
         if now - self._nudged_at >= NUDGE_SECONDS:
             self._nudged_at = now
-            await self._renew()
+            await self.renew()
 
     @mode.Service.task
     async def _renew_task(self) -> None:
         seconds = self._seconds / 4
-        await background.repeat("permits", self._renew, seconds, lambda: self.should_stop)
+        await background.repeat("permits", self.renew, seconds, lambda: self.should_stop)
 
-    async def _renew(self) -> None:
-        now = time.monotonic()
+    async def renew(self) -> None:
+        """Ask for all permits that are wanted or in use."""
+        now = self._clock()
         for key, used in list(self._models.items()):
             if now - used > IDLE_SECONDS:
                 del self._models[key]
@@ -148,7 +151,7 @@
                 return
 
     async def _ask_one(self, peer: str, groups: list[str]) -> set[str]:
-        asked_at = time.monotonic()
+        asked_at = self._clock()
         body = [self._request(group) for group in groups]
         try:
             answer = await self._peers.ask(peer, "permit", body, self._seconds / 4)
@@ -170,7 +173,7 @@
             self._announce_closed(permit.group)
 
     def _drop_ended(self) -> None:
-        now = time.monotonic()
+        now = self._clock()
         for group, one in list(self._permits.items()):
             if not one.usable(now):
                 self._announce_closed(group)
--- a/packages/daemon/src/thorncleat_daemon/plain.py
+++ b/packages/daemon/src/thorncleat_daemon/plain.py
@@ -1,6 +1,5 @@
 """Answering ``/v1/services/{service}/…``: calls to plain services, passed through."""
 
-import time
 import typing as t
 
 import aiohttp
@@ -12,6 +11,7 @@
 from thorncleat_core.retries import Ejection
 from thorncleat_core.retries import RetryBudget
 
+from . import clock
 from .callers import Caller
 from .claims import ClaimClient
 from .exceptions import RequestError
@@ -80,7 +80,7 @@
 
     async def _run(self, service: Service, caller: Caller, call: "_Call") -> Answered:
         """Call endpoints in turn, as long as that is safe and within the retry budget."""
-        now = time.monotonic()
+        now = clock.now()
         order = rendezvous.ranked(caller.id, self._ejection.usable(service.endpoints, now))
         for attempt, endpoint in enumerate(order[:MAX_ATTEMPTS], start=1):
             try:
@@ -89,7 +89,7 @@
                 self._retries.succeeded()
                 return answered
             except RequestError as error:
-                self._ejection.failed(endpoint, time.monotonic())
+                self._ejection.failed(endpoint, clock.now())
                 safe = call.repeatable or error.executed == "no"
                 last = attempt == min(len(order), MAX_ATTEMPTS)
                 if not safe or last or caller.left() <= 0 or not self._retries.take():
--- /dev/null
+++ b/packages/daemon/src/thorncleat_daemon/sightings.py
@@ -0,0 +1,78 @@
+"""What the keeper of a fabric domain sees of its instances by probing them."""
+
+import asyncio
+import typing as t
+
+from thorncleat_core.groups import Confirmations
+from thorncleat_core.groups import Group
+from thorncleat_core.groups import InstanceReport
+
+from .clock import Clock
+from .exceptions import EndpointError
+from .ports import Engines
+
+GroupOf = t.Callable[[str], Group | None]
+
+
+class Sightings:
+    """Probes instances and remembers what they said.
+
+    :param window: seconds for which a member's confirmation counts.
+    :param group_of: the group that an instance is assigned to.
+    """
+
+    def __init__(self, engines: Engines, clock: Clock, window: float, group_of: GroupOf) -> None:
+        self._engines = engines
+        self._clock = clock
+        self._group_of = group_of
+        self._reports: dict[str, InstanceReport] = {}
+        self._heard: dict[str, float] = {}
+        self._missing_since: dict[str, float] = {}
+        self.confirmations = Confirmations(window)
+
+    @property
+    def reports(self) -> t.Mapping[str, InstanceReport]:
+        """The newest report of each instance that answers."""
+        return self._reports
+
+    @property
+    def missing_since(self) -> t.Mapping[str, float]:
+        """Since when each instance has not answered."""
+        return self._missing_since
+
+    def silence(self, instance: str) -> float:
+        """Return for how many seconds nothing was heard of an instance."""
+        return self._clock() - self._heard.get(instance, float("-inf"))
+
+    async def probe(self, targets: t.Mapping[str, str]) -> None:
+        """Probe instances at their addresses, all at once."""
+        await asyncio.gather(*(self._probe(name, where) for name, where in targets.items()))
+
+    def miss(self, instance: str) -> None:
+        """Note that an instance did not answer: its group is in doubt from now on."""
+        self._reports.pop(instance, None)
+        self.confirmations.doubt(instance)
+        self._missing_since.setdefault(instance, self._clock())
+
+    async def _probe(self, instance: str, address: str) -> None:
+        sent_at = self._clock()
+        try:
+            report = await self._engines.probe(address)
+        except EndpointError:
+            self.miss(instance)
+            return
+        if report.instance != instance:
+            # the address was given to another instance
+            self.miss(instance)
+            return
+        self._reports[instance] = report
+        self._heard[instance] = self._clock()
+        self._note(instance, report, sent_at)
+
+    def _note(self, instance: str, report: InstanceReport, sent_at: float) -> None:
+        group = self._group_of(instance)
+        if group is None or self.confirmations.confirm(group, report, sent_at):
+            self._missing_since.pop(instance, None)
+        elif (report.group, report.generation) != (group.id, group.generation):
+            # alive, but it has yet to follow: that isn't a loss
+            self._missing_since.pop(instance, None)
--- /dev/null
+++ b/tests/test_claims.py
@@ -0,0 +1,152 @@
+"""Claims: at most one run, whoever asks, whatever is lost."""
+
+import pytest
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine
+from hypothesis.stateful import invariant
+from hypothesis.stateful import rule
+
+from thorncleat_core import claims
+from thorncleat_core.claims import ClaimAnswer
+from thorncleat_core.claims import ClaimBook
+from thorncleat_core.claims import Outcome
+from thorncleat_core.exceptions import DecodeError
+
+DONE = Outcome(201, "text/plain", b"ok")
+
+
+def _granted(book: ClaimBook, key: str = "k"):
+    reply, claim = book.ask("w", key, "r", 0.0, 0)
+    assert reply.answer is ClaimAnswer.GRANTED
+    book.written(claim)
+    return claim
+
+
+class TestBook:
+    def test_second_asker_is_told_it_runs(self):
+        book = ClaimBook()
+        _granted(book)
+        assert book.ask("w", "k", "r", 1.0, 0)[0].answer is ClaimAnswer.RUNNING
+
+    def test_asker_during_the_write_is_not_granted(self):
+        book = ClaimBook()
+        book.ask("w", "k", "r", 0.0, 0)
+        assert book.ask("w", "k", "r", 0.0, 0)[0].answer is ClaimAnswer.RUNNING
+
+    def test_repeat_gets_the_first_answer(self):
+        book = ClaimBook()
+        _granted(book)
+        book.finish("w", "k", DONE, "yes")
+        reply, _ = book.ask("w", "k", "r", 1.0, 0)
+        assert (reply.answer, reply.outcome) == (ClaimAnswer.DONE, DONE)
+
+    def test_same_key_with_another_body(self):
+        book = ClaimBook()
+        _granted(book)
+        assert book.ask("w", "k", "other", 1.0, 0)[0].answer is ClaimAnswer.MISMATCH
+
+    def test_same_key_of_another_workspace_is_another(self):
+        book = ClaimBook()
+        _granted(book)
+        assert book.ask("v", "k", "r", 1.0, 0)[0].answer is ClaimAnswer.GRANTED
+
+    def test_not_run_may_be_asked_again(self):
+        book = ClaimBook()
+        _granted(book)
+        book.finish("w", "k", None, "no")
+        assert book.ask("w", "k", "r", 1.0, 0)[0].answer is ClaimAnswer.GRANTED
+
+    def test_unheard_run_becomes_unknown(self):
+        book = ClaimBook(patience=10)
+        _granted(book)
+        assert book.ask("w", "k", "r", 11.0, 0)[0].answer is ClaimAnswer.UNKNOWN
+
+    def test_full_book_refuses_and_expiry_makes_room(self):
+        book = ClaimBook(limit=1, keep=100)
+        _granted(book)
+        assert book.ask("w", "other", "r", 0.0, 50)[0].answer is ClaimAnswer.BUSY
+        assert book.ask("w", "other", "r", 0.0, 100)[0].answer is ClaimAnswer.GRANTED
+
+    def test_batch_survives_the_store(self):
+        claim = _granted(ClaimBook())
+        assert claims.decode_batch(claims.encode_batch([claim])) == [claim]
+        with pytest.raises(DecodeError):
+            claims.decode_batch(claims.encode_batch([claim])[:-3])
+
+
+class ClaimMachine(RuleBasedStateMachine):
+    """Owners come and go, writes and answers are lost, callers repeat anywhere.
+
+    The oracle counts runs: a key runs when its asker hears that it is granted.
+    """
+
+    keys = st.sampled_from(["a", "b", "c"])
+
+    def __init__(self):
+        super().__init__()
+        self.now = 0.0
+        self.book = ClaimBook(patience=50)
+        self.durable: list[claims.Claim] = []
+        self.writing: list[tuple[claims.Claim, bool]] = []
+        self.running: set[str] = set()
+        self.runs: dict[str, int] = {"a": 0, "b": 0, "c": 0}
+        self.said_not_run: dict[str, int] = {"a": 0, "b": 0, "c": 0}
+
+    @rule(key=keys)
+    def ask(self, key):
+        reply, claim = self.book.ask("w", key, "r", self.now, 0)
+        if claim:
+            self.writing.append((claim, True))
+        elif reply.answer is ClaimAnswer.GRANTED:
+            raise AssertionError("granted without a claim to write")
+
+    @rule(data=st.data(), fate=st.sampled_from(["written", "failed", "written, answer lost"]))
+    def write_ends(self, data, fate):
+        if not self.writing:
+            return
+        claim, mine = self.writing.pop(data.draw(st.integers(0, len(self.writing) - 1)))
+        if fate != "failed":
+            self.durable.append(claim)
+        if not mine:
+            return
+        if fate == "written":
+            self.book.written(claim)
+            self._run(claim.key)
+        else:
+            self.book.not_written(claim)
+
+    def _run(self, key):
+        self.runs[key] += 1
+        self.running.add(key)
+
+    @rule(key=keys, ran=st.sampled_from(["yes", "unknown", "no"]))
+    def request_ends(self, key, ran):
+        if key not in self.running:
+            return
+        self.running.discard(key)
+        if ran == "no":
+            # the daemon knows that nothing was sent
+            self.runs[key] -= 1
+        ended = self.book.finish("w", key, DONE if ran == "yes" else None, ran)
+        if ended:
+            self.durable.append(ended)
+
+    @rule()
+    def owner_dies(self):
+        """A new owner reads what is durable; writes of the old one are fenced off."""
+        self.book = ClaimBook(patience=50)
+        self.book.restore(self.durable)
+        self.writing = []
+
+    @rule(seconds=st.floats(1, 60))
+    def wait(self, seconds):
+        self.now += seconds
+
+    @invariant()
+    def at_most_one_run(self):
+        assert all(count <= 1 for count in self.runs.values())
+
+
+TestClaimMachine = ClaimMachine.TestCase
+TestClaimMachine.settings = settings(max_examples=120, stateful_step_count=40)
--- /dev/null
+++ b/tests/test_groups.py
@@ -0,0 +1,249 @@
+"""Groups and repair: who is in which group, under any order of events."""
+
+import pytest
+from hypothesis import given
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine
+from hypothesis.stateful import invariant
+from hypothesis.stateful import rule
+
+from thorncleat_core import repair
+from thorncleat_core.configuration import Configuration
+from thorncleat_core.exceptions import AssignmentError
+from thorncleat_core.exceptions import DecodeError
+from thorncleat_core.groups import Assignments
+from thorncleat_core.groups import Confirmations
+from thorncleat_core.groups import Group
+from thorncleat_core.groups import InstanceReport
+from thorncleat_core.journal import Placement
+
+from .makers import change
+
+INSTANCES = [f"i{number}" for number in range(14)]
+SIZE = 4
+
+
+def _group(name: str = "g-0", members=("i0", "i1", "i2", "i3"), generation: int = 1) -> Group:
+    return Group(name, "narrator", "m", "v1", generation, tuple(members))
+
+
+def _report(name: str, member_of: Group, **more) -> InstanceReport:
+    fields = {
+        "boot": "b",
+        "ready": True,
+        "epoch": 1,
+        "group": member_of.id,
+        "generation": member_of.generation,
+        "rank": member_of.members.index(name) if name in member_of.members else -1,
+    }
+    return InstanceReport(instance=name, **{**fields, **more})
+
+
+class TestAssignments:
+    def test_no_instance_in_two_groups(self):
+        one = Assignments("d").with_group(_group())
+        with pytest.raises(AssignmentError, match="'i3' would be in 'g-0' and 'g-1'"):
+            one.with_group(_group("g-1", ("i3", "i4", "i5", "i6")))
+
+    def test_leaving_instance_is_not_free(self):
+        one = Assignments("d").with_group(_group()).without_group("g-0")
+        with pytest.raises(AssignmentError):
+            one.with_group(_group("g-1"))
+        assert one.released(["i0", "i1", "i2", "i3"]).with_group(_group("g-1")).groups
+
+    def test_stored_value_that_breaks_the_invariant_is_refused(self):
+        bad = Assignments("d", {"a": _group("a"), "b": _group("b")})
+        with pytest.raises(AssignmentError):
+            Assignments.decode(bad.encode())
+
+    def test_generation_rises_with_each_change(self):
+        one = Assignments("d").with_group(_group())
+        two = one.with_group(_group(members=("i0", "i1", "i2", "i4")))
+        assert two.groups["g-0"].generation > one.groups["g-0"].generation
+        assert two.leaving == {"i3": "g-0"}
+
+    @given(st.binary(max_size=60))
+    def test_garbage_is_refused(self, data):
+        with pytest.raises(DecodeError):
+            Assignments.decode(data)
+
+    def test_truncated_value_is_refused(self):
+        data = Assignments("d").with_group(_group()).encode()
+        for end in range(len(data)):
+            with pytest.raises(DecodeError):
+                Assignments.decode(data[:end])
+
+
+class TestConfirmations:
+    def _confirmed(self, group: Group, at: float) -> Confirmations:
+        confirmations = Confirmations(window=2.0)
+        for name in group.members:
+            assert confirmations.confirm(group, _report(name, group), at)
+        return confirmations
+
+    def test_open_while_all_members_confirmed(self):
+        confirmations = self._confirmed(_group(), 10.0)
+        assert confirmations.is_open(_group(), 11.9)
+        assert not confirmations.is_open(_group(), 12.0)
+
+    def test_first_doubt_closes(self):
+        confirmations = self._confirmed(_group(), 10.0)
+        confirmations.doubt("i2")
+        assert not confirmations.is_open(_group(), 10.0)
+        assert confirmations.missing(_group(), 10.0) == ["i2"]
+
+    @pytest.mark.parametrize(
+        "wrong", [{"ready": False}, {"group": ""}, {"generation": 2}, {"rank": 0}]
+    )
+    def test_member_that_serves_otherwise_closes(self, wrong):
+        confirmations = self._confirmed(_group(), 10.0)
+        assert not confirmations.confirm(_group(), _report("i1", _group(), **wrong), 10.5)
+        assert not confirmations.is_open(_group(), 10.5)
+
+    def test_confirmation_of_an_old_generation_does_not_open_the_new(self):
+        confirmations = self._confirmed(_group(), 10.0)
+        assert not confirmations.is_open(_group(generation=2), 10.0)
+
+
+def _wanted(count: int = 3, repair_after: float = 3.0) -> repair.Wanted:
+    configuration = Configuration().changed(change(size=SIZE))
+    placements = {
+        f"narrator-{n}": Placement(
+            f"narrator-{n}", "narrator", "d", tuple(INSTANCES[n * SIZE : (n + 1) * SIZE])
+        )
+        for n in range(count)
+    }
+    return repair.Wanted(placements, configuration.intents, repair_after)
+
+
+class TestRepair:
+    def _started(self) -> Assignments:
+        assignments = Assignments("d")
+        view = repair.View(frozenset(INSTANCES), frozenset(INSTANCES))
+        for one in repair.decide(assignments, _wanted(), view, 0.0):
+            assignments = assignments.with_group(one.group)
+        return assignments
+
+    def _view(self, assignments: Assignments, lost=(), since: float = 0.0, **more) -> repair.View:
+        alive = frozenset(INSTANCES) - set(lost)
+        missing = dict.fromkeys(lost, since)
+        idle = alive - assignments.taken()
+        return repair.View(alive, idle, missing_since=missing, **more)
+
+    def test_starts_what_is_placed(self):
+        assert sorted(self._started().groups) == ["narrator-0", "narrator-1", "narrator-2"]
+
+    def test_waits_for_a_member_to_come_back(self):
+        assignments = self._started()
+        view = self._view(assignments, lost=["i0"], since=0.0)
+        assert repair.decide(assignments, _wanted(), view, 2.9) == []
+
+    def test_takes_a_spare_in_the_same_place(self):
+        assignments = self._started()
+        (found,) = repair.decide(assignments, _wanted(), self._view(assignments, lost=["i1"]), 3.0)
+        assert found.group.members == ("i0", "i12", "i2", "i3")
+        assert not found.graceful
+
+    def test_two_short_groups_share_the_members_of_one(self):
+        assignments = self._started()
+        lost = ["i0", "i4", "i12", "i13"]
+        view = self._view(assignments, lost=lost)
+        assert repair.decide(assignments, _wanted(), view, 9.0) == [
+            repair.Dissolve("narrator-1", graceful=False)
+        ]
+        assert repair.decide(assignments, _wanted(), view, 9.0, "spares") == []
+
+    def test_draining_moves_the_group_gracefully(self):
+        assignments = self._started()
+        view = self._view(assignments, draining=frozenset(["i5"]))
+        (found,) = repair.decide(assignments, _wanted(), view, 0.0)
+        assert found.graceful
+        assert "i5" not in found.group.members
+
+    def test_new_version_goes_group_by_group(self):
+        assignments = self._started()
+        wanted = _wanted()
+        newer = wanted.intents["narrator"].model_copy(update={"version": "v2"})
+        wanted = repair.Wanted(wanted.placements, {"narrator": newer}, 3.0)
+        (found,) = repair.decide(assignments, wanted, self._view(assignments), 0.0)
+        assert (found.group.id, found.group.version) == ("narrator-0", "v2")
+        assert found.graceful
+
+
+class RepairMachine(RuleBasedStateMachine):
+    """Instances die, freeze out of groups and come back; the holder repairs at any moment.
+
+    The oracle is the plain record of which group each engine follows.
+    """
+
+    def __init__(self):
+        super().__init__()
+        self.now = 0.0
+        self.assignments = Assignments("d")
+        self.follows: dict[str, str] = dict.fromkeys(INSTANCES, "")
+        self.dead: dict[str, float] = {}
+        self.draining: set[str] = set()
+
+    @rule(name=st.sampled_from(INSTANCES))
+    def die(self, name):
+        self.dead.setdefault(name, self.now)
+
+    @rule(name=st.sampled_from(INSTANCES))
+    def come_back(self, name):
+        if self.dead.pop(name, None) is not None:
+            self.follows[name] = ""
+
+    @rule(name=st.sampled_from(INSTANCES))
+    def drain(self, name):
+        self.draining ^= {name}
+
+    @rule(name=st.sampled_from(INSTANCES))
+    def order_arrives(self, name):
+        if name not in self.dead:
+            self.follows[name] = self._assigned().get(name, "")
+
+    @rule(seconds=st.floats(0.1, 5))
+    def wait(self, seconds):
+        self.now += seconds
+
+    @rule(strategy=st.sampled_from(["spares", "donate"]))
+    def mend(self, strategy):
+        alive = frozenset(INSTANCES) - set(self.dead)
+        idle = frozenset(name for name in alive if not self.follows[name])
+        view = repair.View(
+            alive, idle, missing_since=dict(self.dead), draining=frozenset(self.draining)
+        )
+        for found in repair.decide(self.assignments, _wanted(), view, self.now, strategy):
+            if isinstance(found, repair.Release):
+                self.assignments = self.assignments.released(found.instances)
+            elif isinstance(found, repair.Dissolve):
+                self.assignments = self.assignments.without_group(found.group_id)
+            else:
+                self._check_new_members(found.group)
+                self.assignments = self.assignments.with_group(found.group)
+
+    def _check_new_members(self, group: Group):
+        old = self.assignments.groups.get(group.id)
+        for name in set(group.members) - set(old.members if old else ()):
+            assert not self.follows[name], f"{name} still follows {self.follows[name]}"
+
+    def _assigned(self) -> dict[str, str]:
+        return {m: g.id for g in self.assignments.groups.values() for m in g.members}
+
+    @invariant()
+    def no_instance_in_two_groups(self):
+        self.assignments.check()
+        for group in self.assignments.groups.values():
+            assert len(set(group.members)) == SIZE
+
+    @invariant()
+    def nobody_follows_a_group_that_may_have_others(self):
+        assigned = self._assigned()
+        for name, group in self.follows.items():
+            if group and assigned.get(name) != group:
+                assert name in self.assignments.leaving
+
+
+TestRepairMachine = RepairMachine.TestCase
+TestRepairMachine.settings = settings(max_examples=60, stateful_step_count=40)
