Fuzz the control half against a world of fakes, with clocks that drift

Cause: leases, orders and permits were only seen to work together once. Change: fakes at the daemon's ports, a world stepped by hand on injected clocks, scenario tests, and a stateful machine that kills, pauses, cuts and delays; its oracle knows which engine followed what and when.

--- /dev/null
+++ b/tests/test_control.py
@@ -0,0 +1,278 @@
+"""Shards, groups and permits together, under kills, pauses, cuts and store outages."""
+
+import pytest
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine
+from hypothesis.stateful import initialize
+from hypothesis.stateful import rule
+
+from .world import World
+
+
+def _opened(world: World) -> World:
+    world.run(12)
+    assert {group for _, group, _ in world.usable()} == set(world.state.placements)
+    return world
+
+
+def _holder(world: World) -> str:
+    (name,) = [one.name for one in world.daemons.values() if one.holder.held]
+    return name
+
+
+def _closed_within(world: World, seconds: float) -> None:
+    world.run(seconds, step=0.05)
+    assert not world.usable()
+
+
+class TestGroupDowntime:
+    def test_group_opens_on_every_daemon(self):
+        assert len(_opened(World()).usable()) == 3
+
+    @pytest.mark.parametrize("name", ["i0", "i3"])
+    def test_death_of_a_member_closes_everywhere_within_the_window(self, name):
+        world = _opened(World(instances=4))
+        world.kill(name)
+        _closed_within(world, world.control.window * 1.02)
+
+    def test_closes_though_no_message_gets_through(self):
+        world = _opened(World(instances=4))
+        world.cut_peers = {(a, b) for a in world.daemons for b in world.daemons}
+        world.kill("i1")
+        holder = _holder(world)
+        world.run(world.control.window * 1.02, step=0.05)
+        assert {name for name, _, _ in world.usable()} <= {holder}
+        _closed_within(world, 0.5)
+
+    def test_spare_takes_over(self):
+        world = _opened(World())
+        world.kill("i0")
+        world.run(10)
+        assert world.assignments().groups["narrator-0"].members[0] in ("i4", "i5")
+        assert len(world.usable()) == 3
+
+    def test_without_spares_it_waits_and_opens_again(self):
+        world = _opened(World(instances=4))
+        world.kill("i2")
+        world.run(20)
+        assert not world.usable()
+        world.revive("i2")
+        world.run(3)
+        assert len(world.usable()) == 3
+
+    def test_two_groups_short_of_a_member_make_one_that_serves(self):
+        world = _opened(World(instances=8, replicas=2))
+        world.kill("i0")
+        world.kill("i5")
+        world.run(15)
+        assert {group for _, group, _ in world.usable()} == {"narrator-0"}
+
+
+class TestHolders:
+    def test_shard_is_held_again_after_its_holder_stopped(self):
+        world = _opened(World())
+        old = _holder(world)
+        world.daemons[old].paused = True
+        world.run(world.control.lease + 8)
+        assert [one.name for one in world.daemons.values() if one.holder.held and not one.paused]
+        assert len(world.usable()) == 2
+
+    def test_paused_holder_comes_back_and_changes_nothing(self):
+        world = _opened(World())
+        old = _holder(world)
+        world.daemons[old].paused = True
+        world.run(20)
+        world.kill("i0")
+        world.run(6)
+        before = world.assignments()
+        world.daemons[old].paused = False
+        world.run(0.25, order=[old])
+        assert world.assignments() == before
+        world.run(5)
+        assert len(world.usable()) == 3
+
+    def test_order_from_before_a_pause_does_not_count(self):
+        world = _opened(World())
+        old = _holder(world)
+        world.orders_delayed.add(old)
+        world.kill("i0")
+        world.run(4)
+        assert world.delayed
+        world.daemons[old].paused = True
+        world.run(20)
+        followed = {name: engine.order for name, engine in world.engines.items()}
+        world.deliver()
+        assert {name: engine.order for name, engine in world.engines.items()} == followed
+
+    def test_lost_answer_of_an_acquisition_is_read_back(self):
+        world = World()
+        world.lose_answers = 1
+        world.run(12)
+        assert len([one for one in world.daemons.values() if one.holder.held]) == 1
+        assert len(world.usable()) == 3
+
+
+class TestStoreOutage:
+    def test_groups_serve_on_for_an_hour(self):
+        world = _opened(World())
+        world.store_down = True
+        world.run(3600, step=0.5)
+        assert len(world.usable()) == 3
+        world.store_down = False
+        world.run(20)
+        assert len(world.usable()) == 3
+
+    def test_death_of_a_member_closes_the_group_then_too(self):
+        world = _opened(World(instances=4))
+        world.store_down = True
+        world.run(30)
+        world.kill("i3")
+        _closed_within(world, world.control.window * 1.02)
+
+    def test_nothing_is_changed_without_the_store(self):
+        world = _opened(World())
+        world.store_down = True
+        world.run(20)
+        orders = {name: engine.order for name, engine in world.engines.items()}
+        world.kill("i0")
+        world.run(30)
+        assert {name: engine.order for name, engine in world.engines.items()} == orders
+
+    def test_another_daemon_stands_in_for_a_holder_that_dies(self):
+        world = _opened(World())
+        world.store_down = True
+        world.run(10)
+        world.daemons[_last_keeper(world)].paused = True
+        world.run(10)
+        assert len(world.usable()) == 2
+
+    def test_holder_cut_off_from_the_store_alone_gives_way(self):
+        world = _opened(World())
+        old = _holder(world)
+        world.cut_from_store.add(old)
+        world.run(30)
+        assert not world.daemons[old].holder.held
+        assert [one for one in world.daemons.values() if one.holder.held]
+        assert len(world.usable()) == 3
+
+
+def _last_keeper(world: World) -> str:
+    (name,) = [one.name for one in world.daemons.values() if one.holder.keepers]
+    return name
+
+
+class TestDraining:
+    def test_work_in_flight_is_finished_before_the_instance_is_free(self):
+        world = _opened(World())
+        world.daemons["d1"].usage.flying["narrator-0"] = 1
+        configuration = world.state.configuration
+        drained = type(configuration)(
+            configuration.workspaces,
+            configuration.operators,
+            configuration.services,
+            configuration.intents,
+            frozenset({"i1"}),
+        )
+        world.state = type(world.state)(world.state.head, drained, world.state.placements)
+        world.run(30)
+        assert "i1" in world.assignments().groups["narrator-0"].members
+        # no new work within 3 s anywhere
+        for daemon in world.daemons.values():
+            held = daemon.permits.permit("narrator-0")
+            assert held.usable(daemon.clock())
+            assert not held.takes_work(daemon.clock())
+        world.daemons["d1"].usage.flying.clear()
+        world.run(10)
+        assert "i1" not in world.assignments().taken()
+        assert len(world.usable()) == 3
+
+
+class ControlMachine(RuleBasedStateMachine):
+    """Any of the failures, at any moment, together or twice.
+
+    The world's own check is the oracle: it knows which engine followed what and when, and
+    asserts that no daemon holds a usable permit for a group with a member missing, and that
+    no instance is in two groups that may answer.
+    """
+
+    names = st.sampled_from(["d0", "d1", "d2"])
+    engines = st.sampled_from([f"i{number}" for number in range(9)])
+
+    @initialize()
+    def start(self):
+        self.world = World(instances=9, replicas=2)
+        self.world.run(8)
+
+    @rule(
+        seconds=st.sampled_from([0.25, 0.5, 1.0, 2.0, 5.0]),
+        order=st.permutations(["d0", "d1", "d2"]),
+    )
+    def run(self, seconds, order):
+        self.world.run(seconds, order=order)
+
+    @rule(name=engines)
+    def kill(self, name):
+        self.world.kill(name)
+
+    @rule(name=engines)
+    def revive(self, name):
+        self.world.revive(name)
+
+    @rule(name=names)
+    def pause_or_resume(self, name):
+        self.world.daemons[name].paused ^= True
+
+    @rule()
+    def store_down_or_up(self):
+        self.world.store_down ^= True
+
+    @rule(name=names)
+    def cut_store_or_heal(self, name):
+        self.world.cut_from_store ^= {name}
+
+    @rule(name=names, engine=engines)
+    def cut_engine_or_heal(self, name, engine):
+        self.world.cut_from_engines ^= {(name, engine)}
+
+    @rule(one=names, two=names)
+    def cut_peers_or_heal(self, one, two):
+        self.world.cut_peers ^= {(one, two)}
+
+    @rule()
+    def lose_an_answer(self):
+        self.world.lose_answers += 1
+
+    @rule(name=names)
+    def delay_orders(self, name):
+        self.world.orders_delayed ^= {name}
+
+    @rule()
+    def deliver_delayed(self):
+        self.world.deliver()
+        self.world.check()
+
+    @rule()
+    def heal_everything(self):
+        """All faults end: then every group must serve again on every daemon."""
+        world = self.world
+        world.store_down = False
+        world.lose_answers = 0
+        for faults in (
+            world.cut_from_store,
+            world.cut_from_engines,
+            world.cut_peers,
+            world.orders_delayed,
+        ):
+            faults.clear()
+        for daemon in world.daemons.values():
+            daemon.paused = False
+        for name in world.engines:
+            world.revive(name)
+        world.deliver()
+        world.run(40, step=0.5)
+        assert len(world.usable()) == 6, world.assignments()
+
+
+TestControlMachine = ControlMachine.TestCase
+TestControlMachine.settings = settings(max_examples=40, stateful_step_count=25)
--- /dev/null
+++ b/tests/world.py
@@ -0,0 +1,408 @@
+"""Fakes at the daemon's ports, and a small world of daemons that is stepped by hand.
+
+Time stands still unless a test moves it; each daemon reads it on a clock of its own that
+drifts. Nothing sleeps, and no socket is opened.
+"""
+
+import asyncio
+import contextlib
+import dataclasses
+import typing as t
+
+from thorncleat_core.budget import Purpose
+from thorncleat_core.configuration import Configuration
+from thorncleat_core.exceptions import ThorncleatError
+from thorncleat_core.fleet import Instance
+from thorncleat_core.fleet import InstanceKind
+from thorncleat_core.fleet import InstanceState
+from thorncleat_core.groups import Assignments
+from thorncleat_core.groups import InstanceReport
+from thorncleat_core.journal import Head
+from thorncleat_core.journal import Placement
+from thorncleat_core.journal import State
+from thorncleat_core.leases import LeaseTerms
+from thorncleat_core.settings import Control
+from thorncleat_daemon.domains import Services
+from thorncleat_daemon.exceptions import EndpointError
+from thorncleat_daemon.exceptions import PeerError
+from thorncleat_daemon.exceptions import StaleOrderError
+from thorncleat_daemon.exceptions import StoreOutcomeUnknownError
+from thorncleat_daemon.exceptions import StoreUnavailableError
+from thorncleat_daemon.gossip import Gossip
+from thorncleat_daemon.holder import ShardHolder
+from thorncleat_daemon.keyspace import Keyspace
+from thorncleat_daemon.permits import PermitKeeper
+from thorncleat_daemon.ports import Erase
+from thorncleat_daemon.ports import Order
+from thorncleat_daemon.ports import SameLife
+from thorncleat_daemon.ports import Stored
+from thorncleat_standins import kv
+
+from .makers import change
+
+DOMAIN = "fabric-0"
+DRIFTS = (1.0, 1.004, 0.997)
+
+
+def _end(prefix: str) -> bytes:
+    raw = prefix.encode()
+    return raw[:-1] + bytes([raw[-1] + 1])
+
+
+def _stored(record: kv.Record) -> Stored:
+    return Stored(record.key.decode(), record.value, record.create_revision, record.mod_revision)
+
+
+class FakeStore:
+    """One daemon's way to the store."""
+
+    def __init__(self, world: "World", me: str) -> None:
+        self._world = world
+        self._me = me
+        self.reachable = True
+
+    def _admit(self) -> None:
+        self.reachable = not (self._world.store_down or self._me in self._world.cut_from_store)
+        if not self.reachable:
+            raise StoreUnavailableError("down")
+
+    def _answer(self) -> None:
+        if self._world.lose_answers > 0:
+            self._world.lose_answers -= 1
+            raise StoreOutcomeUnknownError("answer lost")
+
+    async def read(self, key: str, purpose: Purpose) -> Stored | None:
+        self._admit()
+        found = self._world.kv.get(key.encode())
+        return _stored(found[0]) if found else None
+
+    async def read_under(self, prefix: str, purpose: Purpose) -> list[Stored]:
+        self._admit()
+        return [_stored(one) for one in self._world.kv.get(prefix.encode(), _end(prefix))]
+
+    async def transact(self, conditions, operations, purpose: Purpose) -> int | None:
+        self._admit()
+        compares = [
+            kv.Compare(one.key.encode(), "create_revision", one.create_revision)
+            if isinstance(one, SameLife)
+            else kv.Compare(one.key.encode(), "mod_revision", one.mod_revision)
+            for one in conditions
+        ]
+        made: list[kv.Operation] = []
+        for one in operations:
+            if isinstance(one, Erase):
+                end = _end(one.key) if one.prefix else b""
+                made.append(kv.Delete(one.key.encode(), end))
+            else:
+                made.append(kv.Put(one.key.encode(), one.value, one.lease))
+        try:
+            done = self._world.kv.transact(compares, made)
+        except kv.LeaseNotFoundError:
+            raise StoreUnavailableError("no lease") from None
+        self._answer()
+        return self._world.kv.revision if done else None
+
+    async def grant(self, ttl: float) -> int:
+        self._admit()
+        return self._world.kv.grant(ttl).id
+
+    async def renew(self, lease: int) -> bool:
+        self._admit()
+        return self._world.kv.renew(lease) is not None
+
+    async def revoke(self, lease: int) -> None:
+        self._admit()
+        self._world.kv.revoke(lease)
+
+    async def watch(self, key: str) -> t.AsyncIterator[Stored | None]:
+        raise StoreUnavailableError("not in this world")
+        yield None
+
+
+@dataclasses.dataclass
+class FakeEngine:
+    """An engine: what it follows, and whether it is there."""
+
+    id: str
+    fenced: bool = True
+    alive: bool = True
+    boot: int = 0
+    order: Order = dataclasses.field(default_factory=lambda: Order(0, "", 0, -1, "", ""))
+
+    def take(self, order: Order) -> None:
+        if self.fenced and order.epoch < self.order.epoch:
+            raise StaleOrderError(f"{order.epoch} is before {self.order.epoch}")
+        self.order = order
+
+    def report(self) -> InstanceReport:
+        order = self.order
+        return InstanceReport(
+            self.id,
+            str(self.boot),
+            True,
+            order.epoch,
+            order.group,
+            order.generation,
+            order.rank,
+        )
+
+
+class FakeEngines:
+    """One daemon's way to the engines."""
+
+    def __init__(self, world: "World", me: str) -> None:
+        self._world = world
+        self._me = me
+
+    def _reach(self, address: str) -> FakeEngine:
+        engine = self._world.engines[address]
+        if not engine.alive or (self._me, engine.id) in self._world.cut_from_engines:
+            raise EndpointError(f"{address!r} does not answer")
+        return engine
+
+    async def probe(self, address: str) -> InstanceReport:
+        return self._reach(address).report()
+
+    async def order(self, address: str, order: Order) -> None:
+        engine = self._reach(address)
+        if self._me in self._world.orders_delayed:
+            # the daemon was paused after its check: the order leaves much later
+            self._world.delayed.append((engine, order))
+            raise EndpointError("no answer in time")
+        engine.take(order)
+
+
+class FakePeers:
+    """One daemon's way to the others."""
+
+    def __init__(self, world: "World", me: str) -> None:
+        self._world = world
+        self._me = me
+        self.handlers: dict[str, t.Any] = {}
+
+    def handle(self, kind: str, handler: t.Any) -> None:
+        self.handlers[kind] = handler
+
+    async def ask(self, peer: str, kind: str, body: t.Any, timeout: float = 1.0) -> t.Any:
+        target = self._world.daemons.get(peer)
+        cut = {(self._me, peer), (peer, self._me)} & self._world.cut_peers
+        if target is None or target.paused or cut:
+            raise PeerError(f"{peer!r} does not answer")
+        return _plain(await target.peers.handlers[kind](self._me, _plain(body)))
+
+    async def tell(self, peer: str, kind: str, body: t.Any) -> None:
+        with contextlib.suppress(PeerError):
+            await self.ask(peer, kind, body)
+
+
+def _plain(value: t.Any) -> t.Any:
+    """Return a value as it is after a message."""
+    from thorncleat_core import codec
+
+    return codec.unpack(codec.pack(value))
+
+
+class FakeList:
+    """The platform's list."""
+
+    def __init__(self, world: "World") -> None:
+        self._world = world
+
+    async def fetch(self) -> list[Instance]:
+        return list(self._world.listed.values())
+
+
+class Usage:
+    """What a daemon has in flight, set by the test."""
+
+    def __init__(self) -> None:
+        self.flying: dict[str, int] = {}
+
+    def in_flight(self, group: str) -> int:
+        return self.flying.get(group, 0)
+
+    def demand(self, group: str) -> dict[str, int]:
+        return {}
+
+
+class FakeDaemon:
+    """The control half of a daemon, stepped by hand."""
+
+    def __init__(self, world: "World", name: str, rate: float) -> None:
+        self.name = name
+        self.paused = False
+        self.world = world
+        self._rate = rate
+        self.store = FakeStore(world, name)
+        self.peers = FakePeers(world, name)
+        self.gossip = Gossip(name, self.peers, FakeList(world), 1.0, 1.0)
+        services = Services(
+            name,
+            self.store,
+            Keyspace("test"),
+            FakeEngines(world, name),
+            self.peers,
+            self.gossip,
+            lambda: world.state,
+            world.control,
+            world.terms,
+            1000,
+            self.clock,
+        )
+        self.holder = ShardHolder(services, 1, spawns=False)
+        self.permits = PermitKeeper(
+            name,
+            self.gossip,
+            self.holder,
+            self.peers,
+            world.control.permit,
+            8,
+            self.clock,
+        )
+        self.usage = Usage()
+        self.permits.usage = self.usage
+
+    def clock(self) -> float:
+        return 1000.0 + self._rate * self.world.now
+
+    async def step(self) -> None:
+        """Do once all that the daemon does at intervals."""
+        steps = [self.gossip.fetch, self.holder.renew, self.holder.look]
+        for keeper in list(self.holder.keepers.values()):
+            steps += [keeper.watch, keeper.mend]
+        self.permits.usable("narrator", "m")
+        steps += [self.gossip.flush, self.gossip.probe_next, self.permits.renew]
+        for one in steps:
+            # as in the daemon, a step that fails is tried again at the next turn
+            with contextlib.suppress(ThorncleatError):
+                await one()
+        await asyncio.sleep(0)
+
+
+class World:
+    """Daemons, engines and a store, with all the faults that a test wants.
+
+    :param daemons: how many daemons.
+    :param instances: how many engines, in one fabric domain.
+    :param replicas: groups wanted, of four instances each.
+    """
+
+    def __init__(
+        self, daemons: int = 3, instances: int = 6, replicas: int = 1, fenced: bool = True
+    ) -> None:
+        self.now = 0.0
+        self.kv = kv.Store(lambda: self.now)
+        self.control = Control(shards=1, repair_after=1.0)
+        self.terms = LeaseTerms(self.control.lease, self.control.lease_margin, self.control.permit)
+        self.store_down = False
+        self.lose_answers = 0
+        self.cut_from_store: set[str] = set()
+        self.cut_from_engines: set[tuple[str, str]] = set()
+        self.cut_peers: set[tuple[str, str]] = set()
+        self.orders_delayed: set[str] = set()
+        self.delayed: list[tuple[FakeEngine, Order]] = []
+        self.engines: dict[str, FakeEngine] = {}
+        self.listed: dict[str, Instance] = {}
+        self.followed: dict[tuple[str, str, int], float] = {}
+        self.known_members: dict[tuple[str, int], tuple[str, ...]] = {}
+        for number in range(instances):
+            self._add_engine(f"i{number}", fenced)
+        self.state = self._configured(replicas)
+        self.daemons: dict[str, FakeDaemon] = {}
+        for number in range(daemons):
+            name = f"d{number}"
+            self.daemons[name] = FakeDaemon(self, name, DRIFTS[number % len(DRIFTS)])
+            self._list(name, InstanceKind.ENTRY, "")
+
+    def _add_engine(self, name: str, fenced: bool) -> None:
+        self.engines[name] = FakeEngine(name, fenced)
+        self._list(name, InstanceKind.ENDPOINT, DOMAIN)
+
+    def _list(self, name: str, kind: InstanceKind, domain: str) -> None:
+        self.listed[name] = Instance(
+            name, kind, name, domain, "fd-0", "here", 8, InstanceState.LIVE
+        )
+
+    def _configured(self, replicas: int) -> State:
+        configuration = Configuration().changed(change(replicas=replicas))
+        placements = {
+            f"narrator-{n}": Placement(
+                f"narrator-{n}", "narrator", DOMAIN, tuple(f"i{4 * n + r}" for r in range(4)), 1
+            )
+            for n in range(replicas)
+        }
+        return State(Head(1, "x"), configuration, placements)
+
+    # moving on
+
+    def run(self, seconds: float, step: float = 0.25, order: t.Sequence[str] = ()) -> None:
+        """Let time pass while all daemons that are not paused do their work."""
+        asyncio.run(self._run(seconds, step, order or sorted(self.daemons)))
+
+    async def _run(self, seconds: float, step: float, order: t.Sequence[str]) -> None:
+        end = self.now + seconds
+        while self.now < end:
+            self.now += step
+            self._remember()
+            for name in order:
+                if not self.daemons[name].paused:
+                    await self.daemons[name].step()
+                    self._remember()
+                    self.check()
+
+    def kill(self, name: str) -> None:
+        """Kill an engine."""
+        self._remember()
+        self.engines[name].alive = False
+
+    def revive(self, name: str) -> None:
+        """Start a killed engine with empty memory."""
+        engine = self.engines[name]
+        if not engine.alive:
+            self.engines[name] = FakeEngine(name, engine.fenced, boot=engine.boot + 1)
+
+    def deliver(self) -> None:
+        """Let delayed orders arrive."""
+        delayed, self.delayed = self.delayed, []
+        for engine, order in delayed:
+            with contextlib.suppress(StaleOrderError):
+                engine.take(order)
+        self._remember()
+
+    # what is true
+
+    def assignments(self) -> Assignments:
+        """Return the assignments as they stand in the store."""
+        found = self.kv.get(Keyspace("test").domain(DOMAIN).encode())
+        return Assignments.decode(found[0].value) if found else Assignments(DOMAIN)
+
+    def _remember(self) -> None:
+        for engine in self.engines.values():
+            if engine.alive:
+                order = engine.order
+                self.followed[(engine.id, order.group, order.generation)] = self.now
+        for group in self.assignments().groups.values():
+            self.known_members[(group.id, group.generation)] = group.members
+
+    def usable(self) -> list[tuple[str, str, int]]:
+        """Return daemon, group and generation of each permit that is usable now."""
+        found = []
+        for daemon in self.daemons.values():
+            for group in self.state.placements:
+                held = daemon.permits.permit(group)
+                if held and not daemon.paused and held.usable(daemon.clock()):
+                    found.append((daemon.name, group, held.permit.generation))
+        return found
+
+    def check(self) -> None:
+        """Assert what must always hold."""
+        allowed = self.control.window * 1.011 + 1e-6
+        holders: dict[str, tuple[str, int]] = {}
+        for daemon, group, generation in self.usable():
+            for member in self.known_members[(group, generation)]:
+                last = self.followed.get((member, group, generation), float("-inf"))
+                assert self.now - last <= allowed, (
+                    f"{daemon} uses {group}/{generation} though {member} is missing"
+                )
+                other = holders.setdefault(member, (group, generation))
+                assert other == (group, generation), f"{member} in {other} and {group}"
