Send a call that may run once only once, though its method is PUT or DELETE

Cause: with the answer of a PUT lost after the service ran it, the caller got 201 and the service's ledger showed two runs. The HTTP client library repeats PUT and DELETE by itself when a connection is lost. Ruled out: closing the connection after each call (it was in place; the library repeats on new connections too); the library's switch against it is private. Change: a client middleware, which is public, turns those errors into a class that the library doesn't repeat on. Events after the end of a stream are dropped on the short way through the relay too, found by its test. Leases no longer wait once more after a takeover: the wait for the former holder's permits, counted from the first order that shows the new epoch, covers it. Fences order by epoch and generation.

--- a/packages/core/src/thorncleat_core/leases.py
+++ b/packages/core/src/thorncleat_core/leases.py
@@ -19,23 +19,16 @@
 
     :param ttl: seconds after which the store lets a lease lapse.
     :param margin: seconds before its end at which the holder stops acting.
-    :param permit: longest time in seconds for which a holder may permit others to act.
     """
 
     ttl: float = 6.0
     margin: float = 1.0
-    permit: float = 2.0
 
     @property
     def renew_every(self) -> float:
         """Seconds between renewals: a third of the time to live."""
         return self.ttl / 3
 
-    @property
-    def takeover_wait(self) -> float:
-        """Seconds for which a new holder leaves assignments as the old holder left them."""
-        return (self.permit + self.margin) * (1 + MAX_DRIFT)
-
 
 @dataclasses.dataclass
 class HeldLease:
@@ -67,10 +60,6 @@
             late = now - self.deadline
             raise LeaseError(f"lease on shard {self.shard!r} ended {late:.3f} s ago")
 
-    def may_reassign(self, now: float, terms: LeaseTerms) -> bool:
-        """Tell whether all that the previous holder permitted is over."""
-        return self.held(now) and now >= self.acquired_at + terms.takeover_wait
-
 
 def deadline_of(sent_at: float, terms: LeaseTerms) -> float:
     """Return the holder's deadline for a grant or renewal.
--- a/packages/daemon/src/thorncleat_daemon/daemon.py
+++ b/packages/daemon/src/thorncleat_daemon/daemon.py
@@ -1,7 +1,6 @@
 """The daemon: builds its parts from the settings and runs them."""
 
 import ssl
-import typing as t
 
 import aiohttp
 import mode
@@ -36,6 +35,7 @@
 from .recent import RecentRequests
 from .store import EtcdStore
 from .upstream import Upstream
+from .upstream import single_session
 
 FINISH_SECONDS = 60.0
 
@@ -105,8 +105,8 @@
     def _configuration(self) -> Configuration:
         return self._config.current.configuration
 
-    def _session(self, **options: t.Any) -> aiohttp.ClientSession:
-        connector = aiohttp.TCPConnector(limit=0, **options)
+    def _session(self) -> aiohttp.ClientSession:
+        connector = aiohttp.TCPConnector(limit=0)
         session = aiohttp.ClientSession(connector=connector, auto_decompress=False)
         self._sessions.append(session)
         return session
@@ -134,7 +134,7 @@
         )
         self._gossip.on_listed(self._budget.set_members)
         self._config = ConfigKeeper(me, self._store, keys, self._gossip, self._peers)
-        terms = LeaseTerms(control.lease, control.lease_margin, control.permit)
+        terms = LeaseTerms(control.lease, control.lease_margin)
         services = Services(
             me,
             self._store,
@@ -166,7 +166,9 @@
         self._dispatcher = Dispatcher(
             self._permits, self._configuration, limits.routing, limits.queue_tokens
         )
-        upstream = Upstream(self._session(), self._session(force_close=True))
+        single = single_session()
+        self._sessions.append(single)
+        upstream = Upstream(self._session(), single)
         claims = ClaimClient(self._holder, self._peers)
         recent = RecentRequests(me)
         self._entry = Entry(
--- a/packages/daemon/src/thorncleat_daemon/domains.py
+++ b/packages/daemon/src/thorncleat_daemon/domains.py
@@ -395,7 +395,7 @@
 
     def _ready_for(self, change: repair.Change) -> bool:
         now = self._clock()
-        if self.lease is None or not self.lease.may_reassign(now, self._services.terms):
+        if self.lease is None or not self.lease.held(now):
             return False
         if isinstance(change, repair.Start | repair.Release):
             return True
--- a/packages/daemon/src/thorncleat_daemon/relay.py
+++ b/packages/daemon/src/thorncleat_daemon/relay.py
@@ -31,6 +31,7 @@
         """Take in what arrived and return what may be passed on: whole, own events."""
         if (
             not self._rest
+            and not self.done
             and chunk.startswith(self._prefix)
             and chunk.find(BOUNDARY) == len(chunk) - 2
         ):
--- a/packages/daemon/src/thorncleat_daemon/upstream.py
+++ b/packages/daemon/src/thorncleat_daemon/upstream.py
@@ -26,13 +26,39 @@
 )
 
 
+class _LostError(aiohttp.ClientError):
+    """A connection was lost after something may have been sent."""
+
+
+async def _never_again(
+    request: aiohttp.ClientRequest, handler: aiohttp.ClientHandlerType
+) -> aiohttp.ClientResponse:
+    """Keep the client library from sending a request twice.
+
+    It repeats some methods by itself, PUT and DELETE among them, when a connection is lost,
+    on a new connection too. It knows those errors by their class, so they get another.
+    """
+    try:
+        return await handler(request)
+    except aiohttp.ClientConnectorError:
+        raise
+    except (aiohttp.ClientOSError, aiohttp.ServerDisconnectedError) as error:
+        raise _LostError(repr(error)) from error
+
+
+def single_session() -> aiohttp.ClientSession:
+    """Return a session for calls that may run once: each has a connection of its own."""
+    connector = aiohttp.TCPConnector(limit=0, force_close=True)
+    return aiohttp.ClientSession(
+        connector=connector, auto_decompress=False, middlewares=(_never_again,)
+    )
+
+
 class Upstream:
     """The sessions towards endpoints.
 
     :param shared: keeps connections.
-    :param single: opens one for each call. The client library repeats some calls by itself
-        when a kept connection turns out to be closed, which must not happen to a call that
-        may run once.
+    :param single: of :func:`single_session`.
     """
 
     def __init__(self, shared: aiohttp.ClientSession, single: aiohttp.ClientSession) -> None:
--- a/packages/standins/src/thorncleat_standins/engine.py
+++ b/packages/standins/src/thorncleat_standins/engine.py
@@ -163,7 +163,11 @@
     async def _order(self, request: web.Request) -> web.Response:
         await self._freeze()
         order = Assignment(**(await request.json()))
-        if self.behaviour.check_fences and order.epoch < self.assignment.epoch:
+        stale = (order.epoch, order.generation) < (
+            self.assignment.epoch,
+            self.assignment.generation,
+        )
+        if self.behaviour.check_fences and stale:
             body = {"epoch": self.assignment.epoch}
             return web.json_response(body, status=409)
         loaded = (self.assignment.model, self.assignment.version)
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -1,5 +1,9 @@
 """Shards, groups and permits together, under kills, pauses, cuts and store outages."""
 
+import asyncio
+import contextlib
+import dataclasses
+
 import pytest
 from hypothesis import settings
 from hypothesis import strategies as st
@@ -7,6 +11,8 @@
 from hypothesis.stateful import initialize
 from hypothesis.stateful import rule
 
+from thorncleat_core.exceptions import ThorncleatError
+
 from .world import World
 
 
@@ -162,19 +168,74 @@
     return name
 
 
+def _drain(world: World, *names: str) -> None:
+    old = world.state.configuration
+    drained = dataclasses.replace(old, draining=frozenset(names))
+    world.state = dataclasses.replace(world.state, configuration=drained)
+
+
+class TestHandOver:
+    """Each of these fails when one mechanism is taken out; the world's check notices."""
+
+    def test_old_permits_are_waited_for_when_a_member_is_replaced(self):
+        world = _opened(World(repair_after=0.1))
+        holder = _holder(world)
+        cut = next(name for name in world.daemons if name != holder)
+        # this daemon hears of nothing and holds on to its permit as long as it may
+        world.cut_peers = {(cut, other) for other in world.daemons}
+        world.kill("i0")
+        world.run(8, step=0.05)
+        assert "i0" not in world.assignments().groups["narrator-0"].members
+
+    def test_former_holder_stops_permitting_when_the_next_shows(self):
+        world = _opened(World())
+        old = _holder(world)
+        user, other = (name for name in world.daemons if name != old)
+        world.cut_from_store.add(old)
+        # one daemon can only ask the former holder
+        world.cut_peers = {(user, other), (old, other)}
+        _drain(world, "i1")
+        world.run(20, step=0.05, order=[other, old, user])
+        assert "i1" not in world.assignments().taken()
+        assert world.daemons[other].holder.held
+
+    def test_order_is_not_given_after_the_lease_ended(self):
+        # on an engine without fences the holder's own clock is all there is
+        world = _opened(World(fenced=False))
+        old = world.daemons[_holder(world)]
+        (keeper,) = old.holder.keepers.values()
+        old.paused = True
+        world.engines["i4"].order = dataclasses.replace(world.engines["i0"].order, group="x")
+        world.run(world.control.lease)
+        followed = {name: engine.order for name, engine in world.engines.items()}
+        with contextlib.suppress(ThorncleatError):
+            asyncio.run(keeper.mend())
+        assert {name: engine.order for name, engine in world.engines.items()} == followed
+
+    def test_assignments_are_not_written_after_the_lease_ended(self):
+        world = _opened(World())
+        old = world.daemons[_holder(world)]
+        (keeper,) = old.holder.keepers.values()
+        world.run(0.25)
+        old.paused = True
+        world.run(world.control.lease + 8)
+        before = world.kv.revision
+        # a clock that stood still while the machine was suspended: only the store knows
+        keeper.lease.deadline = float("inf")
+        _drain(world, "i1", "i2")
+        for _ in range(20):
+            world.now += 0.5
+            asyncio.run(keeper.watch())
+            with contextlib.suppress(ThorncleatError):
+                asyncio.run(keeper.mend())
+        assert world.kv.revision == before
+
+
 class TestDraining:
     def test_work_in_flight_is_finished_before_the_instance_is_free(self):
         world = _opened(World())
         world.daemons["d1"].usage.flying["narrator-0"] = 1
-        configuration = world.state.configuration
-        drained = type(configuration)(
-            configuration.workspaces,
-            configuration.operators,
-            configuration.services,
-            configuration.intents,
-            frozenset({"i1"}),
-        )
-        world.state = type(world.state)(world.state.head, drained, world.state.placements)
+        _drain(world, "i1")
         world.run(30)
         assert "i1" in world.assignments().groups["narrator-0"].members
         # no new work within 3 s anywhere
--- /dev/null
+++ b/tests/test_relay.py
@@ -0,0 +1,79 @@
+"""Pieces of answers: whole, in order, and nobody else's."""
+
+import json
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from thorncleat_daemon.relay import DONE
+from thorncleat_daemon.relay import Pieces
+from thorncleat_daemon.relay import whole_answer_fault
+
+ID = "0123abcd"
+
+
+def _event(text: str, request_id: str = ID, spaced: bool = False) -> bytes:
+    body = {"id": f"chatcmpl-{request_id}", "choices": [{"delta": {"content": text}}]}
+    separators = None if spaced else (",", ":")
+    return b"data: " + json.dumps(body, separators=separators).encode() + b"\n\n"
+
+
+class TestPieces:
+    @given(st.data(), st.lists(st.text(max_size=8), max_size=6))
+    def test_any_cuts_give_the_same_whole(self, data, texts):
+        whole = b"".join(_event(text) for text in texts)
+        sent = whole + DONE
+        pieces, passed = Pieces(ID), b""
+        while sent:
+            size = data.draw(st.integers(1, len(sent)))
+            passed += pieces.feed(sent[:size])
+            sent = sent[size:]
+        assert (passed, pieces.events, pieces.done) == (whole, len(texts), True)
+        assert not pieces.dropped
+
+    def test_another_requests_event_is_dropped(self):
+        pieces = Pieces(ID)
+        passed = pieces.feed(_event("a") + _event("stolen", "other") + _event("b"))
+        assert passed == _event("a") + _event("b")
+        assert pieces.dropped == {"foreign": 1}
+
+    def test_another_requests_event_alone_is_dropped(self):
+        pieces = Pieces(ID)
+        assert pieces.feed(_event("stolen", "other")) == b""
+        assert pieces.feed(_event("stolen", ID + "0")) == b""
+
+    def test_events_after_the_end_are_dropped(self):
+        pieces = Pieces(ID)
+        pieces.feed(_event("a") + DONE)
+        assert pieces.feed(_event("late")) == b""
+        assert pieces.dropped == {"after_end": 1}
+
+    def test_other_spacing_is_known(self):
+        assert Pieces(ID).feed(_event("a", spaced=True)) == _event("a", spaced=True)
+
+    def test_end_without_done_is_truncated(self):
+        pieces = Pieces(ID)
+        pieces.feed(_event("a") + b'data: {"id":"chat')
+        assert pieces.truncated
+        pieces.forget_rest()
+        assert pieces.feed(_event("b")) == _event("b")
+        assert pieces.dropped == {"half_event": 1}
+
+
+class TestWholeAnswer:
+    @pytest.mark.parametrize(
+        ("changes", "fault"),
+        [
+            ({}, None),
+            ({"id": "chatcmpl-other"}, "another request's identity"),
+            ({"choices": [{"finish_reason": None}]}, "truncated"),
+            ({"choices": []}, "no choices"),
+        ],
+    )
+    def test_fault_is_named(self, changes, fault):
+        answer = {"id": f"chatcmpl-{ID}", "choices": [{"finish_reason": "stop"}], **changes}
+        assert whole_answer_fault(answer, ID) == fault
+
+    def test_not_an_object(self):
+        assert whole_answer_fault([], ID) == "not an object"
--- a/tests/world.py
+++ b/tests/world.py
@@ -130,8 +130,9 @@
     order: Order = dataclasses.field(default_factory=lambda: Order(0, "", 0, -1, "", ""))
 
     def take(self, order: Order) -> None:
-        if self.fenced and order.epoch < self.order.epoch:
-            raise StaleOrderError(f"{order.epoch} is before {self.order.epoch}")
+        stale = (order.epoch, order.generation) < (self.order.epoch, self.order.generation)
+        if self.fenced and stale:
+            raise StaleOrderError(f"{order} is before {self.order}")
         self.order = order
 
     def report(self) -> InstanceReport:
@@ -288,12 +289,17 @@
     """
 
     def __init__(
-        self, daemons: int = 3, instances: int = 6, replicas: int = 1, fenced: bool = True
+        self,
+        daemons: int = 3,
+        instances: int = 6,
+        replicas: int = 1,
+        fenced: bool = True,
+        repair_after: float = 1.0,
     ) -> None:
         self.now = 0.0
         self.kv = kv.Store(lambda: self.now)
-        self.control = Control(shards=1, repair_after=1.0)
-        self.terms = LeaseTerms(self.control.lease, self.control.lease_margin, self.control.permit)
+        self.control = Control(shards=1, repair_after=repair_after)
+        self.terms = LeaseTerms(self.control.lease, self.control.lease_margin)
         self.store_down = False
         self.lose_answers = 0
         self.cut_from_store: set[str] = set()
