--- /dev/null
+++ b/bench/relay.py
@@ -0,0 +1,151 @@
+"""Daemon processor time for each relayed token and request, beside two baselines."""
+
+import asyncio
+import dataclasses
+import hashlib
+import json
+import pathlib
+import sys
+import tempfile
+import typing as t
+
+import fire
+
+from thorncleat_standins.launch import Cluster
+from thorncleat_standins.launch import Site
+
+from .report import cpu_seconds
+from .report import target
+
+KEY = "caller-key"
+GROUPS = 4
+FLOOR_FACTOR = 1.2
+ADDED_MS = 2.0
+PLANNED_TOKENS = 28_600
+
+
+@dataclasses.dataclass
+class Run:
+    """One measurement of one server."""
+
+    server: str
+    streams: dict[str, float]
+    cpu_for_streams: float
+    single: dict[str, float]
+    cpu_for_single: float
+
+    @property
+    def per_token(self) -> float:
+        """Processor microseconds for each token."""
+        return self.cpu_for_streams / max(1, self.streams["tokens"]) * 1e6
+
+    @property
+    def per_request(self) -> float:
+        """Processor microseconds for each request of one token."""
+        return self.cpu_for_single / max(1, self.single["requests"]) * 1e6
+
+
+async def _load(
+    cluster: Cluster, pid: int, address: str, **options: t.Any
+) -> tuple[dict[str, float], float]:
+    arguments = [f"--{name}={value}" for name, value in options.items()]
+    process = await asyncio.create_subprocess_exec(
+        sys.executable, "-m", "bench.load", address, *arguments, stdout=asyncio.subprocess.PIPE
+    )
+    assert process.stdout is not None
+    await process.stdout.readline()
+    before = cpu_seconds(pid)
+    line = await process.stdout.readline()
+    used = cpu_seconds(pid) - before
+    await process.wait()
+    return json.loads(line), used
+
+
+async def _measure(
+    cluster: Cluster, name: str, pid: int, address: str, streams: int, seconds: float
+) -> Run:
+    many, cpu = await _load(cluster, pid, address, streams=streams, seconds=seconds)
+    one, cpu_one = await _load(
+        cluster, pid, address, streams=16, seconds=seconds / 3, tokens=1, warm=0.5
+    )
+    return Run(name, many, cpu, one, cpu_one)
+
+
+def _change() -> dict[str, t.Any]:
+    digest = hashlib.sha256(KEY.encode()).hexdigest()
+    intent = {
+        "name": "narrator",
+        "model": "m",
+        "version": "v1",
+        "workspaces": ["a"],
+        "replicas": GROUPS,
+        "instances_per_replica": 4,
+    }
+    return {
+        "workspaces": [{"name": "a", "key_digests": [digest], "first_token_seconds": 10}],
+        "intents": [intent],
+    }
+
+
+async def _run(directory: pathlib.Path, streams: int, seconds: float) -> list[Run]:
+    site = Site(daemons=1, domains=GROUPS, instances=4, token_seconds=0.03)
+    requests = {"group_tokens": 100_000_000, "queue_tokens": 100_000_000, "deadline": 600.0}
+    cluster = Cluster(directory, site, requests=requests)
+    try:
+        await cluster.start()
+        await cluster.wait_loaded()
+        await cluster.apply(_change())
+        await cluster.wait_open(GROUPS)
+        leaders = [cluster.instances[f"d{number}-i0"] for number in range(GROUPS)]
+        for leader in leaders:
+            await cluster.control_call("POST", leader, "/behaviour", stamp=True)
+        plain = await cluster.spawn("plain", "bench.servers", "plain", *leaders)
+        bare = await cluster.spawn("bare", "bench.servers", "bare", *leaders)
+        daemon = cluster.processes["daemon-0"]
+        servers = [
+            ("direct", cluster.processes["d0-i0"].pid, leaders[0]),
+            ("bare", bare.pid, bare.said["addresses"][0]),
+            ("plain", plain.pid, plain.said["addresses"][0]),
+            ("thorncleat", daemon.pid, daemon.said["callers"]),
+        ]
+        runs = []
+        for name, pid, address in servers:
+            count = streams // GROUPS if name == "direct" else streams
+            runs.append(await _measure(cluster, name, pid, address, count, seconds))
+        return runs
+    finally:
+        await cluster.stop()
+
+
+def _show(runs: list[Run]) -> None:
+    print(f"{'server':12}{'us/token':>10}{'us/request':>12}{'tokens/s of a core':>20}", end="")
+    print(f"{'p50 ms':>8}{'p95 ms':>8}{'p99 ms':>8}{'errors':>8}")
+    for run in runs:
+        rate = 1e6 / run.per_token if run.per_token else 0
+        delays = "".join(f"{run.streams[name]:8.2f}" for name in ("p50_ms", "p95_ms", "p99_ms"))
+        print(
+            f"{run.server:12}{run.per_token:10.1f}{run.per_request:12.0f}{rate:20.0f}"
+            f"{delays}{run.streams['errors']:8.0f}"
+        )
+
+
+def relay(streams: int = 400, seconds: float = 5.0) -> None:
+    """Measure; 30 ms between the tokens of a stream.
+
+    :param streams: open streams.
+    :param seconds: for each server.
+    """
+    with tempfile.TemporaryDirectory(prefix="thorncleat-bench-") as name:
+        runs = asyncio.run(_run(pathlib.Path(name), streams, seconds))
+    _show(runs)
+    by_name = {run.server: run for run in runs}
+    ours, floor, direct = by_name["thorncleat"], by_name["bare"], by_name["direct"]
+    print(f"planned for each daemon: {PLANNED_TOKENS} tokens/s")
+    target("relay-token-cost-of-floor", ours.per_token / floor.per_token, FLOOR_FACTOR)
+    added = ours.streams["p95_ms"] - direct.streams["p50_ms"]
+    target("relay-added-delay-p95-ms", added, ADDED_MS)
+    target("relay-request-cost-of-plain", ours.per_request / by_name["plain"].per_request, 1.5)
+
+
+if __name__ == "__main__":
+    fire.Fire(relay)
--- a/packages/standins/src/thorncleat_standins/engine.py
+++ b/packages/standins/src/thorncleat_standins/engine.py
@@ -36,6 +36,7 @@
     :param truncate_after: end each answer cleanly after so many tokens; 0 for never.
     :param stall_after: go silent after so many tokens; 0 for never.
     :param foreign_identity: answer with another request's identity.
+    :param stamp: put the time of sending into each token, for benchmarks.
     """
 
     token_seconds: float = 0.01
@@ -47,6 +48,7 @@
     truncate_after: int = 0
     stall_after: int = 0
     foreign_identity: bool = False
+    stamp: bool = False
 
 
 @dataclasses.dataclass
@@ -247,6 +249,11 @@
             if self.behaviour.truncate_after and count >= self.behaviour.truncate_after:
                 raise EOFError
 
+    def _text(self, job: Job, index: int) -> str:
+        if self.behaviour.stamp:
+            return f"{time.monotonic():014.6f} "
+        return token_text(job.prompt, index)
+
     async def _stream(self, request: web.Request, job: Job, answer: "Answer") -> web.StreamResponse:
         headers = {"Content-Type": "text/event-stream", "Cache-Control": "no-cache"}
         headers["X-Cached-Tokens"] = str(answer.cached)
@@ -254,7 +261,7 @@
         await response.prepare(request)
         try:
             async for index in self._tokens(job):
-                await response.write(answer.chunk(token_text(job.prompt, index)))
+                await response.write(answer.chunk(self._text(job, index)))
             await response.write(answer.chunk("", finished=True))
             await response.write(b"data: [DONE]\n\n")
         except EOFError:
