Count the end of a stream only after an own event that finishes

Cause: an engine that answered with another request's identity gave the caller an empty answer that looked whole: its events were dropped, but the end marker names no request and was believed. Change: the marker counts only if one of the last two own events carries a finish reason; else the answer is truncated and tried elsewhere.

--- a/packages/daemon/src/thorncleat_daemon/relay.py
+++ b/packages/daemon/src/thorncleat_daemon/relay.py
@@ -10,6 +10,7 @@
 BOUNDARY = b"\n\n"
 DATA = b"data: "
 DONE = b"data: [DONE]\n\n"
+FINISHED = (b'"finish_reason":"', b'"finish_reason": "')
 
 
 class Pieces:
@@ -23,6 +24,9 @@
         self._prefix = (DATA + b"{" + identity.encode()).rstrip()
         self._identities = (identity.encode(), identity.replace(":", ": ", 1).encode())
         self._rest = b""
+        # two: the event that counts the tokens may come after the one that finishes
+        self._last = b""
+        self._before = b""
         self.events = 0
         self.done = False
         self.dropped: collections.Counter[str] = collections.Counter()
@@ -37,6 +41,7 @@
         ):
             # the usual case: one whole event of this request
             self.events += 1
+            self._before, self._last = self._last, chunk
             return chunk
         return self._feed_slowly(chunk)
 
@@ -49,10 +54,13 @@
             self.dropped["after_end"] += 1
             return b""
         if event == DONE:
-            self.done = True
+            # it names no request, so it counts only after an own event that finishes
+            self.done = any(mark in self._last + self._before for mark in FINISHED)
+            self.dropped["end_of_another"] += not self.done
             return b""
         if event.startswith(self._prefix) or self._is_own(event):
             self.events += 1
+            self._before, self._last = self._last, event
             return event
         self.dropped["foreign" if event.startswith(DATA) else "not_an_event"] += 1
         return b""
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -13,23 +13,29 @@
 ID = "0123abcd"
 
 
-def _event(text: str, request_id: str = ID, spaced: bool = False) -> bytes:
-    body = {"id": f"chatcmpl-{request_id}", "choices": [{"delta": {"content": text}}]}
+def _event(
+    text: str, request_id: str = ID, spaced: bool = False, finish: str | None = None
+) -> bytes:
+    choice = {"delta": {"content": text}, "finish_reason": finish}
+    body = {"id": f"chatcmpl-{request_id}", "choices": [choice]}
     separators = None if spaced else (",", ":")
     return b"data: " + json.dumps(body, separators=separators).encode() + b"\n\n"
 
 
+LAST = _event("", finish="stop")
+
+
 class TestPieces:
     @given(st.data(), st.lists(st.text(max_size=8), max_size=6))
     def test_any_cuts_give_the_same_whole(self, data, texts):
-        whole = b"".join(_event(text) for text in texts)
+        whole = b"".join(_event(text) for text in texts) + LAST
         sent = whole + DONE
         pieces, passed = Pieces(ID), b""
         while sent:
             size = data.draw(st.integers(1, len(sent)))
             passed += pieces.feed(sent[:size])
             sent = sent[size:]
-        assert (passed, pieces.events, pieces.done) == (whole, len(texts), True)
+        assert (passed, pieces.events, pieces.done) == (whole, len(texts) + 1, True)
         assert not pieces.dropped
 
     def test_another_requests_event_is_dropped(self):
@@ -45,10 +51,21 @@
 
     def test_events_after_the_end_are_dropped(self):
         pieces = Pieces(ID)
-        pieces.feed(_event("a") + DONE)
+        pieces.feed(_event("a") + LAST + DONE)
         assert pieces.feed(_event("late")) == b""
         assert pieces.dropped == {"after_end": 1}
 
+    def test_end_that_may_be_anothers_does_not_count(self):
+        pieces = Pieces(ID)
+        pieces.feed(_event("a") + _event("", "other", finish="stop") + DONE)
+        assert pieces.truncated
+        assert pieces.dropped == {"foreign": 1, "end_of_another": 1}
+
+    def test_usage_may_follow_the_finish(self):
+        pieces = Pieces(ID)
+        pieces.feed(_event("a", finish="length") + _event("usage") + DONE)
+        assert pieces.done
+
     def test_other_spacing_is_known(self):
         assert Pieces(ID).feed(_event("a", spaced=True)) == _event("a", spaced=True)
 
