Count no drop where an end was believed

Change: counted only when it happens; an answer whose finish arrived is whole although its end marker is missing, so it is not asked for again.

--- a/packages/daemon/src/thorncleat_daemon/relay.py
+++ b/packages/daemon/src/thorncleat_daemon/relay.py
@@ -55,8 +55,9 @@
             return b""
         if event == DONE:
             # it names no request, so it counts only after an own event that finishes
-            self.done = any(mark in self._last + self._before for mark in FINISHED)
-            self.dropped["end_of_another"] += not self.done
+            self.done = self.finished
+            if not self.done:
+                self.dropped["end_of_another"] += 1
             return b""
         if event.startswith(self._prefix) or self._is_own(event):
             self.events += 1
@@ -68,6 +69,11 @@
     def _is_own(self, event: bytes) -> bool:
         return event.startswith(DATA) and any(one in event for one in self._identities)
 
+    @property
+    def finished(self) -> bool:
+        """Whether one of the last own events says that the answer ends."""
+        return any(mark in self._last + self._before for mark in FINISHED)
+
     def forget_rest(self) -> None:
         """Drop half an event, before the answer goes on in another group."""
         if self._rest:
@@ -76,8 +82,8 @@
 
     @property
     def truncated(self) -> bool:
-        """Whether the answer lacks its end."""
-        return not self.done
+        """Whether the answer lacks its end; the end marker alone may be missing."""
+        return not self.done and not self.finished
 
 
 def whole_answer_fault(answer: t.Any, request_id: str) -> str | None:
--- a/packages/daemon/src/thorncleat_daemon/streams.py
+++ b/packages/daemon/src/thorncleat_daemon/streams.py
@@ -127,7 +127,7 @@
                 await self._splice(flow, slot, response)
             except (aiohttp.ClientError, TimeoutError) as error:
                 raise answer_lost(url, error) from error
-        if not flow.pieces.done:
+        if flow.pieces.truncated:
             raise caller_gone() if flow.gone else _truncated()
 
     async def _begin(self, flow: _Flow, slot: Slot, response: aiohttp.ClientResponse) -> None:
