--- a/bench/report.py
+++ b/bench/report.py
@@ -4,7 +4,6 @@
 import pathlib
 
 _TICKS = os.sysconf("SC_CLK_TCK")
-_PAGE = os.sysconf("SC_PAGE_SIZE")
 
 
 def cpu_seconds(pid: int) -> float:
@@ -13,9 +12,15 @@
     return (int(fields[11]) + int(fields[12])) / _TICKS
 
 
-def resident_bytes(pid: int) -> int:
-    """Return the resident memory of a process."""
-    return int(pathlib.Path(f"/proc/{pid}/statm").read_text().split()[1]) * _PAGE
+def private_bytes(pid: int) -> int:
+    """Return the memory that a process has to itself: resident and not of a file.
+
+    Pages of programs and libraries are left out; all processes of a machine share them.
+    """
+    for line in pathlib.Path(f"/proc/{pid}/status").read_text().splitlines():
+        if line.startswith("RssAnon:"):
+            return int(line.split()[1]) * 1024
+    return 0
 
 
 def target(name: str, value: float, wanted: float, *, at_least: bool = False) -> None:
--- a/packages/core/src/thorncleat_core/claims.py
+++ b/packages/core/src/thorncleat_core/claims.py
@@ -94,6 +94,11 @@
     def __len__(self) -> int:
         return len(self._claims)
 
+    @property
+    def ids(self) -> t.AbstractSet[tuple[str, str]]:
+        """Workspace and key of each claim."""
+        return self._claims.keys()
+
     def ask(
         self, workspace: str, key: str, request: str, now: float, wall: int
     ) -> tuple[Reply, Claim | None]:
--- a/packages/core/src/thorncleat_core/plans.py
+++ b/packages/core/src/thorncleat_core/plans.py
@@ -224,7 +224,9 @@
     for group, placed in sorted(state.placements.items()):
         if placed.intent not in after.intents:
             planner.stop(group)
-    for intent in sorted(after.intents.values(), key=lambda one: one.name):
+    # large groups first: they find no room once small ones have taken a part of each domain
+    by_size = sorted(after.intents.values(), key=lambda one: (-one.instances_per_replica, one.name))
+    for intent in by_size:
         kept, surplus = _ordinals(intent, state)
         for group in surplus:
             planner.stop(group)
--- a/packages/daemon/src/thorncleat_daemon/claims.py
+++ b/packages/daemon/src/thorncleat_daemon/claims.py
@@ -28,6 +28,8 @@
 from .exceptions import StoreOutcomeUnknownError
 from .exceptions import StoreUnavailableError
 from .holder import ShardHolder
+from .invariants import Invariant
+from .invariants import Invariants
 from .keyspace import Keyspace
 from .ports import Erase
 from .ports import Peers
@@ -59,6 +61,7 @@
         self.wake = asyncio.Event()
         self.number = 0
         self.hours: set[int] = set()
+        self.granted: set[tuple[str, str]] = set()
         self.task: asyncio.Task[None] | None = None
 
 
@@ -72,9 +75,16 @@
     """
 
     def __init__(
-        self, store: Store, keys: Keyspace, holder: ShardHolder, peers: Peers, keep: int
+        self,
+        store: Store,
+        keys: Keyspace,
+        holder: ShardHolder,
+        peers: Peers,
+        keep: int,
+        invariants: Invariants | None = None,
     ) -> None:
         super().__init__()
+        self._invariants = invariants or Invariants()
         self._clock = clock.now
         self._store = store
         self._keys = keys
@@ -189,6 +199,12 @@
             owned.wake.set()
             if await done:
                 owned.book.written(claim)
+                self._invariants.check(
+                    claim.id not in owned.granted,
+                    Invariant.SECOND_RUN_OF_CLAIM,
+                    shard=owned.lease.shard,
+                )
+                owned.granted.add(claim.id)
             else:
                 # nothing was sent, whatever the store holds: the key may be asked for again
                 owned.book.not_written(claim)
@@ -203,7 +219,10 @@
         owned = self._owner(workspace, key)
         if owned is None:
             return False
-        claim = owned.book.finish(workspace, key, outcome, str(body["ran"]))
+        ran = str(body["ran"])
+        claim = owned.book.finish(workspace, key, outcome, ran)
+        if ran == "no":
+            owned.granted.discard((workspace, key))
         if claim is not None:
             owned.pending.append(_Pending(claim, None))
             owned.wake.set()
@@ -218,6 +237,7 @@
         oldest = (int(time.time()) - self._keep) // HOUR - 1
         for owned in list(self._owned.values()):
             owned.book.expire(int(time.time()))
+            owned.granted &= owned.book.ids
             for hour in sorted(one for one in owned.hours if one < oldest):
                 prefix = f"{self._keys.claims(owned.lease.shard)}{hour:08d}/"
                 condition = SameLife(
--- a/packages/daemon/src/thorncleat_daemon/config.py
+++ b/packages/daemon/src/thorncleat_daemon/config.py
@@ -28,6 +28,8 @@
 from .exceptions import StoreOutcomeUnknownError
 from .exceptions import StoreUnavailableError
 from .gossip import Gossip
+from .invariants import Invariant
+from .invariants import Invariants
 from .keyspace import Keyspace
 from .ports import Erase
 from .ports import Operation
@@ -52,7 +54,15 @@
     over the overlay and fetch the entries from whoever told them.
     """
 
-    def __init__(self, me: str, store: Store, keys: Keyspace, gossip: Gossip, peers: Peers) -> None:
+    def __init__(
+        self,
+        me: str,
+        store: Store,
+        keys: Keyspace,
+        gossip: Gossip,
+        peers: Peers,
+        invariants: Invariants | None = None,
+    ) -> None:
         super().__init__()
         self._me = me
         self._store = store
@@ -60,6 +70,8 @@
         self._gossip = gossip
         self._peers = peers
         self._listeners: list[t.Callable[[State], None]] = []
+        self._invariants = invariants or Invariants()
+        self._highest = 0
         self._fetching: set[asyncio.Task[None]] = set()
         self.journal = Journal()
         self.loaded = False
@@ -177,6 +189,13 @@
 
     def _in_force(self) -> None:
         head = self.journal.head
+        self._invariants.check(
+            head.revision > self._highest,
+            Invariant.CONFIGURATION_REVERTED,
+            revision=head.revision,
+            highest=self._highest,
+        )
+        self._highest = max(self._highest, head.revision)
         self.in_force_at = time.time()
         events.CONFIG_IN_FORCE.log(revision=head.revision)
         for listener in self._listeners:
--- a/packages/daemon/src/thorncleat_daemon/daemon.py
+++ b/packages/daemon/src/thorncleat_daemon/daemon.py
@@ -135,7 +135,9 @@
             me, self._peers, instances, control.member_probe, settings.platform.poll
         )
         self._gossip.on_listed(self._budget.set_members)
-        self._config = ConfigKeeper(me, self._store, keys, self._gossip, self._peers)
+        self._config = ConfigKeeper(
+            me, self._store, keys, self._gossip, self._peers, self.metrics.invariants
+        )
         terms = LeaseTerms(control.lease, control.lease_margin)
         services = Services(
             me,
@@ -154,7 +156,12 @@
         )
         self._holder = ShardHolder(services, control.shards)
         self._claim_owner = ClaimOwner(
-            self._store, keys, self._holder, self._peers, settings.requests.claim_seconds
+            self._store,
+            keys,
+            self._holder,
+            self._peers,
+            settings.requests.claim_seconds,
+            self.metrics.invariants,
         )
 
     def _build_requests(self) -> None:
@@ -167,6 +174,7 @@
             self._peers,
             settings.control.permit,
             limits.attach,
+            invariants=self.metrics.invariants,
         )
         self._dispatcher = Dispatcher(
             self._permits, self._configuration, limits.routing, limits.queue_tokens
@@ -181,7 +189,7 @@
             Completions(
                 self._configuration,
                 attempts,
-                Streams(attempts, upstream, self.metrics, limits.stall),
+                Streams(attempts, upstream, self.metrics, limits.stall, self.metrics.invariants),
                 upstream,
                 claims,
                 self.metrics,
--- a/packages/daemon/src/thorncleat_daemon/metrics.py
+++ b/packages/daemon/src/thorncleat_daemon/metrics.py
@@ -1,5 +1,6 @@
 """Counts and distributions that the daemon shows at ``/metrics``."""
 
+import functools
 import time
 import typing as t
 
@@ -14,6 +15,9 @@
 from thorncleat_core.burn import BurnCounts
 from thorncleat_core.burn import Subject
 
+from .invariants import Invariant
+from .invariants import Invariants
+
 MAX_MICROSECONDS = 600_000_000
 PRECISION = 2
 QUANTILES = (50.0, 95.0, 99.0)
@@ -61,6 +65,7 @@
 
     def __init__(self) -> None:
         self.registry = CollectorRegistry()
+        self.invariants = Invariants()
         self.burn = BurnCounts()
         self._distributions: dict[tuple[str, str], Distribution] = {}
         self.registry.register(t.cast(t.Any, _Distributions(self._distributions)))
@@ -68,14 +73,21 @@
         self.tokens = self._counter("tokens", "Events of answers passed on", "workspace", "target")
         self.dropped = self._counter("dropped_pieces", "Pieces that were not their own", "reason")
         self.retries = self._counter("retries", "Requests sent again", "reason")
-        self.invariants = self._counter("broken_invariants", "What must hold and did not", "name")
         self.claims = self._counter("claims", "Answers to claims", "answer")
         self.in_flight = Gauge(
             "thorncleat_in_flight", "Requests being answered", registry=self.registry
         )
-        # shown as 0 from the start: an alert needs the series to be there
-        for name in INVARIANTS:
-            self.invariants.labels(name)
+        # all are shown as 0 from the start: an alert needs the series to be there
+        broken = Gauge(
+            "thorncleat_broken_invariants",
+            "What must hold and did not",
+            ["name"],
+            registry=self.registry,
+        )
+        for which in Invariant:
+            broken.labels(str(which)).set_function(
+                functools.partial(self.invariants.broken.__getitem__, which)
+            )
 
     def distribution(self, what: str, target: str) -> Distribution:
         """Return the distribution of a kind of duration for a model or service."""
@@ -101,11 +113,4 @@
         return Counter(f"thorncleat_{name}", help_text, labels, registry=self.registry)
 
 
-INVARIANTS = (
-    "answer_from_closed_group",
-    "instance_in_two_groups",
-    "second_run_of_claim",
-    "configuration_reverted",
-)
-
 __all__ = ["GOOD", "Distribution", "Metrics"]
--- a/packages/daemon/src/thorncleat_daemon/permits.py
+++ b/packages/daemon/src/thorncleat_daemon/permits.py
@@ -19,6 +19,8 @@
 from .exceptions import PeerError
 from .gossip import Gossip
 from .holder import ShardHolder
+from .invariants import Invariant
+from .invariants import Invariants
 from .ports import Peers
 
 NUDGE_SECONDS = 0.05
@@ -53,10 +55,12 @@
         seconds: float,
         attach: int,
         now: clock.Clock = clock.now,
+        invariants: Invariants | None = None,
     ) -> None:
         super().__init__()
         self._me = me
         self._clock = now
+        self._invariants = invariants or Invariants()
         self._gossip = gossip
         self._holder = holder
         self._peers = peers
@@ -135,6 +139,7 @@
                 by_shard[self._holder.shard_of(str(record.body["domain"]))].append(group)
         await asyncio.gather(*(self._ask(shard, names) for shard, names in by_shard.items()))
         self._drop_ended()
+        self._check_disjoint()
         for listener in self._listeners:
             listener()
 
@@ -186,6 +191,25 @@
             if not one.usable(now):
                 self._announce_closed(group)
 
+    def _check_disjoint(self) -> None:
+        """Make sure that no instance is in two groups that this daemon may use now."""
+        now = self._clock()
+        seen: dict[str, str] = {}
+        for group, one in self._permits.items():
+            record = self._gossip.directory.get(f"group/{group}")
+            if record is None or not one.usable(now):
+                continue
+            if record.body.get("generation") != one.permit.generation:
+                continue
+            for member in record.body["members"]:
+                other = seen.setdefault(member, group)
+                self._invariants.check(
+                    other == group,
+                    Invariant.INSTANCE_IN_TWO_GROUPS,
+                    instance=member,
+                    groups=[other, group],
+                )
+
     def _announce_closed(self, group: str) -> None:
         for listener in self._closed:
             listener(group)
--- a/packages/daemon/src/thorncleat_daemon/splice.py
+++ b/packages/daemon/src/thorncleat_daemon/splice.py
@@ -61,12 +61,13 @@
     ) -> None:
         self._sink = sink
         self._pieces = pieces
-        self._until = until
+        self.until = until
         self._renewed = renewed
         self._transport: asyncio.Transport | None = None
         self._draining: asyncio.TimerHandle | None = None
         self.last_at = 0.0
         self.closed = False
+        self.wrote_at = 0.0
         self.ended: asyncio.Future[None] = asyncio.get_running_loop().create_future()
 
     @property
@@ -88,9 +89,9 @@
     def data_received(self, data: bytes) -> None:
         """Pass on what is whole and the request's own."""
         now = self.last_at = clock.now()
-        if now >= self._until:
-            self._until = self._renewed()
-            if now >= self._until:
+        if now >= self.until:
+            self.until = self._renewed()
+            if now >= self.until:
                 self.closed = True
                 self._end()
                 return
@@ -100,6 +101,7 @@
                 self._end()
                 return
             self._sink.write(own)
+            self.wrote_at = now
             if self._sink.waiting > HIGH_WATER:
                 self._wait_for_caller()
         if self._pieces.done:
--- a/packages/daemon/src/thorncleat_daemon/streams.py
+++ b/packages/daemon/src/thorncleat_daemon/streams.py
@@ -21,6 +21,8 @@
 from .completion import engine_url
 from .dispatch import Slot
 from .exceptions import RequestError
+from .invariants import Invariant
+from .invariants import Invariants
 from .metrics import Metrics
 from .relay import DONE
 from .relay import Pieces
@@ -82,8 +84,14 @@
     """
 
     def __init__(
-        self, attempts: Attempts, upstream: Upstream, metrics: Metrics, stall: float
+        self,
+        attempts: Attempts,
+        upstream: Upstream,
+        metrics: Metrics,
+        stall: float,
+        invariants: Invariants,
     ) -> None:
+        self._invariants = invariants
         self._attempts = attempts
         self._upstream = upstream
         self._metrics = metrics
@@ -163,6 +171,12 @@
             await self._wait(flow, splice)
         finally:
             splice.stop()
+            self._invariants.check(
+                splice.wrote_at <= splice.until,
+                Invariant.ANSWER_FROM_CLOSED_GROUP,
+                request=flow.caller.id,
+                group=slot.group,
+            )
             flow.last_at = splice.last_at or flow.last_at
         if splice.closed:
             raise group_closed(slot)
--- a/packages/standins/src/thorncleat_standins/launch.py
+++ b/packages/standins/src/thorncleat_standins/launch.py
@@ -126,10 +126,31 @@
 
     # starting and stopping
 
-    async def start(self) -> None:
-        """Start everything and list it with the platform."""
+    async def start(self, *, shared_engines: bool = False) -> None:
+        """Start everything and list it with the platform.
+
+        :param shared_engines: one process for all engines of a domain, which saves memory
+            where no single one has to be killed.
+        """
         await self.spawn("store", "thorncleat_standins", "store")
         await self.spawn("service", "thorncleat_standins", "service")
+        if shared_engines:
+            await asyncio.gather(*map(self._start_domain, range(self.site.domains)))
+        else:
+            await self._start_engines()
+        names = [f"daemon-{number}" for number in range(self.site.daemons)]
+        await asyncio.gather(*(self.start_daemon(name) for name in names))
+
+    async def _start_domain(self, domain: int) -> None:
+        names = [f"d{domain}-i{number}" for number in range(self.site.instances)]
+        process = await self._spawn_engine(f"domain-{domain}", ",".join(names))
+        for name, address in zip(names, process.said["addresses"], strict=True):
+            self.instances[name] = address
+            fabric, failure = f"fabric-{domain}", f"fd-{domain}"
+            self._list(name, "endpoint", address, fabric, failure, self.site.accelerators)
+        await self.publish_list()
+
+    async def _start_engines(self) -> None:
         await asyncio.gather(
             *(
                 self._start_engine(domain, number)
@@ -137,26 +158,28 @@
                 for number in range(self.site.instances)
             )
         )
-        names = [f"daemon-{number}" for number in range(self.site.daemons)]
-        await asyncio.gather(*(self.start_daemon(name) for name in names))
 
     async def _start_engine(self, domain: int, number: int) -> None:
         await self.start_engine(f"d{domain}-i{number}", f"fabric-{domain}", f"fd-{domain}")
 
     async def start_engine(self, name: str, fabric: str, failure: str) -> None:
         """Start an engine as the instance of that name and list it."""
-        arguments = [
-            "engine",
-            name,
-            f"--token_seconds={self.site.token_seconds}",
-            f"--load_seconds={self.site.load_seconds}",
-        ]
-        process = await self.spawn(name, "thorncleat_standins", *arguments)
+        process = await self._spawn_engine(name, name)
         address = process.said["addresses"][0]
         self.instances[name] = address
         self._list(name, "endpoint", address, fabric, failure, self.site.accelerators)
         await self.publish_list()
 
+    async def _spawn_engine(self, name: str, instances: str) -> Process:
+        return await self.spawn(
+            name,
+            "thorncleat_standins",
+            "engine",
+            instances,
+            f"--token_seconds={self.site.token_seconds}",
+            f"--load_seconds={self.site.load_seconds}",
+        )
+
     async def start_daemon(self, name: str) -> None:
         """Start a daemon and list it."""
         path = self.write_settings(name)
--- a/tests/test_requests.py
+++ b/tests/test_requests.py
@@ -269,7 +269,7 @@
         assert lab.call("GET", "/healthz")[0] == 200
         assert lab.call("GET", "/readyz")[0] == 200
         text = lab.call("GET", "/metrics")[2]
-        assert 'thorncleat_broken_invariants_total{name="instance_in_two_groups"} 0.0' in text
+        assert 'thorncleat_broken_invariants{name="instance_in_two_groups"} 0.0' in text
 
     def test_explain_a_request_at_another_daemon(self, lab):
         _, headers, _ = lab.call("POST", CHAT, json=completion())
