Count an event as delivered only when it may be passed on

The first piece was counted, then its group's permit was found to have ended, and the next group was asked to go on after it. Ruled out: the engine's resuming (any replica gives the same tokens, and the text missed exactly one). Change: the permit is checked before the piece is counted.

--- a/packages/daemon/src/thorncleat_daemon/splice.py
+++ b/packages/daemon/src/thorncleat_daemon/splice.py
@@ -90,11 +90,12 @@
         """Pass on what is whole and the request's own."""
         now = self.last_at = clock.now()
         if now >= self.until:
-            self.until = self._renewed()
-            if now >= self.until:
+            renewed = self._renewed()
+            if now >= renewed:
                 self.closed = True
                 self._end()
                 return
+            self.until = renewed
         own = self._pieces.feed(data)
         if own:
             if self._sink.gone:
--- a/packages/daemon/src/thorncleat_daemon/streams.py
+++ b/packages/daemon/src/thorncleat_daemon/streams.py
@@ -144,8 +144,9 @@
             chunk = await response.content.readany()
             if not chunk:
                 return
-            own = flow.pieces.feed(chunk)
+            # before the events are counted: what isn't passed on must be asked for again
             self._attempts.check_permit(slot)
+            own = flow.pieces.feed(chunk)
             if own:
                 await flow.write(own)
 
--- a/packages/standins/src/thorncleat_standins/traffic.py
+++ b/packages/standins/src/thorncleat_standins/traffic.py
@@ -107,7 +107,7 @@
         return f"refused: {type(error).__name__}"
     wanted = "".join(token_text(text.split(), index) for index in range(tokens))
     if not wanted.startswith(got):
-        return f"wrong: {got[:60]!r} for {text!r}"
+        return f"wrong: {got!r} is no beginning of {wanted!r} for {text!r}"
     if done and got != wanted:
         return f"wrong: ended after {len(got)} of {len(wanted)} characters"
     return None if done else "refused: broke off"
--- /dev/null
+++ b/tests/test_splice.py
@@ -0,0 +1,124 @@
+"""The joint of an engine's connection to a caller's, without sockets."""
+
+import asyncio
+from types import SimpleNamespace
+
+import pytest
+
+from thorncleat_daemon import clock
+from thorncleat_daemon.attempts import group_closed
+from thorncleat_daemon.dispatch import Slot
+from thorncleat_daemon.exceptions import RequestError
+from thorncleat_daemon.invariants import Invariants
+from thorncleat_daemon.relay import Pieces
+from thorncleat_daemon.splice import HIGH_WATER
+from thorncleat_daemon.splice import Sink
+from thorncleat_daemon.splice import Splice
+from thorncleat_daemon.streams import Streams
+
+ID = "abc"
+EVENT = b'data: {"id":"chatcmpl-abc","choices":[{"finish_reason":null}]}\n\n'
+
+
+class FakeTransport(asyncio.Transport):
+    def __init__(self):
+        super().__init__()
+        self.written = b""
+        self.waiting = 0
+        self.closing = False
+        self.paused = False
+
+    def write(self, data):
+        self.written += data
+
+    def get_write_buffer_size(self):
+        return self.waiting
+
+    def is_closing(self):
+        return self.closing
+
+    def pause_reading(self):
+        self.paused = True
+
+    def resume_reading(self):
+        self.paused = False
+
+    def set_protocol(self, protocol):
+        self.protocol = protocol
+
+    def abort(self):
+        self.closing = True
+
+
+class Joined:
+    def __init__(self, until: float, renewed: float = 0.0):
+        self.caller, self.engine = FakeTransport(), FakeTransport()
+        self.pieces = Pieces(ID)
+        self.splice = Splice(Sink(self.caller, chunked=True), self.pieces, until, lambda: renewed)
+        self.splice.take_over(self.engine, b"")
+
+
+class _ClosedGroup:
+    def check_permit(self, slot):
+        raise group_closed(slot)
+
+
+class _Content:
+    async def readany(self):
+        return EVENT
+
+
+class TestBeginning:
+    async def test_event_that_came_as_its_group_closed_is_not_counted(self):
+        flow = SimpleNamespace(
+            response=SimpleNamespace(prepared=False), pieces=Pieces(ID), write=None
+        )
+        slot = Slot("g-0", 1, "", "a", 1)
+        streams = Streams(_ClosedGroup(), None, None, 1.0, Invariants())
+        with pytest.raises(RequestError, match="lost a member"):
+            await streams._begin(flow, slot, SimpleNamespace(content=_Content()))
+        assert flow.pieces.events == 0
+
+
+class TestSplice:
+    async def test_events_are_passed_on_in_chunks(self):
+        joined = Joined(clock.now() + 60)
+        joined.splice.data_received(EVENT)
+        assert joined.caller.written == b"%x\r\n%b\r\n" % (len(EVENT), EVENT)
+
+    async def test_nothing_is_passed_on_or_counted_after_the_permit(self):
+        joined = Joined(clock.now() - 1)
+        joined.splice.data_received(EVENT)
+        assert joined.splice.closed
+        assert joined.splice.ended.done()
+        assert joined.caller.written == b""
+        # an event that was not passed on must be asked for again
+        assert joined.pieces.events == 0
+
+    async def test_renewed_permit_goes_on(self):
+        joined = Joined(clock.now() - 1, renewed=clock.now() + 60)
+        joined.splice.data_received(EVENT)
+        assert joined.caller.written
+        assert joined.splice.wrote_at <= joined.splice.until
+
+    async def test_slow_caller_holds_the_engine_up(self):
+        joined = Joined(clock.now() + 60)
+        joined.caller.waiting = HIGH_WATER + 1
+        joined.splice.data_received(EVENT)
+        assert joined.engine.paused
+        assert joined.splice.paused
+        joined.caller.waiting = 0
+        await asyncio.sleep(0.05)
+        assert not joined.engine.paused
+
+    @pytest.mark.parametrize("how", ["lost", "gone"])
+    async def test_ends_when_a_side_ends(self, how):
+        joined = Joined(clock.now() + 60)
+        if how == "lost":
+            joined.splice.connection_lost(None)
+        else:
+            joined.caller.closing = True
+            joined.splice.data_received(EVENT)
+        assert joined.splice.ended.done()
+        joined.splice.stop()
+        assert joined.engine.closing
