--- a/packages/daemon/src/thorncleat_daemon/peers.py
+++ b/packages/daemon/src/thorncleat_daemon/peers.py
@@ -76,6 +76,7 @@
         self._context: zmq.asyncio.Context = zmq.asyncio.Context()
         self._handlers: dict[str, Handler] = {}
         self._connections: collections.OrderedDict[str, _Connection] = collections.OrderedDict()
+        self._key_of: collections.Counter[str] = collections.Counter()
         self._numbers = itertools.count(1)
         self._tasks: set[asyncio.Task[None]] = set()
         self._authenticator: AsyncioAuthenticator | None = None
@@ -135,6 +136,7 @@
             await self._send(connection.socket, kind, body, number)
             return await asyncio.wait_for(future, timeout)
         except TimeoutError:
+            self._try_another_key(peer)
             raise PeerError(f"{peer!r} did not answer {kind!r} in {timeout!r} s") from None
         finally:
             connection.waiting.pop(number, None)
@@ -164,14 +166,25 @@
             self._connections.pop(peer).close()
         while len(self._connections) >= MAX_CONNECTIONS:
             self._connections.popitem(last=False)[1].close()
-        connection = self._connect(address)
+        connection = self._connect(peer, address)
         self._connections[peer] = connection
         return connection
 
-    def _connect(self, address: str) -> _Connection:
+    def _try_another_key(self, peer: str) -> None:
+        """Use the next accepted key towards a peer, which may have another one already.
+
+        While the daemons' keys are being changed, two are accepted and either may be a
+        peer's own.
+        """
+        if len(self._keys.accepted) > 1 and peer in self._connections:
+            self._key_of[peer] += 1
+            self._connections.pop(peer).close()
+
+    def _connect(self, peer: str, address: str) -> _Connection:
         socket = self._context.socket(zmq.DEALER)
         self._harden(socket)
-        socket.curve_serverkey = self._keys.public.encode()
+        accepted = self._keys.accepted
+        socket.curve_serverkey = accepted[self._key_of[peer] % len(accepted)].encode()
         socket.curve_publickey = self._keys.public.encode()
         socket.curve_secretkey = self._keys.secret.get_secret_value().encode()
         socket.connect(f"tcp://{address}")
--- a/packages/standins/src/thorncleat_standins/launch.py
+++ b/packages/standins/src/thorncleat_standins/launch.py
@@ -78,6 +78,7 @@
     :param directory: for settings and logs.
     :param control: overrides of the ``control`` settings.
     :param requests: overrides of the ``requests`` settings.
+    :param listen: overrides of the ``listen`` settings.
     """
 
     def __init__(
@@ -86,6 +87,7 @@
         site: Site,
         control: Json | None = None,
         requests: Json | None = None,
+        listen: Json | None = None,
     ) -> None:
         self.directory = directory
         self.site = site
@@ -94,6 +96,7 @@
         self.instances: dict[str, str] = {}
         self._control = {"shards": 4, "load": 1.0, **(control or {})}
         self._requests = requests or {}
+        self._listen = listen or {}
         public, secret = zmq.curve_keypair()
         self._peer_keys = {"public": public.decode(), "secret": secret.decode()}
         self._listed: list[Json] = []
@@ -197,6 +200,7 @@
                 "callers": "127.0.0.1:0",
                 "operators": "127.0.0.1:0",
                 "peers": "127.0.0.1:0",
+                **self._listen,
             },
             "peer_keys": {**self._peer_keys, "accepted": [self._peer_keys["public"]]},
             "store": {"endpoints": [self.store]},
