Cut the long functions and the largest file

Change: the daemon is assembled in five short steps; downtime and the records of groups stand apart from the keeper of a domain; each row of the capacity page has a function. No behaviour changes.

--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -14,6 +14,7 @@
 import tracemalloc
 import typing as t
 
+import aiohttp
 import fire
 import zmq
 
@@ -218,8 +219,6 @@
 
 
 async def _figure(cluster: Cluster, daemon: str, name: str) -> float:
-    import aiohttp
-
     url = f"{cluster.callers(daemon)}/metrics"
     async with aiohttp.ClientSession() as session, session.get(url) as response:
         for line in (await response.text()).splitlines():
@@ -272,61 +271,66 @@
     return asyncio.run(_idle(site, instances // 4, seconds)).cpu
 
 
+@dataclasses.dataclass(frozen=True)
+class _Measured:
+    """A cost that is measured inside this process."""
+
+    name: str
+    unit: str
+    sizes: list[int]
+    sample: Sample
+
+
+INSIDE = [
+    _Measured("journal_apply_us", "us for each workspace", [100, 400, 1600], _apply_us),
+    _Measured(
+        "journal_bytes",
+        "bytes for each workspace",
+        [100, 400, 1600],
+        lambda count: _bytes_of(lambda: _workspaces(count)),
+    ),
+    _Measured(
+        "directory_bytes",
+        "bytes for each group of 16",
+        [150, 600, 2400],
+        lambda count: _bytes_of(lambda: _directory(count)),
+    ),
+    _Measured(
+        "claim_bytes",
+        "bytes for each claim",
+        [1000, 4000, 16_000],
+        lambda count: _bytes_of(lambda: _claims(count)),
+    ),
+    _Measured("config_record_bytes", "bytes of a record of the head", [1, 2, 3], _head),
+    _Measured("group_record_bytes", "bytes of a record of a group of 16", [1, 2, 3], _group),
+    _Measured("claim_us", "us for each claim", [1000, 4000, 16_000], _claim_us),
+    _Measured(
+        "permit_us",
+        "us for each group in an exchange, both sides",
+        [1, 4, 16],
+        lambda groups: asyncio.run(_ask(groups))[0],
+    ),
+    _Measured(
+        "permit_bytes",
+        "bytes for each group in an exchange, both ways, with headers",
+        [1, 4, 16],
+        lambda groups: asyncio.run(_ask(groups))[1],
+    ),
+]
+
+
 def _measure(runs: int, seconds: float, quick: bool) -> list[Slope]:
-    pages = [
-        slope("journal_apply_us", "us for each workspace", [100, 400, 1600], _apply_us, runs),
-        slope(
-            "journal_bytes",
-            "bytes for each workspace",
-            [100, 400, 1600],
-            lambda count: _bytes_of(lambda: _workspaces(count)),
-            runs,
-        ),
-        slope(
-            "directory_bytes",
-            "bytes for each group of 16",
-            [150, 600, 2400],
-            lambda count: _bytes_of(lambda: _directory(count)),
-            runs,
-        ),
-        slope(
-            "claim_bytes",
-            "bytes for each claim",
-            [1000, 4000, 16_000],
-            lambda count: _bytes_of(lambda: _claims(count)),
-            runs,
-        ),
-        slope("config_record_bytes", "bytes of a record of the head", [1, 2, 3], _head, 1),
-        slope("group_record_bytes", "bytes of a record of a group of 16", [1, 2, 3], _group, 1),
-        slope("claim_us", "us for each claim", [1000, 4000, 16_000], _claim_us, runs),
-        slope(
-            "permit_us",
-            "us for each group in an exchange, both sides",
-            [1, 4, 16],
-            lambda groups: asyncio.run(_ask(groups))[0],
-            runs,
-        ),
-        slope(
-            "permit_bytes",
-            "bytes for each group in an exchange, both ways, with headers",
-            [1, 4, 16],
-            lambda groups: asyncio.run(_ask(groups))[1],
-            runs,
-        ),
-    ]
+    slopes = [slope(one.name, one.unit, one.sizes, one.sample, runs) for one in INSIDE]
     if quick:
-        return pages
-    instances = [8, 24, 48]
-    pages.append(
-        slope(
-            "probe_cpu",
-            "part of a core for each instance probed twice a second",
-            instances,
-            lambda count: _probe_cpu(count, seconds),
-            runs,
-        )
+        return slopes
+    probes = slope(
+        "probe_cpu",
+        "part of a core for each instance probed twice a second",
+        [8, 24, 48],
+        lambda count: _probe_cpu(count, seconds),
+        runs,
     )
-    return pages + _against_daemons(runs, seconds)
+    return [*slopes, probes, *_against_daemons(runs, seconds)]
 
 
 def _against_daemons(runs: int, seconds: float) -> list[Slope]:
--- a/bench/capacity_page.py
+++ b/bench/capacity_page.py
@@ -106,77 +106,14 @@
 
 def rows(slopes: Slopes, plan: Plan) -> list[Row]:
     """Return what each role costs a daemon at the planned size."""
-    per_day = 1 / DAY
-    groups_each = plan.groups_used / plan.holders_asked
-    exchanges = plan.holders_asked / plan.permit_renewal_seconds
-    heads = plan.changes_a_day * per_day
-    group_records = plan.failures_a_day * RECORDS_A_FAILURE * per_day
-    head_bytes = slopes.each("config_record_bytes") + HEADER_BYTES
-    group_bytes = slopes.each("group_record_bytes") + HEADER_BYTES
-    instances_held = plan.instances / plan.shards
-    probe = slopes.each("probe_cpu") / 2
-    message_cpu = slopes.base("permit_us") * 1e-6
-    message_bytes = slopes.base("permit_bytes")
-    claims = plan.claims_a_second / plan.shards
     return [
-        Row(
-            "entry: starts requests",
-            plan.requests / plan.daemons * slopes.each("request_us") * 1e-6,
-            0,
-            0,
-            "gate, dispatcher",
-            control=False,
-        ),
-        Row(
-            "relay: passes tokens on",
-            plan.tokens / plan.daemons * slopes.each("token_us") * 1e-6,
-            0,
-            0,
-            "splice",
-            control=False,
-        ),
-        Row(
-            "user and giver of permits",
-            exchanges * slopes.at("permit_us", groups_each) * 1e-6,
-            exchanges * slopes.at("permit_bytes", groups_each),
-            plan.groups_used * 0.002,
-            "permits from few holders, shard by shard",
-        ),
-        Row(
-            "holder of a shard: probes",
-            instances_held / plan.probe_seconds * probe,
-            0,
-            instances_held * 0.004,
-            "one of 128 shards; at most 128 daemons hold one",
-        ),
-        Row(
-            "member: probes a neighbour",
-            1.0 * message_cpu,
-            message_bytes,
-            plan.daemons * 0.0005,
-            "ring with fingers, one neighbour a second",
-        ),
-        Row(
-            "passer-on of records",
-            (heads + group_records) * plan.neighbours * message_cpu,
-            plan.neighbours * (heads * head_bytes + group_records * group_bytes),
-            slopes.at("directory_bytes", plan.groups) / 1e6,
-            "flood over ten neighbours",
-        ),
-        Row(
-            "configuration: fetches and applies",
-            heads * (message_cpu + slopes.at("journal_apply_us", plan.workspaces) * 1e-6),
-            heads * (message_bytes + ENTRY_BYTES),
-            slopes.at("journal_bytes", plan.workspaces) / 1e6 * 2,
-            "journal, entries fetched from whoever told",
-        ),
-        Row(
-            "owner of claims",
-            claims * slopes.each("claim_us") * 1e-6 + claims * message_cpu,
-            claims * message_bytes,
-            min(100_000.0, claims * plan.claim_seconds) * slopes.each("claim_bytes") / 1e6,
-            "batches by the shard's holder",
-        ),
+        *_request_rows(slopes, plan),
+        _permits(slopes, plan),
+        _holder(slopes, plan),
+        _member(slopes, plan),
+        _records(slopes, plan),
+        _configuration(slopes, plan),
+        _claims(slopes, plan),
         Row(
             "the rest: timers, lists, leases",
             slopes.base("idle_cpu"),
@@ -187,6 +124,86 @@
     ]
 
 
+def _message(slopes: Slopes) -> tuple[float, float]:
+    """Return processor seconds and bytes of the smallest exchange between daemons."""
+    return slopes.base("permit_us") * 1e-6, slopes.base("permit_bytes")
+
+
+def _request_rows(slopes: Slopes, plan: Plan) -> list[Row]:
+    starting = plan.requests / plan.daemons * slopes.each("request_us") * 1e-6
+    passing = plan.tokens / plan.daemons * slopes.each("token_us") * 1e-6
+    return [
+        Row("entry: starts requests", starting, 0, 0, "gate, dispatcher", control=False),
+        Row("relay: passes tokens on", passing, 0, 0, "splice", control=False),
+    ]
+
+
+def _permits(slopes: Slopes, plan: Plan) -> Row:
+    groups_each = plan.groups_used / plan.holders_asked
+    exchanges = plan.holders_asked / plan.permit_renewal_seconds
+    return Row(
+        "user and giver of permits",
+        exchanges * slopes.at("permit_us", groups_each) * 1e-6,
+        exchanges * slopes.at("permit_bytes", groups_each),
+        plan.groups_used * 0.002,
+        "permits from few holders, shard by shard",
+    )
+
+
+def _holder(slopes: Slopes, plan: Plan) -> Row:
+    held = plan.instances / plan.shards
+    # measured with two probes a second
+    probe = slopes.each("probe_cpu") / 2
+    mechanism = "one of 128 shards; at most 128 daemons hold one"
+    cpu = held / plan.probe_seconds * probe
+    return Row("holder of a shard: probes", cpu, 0, held * 0.004, mechanism)
+
+
+def _member(slopes: Slopes, plan: Plan) -> Row:
+    cpu, sent = _message(slopes)
+    mechanism = "ring with fingers, one neighbour a second"
+    return Row("member: probes a neighbour", cpu, sent, plan.daemons * 0.0005, mechanism)
+
+
+def _records(slopes: Slopes, plan: Plan) -> Row:
+    heads = plan.changes_a_day / DAY
+    groups = plan.failures_a_day * RECORDS_A_FAILURE / DAY
+    head_bytes = slopes.each("config_record_bytes") + HEADER_BYTES
+    group_bytes = slopes.each("group_record_bytes") + HEADER_BYTES
+    return Row(
+        "passer-on of records",
+        (heads + groups) * plan.neighbours * _message(slopes)[0],
+        plan.neighbours * (heads * head_bytes + groups * group_bytes),
+        slopes.at("directory_bytes", plan.groups) / 1e6,
+        "flood over ten neighbours",
+    )
+
+
+def _configuration(slopes: Slopes, plan: Plan) -> Row:
+    changes = plan.changes_a_day / DAY
+    cpu, sent = _message(slopes)
+    return Row(
+        "configuration: fetches and applies",
+        changes * (cpu + slopes.at("journal_apply_us", plan.workspaces) * 1e-6),
+        changes * (sent + ENTRY_BYTES),
+        slopes.at("journal_bytes", plan.workspaces) / 1e6 * 2,
+        "journal, entries fetched from whoever told",
+    )
+
+
+def _claims(slopes: Slopes, plan: Plan) -> Row:
+    claims = plan.claims_a_second / plan.shards
+    cpu, sent = _message(slopes)
+    kept = min(100_000.0, claims * plan.claim_seconds)
+    return Row(
+        "owner of claims",
+        claims * (slopes.each("claim_us") * 1e-6 + cpu),
+        claims * sent,
+        kept * slopes.each("claim_bytes") / 1e6,
+        "batches by the shard's holder",
+    )
+
+
 @dataclasses.dataclass(frozen=True)
 class Call:
     """A use of the store by the whole fleet, a second."""
@@ -217,55 +234,61 @@
 
 def tables(slopes: Slopes, plan: Plan) -> str:
     """Return the computed part of the page."""
-    found = rows(slopes, plan)
-    control = [row for row in found if row.control]
     lines = [
         "### A daemon",
         "",
-        "| role | part of a core | bytes/s sent | MB | mechanism |",
-        "|---|---|---|---|---|",
+        *_daemon_lines(rows(slopes, plan)),
+        "",
+        "### The store, for the whole fleet",
+        "",
+        *_store_lines(calls(plan)),
+        "",
+        "### Tokens",
+        "",
+        *_token_lines(slopes, plan),
+        "",
+        "### The slopes",
+        "",
+        "| slope | base | each | spread | sizes measured | unit | command |",
+        "|---|---|---|---|---|---|---|",
+        *_slope_lines(slopes),
     ]
+    return "\n".join(lines)
+
+
+def _daemon_lines(found: list[Row]) -> list[str]:
+    lines = ["| role | part of a core | bytes/s sent | MB | mechanism |", "|---|---|---|---|---|"]
     for row in found:
         mark = "" if row.control else " (not control)"
         lines.append(
             f"| {row.role}{mark} | {row.cpu:.2%} | {row.sent:.0f} | {row.megabytes:.1f} "
             f"| {row.mechanism} |"
         )
+    control = [row for row in found if row.control]
     cpu = sum(row.cpu for row in control)
     sent = sum(row.sent for row in control)
     memory = sum(row.megabytes for row in control)
-    lines += [
+    return [
+        *lines,
         f"| **control, all roles in one daemon** | **{cpu:.2%}** | **{sent:.0f}** "
         f"| **{memory:.1f}** | |",
         f"| budget | {BUDGET_CPU:.2%} | {BUDGET_BYTES:.0f} | {BUDGET_MB:.0f} | |",
         f"| verdict | {_verdict(cpu, BUDGET_CPU)} | {_verdict(sent, BUDGET_BYTES)} "
         f"| {_verdict(memory, BUDGET_MB)} | |",
-        "",
-        "### The store, for the whole fleet",
-        "",
-        "| use | writes/s | reads/s | mechanism |",
-        "|---|---|---|---|",
     ]
-    uses = calls(plan)
+
+
+def _store_lines(uses: list[Call]) -> list[str]:
+    lines = ["| use | writes/s | reads/s | mechanism |", "|---|---|---|---|"]
     for use in uses:
         lines.append(f"| {use.what} | {use.writes:.2f} | {use.reads:.1f} | {use.mechanism} |")
     writes, reads = sum(use.writes for use in uses), sum(use.reads for use in uses)
-    lines += [
+    return [
+        *lines,
         f"| **all** | **{writes:.1f}** | **{reads:.1f}** | |",
         f"| what it takes | {WRITES:.0f} | {READS:.0f} | |",
         f"| verdict | {_verdict(writes, WRITES)} | {_verdict(reads, READS)} | |",
-        "",
-        "### Tokens",
-        "",
-        *_token_lines(slopes, plan),
-        "",
-        "### The slopes",
-        "",
-        "| slope | base | each | spread | sizes measured | unit | command |",
-        "|---|---|---|---|---|---|---|",
-        *_slope_lines(slopes),
     ]
-    return "\n".join(lines)
 
 
 def _token_lines(slopes: Slopes, plan: Plan) -> list[str]:
--- a/packages/daemon/src/thorncleat_daemon/daemon.py
+++ b/packages/daemon/src/thorncleat_daemon/daemon.py
@@ -115,64 +115,76 @@
         return self._config.current.configuration
 
     def _build(self) -> None:
+        self._build_outside()
         self._build_control()
         self._build_requests()
+        self._build_sides()
+        self._show_gauges()
 
-    def _build_control(self) -> None:
-        settings, control = self._settings, self._settings.control
+    def _build_outside(self) -> None:
+        """Build what reaches the store, the platform, the engines and the other daemons."""
+        settings, me = self._settings, self._settings.daemon.id
         self._lag = LoopLag(clock.now)
-        me = settings.daemon.id
+        self._keys = Keyspace(settings.cluster)
         session = _session()
-        self._sessions.append(session)
-        rates = FleetRates(settings.store.writes, settings.store.reads)
-        self._budget = StoreBudget(rates)
+        self._budget = StoreBudget(FleetRates(settings.store.writes, settings.store.reads))
         self._store = EtcdStore(
             session, settings.store.endpoints, self._budget, me, settings.store.timeout
         )
-        keys = Keyspace(settings.cluster)
+        self._instances = HttpInstanceList(session, settings.platform.endpoints)
+        self._engines = HttpEngines(session, settings.control.probe)
         self._peers = ZmqPeers(
             settings.cluster, me, settings.peer_keys, lambda: self._gossip.members.addresses
         )
-        instances = self._instances = HttpInstanceList(session, settings.platform.endpoints)
+        self._upstream = Upstream(_session(), single_session(), stream_session())
+        self._sessions += [session, *self._upstream.sessions]
+
+    def _build_control(self) -> None:
+        """Build membership, configuration, shards with their groups, and claims."""
+        settings, me = self._settings, self._settings.daemon.id
+        control, invariants = settings.control, self.metrics.invariants
         self._gossip = Gossip(
-            me, self._peers, instances, control.member_probe, settings.platform.poll
+            me, self._peers, self._instances, control.member_probe, settings.platform.poll
         )
         self._gossip.on_listed(self._budget.set_members)
         self._config = ConfigKeeper(
-            me, self._store, keys, self._gossip, self._peers, self.metrics.invariants
+            me, self._store, self._keys, self._gossip, self._peers, invariants
         )
-        terms = LeaseTerms(control.lease, control.lease_margin)
-        services = Services(
-            me,
+        self._holder = ShardHolder(self._services(), control.shards)
+        self._claim_owner = ClaimOwner(
             self._store,
-            keys,
-            HttpEngines(session, control.probe),
-            instances,
+            self._keys,
+            self._holder,
+            self._peers,
+            settings.requests.claim_seconds,
+            invariants,
+            fenced=BROKEN_FENCE not in os.environ,
+        )
+
+    def _services(self) -> Services:
+        """Return what the keepers of fabric domains use."""
+        settings, control = self._settings, self._settings.control
+        return Services(
+            settings.daemon.id,
+            self._store,
+            self._keys,
+            self._engines,
+            self._instances,
             self._peers,
             self._gossip,
             lambda: self._config.current,
             control,
-            terms,
+            LeaseTerms(control.lease, control.lease_margin),
             settings.requests.group_tokens,
             settings.platform.poll,
             late=lambda: self._lag.late,
         )
-        self._holder = ShardHolder(services, control.shards)
-        self._claim_owner = ClaimOwner(
-            self._store,
-            keys,
-            self._holder,
-            self._peers,
-            settings.requests.claim_seconds,
-            self.metrics.invariants,
-            fenced=BROKEN_FENCE not in os.environ,
-        )
 
     def _build_requests(self) -> None:
+        """Build what sends requests to groups and services."""
         settings, limits = self._settings, self._settings.requests
-        me = settings.daemon.id
         self._permits = PermitKeeper(
-            me,
+            settings.daemon.id,
             self._gossip,
             self._holder,
             self._peers,
@@ -183,22 +195,24 @@
         self._dispatcher = Dispatcher(
             self._permits, self._configuration, limits.routing, limits.queue_tokens
         )
-        upstream = Upstream(_session(), single_session(), stream_session())
-        self._sessions += upstream.sessions
         claims = ClaimClient(self._holder, self._peers)
         attempts = Attempts(self._dispatcher, self._permits, self.metrics)
-        recent = RecentRequests(me)
+        streams = Streams(
+            attempts, self._upstream, self.metrics, limits.stall, self.metrics.invariants
+        )
+        self._completions = Completions(
+            self._configuration, attempts, streams, self._upstream, claims, self.metrics
+        )
+        self._plain = PlainServices(self._configuration, self._upstream, claims, self.metrics)
+
+    def _build_sides(self) -> None:
+        """Build the callers' and the operators' side."""
+        settings, limits = self._settings, self._settings.requests
+        recent = RecentRequests(settings.daemon.id)
         self._entry = Entry(
             self._configuration,
-            Completions(
-                self._configuration,
-                attempts,
-                Streams(attempts, upstream, self.metrics, limits.stall, self.metrics.invariants),
-                upstream,
-                claims,
-                self.metrics,
-            ),
-            PlainServices(self._configuration, upstream, claims, self.metrics),
+            self._completions,
+            self._plain,
             self.metrics,
             recent,
             self.not_ready,
@@ -206,7 +220,7 @@
             limits.deadline,
         )
         parts = Parts(
-            me,
+            settings.daemon.id,
             self._config,
             self._gossip,
             self._holder,
@@ -219,7 +233,6 @@
             settings.control.load,
         )
         self._operators = Operators(parts, settings.operators)
-        self._show_gauges()
 
     def _show_gauges(self) -> None:
         metrics = self.metrics
--- a/packages/daemon/src/thorncleat_daemon/domains.py
+++ b/packages/daemon/src/thorncleat_daemon/domains.py
@@ -1,13 +1,11 @@
 """Keeping the groups of one fabric domain: probing, ordering, repairing, permitting."""
 
 import asyncio
-import collections
 import dataclasses
 import typing as t
 
 from thorncleat_core import repair
 from thorncleat_core.budget import Purpose
-from thorncleat_core.directory import Record
 from thorncleat_core.fleet import Instance
 from thorncleat_core.fleet import InstanceState
 from thorncleat_core.groups import Assignments
@@ -25,11 +23,13 @@
 from . import clock
 from . import events
 from .clock import Clock
+from .downtime import Downtime
 from .exceptions import EndpointError
 from .exceptions import StoreError
 from .exceptions import StoreOutcomeUnknownError
 from .exceptions import StoreUnavailableError
 from .gossip import Gossip
+from .group_records import GroupRecords
 from .keyspace import Keyspace
 from .ports import Condition
 from .ports import Engines
@@ -65,20 +65,6 @@
     late: t.Callable[[], bool] = lambda: False
 
 
-@dataclasses.dataclass
-class Downtime:
-    """What a domain's groups have cost so far.
-
-    :param group_seconds: time in which each assigned group could not answer.
-    :param stranded_seconds: accelerators times the seconds in which their group could not.
-    """
-
-    group_seconds: dict[str, float] = dataclasses.field(
-        default_factory=lambda: collections.defaultdict(float)
-    )
-    stranded_seconds: float = 0.0
-
-
 class DomainKeeper:
     """Keeps one fabric domain, with a lease or without.
 
@@ -97,12 +83,12 @@
         self.superseded = False
         self._watched = False
         self.asked_at = services.clock()
-        self.downtime = Downtime()
+        self.downtime = Downtime(services.clock)
         self._services = services
         self._clock = services.clock
         self._mod_revision = 0
         self._loaded = False
-        self._sequence = 0
+        self._records = GroupRecords(domain, epoch, services.gossip, services.config)
         self._desk = PermitDesk(services.control.permit, services.group_tokens)
         self._seen = Sightings(
             services.engines, services.clock, services.control.window, self._group_of, services.late
@@ -111,7 +97,6 @@
         self._open: set[str] = set()
         self._safe_at: dict[str, float] = {}
         self._pending: dict[str, repair.Change] = {}
-        self._accounted_at = self._clock()
         self._telling: set[asyncio.Task[None]] = set()
 
     @property
@@ -174,7 +159,7 @@
             return
         self._watched = True
         self._note_open()
-        self._account()
+        self.downtime.add(self.assignments.groups.values(), self._open, self._listed)
 
     async def mend(self) -> None:
         """Give orders and change assignments once, where that is due.
@@ -268,43 +253,12 @@
         except Exception as error:
             events.TASK_FAILED.log(task="closed", reason=repr(error), expected=True)
 
-    def _account(self) -> None:
-        now = self._clock()
-        elapsed, self._accounted_at = now - self._accounted_at, now
-        for group in self.assignments.groups.values():
-            if group.id in self._open:
-                continue
-            self.downtime.group_seconds[group.id] += elapsed
-            listed = [self._listed.get(one) for one in group.members]
-            accelerators = sum(one.accelerators for one in listed if one)
-            self.downtime.stranded_seconds += accelerators * elapsed
-
     def _publish_all(self) -> None:
         for group in self.assignments.groups.values():
             self._publish(group)
 
     def _publish(self, group: Group) -> None:
-        self._sequence += 1
-        placed = self._services.config().placements.get(group.id)
-        version = (placed.revision if placed else 0, self.epoch, group.generation, self._sequence)
-        body = {
-            "domain": self.domain,
-            "intent": group.intent,
-            "model": group.model,
-            "version": group.version,
-            "generation": group.generation,
-            "members": list(group.members),
-            "open": group.id in self._open,
-            "epoch": self.epoch,
-        }
-        self._services.gossip.publish(Record(f"group/{group.id}", version, body))
-
-    def _publish_gone(self, group: Group) -> None:
-        self._sequence += 1
-        placed = self._services.config().placements.get(group.id)
-        version = (placed.revision if placed else 0, self.epoch, group.generation, self._sequence)
-        record = Record(f"group/{group.id}", version, {"gone": True, "domain": self.domain})
-        self._services.gossip.publish(record)
+        self._records.publish(group, is_open=group.id in self._open)
 
     # orders
 
@@ -478,7 +432,7 @@
             if group_id in self._open:
                 self._close(group, [])
             if group_id not in changed.groups:
-                self._publish_gone(group)
+                self._records.publish_gone(group)
         for group in changed.groups.values():
             if old.groups.get(group.id) != group:
                 self._publish(group)
--- /dev/null
+++ b/packages/daemon/src/thorncleat_daemon/downtime.py
@@ -0,0 +1,48 @@
+"""What the groups of a domain have cost so far: downtime, and accelerators stranded by it."""
+
+import collections
+import typing as t
+
+from thorncleat_core.fleet import Instance
+from thorncleat_core.groups import Group
+
+from .clock import Clock
+
+
+class Downtime:
+    """Adds up the time in which assigned groups could not answer."""
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self._at = clock()
+        self._group_seconds: collections.defaultdict[str, float] = collections.defaultdict(float)
+        self._stranded = 0.0
+
+    @property
+    def group_seconds(self) -> t.Mapping[str, float]:
+        """Seconds for each group."""
+        return self._group_seconds
+
+    @property
+    def stranded_seconds(self) -> float:
+        """Accelerators times the seconds in which their group could not answer."""
+        return self._stranded
+
+    def add(
+        self,
+        groups: t.Iterable[Group],
+        open_groups: t.Container[str],
+        listed: t.Mapping[str, Instance],
+    ) -> None:
+        """Account for the time since the last call.
+
+        :param listed: the domain's instances, for their accelerators.
+        """
+        now = self._clock()
+        elapsed, self._at = now - self._at, now
+        for group in groups:
+            if group.id in open_groups:
+                continue
+            self._group_seconds[group.id] += elapsed
+            members = (listed.get(one) for one in group.members)
+            self._stranded += sum(one.accelerators for one in members if one) * elapsed
