--- a/bench/capacity_page.py
+++ b/bench/capacity_page.py
@@ -38,6 +38,8 @@
     lease_seconds: float = 12.0
     claims_a_second: float = 100.0
     claim_seconds: float = 28_800.0
+    subjects: int = 50
+    report_seconds: float = 600.0
 
     @property
     def groups(self) -> float:
@@ -114,6 +116,7 @@
         _records(slopes, plan),
         _configuration(slopes, plan),
         _claims(slopes, plan),
+        _reporter(slopes, plan),
         Row(
             "the rest: timers, lists, leases",
             slopes.base("idle_cpu"),
@@ -191,6 +194,17 @@
     )
 
 
+def _reporter(slopes: Slopes, plan: Plan) -> Row:
+    size = slopes.at("burn_report_bytes", plan.subjects)
+    return Row(
+        "reporter: figures for `report burn`",
+        _message(slopes)[0] / plan.report_seconds,
+        size / plan.report_seconds,
+        slopes.at("burn_bytes", plan.subjects) / 1e6,
+        "asked by the daemon that the operator asked, 32 at once",
+    )
+
+
 def _claims(slopes: Slopes, plan: Plan) -> Row:
     claims = plan.claims_a_second / plan.shards
     cpu, sent = _message(slopes)
--- a/packages/core/src/thorncleat_core/groups.py
+++ b/packages/core/src/thorncleat_core/groups.py
@@ -182,11 +182,6 @@
         """Return the members that are not confirmed."""
         return [member for member in group.members if self._end(member, group) <= now]
 
-    def last_confirmed(self, instance: str) -> float | None:
-        """Return when an instance last confirmed, or None since the last doubt."""
-        entry = self._confirmed.get(instance)
-        return entry[0] if entry else None
-
     def _end(self, member: str, group: Group) -> float:
         sent_at, group_id, generation = self._confirmed.get(member, (float("-inf"), "", 0))
         if (group_id, generation) != (group.id, group.generation):
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -12,6 +12,7 @@
 from hypothesis.stateful import rule
 
 from thorncleat_core.exceptions import ThorncleatError
+from thorncleat_core.fleet import InstanceState
 
 from .world import World
 
@@ -274,6 +275,14 @@
         assert "i1" not in world.assignments().taken()
         assert len(world.usable()) == 3
 
+    def test_instance_that_the_platform_lists_as_leaving_is_emptied(self):
+        world = _opened(World())
+        listed = world.listed["i2"]
+        world.listed["i2"] = dataclasses.replace(listed, state=InstanceState.LEAVING)
+        world.run(10, step=0.1)
+        assert "i2" not in world.assignments().taken()
+        assert len(world.usable()) == 3
+
 
 class ControlMachine(RuleBasedStateMachine):
     """Any of the failures, at any moment, together or twice.
