Keep going after an announced configuration until it is in force

Cause: in a fleet that had just started, 6 of 30 daemons (and 2 of 10) did not have the configuration after 14 s: they heard of it, but its sender was not on their list of instances yet ('no address of daemon'), and they tried no more until the look once a minute. Ruled out: the store (it answered), the flood (the record had arrived). Change: while the directory names a newer revision than is in force, a daemon asks two peers, then the store, each half second.

--- a/packages/daemon/src/thorncleat_daemon/config.py
+++ b/packages/daemon/src/thorncleat_daemon/config.py
@@ -45,6 +45,7 @@
 READ_BACK_SECONDS = 5.0
 ENTRIES_AT_ONCE = 64
 WATCH_GRACE_SECONDS = 0.1
+FOLLOW_SECONDS = 0.5
 
 
 class ConfigKeeper(mode.Service):
@@ -253,6 +254,24 @@
             "config", self.catch_up_if_possible, POLL_SECONDS, lambda: self.should_stop
         )
 
+    @mode.Service.task
+    async def _follow_task(self) -> None:
+        await background.repeat("follow", self.follow, FOLLOW_SECONDS, lambda: self.should_stop)
+
+    async def follow(self) -> None:
+        """Try again to get what was announced, for as long as it is not in force here.
+
+        Whoever announced it may not have been reachable, or not listed here yet.
+        """
+        record = self._gossip.directory.get(RECORD)
+        if record is None or record.version[0] <= self.journal.head.revision:
+            return
+        for peer in self._gossip.some_peers(2):
+            await self._fetch_quietly(peer)
+            if record.version[0] <= self.journal.head.revision:
+                return
+        await self.catch_up_if_possible()
+
     async def _load_from_peers(self) -> None:
         """Take the newest configuration that the peers know; one stale peer isn't enough."""
         answers = 0
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -1,6 +1,7 @@
 """Catching up with the accepted configuration."""
 
 from thorncleat_core.budget import Purpose
+from thorncleat_core.directory import Record
 from thorncleat_core.journal import State
 from thorncleat_daemon.config import ConfigKeeper
 from thorncleat_daemon.keyspace import Keyspace
@@ -68,6 +69,12 @@
         await keeper.catch_up()
         assert keeper.current == CHAIN[9]
 
+    async def test_goes_after_what_was_announced_by_one_it_cannot_reach(self):
+        keeper = _keeper(_Store(3))
+        keeper._gossip.directory.put(Record("config", (3,), {"digest": "x"}))
+        await keeper.follow()
+        assert keeper.current == CHAIN[3]
+
     async def test_never_goes_back(self):
         keeper = _keeper(_Store(9))
         await keeper.catch_up()
