Make the shares once a configuration, and take out what nothing reads

Cause: read once more as a whole. Each request, each permit and each turn of the queues built a map of all workspaces' shares anew, in two places; six counters and properties were kept that nothing reads; the soak and the relay benchmark spelt out the intent that the capacity benchmark has. Change: Configuration.shares, made once; the unread ones are gone; group_intent serves all three. No behaviour changes.

--- a/bench/relay.py
+++ b/bench/relay.py
@@ -17,6 +17,7 @@
 
 from .capacity import Slope
 from .capacity import fit
+from .capacity import group_intent
 from .capacity import keep
 from .report import cpu_seconds
 from .report import target
@@ -79,18 +80,8 @@
 
 def _change() -> dict[str, t.Any]:
     digest = hashlib.sha256(KEY.encode()).hexdigest()
-    intent = {
-        "name": "narrator",
-        "model": "m",
-        "version": "v1",
-        "workspaces": ["a"],
-        "replicas": GROUPS,
-        "instances_per_replica": 4,
-    }
-    return {
-        "workspaces": [{"name": "a", "key_digests": [digest], "first_token_seconds": 10}],
-        "intents": [intent],
-    }
+    workspace = {"name": "a", "key_digests": [digest], "first_token_seconds": 10}
+    return {**group_intent(GROUPS), "workspaces": [workspace]}
 
 
 async def _started(directory: pathlib.Path) -> Cluster:
--- a/bench/soak.py
+++ b/bench/soak.py
@@ -27,6 +27,8 @@
 from thorncleat_standins.traffic import log_faults
 from thorncleat_standins.traffic import stream_fault
 
+from .capacity import group_intent
+
 KEY = "soak-key"
 BROKEN_FENCE = "THORNCLEAT_TEST_BROKEN_FENCE"
 CONTROL = {
@@ -206,6 +208,7 @@
 
 def _intent(cluster: Cluster) -> dict[str, t.Any]:
     return {
+        **group_intent(GROUPS),
         "workspaces": [{"name": "a", "key_digests": [keys.digest(KEY)]}],
         "services": [
             {
@@ -215,16 +218,6 @@
                 "not_repeatable": ["POST /alarms"],
             }
         ],
-        "intents": [
-            {
-                "name": "narrator",
-                "model": "m",
-                "version": "v1",
-                "workspaces": ["a"],
-                "replicas": GROUPS,
-                "instances_per_replica": 4,
-            }
-        ],
     }
 
 
--- a/packages/core/src/thorncleat_core/claims.py
+++ b/packages/core/src/thorncleat_core/claims.py
@@ -5,7 +5,6 @@
 nothing was sent.
 """
 
-import collections
 import dataclasses
 import enum
 import typing as t
@@ -89,7 +88,6 @@
         self._limit = limit
         self._keep = keep
         self._patience = patience
-        self.answers: collections.Counter[str] = collections.Counter()
 
     def __len__(self) -> int:
         return len(self._claims)
@@ -113,7 +111,6 @@
             reply, claim = self._open(workspace, key, request, now, wall)
         else:
             reply, claim = self._known(found, request, now), None
-        self.answers[reply.answer] += 1
         return reply, claim
 
     def _open(
--- a/packages/core/src/thorncleat_core/configuration.py
+++ b/packages/core/src/thorncleat_core/configuration.py
@@ -154,6 +154,11 @@
         # looked up by the digest: whoever times it learns of digests, not of keys
         return self._by_digest.get(keys.digest(key))
 
+    @functools.cached_property
+    def shares(self) -> t.Mapping[str, float]:
+        """The share of each workspace; made once, since every request asks for it."""
+        return {name: one.share for name, one in self.workspaces.items()}
+
     @functools.cached_property
     def _by_digest(self) -> dict[str, Workspace]:
         return {
--- a/packages/core/src/thorncleat_core/groups.py
+++ b/packages/core/src/thorncleat_core/groups.py
@@ -1,6 +1,5 @@
 """Serving groups of one fabric domain: who is in which, and whether a group may answer."""
 
-import collections
 import dataclasses
 import typing as t
 
@@ -153,7 +152,6 @@
         self.window = window
         self._confirmed: dict[str, tuple[float, str, int]] = {}
         self._boots: dict[str, str] = {}
-        self.transitions: collections.Counter[str] = collections.Counter()
 
     def confirm(self, group: Group, report: InstanceReport, sent_at: float) -> bool:
         """Take in a report; return whether it confirms membership."""
@@ -166,8 +164,7 @@
 
     def doubt(self, instance: str) -> None:
         """Forget an instance's confirmation: its group is closed from now on."""
-        if self._confirmed.pop(instance, None) is not None:
-            self.transitions["doubt"] += 1
+        self._confirmed.pop(instance, None)
 
     def open_until(self, group: Group) -> float:
         """Return the time until which a group may answer; in the past if it may not now."""
--- a/packages/daemon/src/thorncleat_daemon/claims.py
+++ b/packages/daemon/src/thorncleat_daemon/claims.py
@@ -1,7 +1,6 @@
 """Owning claims for the shards held, and asking the owners of others."""
 
 import asyncio
-import collections
 import dataclasses
 import time
 import typing as t
@@ -95,8 +94,6 @@
         self._holder = holder
         self._keep = keep
         self._owned: dict[int, _OwnedShard] = {}
-        self.answers: collections.Counter[str] = collections.Counter()
-        self.batches = 0
         holder.on_change(self._acquired, self._lost)
         peers.handle("claim", self._on_claim)
         peers.handle("outcome", self._on_outcome)
@@ -174,7 +171,6 @@
         except StoreError:
             return False
         owned.hours.add(hour)
-        self.batches += 1
         return done and self._holds(lease)
 
     async def _read_back(self, key: str, value: bytes) -> bool:
@@ -217,7 +213,6 @@
                 # nothing was sent, whatever the store holds: the key may be asked for again
                 owned.book.not_written(claim)
                 reply = Reply(ClaimAnswer.BUSY)
-        self.answers[reply.answer] += 1
         return reply
 
     async def _on_outcome(self, sender: str, body: t.Any) -> t.Any:
--- a/packages/daemon/src/thorncleat_daemon/config.py
+++ b/packages/daemon/src/thorncleat_daemon/config.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import random
-import time
 import typing as t
 
 import mode
@@ -76,7 +75,6 @@
         self._fetching: set[asyncio.Task[None]] = set()
         self.journal = Journal()
         self.loaded = False
-        self.in_force_at = 0.0
         peers.handle("journal", self._on_journal)
         gossip.listen(RECORD, self._on_record)
 
@@ -202,7 +200,6 @@
             highest=self._highest,
         )
         self._highest = max(self._highest, head.revision)
-        self.in_force_at = time.time()
         events.CONFIG_IN_FORCE.log(revision=head.revision)
         for listener in self._listeners:
             listener(self.current)
--- a/packages/daemon/src/thorncleat_daemon/dispatch.py
+++ b/packages/daemon/src/thorncleat_daemon/dispatch.py
@@ -221,13 +221,12 @@
         intent = self._configuration().intents.get(name)
         if not queue or intent is None:
             return
-        weights = {key: one.share for key, one in self._configuration().workspaces.items()}
         now = self._clock()
         usable = self._permits.usable(name, intent.model)
         while usable:
             waiting = queue.pop(
                 lambda workspace, cost: bool(self._with_room(usable, workspace, cost)),
-                weights,
+                self._configuration().shares,
                 now,
             )
             if waiting is None:
--- a/packages/daemon/src/thorncleat_daemon/domains.py
+++ b/packages/daemon/src/thorncleat_daemon/domains.py
@@ -99,21 +99,6 @@
         self._pending: dict[str, repair.Change] = {}
         self._telling: set[asyncio.Task[None]] = set()
 
-    @property
-    def loaded(self) -> bool:
-        """Whether the assignments are known."""
-        return self._loaded
-
-    @property
-    def open_groups(self) -> frozenset[str]:
-        """Groups that may answer."""
-        return frozenset(self._open)
-
-    @property
-    def draining(self) -> frozenset[str]:
-        """Groups that finish their work."""
-        return self._desk.draining
-
     @property
     def listed(self) -> t.Mapping[str, Instance]:
         """The domain's instances as the platform lists them."""
--- a/packages/daemon/src/thorncleat_daemon/holder.py
+++ b/packages/daemon/src/thorncleat_daemon/holder.py
@@ -313,10 +313,7 @@
 
     async def _on_permit(self, sender: str, body: t.Any) -> t.Any:
         """Answer for each group asked about; groups of others are passed over."""
-        weights = {
-            name: one.share
-            for name, one in self._services.config().configuration.workspaces.items()
-        }
+        weights = self._services.config().configuration.shares
         answers = []
         for raw in body:
             request = codec.validated(PermitRequest, raw)
--- a/packages/daemon/src/thorncleat_daemon/metrics.py
+++ b/packages/daemon/src/thorncleat_daemon/metrics.py
@@ -73,7 +73,6 @@
         self.tokens = self._counter("tokens", "Events of answers passed on", "workspace", "target")
         self.dropped = self._counter("dropped_pieces", "Pieces that were not their own", "reason")
         self.retries = self._counter("retries", "Requests sent again", "reason")
-        self.claims = self._counter("claims", "Answers to claims", "answer")
         self.in_flight = Gauge(
             "thorncleat_in_flight", "Requests being answered", registry=self.registry
         )
