--- /dev/null
+++ b/packages/core/src/thorncleat_core/allowance.py
@@ -0,0 +1,62 @@
+"""How many repeats a daemon may send, so that all daemons together stay within a budget.
+
+Each daemon has its part of the fixed allowance and the ratio of its own requests. The parts
+add up to the whole budget whatever the daemons know of each other's counts.
+"""
+
+import collections
+import dataclasses
+import math
+
+# part of the budget that is used; the rest covers requests and repeats in different windows
+SAFETY = 0.8
+
+
+@dataclasses.dataclass(frozen=True)
+class RetryTerms:
+    """The budget of all daemons for one service.
+
+    :param ratio: repeats for each request in a window.
+    :param extra: repeats in a window beside these.
+    :param window: seconds.
+    """
+
+    ratio: float
+    extra: float
+    window: float
+
+
+class RetryAllowance:
+    """Counts one daemon's requests and repeats to one service in a sliding window."""
+
+    def __init__(self, terms: RetryTerms) -> None:
+        self._terms = terms
+        self._requests: collections.deque[float] = collections.deque()
+        self._repeats: collections.deque[float] = collections.deque()
+
+    def request(self, now: float) -> None:
+        """Count a caller's request."""
+        self._requests.append(now)
+        self._forget(now)
+
+    def left(self, now: float, daemons: int) -> int:
+        """Return how many repeats may be sent now.
+
+        :param daemons: daemons that share the budget.
+        """
+        self._forget(now)
+        own = self._terms.ratio * len(self._requests) + self._terms.extra / max(1, daemons)
+        return math.floor(own * SAFETY) - len(self._repeats)
+
+    def take(self, now: float, daemons: int) -> bool:
+        """Count a repeat if one may be sent; tell whether it may."""
+        if self.left(now, daemons) < 1:
+            return False
+        self._repeats.append(now)
+        return True
+
+    def _forget(self, now: float) -> None:
+        begin = now - self._terms.window
+        for times in (self._requests, self._repeats):
+            while times and times[0] < begin:
+                times.popleft()
--- /dev/null
+++ b/packages/core/src/thorncleat_core/roster.py
@@ -0,0 +1,184 @@
+"""The endpoints as the platform lists them, and the groups that they say they are in.
+
+Nothing of a group is stored: its members name it, its epoch and their ranks themselves, so
+whoever reads the list knows all groups.
+"""
+
+import dataclasses
+import enum
+import typing as t
+
+# how long an endpoint that is no longer listed is remembered, in seconds
+REMEMBER_GONE_SECONDS = 60.0
+
+
+class GroupState(enum.Enum):
+    """What a member says of itself in its group."""
+
+    JOINING = "joining"
+    READY = "ready"
+    OPEN = "open"
+    CLOSING = "closing"
+    BROKEN = "broken"
+
+
+@dataclasses.dataclass(frozen=True, order=True)
+class GroupId:
+    """A formation of a group; no two formations share both.
+
+    :param epoch: rises with each formation.
+    """
+
+    epoch: int
+    name: str
+
+
+@dataclasses.dataclass(frozen=True)
+class Membership:
+    """An endpoint's place in a group; the member of rank 0 leads it and answers."""
+
+    group: GroupId
+    rank: int
+    state: GroupState
+
+
+@dataclasses.dataclass(frozen=True)
+class Endpoint:
+    """One start of a worker.
+
+    :param id: unique to this start.
+    :param order_count: orders that it has begun; a condition for the next one.
+    :param fabric_domain: of the instances that one group may span.
+    :param staged: models that lie on its host.
+    """
+
+    id: str
+    service: str
+    address: str
+    failure_domain: str
+    draining: bool = False
+    order_count: int = 0
+    fabric_domain: str = ""
+    models: tuple[str, ...] = ()
+    staged: tuple[str, ...] = ()
+    membership: Membership | None = None
+    slots: int = 1
+
+    @property
+    def leads(self) -> bool:
+        """Whether it answers requests for its group now."""
+        member = self.membership
+        return member is not None and member.rank == 0 and member.state is GroupState.OPEN
+
+
+@dataclasses.dataclass
+class Group:
+    """A group as its listed members describe it."""
+
+    id: GroupId
+    members: dict[int, Endpoint] = dataclasses.field(default_factory=dict)
+
+    @property
+    def leader(self) -> Endpoint | None:
+        """The member of rank 0, if it is listed."""
+        return self.members.get(0)
+
+    @property
+    def model(self) -> str:
+        """The model that its members name, or an empty string."""
+        for member in self.members.values():
+            if member.models:
+                return member.models[0]
+        return ""
+
+    @property
+    def state(self) -> GroupState | None:
+        """The leader's state, if it is listed."""
+        leader = self.leader
+        return leader.membership.state if leader and leader.membership else None
+
+    def complete(self, size: int) -> bool:
+        """Tell whether every rank is listed."""
+        return all(rank in self.members for rank in range(size))
+
+
+@dataclasses.dataclass(frozen=True)
+class Gone:
+    """An endpoint that is no longer listed.
+
+    :param at: when this was learnt, on the reader's own clock.
+    """
+
+    endpoint: Endpoint
+    at: float
+
+
+class Roster:
+    """The endpoints known, by id."""
+
+    def __init__(self) -> None:
+        self._endpoints: dict[str, Endpoint] = {}
+        self._groups: dict[GroupId, Group] | None = None
+        self.gone: dict[str, Gone] = {}
+
+    @property
+    def endpoints(self) -> t.Mapping[str, Endpoint]:
+        """The listed endpoints."""
+        return self._endpoints
+
+    @property
+    def groups(self) -> t.Mapping[GroupId, Group]:
+        """The groups that listed endpoints name."""
+        if self._groups is None:
+            self._groups = _grouped(self._endpoints.values())
+        return self._groups
+
+    def put(self, endpoint: Endpoint) -> None:
+        """Take in an endpoint's newest entry."""
+        self._endpoints[endpoint.id] = endpoint
+        self.gone.pop(endpoint.id, None)
+        self._groups = None
+
+    def remove(self, endpoint_id: str, now: float) -> None:
+        """Take in that an endpoint is no longer listed."""
+        endpoint = self._endpoints.pop(endpoint_id, None)
+        if endpoint is None:
+            return
+        self._groups = None
+        self.gone = {
+            key: one for key, one in self.gone.items() if now - one.at < REMEMBER_GONE_SECONDS
+        }
+        self.gone[endpoint_id] = Gone(endpoint, now)
+
+    def replace(self, endpoints: t.Iterable[Endpoint], now: float) -> None:
+        """Take in the whole list."""
+        listed = {one.id: one for one in endpoints}
+        for missing in set(self._endpoints) - set(listed):
+            self.remove(missing, now)
+        for one in listed.values():
+            self.put(one)
+
+    def of_service(self, service: str) -> list[Endpoint]:
+        """Return the listed endpoints of a service."""
+        return [one for one in self._endpoints.values() if one.service == service]
+
+    def leader_of(self, group: GroupId) -> Endpoint | None:
+        """Return a group's leader, also one that is no longer listed."""
+        present = self.groups.get(group)
+        if present is not None and present.leader is not None:
+            return present.leader
+        for gone in self.gone.values():
+            member = gone.endpoint.membership
+            if member is not None and member.group == group and member.rank == 0:
+                return gone.endpoint
+        return None
+
+
+def _grouped(endpoints: t.Iterable[Endpoint]) -> dict[GroupId, Group]:
+    groups: dict[GroupId, Group] = {}
+    for endpoint in endpoints:
+        member = endpoint.membership
+        if member is not None:
+            group = groups.setdefault(member.group, Group(member.group))
+            group.members[member.rank] = endpoint
+    return groups
--- /dev/null
+++ b/packages/gateway/src/thorncleat_gateway/dispatch.py
@@ -0,0 +1,109 @@
+"""Choosing the endpoint for a request."""
+
+import random
+import typing as t
+
+from thorncleat_core.roster import Endpoint
+from thorncleat_core.serving import Engine
+
+from .loads import Loads
+from .mirror import Mirror
+from .pulse import Pulse
+from .settings import GatewaySettings
+
+# seconds for which an endpoint that refused or cut a connection is avoided
+AVOID_SECONDS = 1.0
+# part of the time to leave a draining endpoint in which it is used if there is nothing else
+DRAIN_PART = 0.6
+# requests for each slot from which on a group is full
+FULL = 2.0
+# failures of an endpoint weigh less with each answer, by this factor
+FORGET = 0.9
+FAILURE_WEIGHT = 12.0
+
+
+class Dispatcher:
+    """Knows which endpoints can take a request, and chooses the least loaded."""
+
+    def __init__(
+        self,
+        settings: GatewaySettings,
+        mirror: Mirror,
+        loads: Loads,
+        pulse: Pulse,
+        clock: t.Callable[[], float],
+    ) -> None:
+        self._settings = settings
+        self._mirror = mirror
+        self._loads = loads
+        self._pulse = pulse
+        self._clock = clock
+        self._avoid: dict[str, float] = {}
+        self._failures: dict[str, float] = {}
+        self._seen = -1
+        self._leaders: dict[tuple[str, str], list[Endpoint]] = {}
+
+    def avoid(self, endpoint_id: str, seconds: float = AVOID_SECONDS) -> None:
+        """Prefer others for some time."""
+        self._avoid[endpoint_id] = self._clock() + seconds
+
+    def answered(self, endpoint_id: str, *, well: bool) -> None:
+        """Take in how an attempt at an endpoint ended."""
+        before = self._failures.get(endpoint_id, 0.0)
+        self._failures[endpoint_id] = before * FORGET + (0.0 if well else 1 - FORGET)
+
+    def plain(self, service: str, tried: t.Container[str]) -> Endpoint | None:
+        """Return the endpoint of a plain service for a request."""
+        listed = [one for one in self._mirror.roster.of_service(service) if one.id not in tried]
+        usable = [one for one in listed if not one.draining] or listed
+        return self._best(usable)
+
+    def leader(
+        self, service: str, engine: Engine, model: str, tried: t.Container[str]
+    ) -> Endpoint | None:
+        """Return the leader of the group for a request."""
+        self._refresh()
+        leaders = [one for one in self._leaders.get((service, model), []) if one.id not in tried]
+        trusted = [one for one in leaders if not self._pulse.suspected(one.id)]
+        chosen = self._best(trusted)
+        if chosen is not None and self._loads.of(chosen.id) >= FULL * engine.slots:
+            return None
+        return chosen
+
+    def others(self, service: str, model: str, but: t.Container[str]) -> bool:
+        """Tell whether there is another group for a request."""
+        self._refresh()
+        return any(
+            one.id not in but and not self._pulse.suspected(one.id)
+            for one in self._leaders.get((service, model), [])
+        )
+
+    def _best(self, endpoints: t.Sequence[Endpoint]) -> Endpoint | None:
+        now = self._clock()
+        sound = [one for one in endpoints if self._avoid.get(one.id, 0.0) <= now] or endpoints
+        if not sound:
+            return None
+        return min(sound, key=self._weight)
+
+    def _weight(self, one: Endpoint) -> float:
+        failing = FAILURE_WEIGHT * self._failures.get(one.id, 0.0)
+        return self._loads.of(one.id) + failing + random.random() * 0.9
+
+    def _refresh(self) -> None:
+        if self._seen == self._mirror.version:
+            return
+        self._seen = self._mirror.version
+        self._leaders = {}
+        configuration = self._mirror.configuration
+        roster = self._mirror.roster
+        for one in roster.endpoints.values():
+            if not one.leads or not one.models or configuration is None:
+                continue
+            service = configuration.services.get(one.service)
+            model = service.engine.model(one.models[0]) if service and service.engine else None
+            group = roster.groups[one.membership.group] if one.membership else None
+            if model is None or group is None or one.draining:
+                continue
+            whole = group.complete(model.size)
+            if whole and not any(member.draining for member in group.members.values()):
+                self._leaders.setdefault((one.service, model.name), []).append(one)
--- /dev/null
+++ b/packages/gateway/src/thorncleat_gateway/events.py
@@ -0,0 +1,73 @@
+"""Numbered log events of the gateway; they stand in the daemon's catalogue."""
+
+import dataclasses
+import logging
+import typing as t
+
+_logger = logging.getLogger("thorncleat")
+catalogue: dict[int, "Event"] = {}
+
+
+@dataclasses.dataclass(frozen=True)
+class Event:
+    """A kind of log line.
+
+    :param number: unique; the thousands tell the part of the gateway.
+    """
+
+    number: int
+    name: str
+    level: int
+    text: str
+
+    def log(self, **fields: t.Any) -> None:
+        """Write a line with this event's number and name and some fields."""
+        if _logger.isEnabledFor(self.level):
+            extra = {"event": self.number, "event_name": self.name, **fields}
+            _logger.log(self.level, self.text, extra=extra)
+
+
+def _event(number: int, name: str, level: int, text: str) -> Event:
+    if number in catalogue:
+        raise ValueError(f"event {number!r} is there already")
+    event = Event(number, name, level, text)
+    catalogue[number] = event
+    return event
+
+
+INFO, WARNING, ERROR = logging.INFO, logging.WARNING, logging.ERROR
+
+STARTED = _event(7001, "gateway_started", INFO, "the gateway listens")
+STOPPING = _event(7002, "gateway_stopping", INFO, "the gateway finishes its requests")
+STOPPED = _event(7003, "gateway_stopped", INFO, "the gateway has stopped")
+TASK_FAILED = _event(7004, "gateway_task_failed", ERROR, "a background task failed and goes on")
+RELOADED = _event(7005, "gateway_reloaded", INFO, "the settings were read again")
+LINES_DROPPED = _event(7006, "lines_dropped", WARNING, "log lines were left out")
+
+STORE_LOST = _event(7101, "feed_lost", WARNING, "the store does not answer")
+STORE_BACK = _event(7102, "feed_back", INFO, "the store answers again")
+HISTORY_GONE = _event(7103, "history_gone", INFO, "the store's history is gone; all is read again")
+CONFIG_IN_FORCE = _event(7104, "configuration_in_force", INFO, "a configuration is in force here")
+BAD_DOCUMENT = _event(7105, "bad_document", WARNING, "a document of the store can't be read")
+
+LEADING = _event(7201, "controller_elected", INFO, "this daemon controls the groups")
+NOT_LEADING = _event(7202, "controller_lost", WARNING, "this daemon no longer controls the groups")
+GROUP_FORMING = _event(7203, "group_forming", INFO, "members are ordered to join a group")
+GROUP_OPENED = _event(7204, "group_opened", INFO, "a group was opened")
+GROUP_FAILED = _event(7205, "group_failed", WARNING, "a group could not be formed")
+GROUP_ENDED = _event(7206, "group_ended", INFO, "a group is taken apart")
+GROUP_DETACHED = _event(7207, "group_detached", INFO, "a group surely answers no more")
+ENDPOINT_LOST = _event(7208, "endpoint_lost", WARNING, "an endpoint does not answer")
+ENDPOINT_STAGED = _event(7209, "endpoint_staged", INFO, "a host was ordered to load a model")
+ORDER_UNANSWERED = _event(7210, "order_unanswered", WARNING, "an order got no answer")
+ORDER_GIVEN = _event(7211, "order_given", INFO, "an engine answered an order")
+
+GROUP_SUSPECTED = _event(7301, "group_suspected", WARNING, "a group is silent")
+REQUEST_SENT = _event(7302, "request_sent", INFO, "a request was sent to an endpoint")
+REQUEST_DONE = _event(7303, "request_done", INFO, "a request was answered")
+REQUEST_MOVED = _event(7304, "attempt_failed", INFO, "an attempt at an endpoint failed")
+REQUEST_REFUSED = _event(7305, "request_refused", WARNING, "a request was refused")
+REQUEST_CUT = _event(7306, "request_cut", WARNING, "an answer was cut off")
+REQUEST_LEFT = _event(7307, "caller_left", INFO, "the caller has gone")
+
+PEER_REJECTED = _event(7401, "datagram_rejected", WARNING, "a datagram could not be read")
--- /dev/null
+++ b/packages/gateway/src/thorncleat_gateway/exceptions.py
@@ -0,0 +1,72 @@
+"""Errors of the gateway's layers; each adapter turns those of its library into these."""
+
+import enum
+
+from thorncleat_core.exceptions import ThorncleatError
+
+
+class StoreError(ThorncleatError):
+    """Base class of errors of the platform's store."""
+
+
+class StoreUnavailableError(StoreError):
+    """The store did not answer a read, or refused a call without carrying it out."""
+
+
+class StoreOutcomeUnknownError(StoreError):
+    """A write got no answer; it may have taken effect, or may still do so."""
+
+
+class HistoryGoneError(StoreError):
+    """The store no longer has the changes since a revision; all has to be read again."""
+
+
+class LeaseGoneError(StoreError):
+    """A lease is over."""
+
+
+class EndpointError(ThorncleatError):
+    """Base class of errors of calls to an endpoint."""
+
+
+class EndpointSilentError(EndpointError):
+    """No answer came in time; the call may have been taken, or may be later."""
+
+
+class EndpointGoneError(EndpointError):
+    """The process that was meant is no longer at its address."""
+
+
+class Ran(enum.Enum):
+    """What is known of a failed attempt."""
+
+    NO = "no"
+    MAYBE = "maybe"
+
+
+class AttemptError(ThorncleatError):
+    """An attempt at an endpoint brought no answer for the caller.
+
+    :param ran: whether the request may have run.
+    :param sent: whether any of it can have reached the endpoint.
+    """
+
+    def __init__(self, cause: str, ran: Ran, *, sent: bool = True) -> None:
+        super().__init__(cause)
+        self.cause = cause
+        self.ran = ran
+        self.sent = sent
+
+
+class RefusalError(ThorncleatError):
+    """A request gets an answer of the gateway's own.
+
+    :param status: HTTP status.
+    :param retry_after: seconds after which coming back helps; None if it doesn't.
+    """
+
+    def __init__(self, status: int, cause: str, *, retry_after: float | None = None) -> None:
+        super().__init__(cause)
+        self.status = status
+        self.cause = cause
+        self.retry_after = retry_after
--- /dev/null
+++ b/packages/gateway/src/thorncleat_gateway/front.py
@@ -0,0 +1,270 @@
+"""The callers' side: what a request says, who sent it, and the answer it gets."""
+
+import asyncio
+import typing as t
+
+from aiohttp import web
+
+from thorncleat_core.serving import KeyHolder
+from thorncleat_core.serving import Route
+from thorncleat_core.serving import RouteKind
+from thorncleat_core.serving import ServiceTerms
+from thorncleat_core.serving import ServingConfiguration
+
+from . import events
+from .exceptions import RefusalError
+from .mirror import Mirror
+from .plain import PlainRequests
+from .ports import Headers
+from .ports import RequestHead
+from .ports import Wire
+from .requests import Repeats
+from .requests import Request
+from .settings import GatewaySettings
+from .streams import CutError
+from .streams import StreamRequests
+
+# part of the time to take a key away in which the configuration counts as new enough
+REVOKE_PART = 0.9
+RETRY_AFTER_SECONDS = 0.5
+# before the bound itself, so that the final answer is there in time
+MARGIN_SECONDS = 0.05
+DEFAULT_DEADLINE_SECONDS = 60.0
+
+
+class Caller:
+    """The caller's side of an answer.
+
+    :param closing: returns whether the connection should not be used again.
+    """
+
+    def __init__(self, request: web.BaseRequest, closing: t.Callable[[], bool]) -> None:
+        self._request = request
+        self._closing = closing
+        self._response: web.StreamResponse | None = None
+        self.whole = False
+
+    @property
+    def begun(self) -> bool:
+        """Whether the caller has got the head."""
+        return self._response is not None
+
+    @property
+    def response(self) -> web.StreamResponse | None:
+        """The answer as far as it was sent."""
+        return self._response
+
+    async def begin(self, status: int, headers: Headers) -> None:
+        """Send the head."""
+        response = web.StreamResponse(status=status)
+        _fill(response, headers, self._closing())
+        self._response = response
+        if "Content-Length" not in response.headers and self._request.version >= (1, 1):
+            response.enable_chunked_encoding()
+        await response.prepare(self._request)
+
+    async def write(self, data: bytes) -> None:
+        """Send bytes."""
+        assert self._response is not None
+        await self._response.write(data)
+
+    async def end(self) -> None:
+        """End the answer as whole."""
+        assert self._response is not None
+        await self._response.write_eof()
+        self.whole = True
+
+    def cut(self) -> None:
+        """Break the connection, so that the answer can't be taken for whole."""
+        if self._request.transport is not None:
+            self._request.transport.abort()
+
+
+class Front:
+    """Takes callers' requests.
+
+    :param stopping: whether this daemon is about to end.
+    """
+
+    def __init__(
+        self,
+        settings: GatewaySettings,
+        mirror: Mirror,
+        wire: Wire,
+        plain: PlainRequests,
+        streams: StreamRequests,
+        repeats: Repeats,
+        clock: t.Callable[[], float],
+    ) -> None:
+        self._settings = settings
+        self._mirror = mirror
+        self._wire = wire
+        self._plain = plain
+        self._streams = streams
+        self._repeats = repeats
+        self._clock = clock
+        self.stopping = False
+        self.requests = 0
+        self.running = 0
+
+    def not_ready(self) -> str | None:
+        """Return why this daemon should get no requests, or None if it should."""
+        if self.stopping:
+            return "stopping"
+        if not self._mirror.loaded:
+            return "no configuration yet"
+        if not self._fresh():
+            return "configuration too old"
+        return None
+
+    async def readiness(self, request: web.BaseRequest) -> web.StreamResponse:
+        """Answer whether this daemon is ready."""
+        if not self._wire.is_readiness(request.method, request.path):
+            return web.Response(status=404)
+        reason = self.not_ready()
+        return web.Response(status=503 if reason else 200, text=reason or "ready")
+
+    async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        """Answer a caller's request."""
+        self.requests += 1
+        self.running += 1
+        received_at = self._clock()
+        head = self._wire.request_head(request.headers)
+        caller = Caller(request, lambda: self.stopping)
+        try:
+            return await self._serve(request, head, caller, received_at)
+        except CutError as error:
+            events.REQUEST_CUT.log(request=head.id, cause=error.cause)
+            caller.cut()
+            assert caller.response is not None
+            return caller.response
+        except RefusalError as error:
+            return self._refused(head, error, received_at)
+        except (asyncio.CancelledError, ConnectionError):
+            events.REQUEST_LEFT.log(
+                request=head.id, after=round(self._clock() - received_at, 3), begun=caller.begun
+            )
+            raise
+        finally:
+            self.running -= 1
+
+    def _refused(self, head: RequestHead, error: RefusalError, received_at: float) -> web.Response:
+        events.REQUEST_REFUSED.log(
+            request=head.id,
+            status=error.status,
+            cause=error.cause,
+            retry_after=error.retry_after,
+            after=round(self._clock() - received_at, 3),
+            config_age=round(self._mirror.age(), 3),
+        )
+        response = web.Response(status=error.status, text=error.cause + "\n")
+        if error.retry_after is not None:
+            response.headers["Retry-After"] = f"{error.retry_after:.2f}"
+        if self.stopping or (error.status == 503 and not self._fresh()):
+            response.force_close()
+        return response
+
+    async def _serve(
+        self, request: web.BaseRequest, head: RequestHead, caller: Caller, received_at: float
+    ) -> web.StreamResponse:
+        configuration = self._mirror.configuration
+        if configuration is None:
+            raise RefusalError(503, "no configuration yet", retry_after=RETRY_AFTER_SECONDS)
+        path = request.raw_path
+        route = configuration.route_for(request.headers.get("Host", ""), path.split("?", 1)[0])
+        if route is None:
+            raise RefusalError(404, "no route")
+        workspace = self._workspace(configuration, route, head)
+        limit = configuration.limits.body_bytes
+        body = await _read(request, limit)
+        deadline_at = received_at + (head.deadline or DEFAULT_DEADLINE_SECONDS)
+        wanted = Request(
+            head,
+            request.method,
+            path,
+            list(request.headers.items()),
+            body,
+            route,
+            self._service(configuration, route),
+            workspace,
+            received_at,
+            min(deadline_at, received_at + route.timeout) - MARGIN_SECONDS,
+            deadline_at,
+        )
+        self._repeats.request(wanted)
+        await self._forward(wanted, caller)
+        self._log_done(wanted, caller)
+        assert caller.response is not None
+        return caller.response
+
+    async def _forward(self, wanted: Request, caller: Caller) -> None:
+        if wanted.route.kind is RouteKind.STREAMING and wanted.service.engine is not None:
+            await self._streams.serve(wanted, wanted.service.engine, caller)
+            return
+        answer = await self._plain.serve(wanted)
+        await caller.begin(
+            answer.status, [*answer.headers, ("Content-Length", str(len(answer.body)))]
+        )
+        if answer.body:
+            await caller.write(answer.body)
+        await caller.end()
+
+    def _workspace(
+        self, configuration: ServingConfiguration, route: Route, head: RequestHead
+    ) -> KeyHolder | None:
+        if route.public or not configuration.workspaces:
+            return None
+        if not self._fresh():
+            raise RefusalError(
+                503, "configuration too old for keys", retry_after=RETRY_AFTER_SECONDS
+            )
+        workspace = configuration.workspace_for(head.key) if head.key else None
+        if workspace is None:
+            raise RefusalError(401, "unknown key")
+        return workspace
+
+    def _fresh(self) -> bool:
+        bound = self._settings.revoke_within
+        return bound is None or self._mirror.age() < bound * REVOKE_PART
+
+    def _service(self, configuration: ServingConfiguration, route: Route) -> ServiceTerms:
+        split = route.splits[0]
+        if len(route.splits) > 1:
+            # the next request number spreads over the parts by their weights
+            total = sum(one.weight for one in route.splits)
+            point = (self.requests * 0.6180339887) % 1.0 * total
+            for one in route.splits:
+                split = one
+                point -= one.weight
+                if point < 0:
+                    break
+        return configuration.services.get(split.service) or ServiceTerms(split.service)
+
+    def _log_done(self, wanted: Request, caller: Caller) -> None:
+        events.REQUEST_DONE.log(
+            request=wanted.head.id,
+            route=wanted.route.name,
+            workspace=wanted.workspace.name if wanted.workspace else None,
+            status=caller.response.status if caller.response else 0,
+            sends=wanted.sends + 1,
+            seconds=round(self._clock() - wanted.received_at, 3),
+            config_age=round(self._mirror.age(), 3),
+        )
+
+
+async def _read(request: web.BaseRequest, limit: int) -> bytes:
+    parts: list[bytes] = []
+    size = 0
+    while data := await request.content.readany():
+        size += len(data)
+        if size > limit:
+            raise RefusalError(413, f"body over {limit} bytes")
+        parts.append(data)
+    return b"".join(parts)
+
+
+def _fill(response: web.StreamResponse, headers: Headers, closing: bool) -> None:
+    for name, value in headers:
+        response.headers.add(name, value)
+    if closing:
+        response.force_close()
--- /dev/null
+++ b/packages/gateway/src/thorncleat_gateway/gateway.py
@@ -0,0 +1,199 @@
+"""One daemon of the gateway: builds its parts and runs them."""
+
+import asyncio
+import typing as t
+
+import aiohttp
+import mode
+from aiohttp import web
+
+from . import events
+from . import upstream
+from .controller import Controller
+from .dispatch import Dispatcher
+from .front import Front
+from .loads import Loads
+from .membership import Election
+from .membership import Registration
+from .mirror import Mirror
+from .orders import Orders
+from .peers import LOAD_SECONDS
+from .peers import LoadReport
+from .peers import Message
+from .peers import Peers
+from .peers import Probe
+from .plain import PlainRequests
+from .ports import Engines
+from .ports import Feed
+from .ports import Records
+from .ports import Wire
+from .pulse import Pulse
+from .requests import Repeats
+from .settings import GatewaySettings
+from .streams import StreamRequests
+from .upstream import Upstream
+
+# longer than callers let a connection rest
+KEEP_ALIVE_SECONDS = 75.0
+# after the order to stop, for the balancer to notice
+LEAVE_SECONDS = 2.5
+# before the end by force
+STOP_MARGIN_SECONDS = 0.7
+
+
+class Gateway(mode.Service):
+    """One daemon.
+
+    :param first_start: whether this is the very first start of the whole system.
+    """
+
+    def __init__(
+        self,
+        settings: GatewaySettings,
+        feed: Feed,
+        records: Records,
+        engines: Engines,
+        wire: Wire,
+        clock: t.Callable[[], float],
+        *,
+        first_start: bool = False,
+    ) -> None:
+        super().__init__()
+        self._settings = settings
+        self._clock = clock
+        self._first_start = first_start
+        self._traffic_elsewhere = False
+        self._runners: list[web.ServerRunner] = []
+        self.mirror = Mirror(feed, clock, settings.watch, settings.coalesce)
+        self.registration = Registration(settings, records, self.mirror)
+        self.peers = Peers(settings, self.registration.addresses)
+        self.pulse = Pulse(settings.streams, self.peers, clock)
+        self.loads = Loads(clock)
+        self.election = Election(settings, records, self.mirror, clock, self.registration.addresses)
+        self._orders = Orders(
+            settings.control,
+            engines,
+            self.mirror,
+            lambda: self.election.leads,
+            lambda one: self.pulse.heard(one, clock()),
+        )
+        self.controller = Controller(
+            settings,
+            self.mirror,
+            self.election,
+            self._orders,
+            self.pulse,
+            self.peers,
+            clock,
+            lambda: self._quiet,
+        )
+        self._client: aiohttp.ClientSession | None = None
+        self._wire = wire
+        self._front: Front | None = None
+        self.peers.on_message(self._message)
+
+    @property
+    def _quiet(self) -> bool:
+        """Whether no caller has sent anything since the very first start."""
+        own = self._front is not None and self._front.requests > 0
+        return self._first_start and not own and not self._traffic_elsewhere
+
+    async def on_start(self) -> None:
+        """Start all parts, then listen."""
+        self._front = self._build_requests()
+        for part in (
+            self.mirror,
+            self.registration,
+            self.peers,
+            self.pulse,
+            self.election,
+            self.controller,
+        ):
+            await self.add_runtime_dependency(part)
+        await self._listen(self._front.readiness, self._settings.readiness)
+        await self._listen(self._front.handle, self._settings.callers)
+        events.STARTED.log(callers=self._settings.callers, first_start=self._first_start)
+
+    def _build_requests(self) -> Front:
+        settings, clock = self._settings, self._clock
+        self._client = upstream.session()
+        calls = Upstream(self._client, self._wire, settings.connect_timeout)
+        dispatcher = Dispatcher(settings, self.mirror, self.loads, self.pulse, clock)
+        repeats = Repeats(settings.retry, clock, self._sharing)
+        parts = (self._wire, calls, dispatcher, self.loads, repeats, self.pulse, clock)
+        plain, streams = PlainRequests(*parts), StreamRequests(*parts)
+        return Front(settings, self.mirror, self._wire, plain, streams, repeats, clock)
+
+    def _sharing(self) -> int:
+        """Return how many daemons share what all may spend."""
+        return max(self._settings.daemons, self.peers.daemons)
+
+    async def drain(self) -> None:
+        """Finish what runs before the end: first let the balancer and the callers know."""
+        assert self._front is not None
+        events.STOPPING.log(running=self._front.running)
+        begun = self._clock()
+        self._front.stopping = True
+        self.election.stopping = True
+        until = begun + self._settings.grace - STOP_MARGIN_SECONDS
+        while self._clock() < until:
+            await asyncio.sleep(0.05)
+            if self._clock() - begun > LEAVE_SECONDS and not self._front.running:
+                break
+
+    async def on_stop(self) -> None:
+        """Close the listeners."""
+        for runner in reversed(self._runners):
+            await runner.cleanup()
+
+    async def on_shutdown(self) -> None:
+        """Close what the parts used."""
+        if self._client is not None:
+            await self._client.close()
+        events.STOPPED.log()
+
+    def _message(self, sender: str, message: Message) -> None:
+        match message:
+            case LoadReport(counts, _):
+                self.loads.report(sender, counts)
+                if counts:
+                    self._traffic_elsewhere = True
+            case Probe(endpoint_id):
+                self._probe(endpoint_id)
+
+    def _probe(self, endpoint_id: str) -> None:
+        gone = self.mirror.roster.gone.get(endpoint_id)
+        listed = self.mirror.roster.endpoints.get(endpoint_id)
+        endpoint = listed or (gone.endpoint if gone else None)
+        if endpoint is not None:
+            self.add_future(self._orders.answers(endpoint))
+
+    @mode.Service.task
+    async def _report_task(self) -> None:
+        quiet_reports = 0
+        while not self.should_stop:
+            await asyncio.sleep(LOAD_SECONDS)
+            self.loads.refresh()
+            report = LoadReport(dict(self.loads.own), self.pulse.heard_lately())
+            quiet_reports = 0 if report.counts or report.heard else quiet_reports + 1
+            if quiet_reports < 3:
+                self.peers.tell_all(report)
+
+    async def _listen(
+        self,
+        handler: t.Callable[[web.BaseRequest], t.Awaitable[web.StreamResponse]],
+        address: tuple[str, int],
+    ) -> None:
+        server = web.Server(
+            handler,
+            access_log=None,
+            keepalive_timeout=KEEP_ALIVE_SECONDS,
+            max_line_size=16_384,
+            max_field_size=16_384,
+            auto_decompress=False,
+        )
+        runner = web.ServerRunner(server, handler_cancellation=True, shutdown_timeout=0.1)
+        await runner.setup()
+        self._runners.append(runner)
+        site = web.TCPSite(runner, *address, backlog=512, reuse_address=True)
+        await site.start()
--- /dev/null
+++ b/packages/gateway/src/thorncleat_gateway/peers.py
@@ -0,0 +1,153 @@
+"""Datagrams between daemons: soft state that the next datagram replaces.
+
+A lost datagram costs a little accuracy and nothing else, so nothing is acknowledged. Only
+datagrams from daemons that are registered in the store are taken in.
+"""
+
+import asyncio
+import dataclasses
+import typing as t
+
+import mode
+import msgpack
+
+from thorncleat_core.roster import GroupId
+
+from . import events
+from .settings import GatewaySettings
+
+FORMAT = 1
+LOAD_SECONDS = 0.1
+
+
+@dataclasses.dataclass(frozen=True)
+class LoadReport:
+    """What a daemon has under way, and whom it has heard from lately.
+
+    :param counts: requests by endpoint.
+    :param heard: endpoints that answered within the last second.
+    """
+
+    counts: t.Mapping[str, int]
+    heard: t.Sequence[str]
+
+
+@dataclasses.dataclass(frozen=True)
+class Suspicion:
+    """A group's leader is silent.
+
+    :param fault: the member that is at fault as far as it is known, or an empty string.
+    """
+
+    leader: str
+    group: GroupId
+    fault: str = ""
+
+
+@dataclasses.dataclass(frozen=True)
+class Probe:
+    """The controller wants to know whether anyone hears an endpoint."""
+
+    endpoint_id: str
+
+
+Message = LoadReport | Suspicion | Probe
+Handler = t.Callable[[str, Message], None]
+
+
+def encode(sender: str, message: Message) -> bytes:
+    """Return a message as a datagram."""
+    match message:
+        case LoadReport(counts, heard):
+            content: list[t.Any] = ["load", dict(counts), list(heard)]
+        case Suspicion(leader, group, fault):
+            content = ["suspect", leader, group.epoch, group.name, fault]
+        case Probe(endpoint_id):
+            content = ["probe", endpoint_id]
+    packed: bytes = msgpack.packb([FORMAT, sender, *content])
+    return packed
+
+
+def decode(data: bytes) -> tuple[str, Message] | None:
+    """Return the sender and the message of a datagram; None if it isn't one."""
+    try:
+        match msgpack.unpackb(data):
+            case [1, str(sender), "load", dict(counts), list(heard)]:
+                return sender, LoadReport({str(k): int(v) for k, v in counts.items()}, heard)
+            case [1, str(sender), "suspect", str(leader), int(epoch), str(name), str(fault)]:
+                return sender, Suspicion(leader, GroupId(epoch, name), fault)
+            case [1, str(sender), "probe", str(endpoint_id)]:
+                return sender, Probe(endpoint_id)
+    except (ValueError, TypeError, msgpack.UnpackException):
+        pass
+    return None
+
+
+class Peers(mode.Service):
+    """Sends to all other daemons and takes in what they send.
+
+    :param addresses: returns the address of each registered daemon.
+    """
+
+    def __init__(
+        self,
+        settings: GatewaySettings,
+        addresses: t.Callable[[], t.Mapping[str, tuple[str, int]]],
+    ) -> None:
+        super().__init__()
+        self._id = settings.id
+        self._listen = settings.peers
+        self._addresses = addresses
+        self._handlers: list[Handler] = []
+        self._transport: asyncio.DatagramTransport | None = None
+        self.rejected = 0
+
+    @property
+    def daemons(self) -> int:
+        """The daemons that are registered, at least this one."""
+        return max(1, len(self._addresses()))
+
+    async def on_start(self) -> None:
+        """Open the socket."""
+        loop = asyncio.get_running_loop()
+        receiver = _Receiver(self._received)
+        self._transport, _ = await loop.create_datagram_endpoint(
+            lambda: receiver, local_addr=self._listen
+        )
+
+    async def on_stop(self) -> None:
+        """Close the socket."""
+        if self._transport:
+            self._transport.close()
+
+    def on_message(self, handler: Handler) -> None:
+        """Call a function for each message."""
+        self._handlers.append(handler)
+
+    def tell_all(self, message: Message) -> None:
+        """Send a message to all other daemons."""
+        if self._transport is None or self._transport.is_closing():
+            return
+        data = encode(self._id, message)
+        for daemon, address in self._addresses().items():
+            if daemon != self._id:
+                self._transport.sendto(data, address)
+
+    def _received(self, data: bytes, source: tuple[str, int]) -> None:
+        found = decode(data)
+        if found is None or self._addresses().get(found[0]) != source:
+            self.rejected += 1
+            if self.rejected.bit_count() == 1:
+                # the first, and then each time the number has doubled
+                events.PEER_REJECTED.log(source=f"{source[0]}:{source[1]}", count=self.rejected)
+            return
+        for handler in self._handlers:
+            handler(*found)
+
+
+class _Receiver(asyncio.DatagramProtocol):
+    def __init__(self, received: t.Callable[[bytes, tuple[str, int]], None]) -> None:
+        self._received = received
+
+    def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
+        self._received(data, (addr[0], addr[1]))
--- /dev/null
+++ b/packages/gateway/src/thorncleat_gateway/requests.py
@@ -0,0 +1,132 @@
+"""What is known of a caller's request while it is served."""
+
+import collections
+import dataclasses
+import typing as t
+
+from thorncleat_core.allowance import RetryAllowance
+from thorncleat_core.allowance import RetryTerms
+from thorncleat_core.roster import Endpoint
+from thorncleat_core.serving import KeyHolder
+from thorncleat_core.serving import Route
+from thorncleat_core.serving import ServiceTerms
+
+from . import events
+from .exceptions import AttemptError
+from .exceptions import Ran
+from .exceptions import RefusalError
+from .ports import ForwardTerms
+from .ports import Headers
+from .ports import RequestHead
+from .ports import Wire
+
+# sends that may be tried while nothing of them can have reached an endpoint
+UNSENT_TRIES = 4
+LOWEST_PRIORITY = 9
+
+
+@dataclasses.dataclass
+class Request:
+    """A caller's request.
+
+    :param until: when it is given up, on the gateway's clock.
+    :param tried: endpoints that it was sent to.
+    :param sends: attempts that can have reached an endpoint.
+    """
+
+    head: RequestHead
+    method: str
+    path: str
+    headers: Headers
+    body: bytes
+    route: Route
+    service: ServiceTerms
+    workspace: KeyHolder | None
+    received_at: float
+    until: float
+    deadline_at: float
+    tried: set[str] = dataclasses.field(default_factory=set)
+    sends: int = 0
+    unsent: int = 0
+    may_have_run: bool = False
+
+    @property
+    def priority(self) -> int:
+        """The rank for engines: the workspace's before the route's; 0 is the highest."""
+        own = self.workspace.priority if self.workspace else 0
+        return min(LOWEST_PRIORITY, 2 * own + min(1, self.route.priority))
+
+    def forwarded(self, wire: Wire, one: Endpoint, now: float, last: str | None) -> Headers:
+        """Return the headers for an attempt."""
+        terms = ForwardTerms(
+            remaining=max(0.001, self.deadline_at - now),
+            endpoint_id=one.id,
+            workspace=self.workspace.name if self.workspace else None,
+            priority=self.priority,
+            last_event_id=last,
+        )
+        return wire.forwarded(self.headers, terms)
+
+    def failed(self, one: Endpoint, error: AttemptError) -> None:
+        """Take in that an attempt failed."""
+        self.tried.add(one.id)
+        if error.sent:
+            self.sends += 1
+        else:
+            self.unsent += 1
+        if error.ran is Ran.MAYBE:
+            self.may_have_run = True
+
+    def refusal(self, cause: str, retry_after: float | None) -> RefusalError:
+        """Return the final answer: whether it promises anything depends on what was sent."""
+        if self.may_have_run:
+            return RefusalError(502, cause)
+        return RefusalError(503, cause, retry_after=retry_after)
+
+
+class Repeats:
+    """The retry budget of each service, as far as it is this daemon's.
+
+    :param daemons: returns how many daemons share it.
+    """
+
+    def __init__(
+        self, terms: RetryTerms, clock: t.Callable[[], float], daemons: t.Callable[[], int]
+    ) -> None:
+        self._clock = clock
+        self._daemons = daemons
+        self._allowances: dict[str, RetryAllowance] = collections.defaultdict(
+            lambda: RetryAllowance(terms)
+        )
+
+    def request(self, request: Request) -> None:
+        """Count a caller's request."""
+        self._allowances[request.service.name].request(self._clock())
+
+    def possible(self, request: Request) -> bool:
+        """Tell whether a request could be sent once more now."""
+        if request.sends == 0:
+            return request.unsent < UNSENT_TRIES
+        if request.sends >= request.route.max_attempts:
+            return False
+        return self._allowances[request.service.name].left(self._clock(), self._daemons()) > 0
+
+    def take(self, request: Request) -> bool:
+        """Count a repeat if one may be sent; tell whether it may."""
+        if request.sends == 0:
+            return request.unsent < UNSENT_TRIES
+        if request.sends >= request.route.max_attempts:
+            return False
+        return self._allowances[request.service.name].take(self._clock(), self._daemons())
+
+
+def log_failed(request: Request, one: Endpoint, error: AttemptError, now: float) -> None:
+    """Write the line of a failed attempt."""
+    events.REQUEST_MOVED.log(
+        request=request.head.id,
+        endpoint=one.id,
+        cause=error.cause,
+        ran=error.ran.value,
+        sends=request.sends,
+        after=round(now - request.received_at, 3),
+    )
--- /dev/null
+++ b/packages/gateway/src/thorncleat_gateway/settings.py
@@ -0,0 +1,75 @@
+"""Settings of the gateway, as data; the platform's adapter fills them in."""
+
+import dataclasses
+
+from thorncleat_core.allowance import RetryTerms
+
+
+@dataclasses.dataclass(frozen=True)
+class ControlSettings:
+    """Group control; times in seconds.
+
+    :param lease: time to live of the controller's lease.
+    :param margin: before the lease's end, when the controller stops acting.
+    :param order_timeout: for an answer to an order.
+    :param probe_timeout: for a report.
+    :param stall: after which an engine's leader notices that a member is missing.
+    :param silent_after: after which an unlisted, silent leader is taken for dead.
+    :param form_timeout: for a group whose hosts hold the model.
+    """
+
+    lease: float = 2.0
+    margin: float = 0.3
+    order_timeout: float = 0.4
+    probe_timeout: float = 0.15
+    stall: float = 5.0
+    silent_after: float = 0.2
+    form_timeout: float = 5.0
+
+
+@dataclasses.dataclass(frozen=True)
+class StreamSettings:
+    """When a silent group is left; times in seconds.
+
+    :param gaps: usual gaps between events after which silence is evidence.
+    :param least_silence: silence that is never evidence.
+    :param most_silence: silence that always is, once events have come.
+    :param first_event: silence before the first event.
+    :param suspected: silence that suffices when another daemon suspects the group.
+    """
+
+    gaps: float = 3.0
+    least_silence: float = 0.12
+    most_silence: float = 0.3
+    first_event: float = 0.35
+    suspected: float = 0.07
+    suspicion: float = 1.0
+
+
+@dataclasses.dataclass(frozen=True)
+class GatewaySettings:
+    """One daemon's settings; addresses are ``(host, port)``, times in seconds.
+
+    :param id: of this daemon, unique among those that run.
+    :param apply_within: for a configuration to be in force.
+    :param revoke_within: after which a key that was taken away must not work; None to serve
+        on whatever the age of the configuration.
+    :param grace: between the order to stop and the end by force.
+    """
+
+    id: str
+    failure_domain: str
+    callers: tuple[str, int]
+    readiness: tuple[str, int]
+    peers: tuple[str, int]
+    retry: RetryTerms
+    apply_within: float = 2.0
+    drain_within: float = 2.0
+    revoke_within: float | None = None
+    grace: float = 8.0
+    daemons: int = 1
+    connect_timeout: float = 0.25
+    watch: float = 1.5
+    coalesce: float = 0.1
+    control: ControlSettings = ControlSettings()
+    streams: StreamSettings = StreamSettings()
--- /dev/null
+++ b/packages/gateway/src/thorncleat_gateway/upstream.py
@@ -0,0 +1,154 @@
+"""One attempt at an endpoint, with what is known of its fate when it fails."""
+
+import asyncio
+import contextlib
+import typing as t
+
+import aiohttp
+from yarl import URL
+
+from .exceptions import AttemptError
+from .exceptions import Ran
+from .ports import AnswerHead
+from .ports import Headers
+from .ports import Wire
+
+SKIPPED = ("Accept", "Accept-Encoding", "User-Agent", "Content-Type")
+
+
+class _LostError(aiohttp.ClientError):
+    """A connection was lost after something may have been sent."""
+
+
+async def _never_again(
+    request: aiohttp.ClientRequest, handler: aiohttp.ClientHandlerType
+) -> aiohttp.ClientResponse:
+    """Keep the client library from sending a request twice.
+
+    It repeats some methods by itself when a connection is lost. It knows those errors by
+    their class, so they get another.
+    """
+    try:
+        return await handler(request)
+    except aiohttp.ClientConnectorError:
+        raise
+    except (aiohttp.ClientOSError, aiohttp.ServerDisconnectedError) as error:
+        raise _LostError(repr(error)) from error
+
+
+def session() -> aiohttp.ClientSession:
+    """Return a session in which each call has a connection of its own.
+
+    So no answer can be mistaken for another request's, and no kept connection can be closed
+    by the endpoint while a request crosses it.
+    """
+    connector = aiohttp.TCPConnector(limit=0, force_close=True, happy_eyeballs_delay=None)
+    return aiohttp.ClientSession(
+        connector=connector,
+        auto_decompress=False,
+        skip_auto_headers=SKIPPED,
+        middlewares=(_never_again,),
+        cookie_jar=aiohttp.DummyCookieJar(),
+    )
+
+
+class Exchange:
+    """An endpoint's answer whose head has come.
+
+    :param head: what its headers say.
+    """
+
+    def __init__(self, response: aiohttp.ClientResponse, head: AnswerHead) -> None:
+        self._response = response
+        self.head = head
+
+    @property
+    def status(self) -> int:
+        """The endpoint's status."""
+        return self._response.status
+
+    @property
+    def headers(self) -> list[tuple[str, str]]:
+        """The endpoint's headers, as they came."""
+        return list(self._response.headers.items())
+
+    async def body(self) -> bytes:
+        """Return the whole body.
+
+        :raises AttemptError: if it was cut short.
+        """
+        try:
+            return await self._response.read()
+        except (aiohttp.ClientError, ConnectionError) as error:
+            raise AttemptError(f"answer cut: {type(error).__name__}", Ran.MAYBE) from error
+
+    async def more(self) -> bytes:
+        """Return the next bytes of the body as they come; nothing at its end.
+
+        :raises AttemptError: if it was cut short.
+        """
+        try:
+            return await self._response.content.readany()
+        except (aiohttp.ClientError, ConnectionError) as error:
+            raise AttemptError(f"answer cut: {type(error).__name__}", Ran.MAYBE) from error
+
+
+class Upstream:
+    """Opens exchanges with endpoints.
+
+    :param connect_timeout: seconds for a connection to come up.
+    """
+
+    def __init__(self, client: aiohttp.ClientSession, wire: Wire, connect_timeout: float) -> None:
+        self._client = client
+        self._wire = wire
+        self._timeout = aiohttp.ClientTimeout(total=None, sock_connect=connect_timeout)
+
+    @contextlib.asynccontextmanager
+    async def open(
+        self, address: str, method: str, path: str, headers: Headers, body: bytes, request_id: str
+    ) -> t.AsyncIterator[Exchange]:
+        """Send a request and yield the exchange once the answer's head is there.
+
+        :param path: as it stood in the caller's request line.
+        :raises AttemptError: if there is no answer of this request's.
+        """
+        call = self._client.request(
+            method,
+            URL(f"http://{address}{path}", encoded=True),
+            data=body if body or method not in ("GET", "HEAD") else None,
+            headers=headers,
+            timeout=self._timeout,
+            allow_redirects=False,
+        )
+        async with contextlib.AsyncExitStack() as stack:
+            try:
+                response = await stack.enter_async_context(call)
+            except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
+                cause = f"no connection: {type(error).__name__}"
+                raise AttemptError(cause, Ran.NO, sent=False) from error
+            except (aiohttp.ClientError, ConnectionError, ValueError) as error:
+                raise AttemptError(f"no answer: {type(error).__name__}", Ran.MAYBE) from error
+            stack.callback(response.close)
+            yield Exchange(response, self._checked(response, request_id))
+
+    def _checked(self, response: aiohttp.ClientResponse, request_id: str) -> AnswerHead:
+        head = self._wire.answer_head(response.status, response.headers)
+        if head.not_run:
+            raise AttemptError(f"declined with {response.status}", Ran.NO)
+        if head.request_id is not None and head.request_id != request_id:
+            raise AttemptError("answer of another request", Ran.MAYBE)
+        if head.encoded or (not head.signed and response.status < 400):
+            raise AttemptError("not the endpoint's own answer", Ran.MAYBE)
+        return head
+
+
+async def within(seconds: float, work: t.Awaitable[t.Any]) -> t.Any:
+    """Wait for something for some seconds.
+
+    :raises AttemptError: if it takes longer.
+    """
+    try:
+        return await asyncio.wait_for(work, max(0.0, seconds))
+    except TimeoutError:
+        raise AttemptError(f"no answer in {seconds:.3f} s", Ran.MAYBE) from None
