Suspect a group later, never use a draining endpoint, tell a reset answer from a whole one

Change: silence counts from 250 ms (450 ms before the first event); draining endpoints get nothing; a connection class fails such answers.

--- a/packages/gateway/src/thorncleat_gateway/dispatch.py
+++ b/packages/gateway/src/thorncleat_gateway/dispatch.py
@@ -13,8 +13,6 @@
 
 # seconds for which an endpoint that refused or cut a connection is avoided
 AVOID_SECONDS = 1.0
-# part of the time to leave a draining endpoint in which it is used if there is nothing else
-DRAIN_PART = 0.6
 # requests for each slot from which on a group is full
 FULL = 2.0
 # failures of an endpoint weigh less with each answer, by this factor
@@ -54,9 +52,8 @@
 
     def plain(self, service: str, tried: t.Container[str]) -> Endpoint | None:
         """Return the endpoint of a plain service for a request."""
-        listed = [one for one in self._mirror.roster.of_service(service) if one.id not in tried]
-        usable = [one for one in listed if not one.draining] or listed
-        return self._best(usable)
+        listed = self._mirror.roster.of_service(service)
+        return self._best([one for one in listed if not one.draining and one.id not in tried])
 
     def leader(
         self, service: str, engine: Engine, model: str, tried: t.Container[str]
--- a/packages/gateway/src/thorncleat_gateway/front.py
+++ b/packages/gateway/src/thorncleat_gateway/front.py
@@ -247,6 +247,9 @@
             workspace=wanted.workspace.name if wanted.workspace else None,
             status=caller.response.status if caller.response else 0,
             sends=wanted.sends + 1,
+            endpoint=wanted.endpoint_id,
+            first_event=round(max(0.0, wanted.first_event_at - wanted.received_at), 3),
+            longest_pause=round(wanted.longest_pause, 3),
             seconds=round(self._clock() - wanted.received_at, 3),
             config_age=round(self._mirror.age(), 3),
         )
--- a/packages/gateway/src/thorncleat_gateway/requests.py
+++ b/packages/gateway/src/thorncleat_gateway/requests.py
@@ -49,6 +49,19 @@
     sends: int = 0
     unsent: int = 0
     may_have_run: bool = False
+    first_event_at: float = 0.0
+    last_event_at: float = 0.0
+    longest_pause: float = 0.0
+    endpoint_id: str = ""
+    sent_at: float = 0.0
+
+    def event(self, now: float) -> None:
+        """Take in that an event of the answer came."""
+        if self.first_event_at:
+            self.longest_pause = max(self.longest_pause, now - self.last_event_at)
+        else:
+            self.first_event_at = now
+        self.last_event_at = now
 
     @property
     def priority(self) -> int:
@@ -67,10 +80,14 @@
         )
         return wire.forwarded(self.headers, terms)
 
-    def failed(self, one: Endpoint, error: AttemptError) -> None:
-        """Take in that an attempt failed."""
+    def failed(self, one: Endpoint, error: AttemptError, *, counted: bool = True) -> None:
+        """Take in that an attempt failed.
+
+        :param counted: whether it counts towards the route's attempts; one that surely did
+            not begin to run doesn't.
+        """
         self.tried.add(one.id)
-        if error.sent:
+        if error.sent and counted:
             self.sends += 1
         else:
             self.unsent += 1
@@ -105,20 +122,19 @@
 
     def possible(self, request: Request) -> bool:
         """Tell whether a request could be sent once more now."""
-        if request.sends == 0:
-            return request.unsent < UNSENT_TRIES
-        if request.sends >= request.route.max_attempts:
+        if not self._within_attempts(request):
             return False
         return self._allowances[request.service.name].left(self._clock(), self._daemons()) > 0
 
     def take(self, request: Request) -> bool:
         """Count a repeat if one may be sent; tell whether it may."""
-        if request.sends == 0:
-            return request.unsent < UNSENT_TRIES
-        if request.sends >= request.route.max_attempts:
+        if not self._within_attempts(request):
             return False
         return self._allowances[request.service.name].take(self._clock(), self._daemons())
 
+    def _within_attempts(self, request: Request) -> bool:
+        return request.sends < request.route.max_attempts and request.unsent < UNSENT_TRIES
+
 
 def log_failed(request: Request, one: Endpoint, error: AttemptError, now: float) -> None:
     """Write the line of a failed attempt."""
--- a/packages/gateway/src/thorncleat_gateway/settings.py
+++ b/packages/gateway/src/thorncleat_gateway/settings.py
@@ -39,9 +39,9 @@
     """
 
     gaps: float = 3.0
-    least_silence: float = 0.12
-    most_silence: float = 0.3
-    first_event: float = 0.35
+    least_silence: float = 0.25
+    most_silence: float = 0.45
+    first_event: float = 0.45
     suspected: float = 0.07
     suspicion: float = 1.0
 
--- a/packages/gateway/src/thorncleat_gateway/streams.py
+++ b/packages/gateway/src/thorncleat_gateway/streams.py
@@ -92,12 +92,17 @@
                 self._dispatcher.answered(one.id, well=True)
                 return
             except AttemptError as error:
-                request.failed(one, error)
+                request.failed(one, error, counted=not self._never_began(request, one, error))
                 self._dispatcher.answered(one.id, well=False)
                 log_failed(request, one, error, self._clock())
                 self._after_failure(request, one, error, caller)
             cutter.restart()
 
+    def _never_began(self, request: Request, one: Endpoint, error: AttemptError) -> bool:
+        """Tell whether a group was silent since before a request was sent to it."""
+        quiet = not self._pulse.heard_since(one.id, request.sent_at)
+        return error.ran is Ran.MAYBE and quiet
+
     def _after_failure(
         self, request: Request, one: Endpoint, error: AttemptError, caller: CallerStream
     ) -> None:
@@ -164,6 +169,8 @@
         self, request: Request, run: Run, cutter: EventCutter, caller: CallerStream
     ) -> None:
         one = run.leader
+        request.endpoint_id = one.id
+        request.sent_at = self._clock()
         last = cutter.last_id or request.head.last_event_id
         headers = request.forwarded(self._wire, one, self._clock(), last)
         events.REQUEST_SENT.log(
@@ -176,10 +183,15 @@
             if exchange.status != 200:
                 await self._pass_failure(exchange, caller)
                 return
-            await self._relay(exchange, run, cutter, caller)
+            await self._relay(request, exchange, run, cutter, caller)
 
     async def _relay(
-        self, exchange: Exchange, run: Run, cutter: EventCutter, caller: CallerStream
+        self,
+        request: Request,
+        exchange: Exchange,
+        run: Run,
+        cutter: EventCutter,
+        caller: CallerStream,
     ) -> None:
         while data := await exchange.more():
             now = self._clock()
@@ -188,6 +200,7 @@
             whole = cutter.feed(data)
             if not whole:
                 continue
+            request.event(now)
             if not caller.begun:
                 await caller.begin(exchange.status, self._wire.returned(exchange.headers))
             await caller.write(whole)
--- a/packages/gateway/src/thorncleat_gateway/upstream.py
+++ b/packages/gateway/src/thorncleat_gateway/upstream.py
@@ -2,9 +2,11 @@
 
 import asyncio
 import contextlib
+import functools
 import typing as t
 
 import aiohttp
+from aiohttp.client_proto import ResponseHandler
 from yarl import URL
 
 from .exceptions import AttemptError
@@ -36,6 +38,20 @@
         raise _LostError(repr(error)) from error
 
 
+class _Connection(ResponseHandler):
+    """A connection that tells an answer without a length from one that was reset.
+
+    Such an answer ends with its connection, and the client library takes any end for it.
+    """
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        """Fail an answer that was still coming if the connection did not end in order."""
+        payload = self._payload
+        if exc is not None and payload is not None and not payload.is_eof():
+            payload.set_exception(aiohttp.ClientPayloadError(repr(exc)))
+        super().connection_lost(exc)
+
+
 def session() -> aiohttp.ClientSession:
     """Return a session in which each call has a connection of its own.
 
@@ -43,6 +59,7 @@
     by the endpoint while a request crosses it.
     """
     connector = aiohttp.TCPConnector(limit=0, force_close=True, happy_eyeballs_delay=None)
+    connector._factory = functools.partial(_Connection, loop=asyncio.get_running_loop())
     return aiohttp.ClientSession(
         connector=connector,
         auto_decompress=False,
