--- a/packages/gateway/src/thorncleat_gateway/upstream.py
+++ b/packages/gateway/src/thorncleat_gateway/upstream.py
@@ -59,7 +59,8 @@
     by the endpoint while a request crosses it.
     """
     connector = aiohttp.TCPConnector(limit=0, force_close=True, happy_eyeballs_delay=None)
-    connector._factory = functools.partial(_Connection, loop=asyncio.get_running_loop())
+    made = functools.partial(_Connection, loop=asyncio.get_running_loop())
+    connector._factory = t.cast(functools.partial[ResponseHandler], made)
     return aiohttp.ClientSession(
         connector=connector,
         auto_decompress=False,
