Give each domain one model where there are domains enough; keep groups with weak members

Change: domains carry one model each where that is possible, so every free host there is a warm spare; hosts load before they join; a member that is draining or not listed but answers keeps its group, and may help out in a new one; a leader never.

--- a/packages/gateway/src/thorncleat_gateway/controller.py
+++ b/packages/gateway/src/thorncleat_gateway/controller.py
@@ -15,6 +15,7 @@
 import asyncio
 import collections
 import contextlib
+import dataclasses
 import typing as t
 
 import mode
@@ -51,6 +52,7 @@
 from .ports import Outcome
 from .pulse import Pulse
 from .settings import GatewaySettings
+from .unlisted import Unlisted
 
 # formations that one term can number
 EPOCHS_PER_TERM = 100_000
@@ -66,12 +68,24 @@
 CLOSE_SECONDS = 6.0
 # in a domain where a group could not be formed
 PAUSE_SECONDS = 0.3
+# in which an engine that did not join a group is not asked again
+REFUSED_SECONDS = 2.0
 OPEN_TRIES = 5
 JOIN_TRIES = 6
 # part of the weight store's rate that is used
 LOAD_RATE_PART = 0.9
 
 
+@dataclasses.dataclass(frozen=True)
+class _Size:
+    """How many endpoints a fabric domain had at most, and when."""
+
+    service: str
+    failure_domain: str
+    size: int
+    at: float
+
+
 class Controller(mode.Service):
     """Plans, and carries plans out, while this daemon holds the controller's lease.
 
@@ -103,7 +117,7 @@
         self._wake = asyncio.Event()
         self._term = 0
         self._begin_term()
-        self._sizes: dict[str, tuple[int, float]] = {}
+        self._sizes: dict[str, _Size] = {}
         mirror.on_change(self._wake.set)
         pulse.on_suspicion(self._suspected)
 
@@ -118,7 +132,8 @@
         self._first_seen: dict[GroupId, float] = {}
         self._examined: dict[GroupId, float] = {}
         self._paused: dict[str, float] = {}
-        self._rebalanced = self._clock()
+        self._refused: dict[str, float] = {}
+        self._unlisted = Unlisted(self._mirror, self._orders, self._clock, self._start)
         self._load_tokens = 0.0
         self._loads_at = self._clock()
         self._orders.forget()
@@ -171,6 +186,7 @@
         configuration = self._mirror.configuration
         if configuration is None:
             return
+        self._unlisted.look()
         for service in configuration.services.values():
             if service.engine is not None:
                 self._plan_service(service.name, service.engine)
@@ -180,12 +196,16 @@
 
     def _plan_service(self, service: str, engine: Engine) -> None:
         endpoints = self._mirror.roster.of_service(service)
-        views = self._views(endpoints)
+        views = self._views(service, endpoints)
         self._look_at_groups(service, engine, views)
         for one in endpoints:
             if self._is_free(one):
-                views[one.fabric_domain].free.append(one)
-        wanted = formation.layout({key: view.size for key, view in views.items()}, engine.models)
+                view = views[one.fabric_domain]
+                (view.weak if one.draining else view.free).append(one)
+        for one in self._unlisted.of_service(service):
+            if one.fabric_domain in views and self._is_free(one):
+                views[one.fabric_domain].weak.append(one)
+        wanted = formation.layout(list(views.values()), engine.models)
         total = sum((view.standing for view in views.values()), collections.Counter[str]())
         goal = sum(wanted.values(), collections.Counter[str]())
 
@@ -194,33 +214,8 @@
 
         for view in sorted(views.values(), key=lambda one: one.name):
             self._plan_domain(view, wanted[view.name], engine, scarcity)
-        self._rebalance(views, wanted, engine, scarcity)
-
-    def _rebalance(
-        self,
-        views: t.Mapping[str, DomainView],
-        wanted: formation.Layout,
-        engine: Engine,
-        scarcity: t.Callable[[EngineModel], float],
-    ) -> None:
-        """End a group of a model that is there in plenty, for one that lacks half of its groups."""
-        if self._ending or self._clock() < self._rebalanced + REMEMBER_SIZE_SECONDS:
-            return
-        found = formation.donor(list(views.values()), wanted, engine.models, scarcity)
-        if found is None:
-            return
-        domain, model = found
-        for group in self._mirror.roster.groups.values():
-            first = next(iter(group.members.values()))
-            open_here = group.state is GroupState.OPEN and first.fabric_domain == domain
-            if open_here and group.model == model and self._groups.may_answer(group.id):
-                self._rebalanced = self._clock()
-                members = list(group.members.values())
-                self._end(group.id, "another model lacks groups", members, graceful=True)
-                return
 
-    def _views(self, endpoints: t.Sequence[Endpoint]) -> dict[str, DomainView]:
-        counts = collections.Counter(one.fabric_domain for one in endpoints)
+    def _views(self, service: str, endpoints: t.Sequence[Endpoint]) -> dict[str, DomainView]:
         now = self._clock()
         self._staging = {
             key: one
@@ -228,13 +223,19 @@
             if one[1] > now and not self._has(key, one[0])
         }
         staging = {key: model for key, (model, _) in self._staging.items()}
-        views = {}
+        counts = collections.Counter(one.fabric_domain for one in endpoints)
+        zones = {one.fabric_domain: one.failure_domain for one in endpoints}
         for name, count in counts.items():
-            peak, at = self._sizes.get(name, (0, 0.0))
-            if count >= peak or now - at > REMEMBER_SIZE_SECONDS:
-                peak = count
-                self._sizes[name] = (count, now)
-            views[name] = DomainView(name, peak, collections.Counter(), [], staging)
+            peak = self._sizes.get(name)
+            if peak is None or count >= peak.size or now - peak.at > REMEMBER_SIZE_SECONDS:
+                self._sizes[name] = _Size(service, zones[name], count, now)
+        views = {
+            name: DomainView(name, one.size, one.failure_domain, staging=staging)
+            for name, one in self._sizes.items()
+            if one.service == service and (name in counts or now - one.at < REMEMBER_SIZE_SECONDS)
+        }
+        for one in endpoints:
+            views[one.fabric_domain].holding.update(one.staged)
         return views
 
     def _has(self, endpoint_id: str, model: str) -> bool:
@@ -276,33 +277,37 @@
         return now - self._first_seen.setdefault(group, now)
 
     def _stands(self, group: Group, model: EngineModel) -> bool:
-        """Tell whether a group is whole; if it isn't, begin to end it."""
+        """Tell whether a group serves or may soon; if it can't, begin to end it."""
         age = self._age(group.id)
         members = list(group.members.values())
+        missing = [rank for rank in range(model.size) if rank not in group.members]
+        cause = ""
         if any(one.id in self._unreachable for one in members):
-            self._end(group.id, "member unreachable", members)
-        elif not group.complete(model.size):
+            cause = "member unreachable"
+        elif any(not self._unlisted.holds(group.id, rank) for rank in missing):
             # a list that is being read may lack some members for a moment
-            if age > PLAN_SECONDS or group.state is not GroupState.JOINING:
-                self._end(group.id, "member not listed", members)
+            if age > PLAN_SECONDS:
+                cause = "member not listed"
+        elif group.leader is None:
+            cause = "leader not listed"
         elif group.state in (GroupState.BROKEN, GroupState.CLOSING):
-            self._end(group.id, f"leader {group.state.value}", members)
-        elif any(one.draining for one in members):
-            self._end(group.id, "member draining", members, graceful=True)
-            return False
-        elif group.state is GroupState.OPEN:
-            return True
-        elif age > LEFT_OVER_SECONDS:
-            self._end(group.id, "left over", members)
-        else:
-            return True
-        return False
+            cause = f"leader {group.state.value}"
+        elif group.state is not GroupState.OPEN and age > LEFT_OVER_SECONDS:
+            cause = "left over"
+        if cause:
+            self._end(group.id, cause, members)
+        elif group.leader is not None and group.leader.draining:
+            cause = "leader draining"
+            self._end(group.id, cause, members, graceful=True)
+        return not cause
 
     def _all_ready(self, group: GroupId, members: t.Sequence[Endpoint]) -> bool:
         return all(self._orders.seen_ready(one, group) for one in members)
 
     def _is_free(self, one: Endpoint) -> bool:
-        if one.draining or one.id in self._busy or one.id in self._unreachable:
+        if one.id in self._busy or one.id in self._unreachable:
+            return False
+        if self._refused.get(one.id, 0.0) > self._clock():
             return False
         member = self._orders.listed(one)
         return member is None or not self._groups.may_answer(member.group)
@@ -318,31 +323,21 @@
         if self._clock() < self._paused.get(view.name, 0.0):
             return
         for form in formation.forms(view, wanted, engine.models, scarcity):
-            if form.cold and (self._warm_soon(form, view) or not self._may_load(engine, form)):
-                continue
             used.update(one.id for one in form.members)
-            self._form(form)
+            if not form.cold or self._quiet():
+                self._form(form)
+                continue
+            # hosts load first, so that the others stay free for whoever is back sooner
+            for one in form.cold:
+                if one.id not in view.staging and self._may_load(engine):
+                    self._stage(Stage(one, form.model))
         spares = [one for one in view.free if one.id not in used]
         for stage in formation.stages(view, wanted, engine.models, spares):
-            if self._may_load(engine, None):
+            if self._may_load(engine):
                 self._stage(stage)
 
-    def _warm_soon(self, form: Form, view: DomainView) -> bool:
-        """Tell whether enough hosts hold the model once groups that are ending have ended."""
-        name = form.model.name
-        holding = 0
-        for one in self._mirror.roster.endpoints.values():
-            if one.fabric_domain != view.name or one.draining or one.id in self._unreachable:
-                continue
-            member = self._orders.listed(one)
-            ending = member is not None and member.group in self._ending
-            free = any(one.id == other.id for other in view.free)
-            if (ending or free) and (name in one.staged or view.staging.get(one.id) == name):
-                holding += 1
-        return holding >= form.model.size
-
-    def _may_load(self, engine: Engine, form: Form | None) -> bool:
-        """Take loads out of the weight store's rate; tell whether they may begin."""
+    def _may_load(self, engine: Engine) -> bool:
+        """Take a load out of the weight store's rate; tell whether it may begin."""
         if self._quiet():
             return True
         now = self._clock()
@@ -351,10 +346,9 @@
             2 * rate + engine.loads_at_once / 2, self._load_tokens + (now - self._loads_at) * rate
         )
         self._loads_at = now
-        wanted = len(form.cold) if form else 1
-        if self._load_tokens < wanted:
+        if self._load_tokens < 1:
             return False
-        self._load_tokens -= wanted
+        self._load_tokens -= 1
         return True
 
     # ending groups
@@ -469,6 +463,9 @@
                 return
             order = Join(group, form.model.name, tuple(one.id for one in form.members))
             joined = await asyncio.gather(*(self._join(one, order) for one in form.members))
+            for one, taken in zip(form.members, joined, strict=True):
+                if not taken:
+                    self._refused[one.id] = self._clock() + REFUSED_SECONDS
             if all(joined) and await self._wait_ready(group, form):
                 await self._open(group, form, begun)
                 return
@@ -568,8 +565,7 @@
             if self._clock() - asked_at > 2 * ASK_SECONDS:
                 asked_at = self._clock()
                 for one in missing:
-                    listed = one.id in self._mirror.roster.endpoints
-                    if not listed or not await self._still_joining(one, group):
+                    if not await self._still_joining(one, group):
                         return False
             await asyncio.sleep(LOOK_SECONDS)
         return False
--- a/packages/gateway/src/thorncleat_gateway/dispatch.py
+++ b/packages/gateway/src/thorncleat_gateway/dispatch.py
@@ -18,6 +18,8 @@
 # failures of an endpoint weigh less with each answer, by this factor
 FORGET = 0.9
 FAILURE_WEIGHT = 12.0
+# a group that will probably lose a member counts as if it had this many requests more
+WEAK_WEIGHT = 4.0
 
 
 class Dispatcher:
@@ -40,6 +42,8 @@
         self._failures: dict[str, float] = {}
         self._seen = -1
         self._leaders: dict[tuple[str, str], list[Endpoint]] = {}
+        # leaders of groups with a member that is draining or not listed
+        self._weak: set[str] = set()
 
     def avoid(self, endpoint_id: str, seconds: float = AVOID_SECONDS) -> None:
         """Prefer others for some time."""
@@ -84,13 +88,15 @@
 
     def _weight(self, one: Endpoint) -> float:
         failing = FAILURE_WEIGHT * self._failures.get(one.id, 0.0)
-        return self._loads.of(one.id) + failing + random.random() * 0.9
+        weak = WEAK_WEIGHT if one.id in self._weak else 0.0
+        return self._loads.of(one.id) + failing + weak + random.random() * 0.9
 
     def _refresh(self) -> None:
         if self._seen == self._mirror.version:
             return
         self._seen = self._mirror.version
         self._leaders = {}
+        self._weak = set()
         configuration = self._mirror.configuration
         roster = self._mirror.roster
         for one in roster.endpoints.values():
@@ -101,6 +107,7 @@
             group = roster.groups[one.membership.group] if one.membership else None
             if model is None or group is None or one.draining:
                 continue
-            whole = group.complete(model.size)
-            if whole and not any(member.draining for member in group.members.values()):
-                self._leaders.setdefault((one.service, model.name), []).append(one)
+            self._leaders.setdefault((one.service, model.name), []).append(one)
+            sound = sum(not member.draining for member in group.members.values())
+            if sound < model.size:
+                self._weak.add(one.id)
--- a/tests/group_world.py
+++ b/tests/group_world.py
@@ -591,7 +591,8 @@
                 self.store.expire()
             for worker in list(self.workers.values()):
                 worker.look()
-                if worker.id not in self.store.items:
+                listed = self.store.items.get(worker.id)
+                if listed is None or listed.endpoint != worker.entry():
                     # what its next heartbeat would do
                     self.publish(worker)
 
