Lay out groups only once the list is whole

Cause: half of the list was laid out 10.8 s before traffic; its groups mixed the models within domains, and the layout of the whole list never came to be. Change: before the first request nothing is formed while the list still grows. Ruled out: forming at once and rebuilding (each join later costs 16 s).

--- a/packages/gateway/src/thorncleat_gateway/controller.py
+++ b/packages/gateway/src/thorncleat_gateway/controller.py
@@ -64,6 +64,8 @@
 LEFT_OVER_SECONDS = 2.5
 # after which a domain that has become smaller gets the layout of its new size
 REMEMBER_SIZE_SECONDS = 15.0
+# before the first request: without a new endpoint for so long the list is whole
+GROWING_SECONDS = 1.0
 # for a draining group's requests to end
 CLOSE_SECONDS = 6.0
 # in a domain where a group could not be formed
@@ -118,6 +120,7 @@
         self._term = 0
         self._begin_term()
         self._sizes: dict[str, _Size] = {}
+        self._listed = (0, clock())
         mirror.on_change(self._wake.set)
         pulse.on_suspicion(self._suspected)
 
@@ -186,6 +189,8 @@
         configuration = self._mirror.configuration
         if configuration is None:
             return
+        if self._quiet() and self._still_growing():
+            return
         self._unlisted.look()
         for service in configuration.services.values():
             if service.engine is not None:
@@ -194,6 +199,13 @@
             if endpoint_id not in self._mirror.roster.endpoints:
                 self._unreachable.discard(endpoint_id)
 
+    def _still_growing(self) -> bool:
+        """Tell whether the list has grown lately: a layout for a part of it would not last."""
+        now, count = self._clock(), len(self._mirror.roster.endpoints)
+        if count > self._listed[0]:
+            self._listed = (count, now)
+        return now - self._listed[1] < GROWING_SECONDS
+
     def _plan_service(self, service: str, engine: Engine) -> None:
         endpoints = self._mirror.roster.of_service(service)
         views = self._views(service, endpoints)
