Test the whole path against stand-ins of the platform, the decisions, and the logs

Stand-ins speak the platform's pages: a store with leases, conditions, watches, lost answers and forgotten history; workers with groups, epochs, order counts, streams that fall silent or are cut, answers that are reset. Found on the way: when a repeatable request failed at one endpoint and no other could take it, the caller got our 502 in place of the endpoint's own answer (test_draining_endpoint_gets_nothing failed first).

--- a/packages/gateway/src/thorncleat_gateway/plain.py
+++ b/packages/gateway/src/thorncleat_gateway/plain.py
@@ -1,6 +1,5 @@
 """Requests to plain services: the whole answer, or a refusal that says whether it ran."""
 
-import asyncio
 import dataclasses
 import typing as t
 
@@ -59,11 +58,13 @@
 
         :raises RefusalError: if there is none.
         """
+        kept: PlainAnswer | None = None
         while True:
             one = self._dispatcher.plain(request.service.name, request.tried)
+            if one is None and kept is not None:
+                return kept
             if one is None:
                 raise request.refusal("no endpoint", RETRY_AFTER_SECONDS)
-            kept: PlainAnswer | None = None
             try:
                 kept = await self._attempt(request, one)
                 self._pulse.heard(one.id, self._clock())
@@ -97,10 +98,7 @@
         if self._again(request):
             left = min(left, PATIENCE * request.route.target)
         with self._loads.running(one.id):
-            try:
-                answer: PlainAnswer = await within(left, self._exchange(request, one))
-            except asyncio.CancelledError:
-                raise
+            answer: PlainAnswer = await within(left, self._exchange(request, one))
         return answer
 
     async def _exchange(self, request: Request, one: Endpoint) -> PlainAnswer:
--- /dev/null
+++ b/packages/standins/src/thorncleat_standins/platform_worker.py
@@ -0,0 +1,225 @@
+"""A stand-in of the users' platform's workers, by their published page.
+
+A worker lists itself in the store, follows orders about groups, and answers requests; how it
+misbehaves is switched by attributes.
+"""
+
+import asyncio
+import dataclasses
+import json
+import socket
+import struct
+import typing as t
+
+from aiohttp import web
+
+from .platform_store import PlatformStore
+
+ATTEMPT = "X-Thorncleat-Attempt-Id"
+STAMP = "X-Thorncleat-Response-Stamp"
+EXPECT = "X-Thorncleat-Expect-Instance"
+NOT_RUN = "X-Thorncleat-Not-Executed"
+LAST_EVENT = "Last-Event-Id"
+JOIN_SECONDS = 0.02
+EVENT_SECONDS = 0.02
+
+
+@dataclasses.dataclass
+class Run:
+    """A request that a worker ran, as it came."""
+
+    worker: str
+    id: str
+    path: str
+    headers: t.Mapping[str, str]
+    body: bytes
+
+
+class PlatformWorker:
+    """One worker.
+
+    :param service: the name of its service.
+    :param domain: its fabric domain; empty for a plain service.
+    :ivar events: events of a stream.
+    :ivar silent_after: events after which its streams fall silent; None for never.
+    :ivar cut_after: events after which its streams are cut, unless they continue another.
+    :ivar reset_body: whether it resets answers without a length in the middle.
+    :ivar fail: status with which it fails requests; 0 for none.
+    """
+
+    def __init__(self, store: PlatformStore, name: str, service: str, domain: str = "") -> None:
+        self._store = store
+        self._runner: web.ServerRunner | None = None
+        self.id = name
+        self.service = service
+        self.domain = domain
+        self.address = ""
+        self.draining = False
+        self.events = 5
+        self.silent_after: int | None = None
+        self.cut_after: int | None = None
+        self.reset_body = False
+        self.fail = 0
+        self.runs: list[Run] = []
+        self._seq = 0
+        self._model = ""
+        self._group: dict[str, t.Any] | None = None
+        self._members: list[str] = []
+        self._epoch = 0
+
+    @property
+    def leads(self) -> bool:
+        """Whether it is the open head of a group."""
+        return self._group is not None and self._group["state"] == "open"
+
+    async def start(self) -> None:
+        """Listen on a free port of the loopback and enter the store."""
+        server = web.Server(self._handle, access_log=None)
+        self._runner = web.ServerRunner(server, shutdown_timeout=0.1)
+        await self._runner.setup()
+        site = web.TCPSite(self._runner, "127.0.0.1", 0)
+        await site.start()
+        self.address = f"127.0.0.1:{self._runner.addresses[0][1]}"
+        self.publish()
+
+    async def stop(self) -> None:
+        """Stop listening and leave the store."""
+        if self._runner is not None:
+            await self._runner.cleanup()
+        self._store.delete(f"servers/{self.id}")
+
+    def publish(self) -> None:
+        """Write its entry."""
+        entry = {
+            "service": self.service,
+            "address": self.address,
+            "zone": "zone-a",
+            "version": "v1",
+            "slots": 4,
+            "state": "draining" if self.draining else "ready",
+            "cold_left_ms": 0,
+            "seq": 0,
+            "phase": "unified",
+            "models": self._models(),
+            "staged": [self._model] if self._model else [],
+            "domain": self.domain,
+        }
+        if self._group is not None:
+            entry["group"] = self._group
+        self._store.write(f"servers/{self.id}", entry)
+
+    def _models(self) -> list[dict[str, t.Any]]:
+        return [{"name": self._model, "version": 1, "adapters": []}] if self._model else []
+
+    async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        expected = request.headers.get(EXPECT, self.id)
+        if expected != self.id:
+            return web.Response(status=421, headers={"X-Thorncleat-Instance-Id": self.id})
+        if request.path == "/thorncleat/report":
+            return web.json_response(self._report())
+        if request.path == "/thorncleat/order":
+            return web.Response(status=self._order(json.loads(await request.read())))
+        return await self._serve(request)
+
+    def _report(self) -> dict[str, t.Any]:
+        return {
+            "models": self._models(),
+            "staged": [self._model] if self._model else [],
+            "seq": self._seq,
+            "group": self._group,
+        }
+
+    def _order(self, order: dict[str, t.Any]) -> int:
+        if order.get("expected_rev", self._seq) != self._seq:
+            return 409
+        status = self._take(order)
+        if status == 202:
+            self._seq += 1
+            self.publish()
+        return status
+
+    def _take(self, order: dict[str, t.Any]) -> int:
+        if order["op"] == "join":
+            return self._join(order)
+        if order["op"] == "phase":
+            self._model = order["model"]
+            return 202
+        if self._group is None or self._group["epoch"] != order["epoch"]:
+            return 409
+        if order["op"] == "leave":
+            self._group = None
+            return 202
+        wanted, after = ("ready", "open") if order["op"] == "open" else ("open", "ready")
+        if self._group["state"] != wanted:
+            return 200 if self._group["state"] == after else 409
+        self._become(self._group, after)
+        return 202
+
+    def _join(self, order: dict[str, t.Any]) -> int:
+        if order["epoch"] < self._epoch:
+            return 412
+        self._epoch, self._model = order["epoch"], order["model"]
+        self._members = order["members"]
+        self._group = {
+            "name": order["group"],
+            "epoch": order["epoch"],
+            "rank": self._members.index(self.id),
+            "state": "joining",
+        }
+        self._become(self._group, "ready")
+        return 202
+
+    def _become(self, group: dict[str, t.Any], state: str) -> None:
+        def change() -> None:
+            if self._group is group:
+                group["state"] = state
+                self.publish()
+
+        asyncio.get_running_loop().call_later(JOIN_SECONDS, change)
+
+    async def _serve(self, request: web.BaseRequest) -> web.StreamResponse:
+        attempt = request.headers[ATTEMPT]
+        body = await request.read()
+        if self.domain and not self.leads:
+            return web.Response(status=421)
+        self.runs.append(Run(self.id, attempt, request.raw_path, request.headers, body))
+        headers = {ATTEMPT: attempt, STAMP: f"stamp-{self.id}"}
+        if self.fail:
+            return web.Response(status=self.fail, headers=headers, text="failed")
+        if self.domain:
+            return await self._stream(request, headers)
+        if self.reset_body:
+            return await self._reset(request, headers)
+        return web.Response(headers=headers, body=b"answer to " + body)
+
+    async def _stream(
+        self, request: web.BaseRequest, headers: dict[str, str]
+    ) -> web.StreamResponse:
+        response = web.StreamResponse(headers={**headers, "Content-Type": "text/event-stream"})
+        response.enable_chunked_encoding()
+        await response.prepare(request)
+        first = int(request.headers.get(LAST_EVENT, "0"))
+        for number in range(first + 1, self.events + 1):
+            if self.silent_after is not None and number - first > self.silent_after:
+                await asyncio.sleep(30)
+            if self.cut_after is not None and first == 0 and number > self.cut_after:
+                assert request.transport is not None
+                request.transport.abort()
+                return response
+            await response.write(b"id: %d\ndata: event %d\n\n" % (number, number))
+            await asyncio.sleep(EVENT_SECONDS)
+        await response.write_eof()
+        return response
+
+    async def _reset(self, request: web.BaseRequest, headers: dict[str, str]) -> web.StreamResponse:
+        transport = request.transport
+        assert transport is not None
+        head = "".join(f"{name}: {value}\r\n" for name, value in headers.items())
+        transport.write(f"HTTP/1.1 200 OK\r\nConnection: close\r\n{head}\r\nhalf".encode())
+        await asyncio.sleep(0.05)
+        # closing then resets instead of ending in order
+        transport.get_extra_info("socket").setsockopt(
+            socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0)
+        )
+        transport.abort()
+        return web.Response()
