Learn a model's usual pauses; ask the store less often where nothing is controlled

Cause: streams of the smaller model wait 250 ms for a lost group where their gap target is 200; prompts of the larger one make pauses of 200 ms and more. Change: silence counts after 1.3 times the longest pause of the model lately, between 120 and 400 ms; daemons that don't control wait 0.3 s between calls.

--- a/packages/gateway/src/thorncleat_gateway/gateway.py
+++ b/packages/gateway/src/thorncleat_gateway/gateway.py
@@ -65,7 +65,7 @@
         self._first_start = first_start
         self._traffic_elsewhere = False
         self._runners: list[web.ServerRunner] = []
-        self.mirror = Mirror(feed, clock, settings.watch, settings.coalesce)
+        self.mirror = Mirror(feed, clock, settings.watch, self._coalesce)
         self.registration = Registration(settings, records, self.mirror)
         self.peers = Peers(settings, self.registration.addresses)
         self.pulse = Pulse(settings.streams, self.peers, clock)
@@ -100,6 +100,10 @@
         own = self._front is not None and self._front.requests > 0
         return self._first_start and not own and not self._traffic_elsewhere
 
+    def _coalesce(self) -> float:
+        settings = self._settings
+        return settings.control_coalesce if self.election.leads else settings.coalesce
+
     async def on_start(self) -> None:
         """Start all parts, then listen."""
         self._front = self._build_requests()
--- a/packages/gateway/src/thorncleat_gateway/mirror.py
+++ b/packages/gateway/src/thorncleat_gateway/mirror.py
@@ -28,11 +28,15 @@
     """Follows the store.
 
     :param wait: seconds that a call for changes waits.
-    :param coalesce: seconds to let changes gather before the next call.
+    :param coalesce: returns the seconds to let changes gather before the next call.
     """
 
     def __init__(
-        self, feed: Feed, clock: t.Callable[[], float], wait: float, coalesce: float
+        self,
+        feed: Feed,
+        clock: t.Callable[[], float],
+        wait: float,
+        coalesce: t.Callable[[], float],
     ) -> None:
         super().__init__()
         self._feed = feed
@@ -87,7 +91,7 @@
                 events.STORE_BACK.log(revision=self._revision)
             pause = FIRST_PAUSE_SECONDS
             if changed:
-                await asyncio.sleep(self._coalesce)
+                await asyncio.sleep(self._coalesce())
 
     async def _step(self) -> bool:
         sent_at = self._clock()
--- a/packages/gateway/src/thorncleat_gateway/settings.py
+++ b/packages/gateway/src/thorncleat_gateway/settings.py
@@ -31,16 +31,18 @@
 class StreamSettings:
     """When a silent group is left; times in seconds.
 
-    :param gaps: usual gaps between events after which silence is evidence.
+    :param pauses: longest pauses seen lately after which silence is evidence.
+    :param remember: in which a pause is forgotten by two thirds.
     :param least_silence: silence that is never evidence.
     :param most_silence: silence that always is, once events have come.
     :param first_event: silence before the first event.
     :param suspected: silence that suffices when another daemon suspects the group.
     """
 
-    gaps: float = 3.0
-    least_silence: float = 0.25
-    most_silence: float = 0.45
+    pauses: float = 1.3
+    remember: float = 8.0
+    least_silence: float = 0.12
+    most_silence: float = 0.4
     first_event: float = 0.45
     suspected: float = 0.07
     suspicion: float = 1.0
@@ -54,6 +56,9 @@
     :param apply_within: for a configuration to be in force.
     :param revoke_within: after which a key that was taken away must not work; None to serve
         on whatever the age of the configuration.
+    :param watch: that a call for changes waits at the store.
+    :param coalesce: to let changes gather before the next call; the controller's own is
+        shorter.
     :param grace: between the order to stop and the end by force.
     """
 
@@ -70,6 +75,7 @@
     daemons: int = 1
     connect_timeout: float = 0.25
     watch: float = 1.5
-    coalesce: float = 0.1
+    coalesce: float = 0.3
+    control_coalesce: float = 0.05
     control: ControlSettings = ControlSettings()
     streams: StreamSettings = StreamSettings()
--- a/packages/gateway/src/thorncleat_gateway/streams.py
+++ b/packages/gateway/src/thorncleat_gateway/streams.py
@@ -195,8 +195,7 @@
     ) -> None:
         while data := await exchange.more():
             now = self._clock()
-            run.event(now)
-            self._pulse.heard(run.leader.id, now)
+            self._pulse.event(run, now)
             whole = cutter.feed(data)
             if not whole:
                 continue
--- a/tests/group_world.py
+++ b/tests/group_world.py
@@ -406,7 +406,7 @@
             name, "a", ("", 0), ("", 0), ("", 0), RetryTerms(0.2, 10, 10), watch=1.0
         )
         client = StoreClient(world, self)
-        self.mirror = Mirror(client, world.now, settings.watch, settings.coalesce)
+        self.mirror = Mirror(client, world.now, settings.watch, lambda: 0.1)
         self.peers = WorldPeers(world, self)
         self.pulse = Pulse(StreamSettings(), self.peers, world.now)
         self.election = Election(
