Keep the layout when a domain is almost gone or the controller changes

Change: the largest domain decides; every daemon remembers the domains' sizes. test_a_domain_that_is_almost_gone_changes_nothing_for_the_others failed first.

--- a/packages/core/src/thorncleat_core/formation.py
+++ b/packages/core/src/thorncleat_core/formation.py
@@ -75,8 +75,9 @@
     a spare that holds what the next loss needs.
     """
     useful = [one for one in models if one.share > 0]
-    smallest = min((one.size for one in views), default=0)
-    roomy = all(one.size <= smallest for one in useful)
+    # a domain that has lost most of its endpoints must not change what the others carry
+    largest = max((one.size for one in views), default=0)
+    roomy = all(one.size <= largest for one in useful)
     if useful and roomy and len(views) >= DOMAINS_PER_MODEL * len(useful):
         chosen = _dedicated(views, useful)
         return {
--- a/packages/gateway/src/thorncleat_gateway/controller.py
+++ b/packages/gateway/src/thorncleat_gateway/controller.py
@@ -148,6 +148,7 @@
             with contextlib.suppress(TimeoutError):
                 await asyncio.wait_for(self._wake.wait(), PLAN_SECONDS)
             self._wake.clear()
+            self._observe()
             if not self._election.leads:
                 continue
             if self._term != self._election.term:
@@ -227,6 +228,19 @@
         for view in sorted(views.values(), key=lambda one: one.name):
             self._plan_domain(view, wanted[view.name], engine, scarcity)
 
+    def _observe(self) -> None:
+        """Remember how large the domains are, for when this daemon becomes the controller."""
+        now = self._clock()
+        counts: collections.Counter[tuple[str, str, str]] = collections.Counter(
+            (one.service, one.fabric_domain, one.failure_domain)
+            for one in self._mirror.roster.endpoints.values()
+            if one.fabric_domain
+        )
+        for (service, name, zone), count in counts.items():
+            peak = self._sizes.get(name)
+            if peak is None or count >= peak.size or now - peak.at > REMEMBER_SIZE_SECONDS:
+                self._sizes[name] = _Size(service, zone, count, now)
+
     def _views(self, service: str, endpoints: t.Sequence[Endpoint]) -> dict[str, DomainView]:
         now = self._clock()
         self._staging = {
@@ -236,11 +250,6 @@
         }
         staging = {key: model for key, (model, _) in self._staging.items()}
         counts = collections.Counter(one.fabric_domain for one in endpoints)
-        zones = {one.fabric_domain: one.failure_domain for one in endpoints}
-        for name, count in counts.items():
-            peak = self._sizes.get(name)
-            if peak is None or count >= peak.size or now - peak.at > REMEMBER_SIZE_SECONDS:
-                self._sizes[name] = _Size(service, zones[name], count, now)
         views = {
             name: DomainView(name, one.size, one.failure_domain, staging=staging)
             for name, one in self._sizes.items()
--- a/tests/test_serving.py
+++ b/tests/test_serving.py
@@ -99,6 +99,15 @@
         found = formation.layout(made, [LARGE, SMALL])
         assert [one for one in found if "small" in found[one]] == ["d0", "d1"]
 
+    def test_a_domain_that_is_almost_gone_changes_nothing_for_the_others(self):
+        made = views(1, 8, 8, 8, 8, 8)
+        for one in made[1:4]:
+            one.holding["large"] = 8
+        for one in made[4:]:
+            one.holding["small"] = 8
+        found = formation.layout(made, [LARGE, SMALL])
+        assert [set(found[one.name]) for one in made[1:]] == [{"large"}] * 3 + [{"small"}] * 2
+
     def test_few_domains_carry_several_models_and_keep_spares(self):
         found = formation.layout(views(8, 8), [LARGE, SMALL])
         assert total(found) == {"large": 2, "small": 2}
