Take back the learnt pauses

Conclusion: a moved stream makes the same prompt be read twice, which makes the next pause longer; too early is worse than too late. Back to 250 to 450 ms.

--- a/packages/gateway/src/thorncleat_gateway/pulse.py
+++ b/packages/gateway/src/thorncleat_gateway/pulse.py
@@ -7,12 +7,12 @@
 import asyncio
 import collections
 import dataclasses
-import math
 import typing as t
 
 import mode
 
 from thorncleat_core.roster import Endpoint
+from thorncleat_core.roster import GroupId
 
 from . import events
 from .peers import LoadReport
@@ -22,30 +22,8 @@
 from .settings import StreamSettings
 
 LOOK_SECONDS = 0.02
-# part of the longest pause that suffices where another daemon suspects the group too
-SUSPECTED_PART = 0.6
-# a pause that is assumed for a model of which nothing is known
-FIRST_PAUSE_SECONDS = 0.2
-
-
-class Pauses:
-    """The longest pause between events of a model lately, which prompts read between make."""
-
-    def __init__(self, remember: float) -> None:
-        self._remember = remember
-        self._longest: dict[str, tuple[float, float]] = {}
-
-    def longest(self, model: str, now: float) -> float:
-        """Return the longest pause, which fades."""
-        pause, at = self._longest.get(model, (FIRST_PAUSE_SECONDS, now))
-        return pause * math.exp((at - now) / self._remember)
-
-    def note(self, model: str, pause: float, now: float) -> None:
-        """Take in a pause after which events came again."""
-        if pause >= self.longest(model, now):
-            self._longest[model] = (pause, now)
-        elif model not in self._longest:
-            self._longest[model] = (FIRST_PAUSE_SECONDS, now)
+# weight of the newest gap in the mean
+GAP_WEIGHT = 0.3
 
 
 @dataclasses.dataclass(eq=False)
@@ -61,6 +39,7 @@
     movable: t.Callable[[], bool]
     leave: t.Callable[[], None]
     last_at: float = 0.0
+    gap: float = 0.0
     left: bool = False
 
     @property
@@ -68,10 +47,11 @@
         """Whether events have come."""
         return self.last_at > 0
 
-    @property
-    def model(self) -> str:
-        """The model that the group serves, as listed."""
-        return self.leader.models[0] if self.leader.models else ""
+    def event(self, now: float) -> None:
+        """Take in that an event came."""
+        if self.last_at:
+            self.gap += GAP_WEIGHT * (now - self.last_at - self.gap)
+        self.last_at = now
 
 
 class Pulse(mode.Service):
@@ -91,7 +71,6 @@
         self._told: dict[str, float] = {}
         self._listeners: list[t.Callable[[Suspicion], None]] = []
         self._looked_at = clock()
-        self._pauses = Pauses(settings.remember)
         peers.on_message(self._message)
 
     def on_suspicion(self, listener: t.Callable[[Suspicion], None]) -> None:
@@ -110,14 +89,6 @@
             if not runs:
                 del self._runs[run.leader.id]
 
-    def event(self, run: Run, now: float) -> None:
-        """Take in that an event of a run came."""
-        heard = self._heard.get(run.leader.id, 0.0)
-        if run.writing:
-            self._pauses.note(run.model, now - max(run.last_at, heard), now)
-        run.last_at = now
-        self.heard(run.leader.id, now)
-
     def heard(self, endpoint_id: str, now: float) -> None:
         """Take in that an endpoint answered something."""
         self._heard[endpoint_id] = now
@@ -186,7 +157,7 @@
         runs = self._runs[leader_id]
         heard = self._heard.get(leader_id, 0.0)
         writing = [one for one in runs if one.writing]
-        silent = self._limit(next(iter(runs)).model, now, self.suspected(leader_id))
+        silent = self._limit(writing, self.suspected(leader_id))
         if writing:
             since = max(heard, max(one.last_at for one in writing))
             overdue = now - since > silent
@@ -203,10 +174,13 @@
                 one.left = True
                 one.leave()
 
-    def _limit(self, model: str, now: float, suspected: bool) -> float:
+    def _limit(self, writing: t.Sequence[Run], suspected: bool) -> float:
         settings = self._settings
-        longest = self._pauses.longest(model, now)
-        if suspected:
-            return max(settings.suspected, SUSPECTED_PART * longest)
-        limit = settings.pauses * longest
-        return min(max(limit, settings.least_silence), settings.most_silence)
+        gap = max((one.gap for one in writing), default=0.0)
+        limit = min(max(settings.gaps * gap, settings.least_silence), settings.most_silence)
+        return max(settings.suspected, 1.5 * gap) if suspected else limit
+
+
+def group_of(endpoint: Endpoint) -> GroupId | None:
+    """Return the group that an endpoint names."""
+    return endpoint.membership.group if endpoint.membership else None
--- a/packages/gateway/src/thorncleat_gateway/settings.py
+++ b/packages/gateway/src/thorncleat_gateway/settings.py
@@ -31,18 +31,16 @@
 class StreamSettings:
     """When a silent group is left; times in seconds.
 
-    :param pauses: longest pauses seen lately after which silence is evidence.
-    :param remember: in which a pause is forgotten by two thirds.
+    :param gaps: usual gaps between events after which silence is evidence.
     :param least_silence: silence that is never evidence.
     :param most_silence: silence that always is, once events have come.
     :param first_event: silence before the first event.
     :param suspected: silence that suffices when another daemon suspects the group.
     """
 
-    pauses: float = 1.3
-    remember: float = 8.0
-    least_silence: float = 0.12
-    most_silence: float = 0.4
+    gaps: float = 3.0
+    least_silence: float = 0.25
+    most_silence: float = 0.45
     first_event: float = 0.45
     suspected: float = 0.07
     suspicion: float = 1.0
--- a/packages/gateway/src/thorncleat_gateway/streams.py
+++ b/packages/gateway/src/thorncleat_gateway/streams.py
@@ -195,7 +195,8 @@
     ) -> None:
         while data := await exchange.more():
             now = self._clock()
-            self._pulse.event(run, now)
+            run.event(now)
+            self._pulse.heard(run.leader.id, now)
             whole = cutter.feed(data)
             if not whole:
                 continue
