--- a/packages/client/src/thorncleat_client/main.py
+++ b/packages/client/src/thorncleat_client/main.py
@@ -17,6 +17,7 @@
 from thorncleat_core.exceptions import DocumentError
 from thorncleat_core.exceptions import ThorncleatError
 
+from . import logs as log_lines
 from . import page
 from . import tables
 from .api import Api
@@ -97,6 +98,30 @@
         else:
             table(answer)
 
+    def trace(self, request: str, *logs: str) -> None:
+        """Tell what happened to a request, from the daemons' log lines.
+
+        :param request: its id.
+        :param logs: files of log lines; standard input if none is named.
+        """
+        self._story(log_lines.of_request(log_lines.read(logs), str(request)), str(request))
+
+    def why_down(self, group: str, *logs: str) -> None:
+        """Tell how a group came and went, from the daemons' log lines.
+
+        :param group: its name, as in ``g1200003``.
+        :param logs: files of log lines; standard input if none is named.
+        """
+        self._story(log_lines.of_group(log_lines.read(logs), str(group)), str(group))
+
+    def _story(self, lines: list[Json], wanted: str) -> None:
+        if not lines:
+            raise UnusableDocumentError(f"no log line names {wanted!r}")
+        if self._json:
+            print(json.dumps(lines, indent=2))
+        else:
+            tables.show(("seconds", "daemon", "event", "what"), log_lines.rows(lines))
+
     def plan(self, path: str, out: str = "") -> None:
         """Show what a file's intents would change, and write the plan to confirm.
 
--- a/packages/gateway/src/thorncleat_gateway/dispatch.py
+++ b/packages/gateway/src/thorncleat_gateway/dispatch.py
@@ -66,11 +66,20 @@
         self._refresh()
         leaders = [one for one in self._leaders.get((service, model), []) if one.id not in tried]
         trusted = [one for one in leaders if not self._pulse.suspected(one.id)]
+        if not trusted:
+            # others may suspect them only because they are cut off themselves
+            trusted = [one for one in leaders if not self._pulse.suspected_here(one.id)]
         chosen = self._best(trusted)
         if chosen is not None and self._loads.of(chosen.id) >= FULL * engine.slots:
             return None
         return chosen
 
+    def known(self, service: str, model: str) -> tuple[int, int]:
+        """Return how many groups there are for a request, and how many are suspected."""
+        self._refresh()
+        leaders = self._leaders.get((service, model), [])
+        return len(leaders), sum(self._pulse.suspected(one.id) for one in leaders)
+
     def others(self, service: str, model: str, but: t.Container[str]) -> bool:
         """Tell whether there is another group for a request."""
         self._refresh()
--- a/packages/gateway/src/thorncleat_gateway/pulse.py
+++ b/packages/gateway/src/thorncleat_gateway/pulse.py
@@ -93,6 +93,7 @@
         """Take in that an endpoint answered something."""
         self._heard[endpoint_id] = now
         self._suspected.pop(endpoint_id, None)
+        self._told.pop(endpoint_id, None)
 
     def heard_lately(self, seconds: float = 1.0) -> list[str]:
         """Return the endpoints that answered within some seconds."""
@@ -106,10 +107,14 @@
         return max(own, others) >= moment
 
     def suspected(self, endpoint_id: str) -> bool:
-        """Tell whether a leader's group is suspected."""
+        """Tell whether a leader's group is suspected, by this daemon or by another."""
         until = self._suspected.get(endpoint_id)
         return until is not None and self._clock() < until
 
+    def suspected_here(self, endpoint_id: str) -> bool:
+        """Tell whether this daemon itself suspects a leader's group."""
+        return self._told.get(endpoint_id, 0.0) + self._settings.suspicion > self._clock()
+
     def suspect(self, leader: Endpoint, cause: str, fault: str = "") -> None:
         """Suspect a leader's group, and tell the others."""
         now = self._clock()
@@ -123,7 +128,7 @@
             group=suspicion.group.name,
             cause=cause,
             fault=fault,
-            heard_ago=round(now - self._heard.get(leader.id, 0.0), 3),
+            heard_ago=round(now - self._heard[leader.id], 3) if leader.id in self._heard else None,
         )
         self._peers.tell_all(suspicion)
         self._notify(suspicion)
@@ -137,7 +142,8 @@
         if isinstance(message, LoadReport):
             self._others.update(dict.fromkeys(message.heard, now))
         elif isinstance(message, Suspicion):
-            if now - self._heard.get(message.leader, 0.0) > self._settings.suspected:
+            # a daemon that is cut off suspects everybody; what is heard here counts more
+            if now - self._heard.get(message.leader, 0.0) > self._settings.least_silence:
                 self._suspected[message.leader] = now + self._settings.suspicion
             self._notify(message)
 
--- a/packages/gateway/src/thorncleat_gateway/streams.py
+++ b/packages/gateway/src/thorncleat_gateway/streams.py
@@ -130,7 +130,9 @@
             if one is not None:
                 return one
             if not caller.begun:
-                raise request.refusal("no group", RETRY_AFTER_SECONDS)
+                there, suspected = self._dispatcher.known(request.service.name, model)
+                cause = f"no group for {model!r}: {there} open, {suspected} of them suspected"
+                raise request.refusal(cause, RETRY_AFTER_SECONDS)
             if self._clock() >= until:
                 raise CutError("no group to go on in")
             await asyncio.sleep(LOOK_SECONDS)
