--- a/tests/test_group_control.py
+++ b/tests/test_group_control.py
@@ -2,7 +2,16 @@
 
 import pytest
 
+from thorncleat_core.formation import Form
+from thorncleat_core.roster import GroupId
+from thorncleat_core.roster import GroupState
+from thorncleat_gateway.controller import EPOCHS_PER_TERM
+from thorncleat_gateway.membership import CONTROLLER
+from thorncleat_gateway.ports import Join
+from thorncleat_gateway.ports import RecordChanged
+
 from . import virtual_time
+from .group_world import MODELS
 from .group_world import World
 
 CALM_SECONDS = 20.0
@@ -117,3 +126,81 @@
     assert world.broken == []
     assert standing["large"] >= 2, standing
     assert standing["small"] >= 2, standing
+
+
+def _leading(world: World):
+    return next(one for one in world.nodes if one.election.leads)
+
+
+async def _two_terms():
+    world = World(seed=3, domains=1)
+    await world.start()
+    await world.pass_time(CALM_SECONDS)
+    first = _leading(world)
+    before = max(one.group.epoch for one in world.workers.values() if one.group)
+    await first.stop()
+    world.nodes.remove(first)
+    await world.pass_time(4.0)
+    large = next(one for one in world.workers.values() if one.model == "large" and one.members)
+    world.kill(world.workers[large.members[1]], dark=False)
+    await world.pass_time(6.0)
+    after = max(one.group.epoch for one in world.workers.values() if one.group)
+    await world.stop()
+    return before, after
+
+
+def test_epochs_of_a_later_controller_are_higher():
+    before, after = virtual_time.run(_two_terms())
+    assert after >= before + EPOCHS_PER_TERM
+
+
+async def _late_order_between_report_and_join():
+    """An engine takes a late order into an open group after it was seen free."""
+    world = World(seed=4, domains=1)
+    await world.start()
+    await world.pass_time(CALM_SECONDS)
+    node = _leading(world)
+    free = next(one for one in world.workers.values() if one.group is None)
+    opened = next(one for one in world.workers.values() if one.state is GroupState.OPEN)
+    ask = node.orders.ask
+
+    async def ask_and_be_late(endpoint):
+        report = await ask(endpoint)
+        if report.membership is None:
+            free.group, free.members = opened.group, (*opened.members, free.id)
+            free.state, free.order_count = GroupState.READY, free.order_count + 1
+        return report
+
+    node.orders.ask = ask_and_be_late
+    order = Join(GroupId(10**9, "g"), "large", (free.id,))
+    joined = await node.controller._join(free.entry(), order)
+    await world.stop()
+    return joined, free.group == opened.group
+
+
+def test_join_holds_only_for_the_state_that_was_seen():
+    joined, still_there = virtual_time.run(_late_order_between_report_and_join())
+    assert not joined
+    assert still_there
+
+
+async def _record_of_a_controller_that_was_replaced():
+    world = World(seed=5, domains=1)
+    await world.start()
+    await world.pass_time(CALM_SECONDS)
+    node = _leading(world)
+    world.store.delete(CONTROLLER, RecordChanged(CONTROLLER, None, world.store.revision + 1))
+    created = world.store.revision + 1
+    world.store.put(CONTROLLER, RecordChanged(CONTROLLER, b"another", created, created))
+    assert node.election.leads
+    members = tuple(one.entry() for one in world.workers.values())[:2]
+    group = GroupId(10**9, "g")
+    written = await node.controller._groups.begin(group, Form("d0", MODELS[1], members))
+    await world.stop()
+    return written, [key for key in world.store.items if key.endswith("/g")]
+
+
+def test_only_the_present_controller_can_record_a_group():
+    written, found = virtual_time.run(_record_of_a_controller_that_was_replaced())
+    assert not written
+    assert found == []
