Let only the attempt that a claim was given to give it back

A daemon whose question to the claim's owner got no answer told the owner 'not run', naming only the key; that gave back the claim of another daemon's attempt that was running, and the next repeat ran. Ruled out: the load as such (it only makes questions time out). Change: each question names an attempt, kept with the claim; what another attempt says of it is ignored.

--- a/packages/core/src/thorncleat_core/claims.py
+++ b/packages/core/src/thorncleat_core/claims.py
@@ -51,6 +51,7 @@
 
     :param request: digest of method, path and body.
     :param until: wall clock second up to which the claim is kept.
+    :param attempt: the attempt that it was given to; nobody else can give it back.
     """
 
     workspace: str
@@ -59,6 +60,7 @@
     state: ClaimState
     until: int
     outcome: Outcome | None = None
+    attempt: str = ""
 
     @property
     def id(self) -> tuple[str, str]:
@@ -98,27 +100,29 @@
         return self._claims.keys()
 
     def ask(
-        self, workspace: str, key: str, request: str, now: float, wall: int
+        self, workspace: str, key: str, request: str, now: float, wall: int, attempt: str = ""
     ) -> tuple[Reply, Claim | None]:
         """Answer a daemon that wants to run a request.
 
         :param now: monotonic seconds.
         :param wall: wall clock seconds, for expiry alone.
+        :param attempt: unique to this question.
         :return: the answer, and the claim to make durable before it is given.
         """
         found = self._claims.get((workspace, key))
         if found is None or found.state is ClaimState.RELEASED:
-            reply, claim = self._open(workspace, key, request, now, wall)
+            reply, claim = self._open(workspace, key, request, now, wall, attempt)
         else:
             reply, claim = self._known(found, request, now), None
         return reply, claim
 
     def _open(
-        self, workspace: str, key: str, request: str, now: float, wall: int
+        self, workspace: str, key: str, request: str, now: float, wall: int, attempt: str
     ) -> tuple[Reply, Claim | None]:
         if len(self._claims) >= self._limit and not self.expire(wall):
             return Reply(ClaimAnswer.BUSY), None
-        claim = Claim(workspace, key, request, ClaimState.RUNNING, wall + self._keep)
+        until = wall + self._keep
+        claim = Claim(workspace, key, request, ClaimState.RUNNING, until, attempt=attempt)
         writing = dataclasses.replace(claim, state=ClaimState.WRITING)
         self._claims[claim.id] = writing
         self._since[claim.id] = now
@@ -146,15 +150,20 @@
             del self._claims[claim.id]
             self._since.pop(claim.id, None)
 
-    def finish(self, workspace: str, key: str, outcome: Outcome | None, ran: str) -> Claim | None:
+    def finish(
+        self, workspace: str, key: str, outcome: Outcome | None, ran: str, attempt: str = ""
+    ) -> Claim | None:
         """Take in how a request ended.
 
         :param ran: ``yes``, ``no`` or ``unknown``.
+        :param attempt: the attempt that tells; what another one tells of a claim is ignored.
         :return: the claim to make durable, if it is known.
         """
         found = self._claims.get((workspace, key))
         if found is None or found.state in (ClaimState.DONE, ClaimState.RELEASED):
             return None
+        if found.attempt != attempt:
+            return None
         state = {
             "yes": ClaimState.DONE,
             "no": ClaimState.RELEASED,
--- a/packages/daemon/src/thorncleat_daemon/claims.py
+++ b/packages/daemon/src/thorncleat_daemon/claims.py
@@ -192,11 +192,12 @@
 
     async def _on_claim(self, sender: str, body: t.Any) -> t.Any:
         workspace, key, request = str(body["workspace"]), str(body["key"]), str(body["request"])
+        attempt = str(body.get("attempt", ""))
         owned = self._owner(workspace, key)
         if owned is None:
             return Reply(ClaimAnswer.BUSY)
         now, wall = self._clock(), int(time.time())
-        reply, claim = owned.book.ask(workspace, key, request, now, wall)
+        reply, claim = owned.book.ask(workspace, key, request, now, wall, attempt)
         if claim is not None:
             done: asyncio.Future[bool] = asyncio.get_running_loop().create_future()
             owned.pending.append(_Pending(claim, done))
@@ -223,8 +224,8 @@
         if owned is None:
             return False
         ran = str(body["ran"])
-        claim = owned.book.finish(workspace, key, outcome, ran)
-        if ran == "no":
+        claim = owned.book.finish(workspace, key, outcome, ran, str(body.get("attempt", "")))
+        if claim is not None and ran == "no":
             owned.granted.discard((workspace, key))
         if claim is not None:
             owned.pending.append(_Pending(claim, None))
@@ -262,27 +263,36 @@
         self._holder = holder
         self._peers = peers
 
-    async def ask(self, workspace: str, key: str, request: str) -> Reply:
+    async def ask(self, workspace: str, key: str, request: str, attempt: str) -> Reply:
         """Ask whether a request may run.
 
+        :param attempt: unique to this question; it is named again when the request ends.
         :raises RequestError: if the owner can't be asked or can't write; the request was
             not run.
         """
-        body = {"workspace": workspace, "key": key, "request": request}
+        body = {"workspace": workspace, "key": key, "request": request, "attempt": attempt}
         try:
             answer = await self._ask("claim", workspace, key, body)
             reply = codec.validated(Reply, answer)
         except (PeerError, DecodeError) as error:
             # a grant may have been lost on the way: nothing was sent, so it is given back
-            await self.tell(workspace, key, "no", None)
+            await self.tell(workspace, key, attempt, "no", None)
             raise _no_owner(str(error)) from error
         if reply.answer is ClaimAnswer.BUSY:
             raise _no_owner("the owner of the key can't make it durable now")
         return reply
 
-    async def tell(self, workspace: str, key: str, ran: str, outcome: Outcome | None) -> None:
+    async def tell(
+        self, workspace: str, key: str, attempt: str, ran: str, outcome: Outcome | None
+    ) -> None:
         """Tell the owner how a request ended; if that fails the claim counts as unknown."""
-        body = {"workspace": workspace, "key": key, "ran": ran, "outcome": outcome}
+        body = {
+            "workspace": workspace,
+            "key": key,
+            "attempt": attempt,
+            "ran": ran,
+            "outcome": outcome,
+        }
         try:
             await self._ask("outcome", workspace, key, body)
         except PeerError:
--- a/packages/daemon/src/thorncleat_daemon/once.py
+++ b/packages/daemon/src/thorncleat_daemon/once.py
@@ -1,6 +1,7 @@
 """Running a request that may not be repeated: at most once, told truthfully."""
 
 import dataclasses
+import secrets
 import typing as t
 
 from thorncleat_core.claims import ClaimAnswer
@@ -14,6 +15,8 @@
 from .claims import kept_outcome
 from .exceptions import RequestError
 
+ATTEMPT_BYTES = 8
+
 
 @dataclasses.dataclass(frozen=True)
 class Answered:
@@ -71,7 +74,8 @@
     """
     key = require_key(caller)
     workspace = caller.workspace.name
-    reply = await claims.ask(workspace, key, request_digest(method, path, body))
+    attempt = secrets.token_hex(ATTEMPT_BYTES)
+    reply = await claims.ask(workspace, key, request_digest(method, path, body), attempt)
     if reply.answer is not ClaimAnswer.GRANTED:
         return _from_earlier(reply)
     ran = "unknown"
@@ -86,4 +90,4 @@
         raise
     finally:
         # also when the caller has gone: then the fate is unknown and stays so
-        await claims.tell(workspace, key, ran, outcome)
+        await claims.tell(workspace, key, attempt, ran, outcome)
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -150,3 +150,30 @@
 
 TestClaimMachine = ClaimMachine.TestCase
 TestClaimMachine.settings = settings(max_examples=120, stateful_step_count=40)
+
+
+class TestWhoGivesBack:
+    """A claim is given back only by the attempt that it was given to."""
+
+    def test_an_attempt_that_got_no_answer_cannot_give_back_another_ones_claim(self):
+        book = ClaimBook()
+        _, claim = book.ask("w", "k", "r", 0.0, 0, "first")
+        book.written(claim)
+        # the second one's question was lost, so it can't know that the first one runs
+        assert book.finish("w", "k", None, "no", "second") is None
+        assert book.ask("w", "k", "r", 1.0, 0, "third")[0].answer is ClaimAnswer.RUNNING
+
+    def test_nor_one_whose_fate_is_unknown(self):
+        book = ClaimBook()
+        _, claim = book.ask("w", "k", "r", 0.0, 0, "first")
+        book.written(claim)
+        book.finish("w", "k", None, "unknown", "first")
+        assert book.finish("w", "k", None, "no", "second") is None
+        assert book.ask("w", "k", "r", 1.0, 0, "third")[0].answer is ClaimAnswer.UNKNOWN
+
+    def test_the_attempt_itself_can_even_after_a_change_of_owner(self):
+        book, next_owner = ClaimBook(), ClaimBook()
+        _, claim = book.ask("w", "k", "r", 0.0, 0, "first")
+        next_owner.restore(claims.decode_batch(claims.encode_batch([claim])))
+        assert next_owner.finish("w", "k", None, "no", "first") is not None
+        assert next_owner.ask("w", "k", "r", 1.0, 0, "third")[0].answer is ClaimAnswer.GRANTED
