--- a/packages/daemon/src/thorncleat_daemon/events.py
+++ b/packages/daemon/src/thorncleat_daemon/events.py
@@ -1,40 +1,11 @@
 """Numbered log events. The catalogue in ``docs/LOGS.md`` is checked against this module."""
 
-import dataclasses
 import logging
-import typing as t
 
-_logger = logging.getLogger("thorncleat")
-catalogue: dict[int, "Event"] = {}
-
-
-@dataclasses.dataclass(frozen=True)
-class Event:
-    """A kind of log line.
-
-    :param number: unique; the thousands tell the part of the daemon.
-    :param text: what happened, as a person reads it.
-    """
-
-    number: int
-    name: str
-    level: int
-    text: str
-
-    def log(self, **fields: t.Any) -> None:
-        """Write a line with this event's number and name and some fields."""
-        if _logger.isEnabledFor(self.level):
-            extra = {"event": self.number, "name_": self.name, **fields}
-            _logger.log(self.level, self.text, extra=extra)
-
-
-def _event(number: int, name: str, level: int, text: str) -> Event:
-    if number in catalogue:
-        raise ValueError(f"event {number!r} is there already")
-    event = Event(number, name, level, text)
-    catalogue[number] = event
-    return event
+from thorncleat_core.log_events import Catalogue
 
+catalogue = Catalogue()
+_event = catalogue.add
 
 INFO, WARNING, ERROR = logging.INFO, logging.WARNING, logging.ERROR
 
--- a/packages/daemon/src/thorncleat_daemon/logs.py
+++ b/packages/daemon/src/thorncleat_daemon/logs.py
@@ -3,7 +3,8 @@
 import logging
 import sys
 
-from pythonjsonlogger.json import JsonFormatter
+from thorncleat_core.log_events import json_formatter
+from thorncleat_core.log_events import send_to
 
 
 def setup(level: str, daemon: str) -> None:
@@ -13,16 +14,5 @@
     :param daemon: this daemon's id, put into each line.
     """
     handler = logging.StreamHandler(sys.stderr)
-    formatter = JsonFormatter(
-        "%(asctime)s %(levelname)s %(message)s",
-        rename_fields={"asctime": "time", "levelname": "level", "name_": "name"},
-        static_fields={"daemon": daemon},
-    )
-    handler.setFormatter(formatter)
-    root = logging.getLogger()
-    root.handlers[:] = [handler]
-    root.setLevel(logging.WARNING)
-    logging.getLogger("thorncleat").setLevel(level.upper())
-    # the libraries' own reports of ordinary disconnects say nothing an operator can use
-    for noisy in ("aiohttp.server", "asyncio", "mode"):
-        logging.getLogger(noisy).setLevel(logging.CRITICAL)
+    handler.setFormatter(json_formatter("%(asctime)s", daemon))
+    send_to(handler, level)
--- a/packages/gateway/src/thorncleat_gateway/logs.py
+++ b/packages/gateway/src/thorncleat_gateway/logs.py
@@ -5,7 +5,8 @@
 import time
 import typing as t
 
-from pythonjsonlogger.json import JsonFormatter
+from thorncleat_core.log_events import json_formatter
+from thorncleat_core.log_events import send_to
 
 from . import events
 
@@ -67,16 +68,6 @@
     """
     os.set_blocking(descriptor, False)
     handler = BoundedHandler(descriptor)
-    formatter = JsonFormatter(
-        "%(created)f %(levelname)s %(message)s",
-        rename_fields={"created": "time", "levelname": "level", "event_name": "name"},
-        static_fields={"daemon": daemon},
-    )
-    handler.setFormatter(formatter)
-    root = logging.getLogger()
-    root.handlers[:] = [handler]
-    root.setLevel(logging.WARNING)
-    logging.getLogger("thorncleat").setLevel(level.upper())
-    for noisy in ("aiohttp.server", "asyncio", "mode"):
-        logging.getLogger(noisy).setLevel(logging.CRITICAL)
+    handler.setFormatter(json_formatter("%(created)f", daemon))
+    send_to(handler, level)
     return handler
--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -15,6 +15,7 @@
 from thorncleat_core.configuration import Change
 from thorncleat_core.fleet import Fleet
 from thorncleat_core.journal import State
+from thorncleat_core.log_events import Event
 from thorncleat_daemon import events
 
 from . import makers
@@ -42,7 +43,7 @@
             one.read_text() for one in (ROOT / "packages/daemon/src/thorncleat_daemon").glob("*.py")
         )
         for name, value in vars(events).items():
-            if isinstance(value, events.Event):
+            if isinstance(value, Event):
                 assert f"events.{name}.log(" in source, name
 
 
--- a/tests/test_gateway_logs.py
+++ b/tests/test_gateway_logs.py
@@ -6,6 +6,7 @@
 import pathlib
 import re
 
+from thorncleat_core.log_events import Event
 from thorncleat_gateway import events
 from thorncleat_gateway import logs
 
@@ -31,7 +32,7 @@
     places = [*SOURCES.glob("*.py"), *(ROOT / "platform/src").rglob("*.py")]
     source = "".join(one.read_text() for one in places)
     for name, value in vars(events).items():
-        if isinstance(value, events.Event):
+        if isinstance(value, Event):
             assert f"events.{name}.log(" in source, name
 
 
