Let a few daemons read the store for the others

Ruled out: longer waits (a change ends each watch), stale reads (seconds old). Change: one daemon in 16, those that can carry most, watches the store and answers the others over HTTP on the daemons' port, in the product's own encoding; each answer says how old it is, so what a daemon believes proven is never newer than what the relay knew. A relay that is silent, behind by 1.1 s or without the history is left for the store for 2 s. The controller reads the store itself. Tests: tests/test_relays.py, 24.

--- a/packages/core/src/thorncleat_core/codec.py
+++ b/packages/core/src/thorncleat_core/codec.py
@@ -1,6 +1,7 @@
 """Encoding of what goes into the store and between daemons: MessagePack with a version."""
 
 import dataclasses
+import enum
 import hashlib
 import json
 import types
@@ -25,6 +26,8 @@
     """Return a value's plain form, for the encoders."""
     if dataclasses.is_dataclass(value) and not isinstance(value, type):
         return {field.name: getattr(value, field.name) for field in dataclasses.fields(value)}
+    if isinstance(value, enum.Enum):
+        return value.value
     if isinstance(value, frozenset | set):
         return sorted(value)
     if isinstance(value, types.MappingProxyType):
--- /dev/null
+++ b/packages/gateway/src/thorncleat_gateway/change_codec.py
@@ -0,0 +1,78 @@
+"""How changes are written between daemons: MessagePack, compressed where that is worth it."""
+
+import typing as t
+import zlib
+
+from thorncleat_core import codec
+from thorncleat_core.exceptions import DecodeError
+from thorncleat_core.roster import Endpoint
+from thorncleat_core.serving import ServingConfiguration
+
+from .ports import Change
+from .ports import ConfigurationChanged
+from .ports import EndpointGone
+from .ports import EndpointListed
+from .ports import RecordChanged
+
+COMPRESS_FROM_BYTES = 2_000
+COMPRESSION_LEVEL = 1
+PLAIN, COMPRESSED = b"\0", b"\1"
+# what a relay may make this daemon unpack
+MAX_BYTES = 64_000_000
+
+
+def encode(revision: int, changes: t.Sequence[Change]) -> bytes:
+    """Return changes as bytes."""
+    data = codec.pack([revision, [_form(one) for one in changes]])
+    if len(data) < COMPRESS_FROM_BYTES:
+        return PLAIN + data
+    return COMPRESSED + zlib.compress(data, COMPRESSION_LEVEL)
+
+
+def decode(data: bytes) -> tuple[int, list[Change]]:
+    """Return the revision and the changes that :func:`encode` wrote.
+
+    :raises DecodeError: if it is something else.
+    """
+    try:
+        match codec.unpack(_unpacked(data)):
+            case [int(revision), list(forms)]:
+                return revision, [_change(one) for one in forms]
+    except (zlib.error, ValueError, TypeError) as error:
+        raise DecodeError(f"{len(data)} bytes of changes: {error}") from error
+    raise DecodeError(f"{len(data)} bytes that are no changes")
+
+
+def _unpacked(data: bytes) -> bytes:
+    if data[:1] != COMPRESSED:
+        return data[1:]
+    unpacker = zlib.decompressobj()
+    unpacked = unpacker.decompress(data[1:], MAX_BYTES)
+    if unpacker.unconsumed_tail:
+        raise ValueError(f"more than {MAX_BYTES} bytes")
+    return unpacked
+
+
+def _form(change: Change) -> list[t.Any]:
+    match change:
+        case ConfigurationChanged(configuration):
+            return ["configuration", configuration]
+        case EndpointListed(endpoint):
+            return ["listed", endpoint]
+        case EndpointGone(endpoint_id):
+            return ["gone", endpoint_id]
+        case RecordChanged():
+            return ["record", change]
+
+
+def _change(form: t.Any) -> Change:
+    match form:
+        case ["configuration", configuration]:
+            return ConfigurationChanged(codec.validated(ServingConfiguration, configuration))
+        case ["listed", endpoint]:
+            return EndpointListed(codec.validated(Endpoint, endpoint))
+        case ["gone", str(endpoint_id)]:
+            return EndpointGone(endpoint_id)
+        case ["record", record]:
+            return codec.validated(RecordChanged, record)
+    raise DecodeError(f"{form!r} is no change")
--- a/packages/gateway/src/thorncleat_gateway/events.py
+++ b/packages/gateway/src/thorncleat_gateway/events.py
@@ -20,6 +20,7 @@
 STORE_BACK = _event(7102, "feed_back", INFO, "the store answers again")
 HISTORY_GONE = _event(7103, "history_gone", INFO, "the store's history is gone; all is read again")
 CONFIG_IN_FORCE = _event(7104, "configuration_in_force", INFO, "a configuration is in force here")
+SOURCE_CHANGED = _event(7106, "source_changed", INFO, "changes are learnt from elsewhere")
 BAD_DOCUMENT = _event(7105, "bad_document", WARNING, "a document of the store can't be read")
 
 LEADING = _event(7201, "controller_elected", INFO, "this daemon controls the groups")
--- a/packages/gateway/src/thorncleat_gateway/gateway.py
+++ b/packages/gateway/src/thorncleat_gateway/gateway.py
@@ -7,6 +7,9 @@
 import mode
 from aiohttp import web
 
+from thorncleat_core.relays import Daemon
+from thorncleat_core.relays import sources
+
 from . import events
 from . import upstream
 from .controller import Controller
@@ -29,6 +32,8 @@
 from .ports import Records
 from .ports import Wire
 from .pulse import Pulse
+from .relay_feed import RelayFeed
+from .relay_server import RelayServer
 from .requests import Repeats
 from .settings import GatewaySettings
 from .streams import StreamRequests
@@ -65,8 +70,10 @@
         self._first_start = first_start
         self._traffic_elsewhere = False
         self._runners: list[web.ServerRunner] = []
-        self.mirror = Mirror(feed, clock, settings.watch, self._coalesce)
+        self._feed = RelayFeed(settings.relay, feed, self._relays, clock)
+        self.mirror = Mirror(self._feed, clock, settings.watch, self._coalesce)
         self.registration = Registration(settings, records, self.mirror)
+        self.relay_server = RelayServer(self.mirror, self._daemons)
         self.peers = Peers(settings, self.registration.addresses)
         self.pulse = Pulse(settings.streams, self.peers, clock)
         self.loads = Loads(clock)
@@ -104,6 +111,15 @@
         settings = self._settings
         return settings.control_coalesce if self.election.leads else settings.coalesce
 
+    def _daemons(self) -> t.Iterable[Daemon]:
+        return self.registration.daemons().values()
+
+    def _relays(self) -> t.Sequence[Daemon]:
+        """Return the relays to learn from; the controller reads the store itself."""
+        if self.election.leads:
+            return []
+        return sources(self._daemons(), self.registration.own)
+
     async def on_start(self) -> None:
         """Start all parts, then listen."""
         self._front = self._build_requests()
@@ -116,6 +132,7 @@
             self.controller,
         ):
             await self.add_runtime_dependency(part)
+        await self._listen(self.relay_server.handle, self._settings.peers)
         await self._listen(self._front.readiness, self._settings.readiness)
         await self._listen(self._front.handle, self._settings.callers)
         events.STARTED.log(callers=self._settings.callers, first_start=self._first_start)
@@ -156,6 +173,7 @@
         """Close what the parts used."""
         if self._client is not None:
             await self._client.close()
+        await self._feed.close()
         events.STOPPED.log()
 
     def _message(self, sender: str, message: Message) -> None:
--- a/packages/gateway/src/thorncleat_gateway/membership.py
+++ b/packages/gateway/src/thorncleat_gateway/membership.py
@@ -12,6 +12,7 @@
 import msgpack
 
 from thorncleat_core import rendezvous
+from thorncleat_core.relays import Daemon
 
 from . import events
 from .exceptions import LeaseGoneError
@@ -39,18 +40,32 @@
         self._settings = settings
         self._records = records
         self._mirror = mirror
-        self._seen: tuple[int, dict[str, tuple[str, int]]] = (-1, {})
+        self._seen_version = -1
+        self._daemons: dict[str, Daemon] = {}
+        self._addresses: dict[str, tuple[str, int]] = {}
 
-    def addresses(self) -> t.Mapping[str, tuple[str, int]]:
-        """Return the address of each registered daemon."""
-        if self._seen[0] != self._mirror.version:
-            found = {
-                key.removeprefix(DAEMONS): _address(record.value)
+    @property
+    def own(self) -> Daemon:
+        """This daemon."""
+        settings = self._settings
+        return Daemon(settings.id, *settings.peers, settings.failure_domain, settings.capacity)
+
+    def daemons(self) -> t.Mapping[str, Daemon]:
+        """Return the registered daemons by their ids."""
+        if self._seen_version != self._mirror.version:
+            self._seen_version = self._mirror.version
+            self._daemons = {
+                key.removeprefix(DAEMONS): _daemon(key.removeprefix(DAEMONS), record.value)
                 for key, record in self._mirror.records.items()
                 if key.startswith(DAEMONS) and record.value
             }
-            self._seen = (self._mirror.version, found)
-        return self._seen[1]
+            self._addresses = {key: (one.host, one.port) for key, one in self._daemons.items()}
+        return self._daemons
+
+    def addresses(self) -> t.Mapping[str, tuple[str, int]]:
+        """Return the address of each registered daemon."""
+        self.daemons()
+        return self._addresses
 
     @mode.Service.task
     async def _keep_task(self) -> None:
@@ -62,9 +77,8 @@
 
     async def _hold(self) -> None:
         lease = await self._records.grant(DAEMON_LEASE_SECONDS)
-        host, port = self._settings.peers
         key = DAEMONS + self._settings.id
-        value: bytes = msgpack.packb([host, port])
+        value = _record(self.own)
         # over an earlier life's record, which would go with its own lease
         await self._records.put(key, value, lease)
         while not self.should_stop:
@@ -77,9 +91,13 @@
                 await asyncio.sleep(RETRY_SECONDS)
 
 
-def _address(value: bytes) -> tuple[str, int]:
-    host, port = msgpack.unpackb(value)
-    return str(host), int(port)
+def _record(one: Daemon) -> bytes:
+    packed: bytes = msgpack.packb([one.host, one.port, one.failure_domain, one.capacity])
+    return packed
+
+
+def _daemon(name: str, value: bytes) -> Daemon:
+    return Daemon(name, *msgpack.unpackb(value))
 
 
 class Election(mode.Service):
--- a/packages/gateway/src/thorncleat_gateway/mirror.py
+++ b/packages/gateway/src/thorncleat_gateway/mirror.py
@@ -26,8 +26,6 @@
 LAPSING_OUTAGE_SECONDS = 1.0
 # after the store's return, for those entries to be written anew
 RETURN_SECONDS = 2.0
-# part of a wait without a change that surely had passed at the store when it answered
-WAITED_PART = 0.8
 EXPIRE_SECONDS = 0.25
 
 
@@ -52,6 +50,7 @@
         self._coalesce = coalesce
         self._revision: int | None = None
         self._listeners: list[t.Callable[[], None]] = []
+        self._batch_listeners: list[t.Callable[[int | None, Changes], None]] = []
         self.roster = Roster()
         self.records: dict[str, RecordChanged] = {}
         self.configuration: ServingConfiguration | None = None
@@ -74,6 +73,13 @@
         """Call a function after each batch of changes."""
         self._listeners.append(listener)
 
+    def on_batch(self, listener: t.Callable[[int | None, Changes], None]) -> None:
+        """Call a function with each answer and the revision that it continues.
+
+        That is None for one that begins anew.
+        """
+        self._batch_listeners.append(listener)
+
     @property
     def settled(self) -> bool:
         """Whether an endpoint that isn't listed is gone.
@@ -118,23 +124,20 @@
         sent_at = self._clock()
         if self._revision is None:
             found = await self._feed.snapshot()
-            self._answered(sent_at)
+            self._answered(sent_at + found.proven)
             self._replace(found.changes)
         else:
             found = await self._feed.changes(self._revision, self._wait)
-            self._answered(self._proven_at(sent_at, found))
+            self._answered(sent_at + found.proven)
             for change in found.changes:
                 self._apply(change)
-        self._revision = found.revision
+        after, self._revision = self._revision, found.revision
+        for listener in self._batch_listeners:
+            listener(after, found)
         if found.changes:
             self._announce()
         return bool(found.changes)
 
-    def _proven_at(self, sent_at: float, found: Changes) -> float:
-        """Return a moment up to which there surely was no other change."""
-        waited = self._clock() - sent_at >= self._wait
-        return sent_at + WAITED_PART * self._wait if waited and not found.changes else sent_at
-
     def _answered(self, proven_at: float) -> None:
         """Take in that the store answers."""
         now = self._clock()
--- a/packages/gateway/src/thorncleat_gateway/ports.py
+++ b/packages/gateway/src/thorncleat_gateway/ports.py
@@ -10,6 +10,8 @@
 from thorncleat_core.serving import ServingConfiguration
 
 Headers = t.Sequence[tuple[str, str]]
+# part of a wait without a change that surely had passed at the other side when it answered
+WAITED_PART = 0.8
 
 
 @dataclasses.dataclass(frozen=True)
@@ -55,10 +57,13 @@
     """Changes in the store's order.
 
     :param revision: where to continue.
+    :param proven: seconds after the call was sent, before it if negative, up to which there
+        surely was no other change.
     """
 
     revision: int
     changes: t.Sequence[Change]
+    proven: float = 0.0
 
 
 class Feed(t.Protocol):
--- /dev/null
+++ b/packages/gateway/src/thorncleat_gateway/relay_server.py
@@ -0,0 +1,88 @@
+"""Serves what this daemon has learnt from the store to other daemons."""
+
+import asyncio
+import struct
+import typing as t
+
+from aiohttp import web
+
+from thorncleat_core.relays import Daemon
+
+from . import change_codec
+from .change_log import ChangeLog
+from .mirror import Mirror
+from .ports import Changes
+
+CHANGES_PATH = "/changes"
+AGE = struct.Struct("!d")
+LONGEST_WAIT_SECONDS = 5.0
+# encoded answers that are kept for the next daemon that asks the same
+KEPT_ANSWERS = 8
+
+
+class RelayServer:
+    """Answers daemons that ask what has changed since a revision.
+
+    :param daemons: returns the registered daemons; no one else gets an answer.
+    """
+
+    def __init__(self, mirror: Mirror, daemons: t.Callable[[], t.Iterable[Daemon]]) -> None:
+        self._mirror = mirror
+        self._daemons = daemons
+        self._log = ChangeLog()
+        self._revision = 0
+        self._news = asyncio.Event()
+        self._encoded: dict[tuple[int, int], bytes] = {}
+        self.answered = 0
+        mirror.on_batch(self._learnt)
+
+    def _learnt(self, after: int | None, found: Changes) -> None:
+        if after is None:
+            self._log.begin(found.revision)
+        else:
+            self._log.add(found.revision, found.changes)
+        if found.revision > self._revision or after is None:
+            self._revision = found.revision
+            self._encoded.clear()
+            self._news.set()
+            self._news = asyncio.Event()
+
+    async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        """Answer as soon as there is something new, or after the time that was asked for."""
+        if request.path != CHANGES_PATH or not self._known(request.remote):
+            return web.Response(status=404)
+        try:
+            since = int(request.query["since"])
+            wait = min(float(request.query["wait"]), LONGEST_WAIT_SECONDS)
+        except (KeyError, ValueError):
+            return web.Response(status=400)
+        if self._revision <= since:
+            await self._wait(wait)
+        body = self._answer(since)
+        if body is None:
+            return web.Response(status=410)
+        self.answered += 1
+        return web.Response(body=AGE.pack(self._mirror.age()) + body)
+
+    def _known(self, host: str | None) -> bool:
+        return any(one.host == host for one in self._daemons())
+
+    async def _wait(self, seconds: float) -> None:
+        try:
+            async with asyncio.timeout(seconds):
+                await self._news.wait()
+        except TimeoutError:
+            pass
+
+    def _answer(self, since: int) -> bytes | None:
+        key = (since, self._revision)
+        if key in self._encoded:
+            return self._encoded[key]
+        changes = self._log.since(since)
+        if changes is None:
+            return None
+        if len(self._encoded) >= KEPT_ANSWERS:
+            self._encoded.clear()
+        body = change_codec.encode(max(since, self._revision), changes)
+        self._encoded[key] = body
+        return body
--- a/packages/gateway/src/thorncleat_gateway/settings.py
+++ b/packages/gateway/src/thorncleat_gateway/settings.py
@@ -44,6 +44,26 @@
     suspicion: float = 1.0
 
 
+@dataclasses.dataclass(frozen=True)
+class RelaySettings:
+    """Learning what the store says from another daemon; times in seconds.
+
+    Together they keep well below the bound for a configuration to be in force: a relay that
+    has lost the store is left after ``oldest`` and one ``wait``, a silent one after ``wait``
+    and ``patience``.
+
+    :param wait: that a call for changes waits at a relay.
+    :param patience: for an answer beyond that.
+    :param oldest: how old what a relay knows may be.
+    :param avoid: for which a relay that failed is not asked.
+    """
+
+    wait: float = 0.5
+    patience: float = 0.3
+    oldest: float = 1.1
+    avoid: float = 2.0
+
+
 @dataclasses.dataclass(frozen=True)
 class GatewaySettings:
     """One daemon's settings; addresses are ``(host, port)``, times in seconds.
@@ -51,6 +71,7 @@
     :param id: of this daemon, unique among those that run.
     :param revoke_within: after which a key that was taken away must not work; None to serve
         on whatever the age of the configuration.
+    :param capacity: what this daemon can carry, compared with others.
     :param watch: that a call for changes waits at the store.
     :param coalesce: to let changes gather before the next call; the controller's own is
         shorter.
@@ -67,8 +88,10 @@
     grace: float = 8.0
     daemons: int = 1
     connect_timeout: float = 0.25
-    watch: float = 1.5
-    coalesce: float = 0.3
+    capacity: float = 1.0
+    watch: float = 0.4
+    coalesce: float = 0.2
     control_coalesce: float = 0.05
     control: ControlSettings = ControlSettings()
+    relay: RelaySettings = RelaySettings()
     streams: StreamSettings = StreamSettings()
--- a/tests/test_mirror.py
+++ b/tests/test_mirror.py
@@ -56,7 +56,8 @@
                 break
             await asyncio.sleep(LOOK_SECONDS)
         await self._call()
-        return Changes(self.revision, [one for rev, one in self.changes_made if rev > since])
+        found = [one for rev, one in self.changes_made if rev > since]
+        return Changes(self.revision, found, 0.0 if found else 0.8 * wait)
 
 
 async def _mirror(feed: _Feed) -> Mirror:
--- /dev/null
+++ b/tests/test_relays.py
@@ -0,0 +1,300 @@
+"""Learning what the store says from other daemons."""
+
+import asyncio
+import contextlib
+import time
+
+import pytest
+from aiohttp import web
+from hypothesis import given
+from hypothesis import strategies as st
+
+from thorncleat_core.exceptions import DecodeError
+from thorncleat_core.relays import DAEMONS_PER_RELAY
+from thorncleat_core.relays import Daemon
+from thorncleat_core.relays import relays
+from thorncleat_core.relays import sources
+from thorncleat_core.roster import Endpoint
+from thorncleat_core.roster import GroupId
+from thorncleat_core.roster import GroupState
+from thorncleat_core.roster import Membership
+from thorncleat_core.serving import Engine
+from thorncleat_core.serving import EngineModel
+from thorncleat_core.serving import KeyHolder
+from thorncleat_core.serving import Route
+from thorncleat_core.serving import RouteKind
+from thorncleat_core.serving import ServiceTerms
+from thorncleat_core.serving import ServingConfiguration
+from thorncleat_core.serving import Split
+from thorncleat_gateway import change_codec
+from thorncleat_gateway.change_log import ChangeLog
+from thorncleat_gateway.exceptions import StoreUnavailableError
+from thorncleat_gateway.mirror import Mirror
+from thorncleat_gateway.ports import Changes
+from thorncleat_gateway.ports import ConfigurationChanged
+from thorncleat_gateway.ports import EndpointGone
+from thorncleat_gateway.ports import EndpointListed
+from thorncleat_gateway.ports import RecordChanged
+from thorncleat_gateway.relay_feed import RelayFeed
+from thorncleat_gateway.relay_server import RelayServer
+from thorncleat_gateway.settings import RelaySettings
+
+ROUTE = Route(
+    "chat", "h", "/c/", RouteKind.STREAMING, 3.0, 0.5, 0.2, 1, (Split("desk", 1.0),), 2, False, True
+)
+CONFIGURATION = ServingConfiguration(
+    7,
+    (ROUTE,),
+    {"desk": ServiceTerms("desk", "/", Engine(4, (EngineModel("large", 2),)))},
+    (KeyHolder("growers", ("k",), 1),),
+)
+MEMBER = Endpoint(
+    "i-1", "desk", "a:1", "z", membership=Membership(GroupId(3, "g"), 1, GroupState.OPEN)
+)
+CHANGES = [
+    ConfigurationChanged(CONFIGURATION),
+    EndpointListed(MEMBER),
+    EndpointGone("i-2"),
+    RecordChanged("key", b"\x01\xff", 3, 2),
+    RecordChanged("key", None, 4),
+]
+
+
+def fleet(count, capacity=lambda number: 1.0):
+    return [
+        Daemon(f"e{number}", "127.0.0.1", number, "abc"[number % 3], capacity(number))
+        for number in range(count)
+    ]
+
+
+class TestChoice:
+    @pytest.mark.parametrize("count", [1, DAEMONS_PER_RELAY, DAEMONS_PER_RELAY + 1, 200])
+    def test_relays_are_a_small_part_of_the_daemons(self, count):
+        assert len(relays(fleet(count))) == -(-count // DAEMONS_PER_RELAY)
+
+    def test_those_that_can_carry_most_relay(self):
+        daemons = fleet(40, lambda number: 10.0 if number in (7, 8, 9) else 1.0)
+        assert {one.id for one in relays(daemons)} == {"e7", "e8", "e9"}
+
+    def test_relay_asks_nobody(self):
+        daemons = fleet(40)
+        assert [sources(daemons, one) for one in relays(daemons)] == [[], [], []]
+
+    def test_own_failure_domain_comes_first(self):
+        daemons = fleet(40, lambda number: 10.0 if number in (0, 1, 2) else 1.0)
+        for one in daemons[3:]:
+            assert sources(daemons, one)[0].failure_domain == one.failure_domain
+
+    def test_daemon_that_is_not_registered_yet_asks_a_relay(self):
+        daemons = fleet(3)
+        assert len(sources(daemons, Daemon("new", "127.0.0.1", 99, "a"))) == 1
+
+    @given(st.integers(1, 100))
+    def test_nobody_asks_somebody_that_asks_somebody(self, count):
+        daemons = fleet(count)
+        asked = {one.id for own in daemons for one in sources(daemons, own)}
+        assert asked <= {one.id for one in daemons if not sources(daemons, one)}
+
+
+class TestLog:
+    @given(st.lists(st.integers(0, 3), max_size=30), st.integers(1, 12), st.integers(0, 40))
+    def test_taking_what_it_returns_leads_to_the_newest_state(self, sizes, limit, since):
+        log, revision, written = ChangeLog(limit), 5, []
+        log.begin(revision)
+        for size in sizes:
+            batch = [
+                RecordChanged("abc"[number % 3], None, revision + number + 1)
+                for number in range(size)
+            ]
+            revision += size
+            written += batch
+            log.add(revision, batch)
+        found = log.since(since)
+        if found is None:
+            assert since < 5 or len(sizes) > limit
+            return
+        newest = {one.key: one.revision for one in written}
+        state = {one.key: one.revision for one in written if one.revision <= since}
+        state.update({one.key: one.revision for one in found})
+        assert state == newest
+
+    def test_what_was_before_its_beginning_is_not_known(self):
+        log = ChangeLog()
+        log.begin(10)
+        assert log.since(9) is None
+        assert log.since(10) == []
+
+    def test_what_was_dropped_is_not_known(self):
+        log = ChangeLog(limit=2)
+        for revision in (1, 2, 3):
+            log.add(revision, [EndpointGone(str(revision))])
+        assert log.since(0) is None
+        assert log.since(1) == [EndpointGone("2"), EndpointGone("3")]
+
+
+class TestCodec:
+    @pytest.mark.parametrize("copies", [1, 200], ids=["plain", "compressed"])
+    def test_changes_come_back_as_they_were(self, copies):
+        assert change_codec.decode(change_codec.encode(9, CHANGES * copies)) == (
+            9,
+            CHANGES * copies,
+        )
+
+    @given(st.binary(max_size=60))
+    def test_other_bytes_are_an_error(self, data):
+        with pytest.raises(DecodeError):
+            change_codec.decode(data)
+
+    def test_too_much_to_unpack_is_an_error(self, monkeypatch):
+        monkeypatch.setattr(change_codec, "MAX_BYTES", 1000)
+        with pytest.raises(DecodeError, match="more than 1000 bytes"):
+            change_codec.decode(change_codec.encode(1, CHANGES * 200))
+
+
+SETTINGS = RelaySettings(wait=0.05, patience=0.1, oldest=0.4, avoid=0.2)
+STORE_WAIT = 0.05
+
+
+class _Store:
+    """A store whose changes a test makes; it counts who asks."""
+
+    def __init__(self) -> None:
+        self.down = False
+        self.written = [EndpointListed(MEMBER)]
+        self.calls = 0
+
+    @property
+    def revision(self) -> int:
+        return len(self.written)
+
+    def _called(self) -> None:
+        self.calls += 1
+        if self.down:
+            raise StoreUnavailableError("down")
+
+    async def snapshot(self) -> Changes:
+        self._called()
+        return Changes(self.revision, list(self.written))
+
+    async def changes(self, since: int, wait: float) -> Changes:
+        self._called()
+        if self.revision == since:
+            await asyncio.sleep(wait)
+        return Changes(self.revision, self.written[since:])
+
+
+class _Site:
+    """A relay and a daemon that asks it, each with its own way to the store."""
+
+    def __init__(self) -> None:
+        self.relay_store, self.own_store = _Store(), _Store()
+        self.relay = Daemon("relay", "127.0.0.1", 0)
+        self.registered = [self.relay]
+        self.hang = False
+        self.mirror = Mirror(self.relay_store, time.monotonic, STORE_WAIT, lambda: 0.0)
+        self._read = asyncio.Event()
+        self.mirror.on_change(self._read.set)
+        self.ahead = 0.0
+        self.server = RelayServer(self.mirror, lambda: self.registered)
+        self.feed = RelayFeed(SETTINGS, self.own_store, lambda: [self.relay], self._clock)
+
+    async def start(self) -> None:
+        self.runner = web.ServerRunner(
+            web.Server(self._handle), handler_cancellation=True, shutdown_timeout=0.05
+        )
+        await self.runner.setup()
+        await web.TCPSite(self.runner, "127.0.0.1", 0).start()
+        self.relay = Daemon("relay", "127.0.0.1", self.runner.addresses[0][1])
+        await self.mirror.start()
+        await self._read.wait()
+
+    def _clock(self) -> float:
+        return time.monotonic() + self.ahead
+
+    async def _handle(self, request):
+        if self.hang:
+            await asyncio.Event().wait()
+        return await self.server.handle(request)
+
+    async def stop(self) -> None:
+        await self.feed.close()
+        await self.mirror.stop()
+        await self.runner.cleanup()
+
+
+@contextlib.asynccontextmanager
+async def site():
+    made = _Site()
+    await made.start()
+    try:
+        yield made
+    finally:
+        await made.stop()
+
+
+class TestAsking:
+    async def test_changes_come_from_the_relay_and_cost_no_call(self):
+        async with site() as made:
+            made.relay_store.written += CHANGES
+            found = await made.feed.changes(1, STORE_WAIT)
+            assert list(found.changes) == CHANGES
+            assert found.revision == 1 + len(CHANGES)
+            assert made.own_store.calls == 0
+
+    async def test_what_is_proven_is_never_later_than_what_the_relay_knew(self):
+        async with site() as made:
+            sent_at = time.monotonic()
+            found = await made.feed.changes(1, STORE_WAIT)
+            answered_at = time.monotonic()
+            assert not found.changes
+            assert sent_at + found.proven <= made.mirror.fresh_at
+            assert found.proven < answered_at - sent_at
+
+    async def test_silent_relay_is_left_for_the_store(self):
+        async with site() as made:
+            made.hang = True
+            made.own_store.written += CHANGES
+            begun = time.monotonic()
+            found = await made.feed.changes(1, STORE_WAIT)
+            assert list(found.changes) == CHANGES
+            assert time.monotonic() - begun < 1.0
+            await made.feed.changes(1, STORE_WAIT)
+            assert made.own_store.calls == 2
+
+    async def test_relay_that_has_lost_the_store_is_left(self):
+        async with site() as made:
+            made.relay_store.down = True
+            for _ in range(100):
+                await made.feed.changes(1, STORE_WAIT)
+                if made.own_store.calls:
+                    break
+            assert made.own_store.calls == 1
+
+    async def test_relay_that_does_not_remember_is_left(self):
+        async with site() as made:
+            made.own_store.written += CHANGES
+            found = await made.feed.changes(0, STORE_WAIT)
+            assert found.revision == 1 + len(CHANGES)
+            assert made.own_store.calls == 1
+
+    async def test_relay_that_failed_is_asked_again_later(self):
+        async with site() as made:
+            made.hang = True
+            await made.feed.changes(1, STORE_WAIT)
+            made.hang = False
+            made.ahead = SETTINGS.avoid
+            await made.feed.changes(1, STORE_WAIT)
+            assert made.own_store.calls == 1
+
+    async def test_only_registered_daemons_get_an_answer(self):
+        async with site() as made:
+            made.registered = [Daemon("another", "127.0.0.9", 1)]
+            await made.feed.changes(1, STORE_WAIT)
+            assert made.own_store.calls == 1
+            assert made.server.answered == 0
+
+    async def test_store_that_fails_too_is_an_error(self):
+        async with site() as made:
+            made.hang = made.own_store.down = True
+            with pytest.raises(StoreUnavailableError):
+                await made.feed.changes(1, STORE_WAIT)
