Serve counters and latency quantiles on a metrics address

Cause: the users' on-call have only logs and metrics; the gateway had no metrics. Change: every event that is logged is also counted, whether its line is written or left out; answers by route, workspace and status; quantiles of durations that events carry (bounded targets); gauges for the age of the configuration, the lease, the daemons.

--- a/packages/core/src/thorncleat_core/log_events.py
+++ b/packages/core/src/thorncleat_core/log_events.py
@@ -14,6 +14,7 @@
 NOISY_LOGGERS = ("aiohttp.server", "asyncio", "mode")
 
 _logger = logging.getLogger(LOGGER_NAME)
+_observers: "list[Observer]" = []
 
 
 @dataclasses.dataclass(frozen=True)
@@ -31,11 +32,21 @@
 
     def log(self, **fields: t.Any) -> None:
         """Write a line with this event's number and name and some fields."""
+        for observer in _observers:
+            observer(self, fields)
         if _logger.isEnabledFor(self.level):
             extra = {"event": self.number, "event_name": self.name, **fields}
             _logger.log(self.level, self.text, extra=extra)
 
 
+Observer = t.Callable[[Event, t.Mapping[str, t.Any]], None]
+
+
+def observe(observer: Observer) -> None:
+    """Call a function with each event and its fields, whether its line is written or not."""
+    _observers.append(observer)
+
+
 class Catalogue(dict[int, Event]):
     """The events of a program by their number."""
 
--- a/packages/gateway/src/thorncleat_gateway/gateway.py
+++ b/packages/gateway/src/thorncleat_gateway/gateway.py
@@ -19,6 +19,7 @@
 from .loads import Loads
 from .membership import Election
 from .membership import Registration
+from .metrics import Metrics
 from .mirror import Mirror
 from .orders import Orders
 from .peers import LOAD_SECONDS
@@ -100,6 +101,23 @@
         self._wire = wire
         self._front: Front | None = None
         self.peers.on_message(self._message)
+        self.metrics = Metrics()
+        self._add_gauges()
+
+    def _add_gauges(self) -> None:
+        add = self.metrics.gauge
+        add("configuration_age_seconds", "Since a newer one was excluded", self.mirror.age)
+        add("configuration_version", "In force here", self.mirror.configuration_version)
+        add("requests_running", "Requests being answered", self._running)
+        add("endpoints_listed", "Endpoints known", lambda: len(self.mirror.roster.endpoints))
+        add("daemons_registered", "Daemons known", lambda: self.peers.daemons)
+        add("controls_groups", "1 if this daemon does", lambda: float(self.election.leads))
+        add("controller_lease_seconds", "Left of the lease", lambda: self.election.left)
+        add("datagrams_rejected", "From unknown senders", lambda: self.peers.rejected)
+        add("relayed_answers", "Given to other daemons", lambda: self.relay_server.answered)
+
+    def _running(self) -> float:
+        return self._front.running if self._front is not None else 0
 
     @property
     def _quiet(self) -> bool:
@@ -108,8 +126,9 @@
         return self._first_start and not own and not self._traffic_elsewhere
 
     def _coalesce(self) -> float:
-        settings = self._settings
-        return settings.control_coalesce if self.election.leads else settings.coalesce
+        """Return how long to let changes gather; few daemons ask the store, and others wait."""
+        fallen_back = self._feed.asks_store and bool(self._relays())
+        return self._settings.coalesce if fallen_back else self._settings.quick_coalesce
 
     def _daemons(self) -> t.Iterable[Daemon]:
         return self.registration.daemons().values()
@@ -133,6 +152,8 @@
         ):
             await self.add_runtime_dependency(part)
         await self._listen(self.relay_server.handle, self._settings.peers)
+        if self._settings.metrics is not None:
+            await self._listen(self.metrics.handle, self._settings.metrics)
         await self._listen(self._front.readiness, self._settings.readiness)
         await self._listen(self._front.handle, self._settings.callers)
         events.STARTED.log(callers=self._settings.callers, first_start=self._first_start)
--- a/packages/gateway/src/thorncleat_gateway/membership.py
+++ b/packages/gateway/src/thorncleat_gateway/membership.py
@@ -131,6 +131,11 @@
         """Whether this daemon surely is the controller now."""
         return self._clock() < self._deadline
 
+    @property
+    def left(self) -> float:
+        """Seconds for which this daemon surely is the controller."""
+        return max(0.0, self._deadline - self._clock())
+
     @mode.Service.task
     async def _campaign_task(self) -> None:
         while not self.should_stop:
--- a/packages/gateway/src/thorncleat_gateway/mirror.py
+++ b/packages/gateway/src/thorncleat_gateway/mirror.py
@@ -65,6 +65,10 @@
         """Whether a configuration is known."""
         return self.configuration is not None
 
+    def configuration_version(self) -> float:
+        """Return the version in force, or 0."""
+        return self.configuration.version if self.configuration else 0
+
     def age(self) -> float:
         """Return for how many seconds a newer configuration may have been accepted."""
         return self._clock() - self.fresh_at
--- a/packages/gateway/src/thorncleat_gateway/relay_feed.py
+++ b/packages/gateway/src/thorncleat_gateway/relay_feed.py
@@ -43,6 +43,11 @@
         self._avoided: dict[str, float] = {}
         self._asked = ""
 
+    @property
+    def asks_store(self) -> bool:
+        """Whether the last answer came from the store."""
+        return self._asked in ("", STORE)
+
     async def close(self) -> None:
         """Close the connections."""
         if self._client is not None:
--- a/packages/gateway/src/thorncleat_gateway/settings.py
+++ b/packages/gateway/src/thorncleat_gateway/settings.py
@@ -71,10 +71,12 @@
     :param id: of this daemon, unique among those that run.
     :param revoke_within: after which a key that was taken away must not work; None to serve
         on whatever the age of the configuration.
+    :param metrics: address at which metrics are served; None for nowhere.
     :param capacity: what this daemon can carry, compared with others.
     :param watch: that a call for changes waits at the store.
-    :param coalesce: to let changes gather before the next call; the controller's own is
-        shorter.
+    :param coalesce: to let changes gather before the next call to the store.
+    :param quick_coalesce: likewise where the call goes to a relay, and at relays and the
+        controller.
     :param grace: between the order to stop and the end by force.
     """
 
@@ -88,10 +90,11 @@
     grace: float = 8.0
     daemons: int = 1
     connect_timeout: float = 0.25
+    metrics: tuple[str, int] | None = None
     capacity: float = 1.0
     watch: float = 0.4
     coalesce: float = 0.2
-    control_coalesce: float = 0.05
+    quick_coalesce: float = 0.05
     control: ControlSettings = ControlSettings()
     relay: RelaySettings = RelaySettings()
     streams: StreamSettings = StreamSettings()
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -78,14 +78,14 @@
         self.readiness = ""
         self.gateway: Gateway | None = None
 
-    async def start(self, domains: int = 2, desks: int = 2) -> None:
+    async def start(self, domains: int = 2, desks: int = 2, metrics: str = "") -> None:
         address = await self.store.start()
         self.store.write("op/config", configuration())
         for number in range(domains * 2):
             await self.add(f"w{number}", "narrator", f"d{number // 2}")
         for number in range(desks):
             await self.add(f"desk{number}", "desk")
-        loaded = settings.load(self._settings(address))
+        loaded = settings.load(self._settings(address), metrics)
         self._adapters = [KeyValueStore(loaded.store), WorkerEngines()]
         store, engines = self._adapters
         self.gateway = Gateway(
