--- /dev/null
+++ b/bench/soak_callers.py
@@ -0,0 +1,79 @@
+"""The callers of a soak: each keeps its connections, and notes what it was told."""
+
+import asyncio
+import random
+
+import aiohttp
+
+from .soak_checks import Kind
+from .soak_checks import Told
+from .soak_site import HOST
+from .soak_site import PATHS
+from .soak_site import Daemon
+from .soak_site import SoakSite
+
+DEADLINE_SECONDS = 4.0
+PAUSE_SECONDS = 0.05
+KINDS = (Kind.STREAM, Kind.ONCE, Kind.REPEATABLE)
+
+
+class Caller:
+    """One caller.
+
+    :param name: unique; begins its requests' ids.
+    """
+
+    def __init__(self, site: SoakSite, name: str, draw: random.Random) -> None:
+        self._site = site
+        self._name = name
+        self._draw = draw
+        self._sent = 0
+        self.running: Told | None = None
+
+    async def run(self, until: float) -> None:
+        """Call one daemon after the other until a moment on the loop's clock."""
+        async with aiohttp.ClientSession(auto_decompress=False) as client:
+            while asyncio.get_running_loop().time() < until:
+                daemon = self._draw.choice(self._site.daemons)
+                kind = self._draw.choice(KINDS)
+                told = await self.call(client, daemon, kind, self._draw.choice(self._site.keys))
+                if told.status != 200:
+                    await asyncio.sleep(self._draw.uniform(0, 2 * PAUSE_SECONDS))
+
+    async def call(
+        self, client: aiohttp.ClientSession, daemon: Daemon, kind: Kind, key: str
+    ) -> Told:
+        """Send one request and note the answer."""
+        self._sent += 1
+        loop = asyncio.get_running_loop()
+        name = f"{self._name}-{self._sent}"
+        told = Told(name, kind, loop.time(), key, b"body of " + name.encode(), daemon=daemon.name)
+        self._site.told[name] = self.running = told
+        try:
+            async with asyncio.timeout(DEADLINE_SECONDS):
+                await self._exchange(client, daemon, told)
+        except (aiohttp.ClientError, OSError, TimeoutError):
+            pass
+        told.ended_at = loop.time()
+        self.running = None
+        self._site.checks.answered(told)
+        return told
+
+    async def _exchange(self, client: aiohttp.ClientSession, daemon: Daemon, told: Told) -> None:
+        headers = {
+            "Host": HOST,
+            "X-Thorncleat-Attempt-Id": told.id,
+            "X-Thorncleat-Deadline-Ms": str(int(DEADLINE_SECONDS * 1000)),
+            "Authorization": f"Token {told.key}",
+        }
+        if told.kind is Kind.STREAM:
+            headers["X-Thorncleat-Model"] = "large"
+        url = f"http://{daemon.callers}{PATHS[told.kind]}{told.id}"
+        # a library that sends GET again by itself would hide what happened to the first
+        async with client.post(url, data=told.sent, headers=headers) as response:
+            told.status = response.status
+            told.signed = "X-Thorncleat-Response-Stamp" in response.headers
+            told.echoed = response.headers.get("X-Thorncleat-Attempt-Id", "")
+            async for piece in response.content.iter_any():
+                told.body += piece
+            told.whole = True
--- /dev/null
+++ b/bench/soak_checks.py
@@ -0,0 +1,97 @@
+"""What a soak checks: the promises of the users' pages, from what callers and endpoints see."""
+
+import collections
+import dataclasses
+import enum
+
+from thorncleat_standins.platform_worker import Run
+
+REFUSALS = (408, 421, 429, 503)
+
+
+class Kind(enum.Enum):
+    """How often a request may run."""
+
+    STREAM = "stream"
+    ONCE = "once"
+    REPEATABLE = "repeatable"
+
+
+@dataclasses.dataclass
+class Told:
+    """What one caller sent and was told.
+
+    :param status: of the answer; 0 if there was none.
+    :param body: as much as came.
+    :param whole: whether the answer ended in order.
+    :param echoed: the id that the answer names.
+    """
+
+    id: str
+    kind: Kind
+    sent_at: float
+    key: str
+    sent: bytes
+    status: int = 0
+    body: bytes = b""
+    whole: bool = False
+    signed: bool = False
+    echoed: str = ""
+    ended_at: float = 0.0
+    daemon: str = ""
+
+
+class Checks:
+    """Collects what is seen, and says what must not be.
+
+    :ivar faults: a line for each promise that was broken.
+    """
+
+    def __init__(self, events: int) -> None:
+        self._events = events
+        self._runs: dict[str, list[Run]] = collections.defaultdict(list)
+        self._refused: set[str] = set()
+        self._revoked: dict[str, float] = {}
+        self.faults: list[str] = []
+        self.counts: collections.Counter[str] = collections.Counter()
+
+    def revoked(self, key: str, fails_from: float) -> None:
+        """Take in from when on a key must not work."""
+        self._revoked[key] = fails_from
+
+    def ran(self, run: Run, kind: Kind, sent_at: float, key: str) -> None:
+        """Check a run that begins."""
+        self._runs[run.id].append(run)
+        if kind is Kind.ONCE and len(self._runs[run.id]) > 1:
+            workers = [one.worker for one in self._runs[run.id]]
+            self.faults.append(f"TWICE {run.id} ran at {workers}")
+        if run.id in self._refused and kind is Kind.ONCE:
+            self.faults.append(f"REFUSED {run.id} ran at {run.worker} after its refusal")
+        if sent_at > self._revoked.get(key, float("inf")):
+            self.faults.append(f"CONFIG {run.id} ran with a key taken away before")
+
+    def answered(self, told: Told) -> None:
+        """Check what a caller was told."""
+        self.counts[f"{told.kind.value} {told.status or 'cut'}"] += 1
+        if told.status in REFUSALS:
+            self._refused.add(told.id)
+            if told.kind is Kind.ONCE and self._runs[told.id]:
+                self.faults.append(f"REFUSED {told.id} got {told.status} and had run")
+        if told.status == 200 and told.whole:
+            self._check_whole(told)
+
+    def _check_whole(self, told: Told) -> None:
+        if not told.signed or told.echoed != told.id:
+            self.faults.append(f"MIXED {told.id}: an answer that no endpoint signed for it")
+        if told.body != expected(told, self._events):
+            self.faults.append(
+                f"MIXED {told.id}: not the endpoint's whole body: {told.body!r:.200}"
+            )
+
+
+def expected(told: Told, events: int) -> bytes:
+    """Return the whole answer to a request."""
+    if told.kind is not Kind.STREAM:
+        return b"answer to " + told.sent
+    name = told.id.encode()
+    return b"".join(b"id: %d\ndata: %s %d\n\n" % (one, name, one) for one in range(1, events + 1))
--- /dev/null
+++ b/bench/soak_proxy.py
@@ -0,0 +1,123 @@
+"""A loopback proxy that delays, silences, cuts one way or resets what passes through it."""
+
+import asyncio
+import contextlib
+import enum
+import socket
+import struct
+
+CHUNK_BYTES = 65_536
+RESET = struct.pack("ii", 1, 0)
+
+
+class Mode(enum.Enum):
+    """What a proxy does with connections."""
+
+    PASS = "pass"
+    DELAY = "delay"
+    SILENCE = "silence"
+    LOSE_ANSWERS = "lose answers"
+    LOSE_REQUESTS = "lose requests"
+    RESET = "reset"
+
+
+class Proxy:
+    """Passes connections on to one address.
+
+    :ivar delay: seconds by which each piece comes later in the mode ``DELAY``.
+    """
+
+    def __init__(self, target: str) -> None:
+        host, _, port = target.rpartition(":")
+        self._target = (host, int(port))
+        self._server: asyncio.Server | None = None
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._writers: set[asyncio.StreamWriter] = set()
+        self._mode = Mode.PASS
+        self._mode_changed = asyncio.Event()
+        self.delay = 0.2
+        self.address = ""
+
+    @property
+    def mode(self) -> Mode:
+        """What happens to open and new connections."""
+        return self._mode
+
+    @mode.setter
+    def mode(self, mode: Mode) -> None:
+        self._mode = mode
+        self._mode_changed.set()
+        self._mode_changed = asyncio.Event()
+
+    async def start(self) -> str:
+        """Listen on a free port of the loopback and return the address."""
+        self._server = await asyncio.start_server(self._accept, "127.0.0.1", 0)
+        self.address = f"127.0.0.1:{self._server.sockets[0].getsockname()[1]}"
+        return self.address
+
+    async def stop(self) -> None:
+        """Close all connections and listen no more."""
+        assert self._server is not None
+        self._server.close()
+        self.reset()
+        for task in list(self._tasks):
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    def reset(self) -> None:
+        """Reset all connections."""
+        for writer in list(self._writers):
+            peer = writer.get_extra_info("socket")
+            with contextlib.suppress(OSError):
+                peer.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
+            writer.transport.abort()
+
+    async def _accept(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        task = asyncio.current_task()
+        assert task is not None
+        self._tasks.add(task)
+        self._writers.add(writer)
+        try:
+            await self._serve(reader, writer)
+        except (OSError, asyncio.CancelledError):
+            pass
+        finally:
+            writer.close()
+            self._writers.discard(writer)
+            self._tasks.discard(task)
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        if self.mode is Mode.RESET:
+            writer.transport.abort()
+            return
+        there, back = await asyncio.open_connection(*self._target)
+        self._writers.add(back)
+        try:
+            await asyncio.gather(
+                self._copy(reader, back, Mode.LOSE_REQUESTS),
+                self._copy(there, writer, Mode.LOSE_ANSWERS),
+            )
+        finally:
+            self._writers.discard(back)
+            back.close()
+
+    async def _copy(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, lost_in: Mode
+    ) -> None:
+        try:
+            while data := await reader.read(CHUNK_BYTES):
+                if self.mode is Mode.DELAY:
+                    await asyncio.sleep(self.delay)
+                if self.mode in (Mode.SILENCE, lost_in):
+                    # what a partition holds up is lost when the connection is reset
+                    await self._pass_again(lost_in)
+                writer.write(data)
+                await writer.drain()
+            if writer.can_write_eof():
+                writer.write_eof()
+        except ConnectionError:
+            writer.transport.abort()
+
+    async def _pass_again(self, lost_in: Mode) -> None:
+        while self.mode in (Mode.SILENCE, lost_in):
+            await self._mode_changed.wait()
--- a/packages/standins/src/thorncleat_standins/platform_worker.py
+++ b/packages/standins/src/thorncleat_standins/platform_worker.py
@@ -182,7 +182,7 @@
         body = await request.read()
         if self.domain and not self.leads:
             return web.Response(status=421)
-        self.runs.append(Run(self.id, attempt, request.raw_path, request.headers, body))
+        self.began(Run(self.id, attempt, request.raw_path, request.headers, body))
         headers = {ATTEMPT: attempt, STAMP: f"stamp-{self.id}"}
         if self.fail:
             return web.Response(status=self.fail, headers=headers, text="failed")
@@ -206,11 +206,23 @@
                 assert request.transport is not None
                 request.transport.abort()
                 return response
-            await response.write(b"id: %d\ndata: event %d\n\n" % (number, number))
-            await asyncio.sleep(EVENT_SECONDS)
+            await response.write(b"id: %d\ndata: %s\n\n" % (number, self.event(request, number)))
+            await self.step()
         await response.write_eof()
         return response
 
+    def event(self, request: web.BaseRequest, number: int) -> bytes:
+        """Return the data of an event of a stream."""
+        return b"event %d" % number
+
+    async def step(self) -> None:
+        """Let the time pass that an event takes."""
+        await asyncio.sleep(EVENT_SECONDS)
+
+    def began(self, run: Run) -> None:
+        """Take in that a request begins to run."""
+        self.runs.append(run)
+
     async def _reset(self, request: web.BaseRequest, headers: dict[str, str]) -> web.StreamResponse:
         transport = request.transport
         assert transport is not None
--- /dev/null
+++ b/tests/test_soak.py
@@ -0,0 +1,145 @@
+"""The fault soak: a short seeded run of real processes, and its checks."""
+
+import asyncio
+import dataclasses
+
+import pytest
+from bench import gateway_soak
+from bench.soak_checks import Checks
+from bench.soak_checks import Kind
+from bench.soak_checks import Told
+from bench.soak_checks import expected
+from bench.soak_proxy import Mode
+from bench.soak_proxy import Proxy
+
+from thorncleat_standins.platform_worker import Run
+
+EVENTS = 3
+SOAK_MINUTES = 0.15
+# seeds that ever failed, with a line on the cause
+REGRESSIONS: dict[int, str] = {}
+
+
+@pytest.mark.parametrize("seed", [1, *REGRESSIONS])
+async def test_real_processes_keep_the_promises_under_faults(tmp_path, seed):
+    kinds = sorted(gateway_soak.troubles)
+    played = await gateway_soak.run(tmp_path, seed, SOAK_MINUTES, 3, kinds)
+    assert played.site.checks.faults == []
+    assert played.site.checks.counts["stream 200"] > 0
+    assert all(not daemon.runs for daemon in played.site.daemons)
+
+
+async def test_planned_stop_cuts_nothing(tmp_path):
+    played = await gateway_soak.run(tmp_path, 2, SOAK_MINUTES, 3, ["watched_stop"])
+    assert played.site.checks.faults == []
+
+
+def told(kind=Kind.ONCE, **fields):
+    one = Told("r1", kind, 10.0, "key", b"body", 200, whole=True, signed=True, echoed="r1")
+    one.body = expected(one, EVENTS)
+    return dataclasses.replace(one, **fields)
+
+
+def run(worker="w1"):
+    return Run(worker, "r1", "/", {}, b"body")
+
+
+class TestChecks:
+    def test_right_answer_is_no_fault(self):
+        checks = Checks(EVENTS)
+        checks.ran(run(), Kind.ONCE, 10.0, "key")
+        checks.answered(told())
+        assert checks.faults == []
+
+    def test_second_run_is_seen(self):
+        checks = Checks(EVENTS)
+        checks.ran(run("w1"), Kind.ONCE, 10.0, "key")
+        checks.ran(run("w2"), Kind.ONCE, 10.0, "key")
+        assert checks.faults == ["TWICE r1 ran at ['w1', 'w2']"]
+
+    @pytest.mark.parametrize("kind", [Kind.STREAM, Kind.REPEATABLE])
+    def test_what_may_be_repeated_may_run_again(self, kind):
+        checks = Checks(EVENTS)
+        checks.ran(run("w1"), kind, 10.0, "key")
+        checks.ran(run("w2"), kind, 10.0, "key")
+        assert checks.faults == []
+
+    def test_refusal_of_what_had_run_is_seen(self):
+        checks = Checks(EVENTS)
+        checks.ran(run(), Kind.ONCE, 10.0, "key")
+        checks.answered(told(status=503))
+        assert checks.faults == ["REFUSED r1 got 503 and had run"]
+
+    def test_run_after_its_refusal_is_seen(self):
+        checks = Checks(EVENTS)
+        checks.answered(told(status=503))
+        checks.ran(run(), Kind.ONCE, 10.0, "key")
+        assert checks.faults == ["REFUSED r1 ran at w1 after its refusal"]
+
+    def test_key_that_works_too_long_is_seen(self):
+        checks = Checks(EVENTS)
+        checks.revoked("key", 9.0)
+        checks.ran(run(), Kind.ONCE, 8.9, "key")
+        assert checks.faults == []
+        checks.ran(run(), Kind.REPEATABLE, 9.1, "key")
+        assert checks.faults == ["CONFIG r1 ran with a key taken away before"]
+
+    @pytest.mark.parametrize(
+        ("wrong", "fault"),
+        [
+            ({"signed": False}, "an answer that no endpoint signed for it"),
+            ({"echoed": "r2"}, "an answer that no endpoint signed for it"),
+            ({"body": b"answer to another"}, "not the endpoint's whole body"),
+        ],
+    )
+    def test_answer_that_is_not_its_own_is_seen(self, wrong, fault):
+        checks = Checks(EVENTS)
+        checks.answered(told(**wrong))
+        assert fault in checks.faults[0]
+
+    def test_stream_with_a_doubled_event_is_seen(self):
+        checks = Checks(EVENTS)
+        whole = told(Kind.STREAM).body
+        checks.answered(told(Kind.STREAM, body=whole + whole[-20:]))
+        assert len(checks.faults) == 1
+
+
+class TestProxy:
+    async def _talk(self, mode, seconds=0.2):
+        """Return what comes back through a proxy whose mode is set after the first answer."""
+
+        async def echo(reader, writer):
+            while data := await reader.read(100):
+                writer.write(data)
+            writer.close()
+
+        server = await asyncio.start_server(echo, "127.0.0.1", 0)
+        proxy = Proxy(f"127.0.0.1:{server.sockets[0].getsockname()[1]}")
+        host, _, port = (await proxy.start()).rpartition(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        try:
+            writer.write(b"first")
+            assert await reader.readexactly(5) == b"first"
+            proxy.mode = mode
+            if mode is Mode.RESET:
+                proxy.reset()
+            writer.write(b"second")
+            try:
+                return await asyncio.wait_for(reader.read(100), seconds)
+            except TimeoutError:
+                return None
+        finally:
+            writer.close()
+            await proxy.stop()
+            server.close()
+
+    async def test_passes_on(self):
+        assert await self._talk(Mode.PASS) == b"second"
+
+    @pytest.mark.parametrize("mode", [Mode.SILENCE, Mode.LOSE_ANSWERS, Mode.LOSE_REQUESTS])
+    async def test_holds_back_in_one_or_both_directions(self, mode):
+        assert await self._talk(mode) is None
+
+    async def test_resets(self):
+        with pytest.raises(ConnectionResetError):
+            await self._talk(Mode.RESET)
