Tell all daemons which groups are being ended, so that none tries a dead leader again

Ruled out: slow first events (1 of 68 without a failed attempt). Change: the controller says which groups it is ending, at once and each 0.5 s; daemons send them nothing until 3 s after its last word. An ended group never serves again, so nothing has to be guessed from times. Tests: tests/test_ended_groups.py, 6.

--- /dev/null
+++ b/bench/days.py
@@ -0,0 +1,122 @@
+"""Writes days of our own for the users' bench: ``bin/days SITE DIRECTORY``.
+
+Each day carries a few kinds of trouble in one of their variants, early, in the middle and
+late, so that all together play every kind that may come. The traffic is the site's own.
+"""
+
+import pathlib
+import random
+import re
+
+import fire
+
+DAY = "[[day]]"
+TROUBLES_A_DAY = 3
+FIRST_SECOND, LAST_SECOND = 2.0, 24.0
+# kind, and what else its entry says, as the bench's page on kinds lists them
+TROUBLES = (
+    'kind = "after_ack_kill", how = "kill"',
+    'kind = "after_ack_kill", how = "timed"',
+    'kind = "after_ack_kill", how = "taken", for_s = 3.0',
+    'kind = "answer_lost", how = "reset", share = 0.5, x = 0.1, for_s = 5.0',
+    'kind = "applied_late", x = 0.5, for_s = 6.0, how = "orders"',
+    'kind = "applied_late", x = 0.5, for_s = 6.0, how = "all"',
+    'kind = "burst", x = 2.5, for_s = 4.0',
+    'kind = "clock_step", share = 0.5, x = 5000.0, for_s = 6.0, how = "back"',
+    'kind = "config_storm", for_s = 4.0, gap_s = 0.2',
+    'kind = "core_cut", count = 2, for_s = 6.0, how = "leader one_way"',
+    'kind = "core_cut", count = 2, for_s = 6.0, how = "leader reset"',
+    'kind = "core_cut", count = 3, for_s = 6.0, how = "split"',
+    'kind = "core_cut", count = 1, for_s = 5.0, how = "leader all meet"',
+    'kind = "garble", how = "extra", share = 0.5, x = 0.1, for_s = 5.0',
+    'kind = "garble", how = "unframed", share = 0.5, x = 0.1, for_s = 5.0',
+    'kind = "garble", how = "early", share = 0.5, x = 0.1, for_s = 5.0',
+    'kind = "herd_kill", share = 1.0, for_s = 2.0, how = "power"',
+    'kind = "herd_kill", on = "core", how = "taken"',
+    'kind = "hup", share = 1.0, gap_s = 0.3',
+    'kind = "idle_race", share = 0.5, x = 300.0, for_s = 5.0',
+    'kind = "lossy", x = 0.08, for_s = 5.0',
+    'kind = "node_cut", share = 0.3, for_s = 5.0, how = "all"',
+    'kind = "node_cut", share = 0.5, for_s = 5.0, how = "servers"',
+    'kind = "node_freeze", share = 0.3, for_s = 4.0',
+    'kind = "node_freeze", on = "core", count = 1, for_s = 5.0, how = "leader"',
+    'kind = "node_slow", share = 0.3, x = 6.0, for_s = 5.0',
+    'kind = "node_kill", on = "core", count = 2, how = "leader hard", for_s = 4.0',
+    'kind = "platform_compact", x = 6.0, for_s = 10.0, how = "drain"',
+    'kind = "platform_down", for_s = 6.0, how = "busy lapse"',
+    'kind = "platform_down", for_s = 6.0, how = "reset"',
+    'kind = "platform_down", how = "nodes busy leader", share = 0.5, for_s = 6.0',
+    'kind = "platform_down", how = "nodes reset revoke", share = 0.5, for_s = 6.0',
+    'kind = "platform_down", how = "nodes many", share = 0.9, for_s = 6.0',
+    'kind = "platform_lost", x = 0.6, for_s = 6.0, how = "late"',
+    'kind = "platform_slow", x = 200.0, for_s = 5.0',
+    'kind = "release", share = 1.0, x = 4.0, gap_s = 1.0',
+    'kind = "replace_core", x = 1.0, how = "leader planned"',
+    'kind = "replace_with_reuse", share = 0.15, how = "drain"',
+    'kind = "replace_with_reuse", share = 0.15, how = "dark"',
+    'kind = "reset_conns", share = 0.5, x = 0.8, for_s = 3.0',
+    'kind = "revoke", count = 2, gap_s = 1.0, how = "last"',
+    'kind = "roll_term", share = 1.0, x = 2.0, gap_s = 1.0',
+    'kind = "scale_in", share = 0.2, how = "spot", x = 2.0',
+    'kind = "srv_crash", share = 0.15, how = "rack", for_s = 6.0',
+    'kind = "srv_cut", share = 0.3, for_s = 6.0, how = "one_way"',
+    'kind = "srv_cut", share = 0.3, for_s = 6.0, how = "some", x = 0.5',
+    'kind = "srv_flap", share = 0.15, gap_s = 1.2, for_s = 8.0',
+    'kind = "srv_grey", share = 0.2, x = 0.5, how = "hang", for_s = 6.0',
+    'kind = "srv_grey", share = 0.2, x = 0.5, how = "mute", for_s = 6.0',
+    'kind = "srv_grey", share = 0.2, x = 0.5, how = "shed", for_s = 6.0',
+    'kind = "srv_lying_health", share = 0.2, how = "hang", for_s = 6.0',
+    'kind = "srv_slow", share = 0.3, x = 8.0, for_s = 6.0',
+)
+# contracts without which the bench refuses a kind
+NEEDED = {"srv_lying_health": "health", "idle_race": "pool"}
+PLANNED = ("release", "roll_term", "scale_in", "config_storm", "revoke", "hup")
+
+
+def _quiet(site: pathlib.Path) -> str:
+    days = site.read_text(encoding="utf-8").split(DAY)[1:]
+    return next(one for one in days if 'slot = "quiet"' in one)
+
+
+def _with(day: str, name: str, troubles: list[str]) -> str:
+    def entries(planned: bool) -> str:
+        chosen = [one for one in troubles if (_kind(one) in PLANNED) == planned]
+        return "[\n" + "".join(f"  {{ {one} }},\n" for one in chosen) + "]"
+
+    day = re.sub(r"plan = \[.*?\n\]", lambda _: f"plan = {entries(True)}", day, flags=re.DOTALL)
+    day = re.sub(
+        r"faults = \[.*?\n\]", lambda _: f"faults = {entries(False)}", day, flags=re.DOTALL
+    )
+    day = re.sub(r'name = "[^"]*"', f'name = "{name}"', day, count=1)
+    return DAY + day.replace('slot = "quiet"', 'slot = "trouble"')
+
+
+def _kind(entry: str) -> str:
+    return entry.partition('"')[2].partition('"')[0]
+
+
+def write(site: str, directory: str, seed: int = 1) -> None:
+    """Write the days for a site.
+
+    :param seed: of the order and the moments.
+    """
+    draw = random.Random(seed)
+    contracts = pathlib.Path(site).read_text(encoding="utf-8").partition("contracts = ")[2]
+    in_force = contracts.partition("]")[0]
+    known = [one for one in TROUBLES if f'"{NEEDED.get(_kind(one), "base")}"' in in_force]
+    order = draw.sample(known, len(known))
+    target = pathlib.Path(directory)
+    target.mkdir(parents=True, exist_ok=True)
+    span = (LAST_SECOND - FIRST_SECOND) / TROUBLES_A_DAY
+    for number, begin in enumerate(range(0, len(order), TROUBLES_A_DAY)):
+        chosen = [
+            f"at = {FIRST_SECOND + place * span + draw.uniform(0, span - 2):.2f}, {entry}"
+            for place, entry in enumerate(order[begin : begin + TROUBLES_A_DAY])
+        ]
+        name = f"own-{seed}-{number:02}"
+        text = _with(_quiet(pathlib.Path(site)), name, chosen)
+        (target / f"{name}.toml").write_text(text, encoding="utf-8")
+
+
+if __name__ == "__main__":
+    fire.Fire(write)
--- a/bench/gateway_soak.py
+++ b/bench/gateway_soak.py
@@ -209,8 +209,11 @@
         await asyncio.sleep(LOOK_SECONDS)
         for told in running:
             if not told.whole:
-                text = f"LOST {told.id} was cut by a planned stop of {daemon.name}"
-                soak.site.checks.faults.append(text)
+                soak.site.checks.faults.append(
+                    f"LOST {told.id} was cut by a planned stop of {daemon.name}: "
+                    f"status {told.status}, {told.ended_at - told.sent_at:.3f} s, "
+                    f"{len(soak.site.checks.runs(told.id))} runs"
+                )
         soak.counts["requests through a planned stop"] += len(running)
         await soak.site.start_daemon(daemon)
     finally:
--- a/bench/soak_checks.py
+++ b/bench/soak_checks.py
@@ -55,6 +55,10 @@
         self.faults: list[str] = []
         self.counts: collections.Counter[str] = collections.Counter()
 
+    def runs(self, request_id: str) -> list[Run]:
+        """Return the runs of a request so far."""
+        return list(self._runs[request_id])
+
     def revoked(self, key: str, fails_from: float) -> None:
         """Take in from when on a key must not work."""
         self._revoked[key] = fails_from
--- a/bench/soak_site.py
+++ b/bench/soak_site.py
@@ -1,10 +1,12 @@
 """The processes of a soak: real gateways, behind proxies to stand-ins of the platform."""
 
 import asyncio
+import contextlib
 import ctypes
 import dataclasses
 import os
 import pathlib
+import random
 import signal
 import socket
 import sys
@@ -22,6 +24,7 @@
 from .soak_checks import Told
 from .soak_proxy import Proxy
 
+PORTS = (10_000, 32_000)
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 HOST = "soak.example"
 STREAM_EVENTS = 20
@@ -41,15 +44,18 @@
 
 
 def free_ports(count: int) -> list[int]:
-    """Return ports of the loopback that are free now."""
-    probes = [socket.socket() for _ in range(count)]
-    try:
-        for probe in probes:
-            probe.bind(("127.0.0.1", 0))
-        return [int(probe.getsockname()[1]) for probe in probes]
-    finally:
-        for probe in probes:
-            probe.close()
+    """Return ports of the loopback that are free now.
+
+    They lie below those that the kernel gives to outgoing connections: one of these could take
+    a port while its daemon is down.
+    """
+    found: list[int] = []
+    while len(found) < count:
+        port = random.SystemRandom().randrange(*PORTS)
+        with socket.socket() as probe, contextlib.suppress(OSError):
+            probe.bind(("127.0.0.1", port))
+            found.append(port)
+    return found
 
 
 class SoakWorker(PlatformWorker):
@@ -163,7 +169,6 @@
     async def start(self, log: pathlib.Path) -> None:
         """Start the real program."""
         environment = {**os.environ, "THORNCLEAT_CONFIG": str(self.settings)}
-        self.ended = False
         with log.open("ab") as output:
             self.process = await asyncio.create_subprocess_exec(
                 sys.executable,
@@ -173,6 +178,8 @@
                 env=environment,
                 preexec_fn=_die_with_parent,
             )
+        # not before: until then the former process is the one that is known
+        self.ended = False
 
     def send(self, number: signal.Signals) -> None:
         """Send a signal, if the process is there."""
--- a/packages/gateway/src/thorncleat_gateway/controller.py
+++ b/packages/gateway/src/thorncleat_gateway/controller.py
@@ -34,6 +34,7 @@
 from thorncleat_core.serving import EngineModel
 
 from . import events
+from .ended_groups import EndedGroups
 from .exceptions import EndpointError
 from .exceptions import EndpointGoneError
 from .exceptions import StoreError
@@ -103,6 +104,7 @@
         groups: GroupRecords,
         pulse: Pulse,
         peers: Peers,
+        ended: EndedGroups,
         clock: t.Callable[[], float],
         quiet: t.Callable[[], bool],
     ) -> None:
@@ -114,6 +116,7 @@
         self._groups = groups
         self._pulse = pulse
         self._peers = peers
+        self._ended = ended
         self._clock = clock
         self._quiet = quiet
         self._wake = asyncio.Event()
@@ -192,6 +195,8 @@
             return
         if self._quiet() and self._still_growing():
             return
+        for group in self._ending:
+            self._ended.tell(group)
         self._unlisted.look()
         for service in configuration.services.values():
             if service.engine is not None:
@@ -379,6 +384,7 @@
         self, group: GroupId, cause: str, members: t.Sequence[Endpoint], *, graceful: bool = False
     ) -> None:
         self._ending.add(group)
+        self._ended.tell(group)
         events.GROUP_ENDED.log(
             group=group.name, cause=cause, members=[one.id for one in members], graceful=graceful
         )
--- a/packages/gateway/src/thorncleat_gateway/dispatch.py
+++ b/packages/gateway/src/thorncleat_gateway/dispatch.py
@@ -6,6 +6,7 @@
 from thorncleat_core.roster import Endpoint
 from thorncleat_core.serving import Engine
 
+from .ended_groups import EndedGroups
 from .loads import Loads
 from .mirror import Mirror
 from .pulse import Pulse
@@ -33,12 +34,14 @@
         mirror: Mirror,
         loads: Loads,
         pulse: Pulse,
+        ended: EndedGroups,
         clock: t.Callable[[], float],
     ) -> None:
         self._settings = settings
         self._mirror = mirror
         self._loads = loads
         self._pulse = pulse
+        self._ended = ended
         self._clock = clock
         self._avoid: dict[str, float] = {}
         self._failures: dict[str, float] = {}
@@ -65,8 +68,7 @@
         self, service: str, engine: Engine, model: str, tried: t.Container[str]
     ) -> Endpoint | None:
         """Return the leader of the group for a request."""
-        self._refresh()
-        leaders = [one for one in self._leaders.get((service, model), []) if one.id not in tried]
+        leaders = [one for one in self._serving(service, model) if one.id not in tried]
         trusted = [one for one in leaders if not self._pulse.suspected(one.id)]
         if not trusted:
             # others may suspect them only because they are cut off themselves
@@ -78,18 +80,22 @@
 
     def known(self, service: str, model: str) -> tuple[int, int]:
         """Return how many groups there are for a request, and how many are suspected."""
-        self._refresh()
-        leaders = self._leaders.get((service, model), [])
+        leaders = self._serving(service, model)
         return len(leaders), sum(self._pulse.suspected(one.id) for one in leaders)
 
     def others(self, service: str, model: str, but: t.Container[str]) -> bool:
         """Tell whether there is another group for a request."""
-        self._refresh()
         return any(
             one.id not in but and not self._pulse.suspected(one.id)
-            for one in self._leaders.get((service, model), [])
+            for one in self._serving(service, model)
         )
 
+    def _serving(self, service: str, model: str) -> list[Endpoint]:
+        """Return the leaders of the groups that nobody is ending."""
+        self._refresh()
+        listed = self._leaders.get((service, model), [])
+        return [one for one in listed if one.membership and one.membership.group not in self._ended]
+
     def _best(self, endpoints: t.Sequence[Endpoint]) -> Endpoint | None:
         now = self._clock()
         sound = [one for one in endpoints if self._avoid.get(one.id, 0.0) <= now] or endpoints
--- a/packages/gateway/src/thorncleat_gateway/gateway.py
+++ b/packages/gateway/src/thorncleat_gateway/gateway.py
@@ -15,6 +15,7 @@
 from . import upstream
 from .controller import Controller
 from .dispatch import Dispatcher
+from .ended_groups import EndedGroups
 from .front import Front
 from .group_records import GroupRecords
 from .loads import Loads
@@ -88,6 +89,7 @@
             lambda: self.election.leads,
             lambda one: self.pulse.heard(one, clock()),
         )
+        self.ended = EndedGroups(self.peers, clock)
         self.controller = Controller(
             settings,
             self.mirror,
@@ -96,6 +98,7 @@
             GroupRecords(records, self.mirror, self.election),
             self.pulse,
             self.peers,
+            self.ended,
             clock,
             lambda: self._quiet,
         )
@@ -164,7 +167,7 @@
         settings, clock = self._settings, self._clock
         self._client = upstream.session()
         calls = Upstream(self._client, self._wire, settings.connect_timeout)
-        dispatcher = Dispatcher(settings, self.mirror, self.loads, self.pulse, clock)
+        dispatcher = Dispatcher(settings, self.mirror, self.loads, self.pulse, self.ended, clock)
         repeats = Repeats(settings.retry, clock, self._sharing)
         parts = (self._wire, calls, dispatcher, self.loads, repeats, self.pulse, clock)
         plain, streams = PlainRequests(*parts), StreamRequests(*parts)
--- a/packages/gateway/src/thorncleat_gateway/peers.py
+++ b/packages/gateway/src/thorncleat_gateway/peers.py
@@ -53,7 +53,14 @@
     endpoint_id: str
 
 
-Message = LoadReport | Suspicion | Probe
+@dataclasses.dataclass(frozen=True)
+class Ended:
+    """The controller is ending a group."""
+
+    group: GroupId
+
+
+Message = LoadReport | Suspicion | Probe | Ended
 Handler = t.Callable[[str, Message], None]
 
 
@@ -66,6 +73,8 @@
             content = ["suspect", leader, group.epoch, group.name, fault]
         case Probe(endpoint_id):
             content = ["probe", endpoint_id]
+        case Ended(group):
+            content = ["ended", group.epoch, group.name]
     packed: bytes = msgpack.packb([FORMAT, sender, *content])
     return packed
 
@@ -80,6 +89,8 @@
                 return sender, Suspicion(leader, GroupId(epoch, name), fault)
             case [1, str(sender), "probe", str(endpoint_id)]:
                 return sender, Probe(endpoint_id)
+            case [1, str(sender), "ended", int(epoch), str(name)]:
+                return sender, Ended(GroupId(epoch, name))
     except (ValueError, TypeError, msgpack.UnpackException):
         pass
     return None
--- a/tests/group_world.py
+++ b/tests/group_world.py
@@ -19,6 +19,7 @@
 from thorncleat_core.serving import ServiceTerms
 from thorncleat_core.serving import ServingConfiguration
 from thorncleat_gateway.controller import Controller
+from thorncleat_gateway.ended_groups import EndedGroups
 from thorncleat_gateway.exceptions import EndpointGoneError
 from thorncleat_gateway.exceptions import EndpointSilentError
 from thorncleat_gateway.exceptions import HistoryGoneError
@@ -432,6 +433,7 @@
             GroupRecords(client, self.mirror, self.election),
             self.pulse,
             self.peers,
+            EndedGroups(self.peers, world.now),
             world.now,
             lambda: False,
         )
--- /dev/null
+++ b/tests/test_ended_groups.py
@@ -0,0 +1,144 @@
+"""Groups that are being ended get no more requests, from any daemon."""
+
+import dataclasses
+
+import pytest
+
+from thorncleat_core.allowance import RetryTerms
+from thorncleat_core.roster import Endpoint
+from thorncleat_core.roster import GroupId
+from thorncleat_core.roster import GroupState
+from thorncleat_core.roster import Membership
+from thorncleat_core.roster import Roster
+from thorncleat_core.serving import Engine
+from thorncleat_core.serving import EngineModel
+from thorncleat_core.serving import ServiceTerms
+from thorncleat_core.serving import ServingConfiguration
+from thorncleat_gateway.dispatch import Dispatcher
+from thorncleat_gateway.ended_groups import KEEP_SECONDS
+from thorncleat_gateway.ended_groups import REPEAT_SECONDS
+from thorncleat_gateway.ended_groups import EndedGroups
+from thorncleat_gateway.loads import Loads
+from thorncleat_gateway.peers import Ended
+from thorncleat_gateway.pulse import Pulse
+from thorncleat_gateway.settings import GatewaySettings
+from thorncleat_gateway.settings import StreamSettings
+
+from . import virtual_time
+from .group_world import World
+from .test_pulse import Peers
+
+ENGINE = Engine(4, (EngineModel("m", 1),))
+SETTINGS = GatewaySettings("e0", "a", ("", 0), ("", 0), ("", 0), RetryTerms(0.2, 10, 10))
+
+
+def leader(name, epoch):
+    place = Membership(GroupId(epoch, f"g{epoch}"), 0, GroupState.OPEN)
+    return Endpoint(name, "narrator", "", "a", models=("m",), membership=place)
+
+
+FIRST, SECOND = leader("w0", 1), leader("w1", 2)
+
+
+class Mirror:
+    def __init__(self):
+        self.version = 1
+        self.roster = Roster()
+        self.configuration = ServingConfiguration(
+            1, services={"narrator": ServiceTerms("narrator", "/", ENGINE)}
+        )
+
+
+class Daemon:
+    def __init__(self):
+        self.now = 100.0
+        self.peers = Peers()
+        self.mirror = Mirror()
+        self.ended = EndedGroups(self.peers, lambda: self.now)
+        self.dispatcher = Dispatcher(
+            SETTINGS,
+            self.mirror,
+            Loads(lambda: self.now, lambda: 0.1),
+            Pulse(StreamSettings(), Peers(), lambda: self.now),
+            self.ended,
+            lambda: self.now,
+        )
+
+    def list(self, *endpoints):
+        for one in endpoints:
+            self.mirror.roster.put(one)
+        self.mirror.version += 1
+
+    def chosen(self):
+        found = {self.dispatcher.leader("narrator", ENGINE, "m", ()) for _ in range(20)}
+        return {one.id if one else None for one in found}
+
+
+@pytest.fixture
+def daemon():
+    made = Daemon()
+    made.list(FIRST, SECOND)
+    return made
+
+
+def test_group_that_another_daemon_is_ending_gets_no_request(daemon):
+    assert daemon.chosen() == {"w0", "w1"}
+    daemon.peers.receive("controller", Ended(FIRST.membership.group))
+    assert daemon.chosen() == {"w1"}
+    # longer than any suspicion
+    daemon.now += 2.0
+    assert daemon.chosen() == {"w1"}
+
+
+def test_last_group_gets_none_either(daemon):
+    for one in (FIRST, SECOND):
+        daemon.peers.receive("controller", Ended(one.membership.group))
+    assert daemon.chosen() == {None}
+    assert daemon.dispatcher.known("narrator", "m") == (0, 0)
+    assert not daemon.dispatcher.others("narrator", "m", ())
+
+
+def test_next_group_of_its_leader_is_another_group(daemon):
+    daemon.peers.receive("controller", Ended(FIRST.membership.group))
+    again = Membership(GroupId(3, "g3"), 0, GroupState.OPEN)
+    daemon.list(dataclasses.replace(FIRST, membership=again))
+    assert daemon.chosen() == {"w0", "w1"}
+
+
+def test_group_is_used_again_if_nobody_says_so_any_more(daemon):
+    daemon.peers.receive("controller", Ended(FIRST.membership.group))
+    daemon.now += KEEP_SECONDS + 0.1
+    assert daemon.chosen() == {"w0", "w1"}
+
+
+def test_word_is_repeated_but_not_each_time(daemon):
+    group = FIRST.membership.group
+    for _ in range(5):
+        daemon.ended.tell(group)
+    assert daemon.peers.sent == [Ended(group)]
+    daemon.now += REPEAT_SECONDS
+    daemon.ended.tell(group)
+    assert daemon.peers.sent == [Ended(group)] * 2
+    assert daemon.chosen() == {"w1"}
+
+
+async def _lose_a_leader():
+    """A leader falls silent; return for how long all others knew that its group is ended."""
+    world = World(seed=2, domains=1)
+    await world.start()
+    await world.pass_time(20.0)
+    lost = next(one for one in world.workers.values() if one.state is GroupState.OPEN)
+    group = lost.group
+    world.kill(lost, dark=True)
+    others = [one for one in world.nodes if not one.election.leads]
+    known = 0
+    for _ in range(30):
+        await world.pass_time(0.1)
+        known += all(group in one.controller._ended for one in others)
+    await world.stop()
+    return known
+
+
+def test_every_daemon_learns_that_a_group_is_ended_and_keeps_it_in_mind():
+    # of 3 s: noticing takes 0.3 s, two reports that are not answered 0.3 s
+    assert virtual_time.run(_lose_a_leader()) >= 20
--- a/tests/test_pulse.py
+++ b/tests/test_pulse.py
@@ -6,6 +6,7 @@
 from thorncleat_core.roster import GroupId
 from thorncleat_core.roster import GroupState
 from thorncleat_core.roster import Membership
+from thorncleat_gateway.peers import Ended
 from thorncleat_gateway.peers import Probe
 from thorncleat_gateway.peers import Suspicion
 from thorncleat_gateway.peers import decode
@@ -67,7 +68,7 @@
     assert not pulse.suspected_here("w0")
 
 
-@pytest.mark.parametrize("message", [Suspicion("w0", GROUP, "w1"), Probe("w0")])
+@pytest.mark.parametrize("message", [Suspicion("w0", GROUP, "w1"), Probe("w0"), Ended(GROUP)])
 def test_datagrams_are_read_as_they_were_written(message):
     assert decode(encode("edge-1", message)) == ("edge-1", message)
 
