Split the controller: forming, ending, spares, lost endpoints

Change: GroupForming, GroupEnding, Spares and LostEndpoints, made anew each term; the controller plans. Each order, wait and condition is as it was.

--- a/packages/gateway/src/thorncleat_gateway/orders.py
+++ b/packages/gateway/src/thorncleat_gateway/orders.py
@@ -92,6 +92,11 @@
         self._reports[endpoint.id] = report
         return report
 
+    async def is_in(self, endpoint: Endpoint, group: GroupId) -> bool:
+        """Ask an engine whether it is in a group."""
+        member = (await self.ask(endpoint)).membership
+        return member is not None and member.group == group
+
     async def answers(self, endpoint: Endpoint) -> bool:
         """Tell whether an engine answers, asked more than once."""
         for _ in range(PROBES):
--- a/tests/test_group_control.py
+++ b/tests/test_group_control.py
@@ -5,7 +5,7 @@
 from thorncleat_core.formation import Form
 from thorncleat_core.roster import GroupId
 from thorncleat_core.roster import GroupState
-from thorncleat_gateway.controller import EPOCHS_PER_TERM
+from thorncleat_gateway.group_forming import EPOCHS_PER_TERM
 from thorncleat_gateway.membership import CONTROLLER
 from thorncleat_gateway.ports import Join
 from thorncleat_gateway.ports import RecordChanged
@@ -212,7 +212,7 @@
 
     node.orders.ask = ask_and_be_late
     order = Join(GroupId(10**9, "g"), "large", (free.id,))
-    joined = await node.controller._join(free.entry(), order)
+    joined = await node.controller._forming.join(free.entry(), order)
     await world.stop()
     return joined, free.group == opened.group
 
