Let the soak see keys that work too long, and start a daemon only once

Cause: a mutant that serves on with keys of any age passed: callers never tried a key that was taken away. Ends with code 1 were two troubles starting the same daemon at once, the second of which found its port taken; ends with 0 a former process looked at while the next was being started. Change: callers try the last four former keys; a trouble takes a key away while no daemon can read the store; starts hold a lock.

--- a/bench/gateway_soak.py
+++ b/bench/gateway_soak.py
@@ -182,12 +182,25 @@
     site = soak.site
     old = site.keys[0]
     site.keys = [f"key-{site.version}"]
+    site.former_keys.append(old)
     site.configure()
     now = asyncio.get_running_loop().time()
     site.checks.revoked(old, now + REVOKE_SECONDS)
     await soak.pause(0.1, 1)
 
 
+@_trouble
+async def _take_key_away_unseen(soak: Soak) -> None:
+    """Take a key away while no daemon can read the store."""
+    for daemon in soak.site.daemons:
+        daemon.proxy.mode = Mode.SILENCE
+    await soak.pause(0, 0.5)
+    await _take_key_away(soak)
+    await soak.pause(REVOKE_SECONDS, 2 * REVOKE_SECONDS)
+    for daemon in soak.site.daemons:
+        daemon.proxy.mode = Mode.PASS
+
+
 @_trouble
 async def _configure(soak: Soak) -> None:
     for _ in range(soak.draw.randint(1, 5)):
--- a/bench/soak_callers.py
+++ b/bench/soak_callers.py
@@ -14,6 +14,8 @@
 
 DEADLINE_SECONDS = 4.0
 PAUSE_SECONDS = 0.05
+# part of the calls that are made with a key that was taken away
+FORMER_KEYS = 0.1
 KINDS = (Kind.STREAM, Kind.ONCE, Kind.REPEATABLE)
 
 
@@ -36,7 +38,10 @@
             while asyncio.get_running_loop().time() < until:
                 daemon = self._draw.choice(self._site.daemons)
                 kind = self._draw.choice(KINDS)
-                told = await self.call(client, daemon, kind, self._draw.choice(self._site.keys))
+                former = self._draw.random() < FORMER_KEYS
+                keys = self._site.former_keys if former else self._site.keys
+                key = self._draw.choice(keys)
+                told = await self.call(client, daemon, kind, key)
                 if told.status != 200:
                     await asyncio.sleep(self._draw.uniform(0, 2 * PAUSE_SECONDS))
 
--- a/bench/soak_site.py
+++ b/bench/soak_site.py
@@ -1,6 +1,7 @@
 """The processes of a soak: real gateways, behind proxies to stand-ins of the platform."""
 
 import asyncio
+import collections
 import contextlib
 import ctypes
 import dataclasses
@@ -33,6 +34,8 @@
 GRACE_SECONDS = 6.0
 LAPSE_SECONDS = 1.5
 STOP_SECONDS = GRACE_SECONDS + 2.0
+# keys taken away that callers still try
+FORMER_KEYS = 4
 DOMAINS, DOMAIN_SIZE, GROUP_SIZE, DESKS = 2, 6, 2, 3
 PATHS = {Kind.STREAM: "/chat/", Kind.ONCE: "/status/", Kind.REPEATABLE: "/ack/"}
 _DEATH_SIGNAL = 1
@@ -162,6 +165,7 @@
     process: asyncio.subprocess.Process | None = None
     ended: bool = True
     started_at: float = 0.0
+    starting: asyncio.Lock = dataclasses.field(default_factory=asyncio.Lock)
 
     @property
     def runs(self) -> bool:
@@ -218,6 +222,7 @@
         self.daemons: list[Daemon] = []
         self.told: dict[str, Told] = {}
         self.keys = ["key-0"]
+        self.former_keys: collections.deque[str] = collections.deque(["never"], FORMER_KEYS)
         self.version = 0
 
     async def start(self) -> None:
@@ -234,8 +239,10 @@
 
     async def start_daemon(self, daemon: Daemon) -> None:
         """Start a daemon, once more or for the first time."""
-        if not daemon.runs:
-            await daemon.start(self._directory / f"{daemon.name}.log")
+        async with daemon.starting:
+            # two troubles may want the same one back
+            if not daemon.runs:
+                await daemon.start(self._directory / f"{daemon.name}.log")
 
     async def _daemon(self, number: int, store: str) -> Daemon:
         proxy = Proxy(store)
