Refuse requests once the balancer has had time to notice a planned stop

Cause: where many daemons stop at once the balancer goes on using them, and callers keep their connections; the stopping daemon took requests until its grace was over, and cut those that ran then (taken 5.2 s after SIGTERM, cut at 7.5 s). Change: 2.5 s after SIGTERM new requests get 503 with a time to come back, so the daemon ends as soon as those that run are done. Test: test_planned_stop_ends_though_requests_keep_coming failed first.

--- a/bench/days.py
+++ b/bench/days.py
@@ -69,7 +69,7 @@
     'kind = "srv_slow", share = 0.3, x = 8.0, for_s = 6.0',
 )
 # contracts without which the bench refuses a kind
-NEEDED = {"srv_lying_health": "health", "idle_race": "pool"}
+NEEDED = {"srv_lying_health": "health", "srv_flap": "health", "idle_race": "pool"}
 PLANNED = ("release", "roll_term", "scale_in", "config_storm", "revoke", "hup")
 
 
--- a/packages/gateway/src/thorncleat_gateway/front.py
+++ b/packages/gateway/src/thorncleat_gateway/front.py
@@ -27,6 +27,8 @@
 # part of the time to take a key away in which the configuration counts as new enough
 REVOKE_PART = 0.9
 RETRY_AFTER_SECONDS = 0.5
+# another daemon can take the request at once
+STOPPING_RETRY_AFTER_SECONDS = 0.05
 # before the bound itself, so that the final answer is there in time
 MARGIN_SECONDS = 0.05
 DEFAULT_DEADLINE_SECONDS = 60.0
@@ -84,6 +86,7 @@
     """Takes callers' requests.
 
     :param stopping: whether this daemon is about to end.
+    :param closed: whether it takes no more requests.
     """
 
     def __init__(
@@ -104,6 +107,7 @@
         self._repeats = repeats
         self._clock = clock
         self.stopping = False
+        self.closed = False
         self.requests = 0
         self.running = 0
 
@@ -167,6 +171,8 @@
     async def _serve(
         self, request: web.BaseRequest, head: RequestHead, caller: Caller, received_at: float
     ) -> web.StreamResponse:
+        if self.closed:
+            raise RefusalError(503, "stopping", retry_after=STOPPING_RETRY_AFTER_SECONDS)
         configuration = self._mirror.configuration
         if configuration is None:
             raise RefusalError(503, "no configuration yet", retry_after=RETRY_AFTER_SECONDS)
--- a/packages/gateway/src/thorncleat_gateway/gateway.py
+++ b/packages/gateway/src/thorncleat_gateway/gateway.py
@@ -45,7 +45,7 @@
 HEARD_SECONDS = 1.0
 # longer than callers let a connection rest
 KEEP_ALIVE_SECONDS = 75.0
-# after the order to stop, for the balancer to notice
+# after the order to stop, for the balancer to notice; then requests are refused
 LEAVE_SECONDS = 2.5
 # before the end by force
 STOP_MARGIN_SECONDS = 0.7
@@ -187,8 +187,11 @@
         until = begun + self._settings.grace - STOP_MARGIN_SECONDS
         while self._clock() < until:
             await asyncio.sleep(0.05)
-            if self._clock() - begun > LEAVE_SECONDS and not self._front.running:
-                break
+            if self._clock() - begun > LEAVE_SECONDS:
+                # where many daemons stop at once, the balancer goes on using them
+                self._front.closed = True
+                if not self._front.running:
+                    break
 
     async def on_stop(self) -> None:
         """Close the listeners."""
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -9,6 +9,7 @@
 import aiohttp
 import pytest
 
+from thorncleat_gateway import gateway
 from thorncleat_gateway.gateway import Gateway
 from thorncleat_platform import settings
 from thorncleat_platform.engines import WorkerEngines
@@ -341,6 +342,33 @@
         await drained
 
 
+async def test_planned_stop_ends_though_requests_keep_coming(tmp_path, monkeypatch):
+    monkeypatch.setattr(gateway, "LEAVE_SECONDS", 0.2)
+    async with site(tmp_path) as made:
+        for one in made.workers:
+            one.events = 20
+        drained = asyncio.create_task(made.gateway.drain())
+        answers = []
+
+        async def keep_calling(caller):
+            for number in range(1000):
+                if drained.done():
+                    return
+                answers.append(await made.chat(**{"X-Thorncleat-Attempt-Id": f"{caller}-{number}"}))
+
+        callers = [asyncio.create_task(keep_calling(number)) for number in range(4)]
+        await asyncio.wait_for(drained, 3.0)
+        await asyncio.gather(*callers)
+        served = [body for status, _, body in answers if status == 200]
+        refused = [headers for status, headers, _ in answers if status == 503]
+        assert len(served) + len(refused) == len(answers)
+        assert refused
+        assert served
+        assert all(body == events(*range(1, 21)) for body in served)
+        assert all(float(headers["Retry-After"]) > 0 for headers in refused)
+        assert len(made.runs("narrator")) == len(served)
+
+
 async def test_caller_that_leaves_ends_the_run(tmp_path):
     async with site(tmp_path) as made:
         for one in made.workers:
