--- a/bench/gateway_soak.py
+++ b/bench/gateway_soak.py
@@ -211,34 +211,37 @@
 @_trouble
 async def _watched_stop(soak: Soak) -> None:
     """Stop a daemon with nothing else going on: no request may be cut."""
-    async with asyncio.timeout(None):
-        for _ in range(TROUBLES_AT_ONCE - 1):
-            await soak.slots.acquire()
+    for _ in range(TROUBLES_AT_ONCE - 1):
+        await soak.slots.acquire()
     try:
         await asyncio.sleep(QUIET_SECONDS)
         daemon = soak.daemon()
-        if not daemon.runs:
-            return
-        running = [
-            one.running for one in soak.callers if one.running and one.running.daemon == daemon.name
-        ]
-        if not await daemon.end(signal.SIGTERM):
-            soak.site.checks.faults.append(f"LOST {daemon.name} did not stop within its grace")
-        await asyncio.sleep(LOOK_SECONDS)
-        for told in running:
-            if not told.whole:
-                soak.site.checks.faults.append(
-                    f"LOST {told.id} was cut by a planned stop of {daemon.name}: "
-                    f"status {told.status}, {told.ended_at - told.sent_at:.3f} s, "
-                    f"{len(soak.site.checks.runs(told.id))} runs"
-                )
-        soak.counts["requests through a planned stop"] += len(running)
-        await soak.site.start_daemon(daemon)
+        if daemon.runs:
+            await _stop_and_look(soak, daemon)
+            await soak.site.start_daemon(daemon)
     finally:
         for _ in range(TROUBLES_AT_ONCE - 1):
             soak.slots.release()
 
 
+async def _stop_and_look(soak: Soak, daemon: Daemon) -> None:
+    """Stop a daemon, and see that what it was answering is answered whole."""
+    all_running = [one.running for one in soak.callers]
+    running = [one for one in all_running if one and one.daemon == daemon.name]
+    checks = soak.site.checks
+    if not await daemon.end(signal.SIGTERM):
+        checks.faults.append(f"LOST {daemon.name} did not stop within its grace")
+    await asyncio.sleep(LOOK_SECONDS)
+    for told in running:
+        if not told.whole:
+            checks.faults.append(
+                f"LOST {told.id} was cut by a planned stop of {daemon.name}: "
+                f"status {told.status}, {told.ended_at - told.sent_at:.3f} s, "
+                f"{len(checks.runs(told.id))} runs"
+            )
+    soak.counts["requests through a planned stop"] += len(running)
+
+
 async def _make_trouble(soak: Soak) -> None:
     while not soak.over:
         name = soak.draw.choice(soak.kinds)
@@ -262,7 +265,20 @@
 
 
 async def _heal(soak: Soak) -> None:
-    site = soak.site
+    """Undo all faults, and see that every daemon serves every kind of request again."""
+    await _undo_faults(soak.site)
+    until = asyncio.get_running_loop().time() + RECOVER_SECONDS
+    caller = Caller(soak.site, "heal", soak.draw)
+    missing = {(daemon.name, kind) for daemon in soak.site.daemons for kind in Kind}
+    async with aiohttp.ClientSession(auto_decompress=False) as client:
+        while missing and asyncio.get_running_loop().time() < until:
+            missing -= await _served(soak.site, caller, client, missing)
+            await asyncio.sleep(LOOK_SECONDS)
+    for name, kind in sorted(missing, key=str):
+        soak.site.checks.faults.append(f"RECOVER {name} serves no {kind.value} requests")
+
+
+async def _undo_faults(site: SoakSite) -> None:
     site.store.refuse, site.store.lose_answers = False, 0
     for worker in site.workers.values():
         if worker.proxy is not None:
@@ -271,22 +287,24 @@
         daemon.proxy.mode = Mode.PASS
         daemon.send(signal.SIGCONT)
         await site.start_daemon(daemon)
-    loop = asyncio.get_running_loop()
-    until = loop.time() + RECOVER_SECONDS
-    missing = {(daemon.name, kind) for daemon in site.daemons for kind in Kind}
-    caller = Caller(site, "heal", soak.draw)
-    async with aiohttp.ClientSession(auto_decompress=False) as client:
-        while missing and loop.time() < until:
-            for daemon in site.daemons:
-                for kind in Kind:
-                    if (daemon.name, kind) not in missing:
-                        continue
-                    told = await caller.call(client, daemon, kind, site.keys[0])
-                    if told.status == 200 and told.whole:
-                        missing.discard((daemon.name, kind))
-            await asyncio.sleep(LOOK_SECONDS)
-    for name, kind in sorted(missing, key=str):
-        site.checks.faults.append(f"RECOVER {name} serves no {kind.value} requests")
+
+
+async def _served(
+    site: SoakSite,
+    caller: Caller,
+    client: aiohttp.ClientSession,
+    wanted: t.Collection[tuple[str, Kind]],
+) -> set[tuple[str, Kind]]:
+    """Ask each daemon once for each kind that is wanted; return what was served."""
+    served = set()
+    for daemon in site.daemons:
+        for kind in Kind:
+            if (daemon.name, kind) not in wanted:
+                continue
+            told = await caller.call(client, daemon, kind, site.keys[0])
+            if told.status == 200 and told.whole:
+                served.add((daemon.name, kind))
+    return served
 
 
 async def _serving(site: SoakSite) -> None:
