Take a leader that refuses connections for ended only when no daemon has requests there

Ruled out: a late order (the joins were new), a lease that was over (its holder gave the orders).

Change: a refused connection is an error of its own. A leader that refuses has ended once each registered daemon has reported, after it was asked, that it has no request there; where one doesn't report, the list and the silence towards all others count as before. Daemons answer the controller's probe with a report at once.

--- a/packages/gateway/src/thorncleat_gateway/exceptions.py
+++ b/packages/gateway/src/thorncleat_gateway/exceptions.py
@@ -42,7 +42,11 @@
 
 
 class EndpointGoneError(EndpointError):
-    """The process that was meant is no longer at its address."""
+    """The process that was meant has ended: another one answers at its address."""
+
+
+class EndpointRefusedError(EndpointError):
+    """Nobody listens at the address: the process has ended, or takes nothing new and works on."""
 
 
 class Ran(enum.Enum):
--- a/packages/gateway/src/thorncleat_gateway/gateway.py
+++ b/packages/gateway/src/thorncleat_gateway/gateway.py
@@ -109,6 +109,7 @@
             orders,
             GroupRecords(records, view, self._election),
             self._detector,
+            self.load_table,
             self._peers,
             self._ended,
             clock,
--- a/packages/gateway/src/thorncleat_gateway/groups/ending.py
+++ b/packages/gateway/src/thorncleat_gateway/groups/ending.py
@@ -16,6 +16,7 @@
 from .. import events
 from ..exceptions import EndpointError
 from ..exceptions import EndpointGoneError
+from ..exceptions import EndpointRefusedError
 from ..ports import Close
 from ..ports import Leave
 from ..store.roster import Endpoint
@@ -135,6 +136,9 @@
                     return Detached.ELSEWHERE
             except EndpointGoneError:
                 return Detached.PROCESS_ENDED
+            except EndpointRefusedError:
+                if await self._liveness.has_ended(leader):
+                    return Detached.PROCESS_ENDED
             except EndpointError:
                 if await self._liveness.wait_dead(leader):
                     return Detached.DEAD
--- a/packages/gateway/src/thorncleat_gateway/groups/group_steps.py
+++ b/packages/gateway/src/thorncleat_gateway/groups/group_steps.py
@@ -12,6 +12,7 @@
 
 from ..exceptions import EndpointError
 from ..exceptions import EndpointGoneError
+from ..exceptions import EndpointRefusedError
 from ..ports import Join
 from ..ports import Open
 from ..settings import ControlSettings
@@ -83,6 +84,9 @@
             except EndpointGoneError:
                 self._lost.lose(endpoint, LostCause.PROCESS_ENDED)
                 return False
+            except EndpointRefusedError:
+                self._lost.lose(endpoint, LostCause.REFUSED)
+                return False
             except EndpointError:
                 # the order or the question before it got no answer; another try tells which
                 if not await self._orders.answers(endpoint):
@@ -147,7 +151,7 @@
                     return True
                 if not await self._orders.is_in(leader, group):
                     return False
-            except EndpointGoneError:
+            except (EndpointGoneError, EndpointRefusedError):
                 return False
             except EndpointError:
                 # no answer; the order is repeated, and means the same if it was carried out
--- a/packages/gateway/src/thorncleat_gateway/groups/leader_liveness.py
+++ b/packages/gateway/src/thorncleat_gateway/groups/leader_liveness.py
@@ -3,9 +3,12 @@
 A leader that the controller can't reach may still answer requests of other daemons. It counts as
 dead only once it is not listed, does not answer the controller, and no daemon hears it.
 
+One that refuses connections may have ended, or may be leaving and finish the requests that it
+has. It has ended once every daemon has said since that it has no request there.
+
 Owns: no state.
-Relies on: the other daemons' asking the endpoint too when they get a :class:`.Probe`, and on their
-next load reports, which name the endpoints that answered.
+Relies on: the other daemons' reporting at once when they get a :class:`.Probe`, and again when the
+endpoint answers them; reports name the requests under way and the endpoints that answered.
 """
 
 import asyncio
@@ -14,6 +17,7 @@
 from ..peers.datagrams import PeerChannel
 from ..peers.datagrams import Probe
 from ..peers.failure_detector import FailureDetector
+from ..peers.load_table import LoadTable
 from ..store.roster import Endpoint
 from ..store.view import StoreView
 from .orders import ASK_SECONDS
@@ -27,6 +31,9 @@
 HEARD_BEFORE_SECONDS = 1.0
 # for the other daemons to probe an endpoint and to report, in seconds; chosen, not measured
 PROBED_SECONDS = 2 * ASK_SECONDS
+# for the other daemons to report what they have under way, in seconds: a datagram each way and
+# one turn of the other daemon's loop; chosen, not measured
+REPORTED_SECONDS = 0.1
 
 
 def is_unlisted(listed: bool, list_age: float) -> bool:
@@ -47,6 +54,16 @@
     return not (listed or answered or heard)
 
 
+def is_idle(*, requests: int, silent_daemons: t.Collection[str]) -> bool:
+    """Return whether an endpoint has no request left of any daemon.
+
+    :param requests: that it has, by the newest reports.
+    :param silent_daemons: those that have not reported since it was asked for; they may have
+        requests there.
+    """
+    return requests == 0 and not silent_daemons
+
+
 class LeaderLiveness:
     """Finds out whether a silent leader is dead or answers again."""
 
@@ -55,12 +72,14 @@
         view: StoreView,
         orders: Orders,
         detector: FailureDetector,
+        load_table: LoadTable,
         peers: PeerChannel,
         clock: t.Callable[[], float],
     ) -> None:
         self._view = view
         self._orders = orders
         self._detector = detector
+        self._load_table = load_table
         self._peers = peers
         self._clock = clock
 
@@ -77,12 +96,36 @@
                 await asyncio.sleep(PROBED_SECONDS)
                 if answered:
                     return False
-                heard = self._detector.heard_since(leader.id, asked_at - HEARD_BEFORE_SECONDS)
-                if is_dead(listed=self._listed(leader), answered=answered, heard=heard):
+                if self._is_dead(leader, asked_at):
                     return True
             elif await self._orders.answers(leader):
                 return False
             await asyncio.sleep(ASK_SECONDS)
 
+    async def has_ended(self, leader: Endpoint) -> bool:
+        """Return whether a leader that refuses connections has ended.
+
+        A daemon that doesn't report may still have requests there; then only the list and the
+        silence towards all others count, as for a leader that doesn't answer at all.
+        """
+        asked_at = self._clock()
+        self._peers.tell_all(Probe(leader.id))
+        await asyncio.sleep(REPORTED_SECONDS)
+        silent = self._peers.others - self._load_table.reporters_since(asked_at)
+        if is_idle(requests=self._load_table.of(leader.id), silent_daemons=silent):
+            return True
+        if not silent or not is_unlisted(self._listed(leader), self._view.age()):
+            return False
+        await asyncio.sleep(PROBED_SECONDS)
+        return self._is_dead(leader, asked_at)
+
+    def _is_dead(self, leader: Endpoint, asked_at: float) -> bool:
+        """Return whether a leader that does not answer here is dead.
+
+        :param asked_at: when the other daemons were asked for it.
+        """
+        heard = self._detector.heard_since(leader.id, asked_at - HEARD_BEFORE_SECONDS)
+        return is_dead(listed=self._listed(leader), answered=False, heard=heard)
+
     def _listed(self, leader: Endpoint) -> bool:
         return leader.id in self._view.roster.endpoints
--- a/packages/gateway/src/thorncleat_gateway/groups/load_rate.py
+++ b/packages/gateway/src/thorncleat_gateway/groups/load_rate.py
@@ -1,32 +1,32 @@
 """The rate at which hosts may begin to load models from the weight store: a token bucket.
 
-Pure, but for the tokens; times are given in. The weight store bounds how many loads begin in a
-second and slows down all that run beyond a number at once, so the bucket fills a little slower
-than the first bound, and holds what two seconds and half of the second one allow.
+Pure, but for the tokens; times are given in. The weight store bounds the loads that begin within
+any window, wherever it lies. So the bucket fills a little slower than the store's rate, and holds
+what that leaves of the bound: a full bucket and a window of filling come to the bound exactly.
 
 Owns: the loads that may begin now.
-Relies on: :class:`.Engine` for the weight store's bounds; loads before the first request of all
-are not counted by the weight store, nor here.
+Relies on: :class:`.Engine` and :class:`.ControlSettings` for the weight store's bounds; loads
+before the first request of all are not counted by the weight store, nor here.
 """
 
+from ..settings import ControlSettings
 from ..store.serving import Engine
 
 # part of the weight store's rate that is used; chosen, not measured
 RATE_PART = 0.9
-# seconds of that rate that may be saved up; chosen, not measured
-BURST_SECONDS = 2
-# part of the loads that may run at once that may be saved up beside; chosen, not measured
-AT_ONCE_PART = 0.5
+# loads that may begin in a window beside those that its rate gives; from the users' rules
+EXTRA_LOADS = 3
 
 
-def loads_per_second(engine: Engine) -> float:
+def loads_per_second(engine: Engine, settings: ControlSettings) -> float:
     """Return how many loads a second are used."""
-    return engine.loads_per_second * RATE_PART
+    return engine.loads_per_second * min(RATE_PART, settings.load_overage)
 
 
-def most_saved(engine: Engine) -> float:
+def most_saved(engine: Engine, settings: ControlSettings) -> float:
     """Return how many loads may begin at the same moment after a pause."""
-    return BURST_SECONDS * loads_per_second(engine) + engine.loads_at_once * AT_ONCE_PART
+    allowed = engine.loads_per_second * settings.load_overage
+    return EXTRA_LOADS + settings.load_window * (allowed - loads_per_second(engine, settings))
 
 
 class LoadRate:
@@ -35,17 +35,18 @@
     :param now: from when on they are saved up, in seconds.
     """
 
-    def __init__(self, now: float) -> None:
+    def __init__(self, now: float, settings: ControlSettings) -> None:
         self._saved = 0.0
         self._filled_at = now
+        self._settings = settings
 
     def take(self, engine: Engine, now: float) -> bool:
         """Use up one load, if there is one; return whether there was.
 
         :param now: in seconds, on the clock of ``__init__``.
         """
-        added = (now - self._filled_at) * loads_per_second(engine)
-        self._saved = min(most_saved(engine), self._saved + added)
+        added = (now - self._filled_at) * loads_per_second(engine, self._settings)
+        self._saved = min(most_saved(engine, self._settings), self._saved + added)
         self._filled_at = now
         if self._saved < 1:
             return False
--- a/packages/gateway/src/thorncleat_gateway/groups/lost_endpoints.py
+++ b/packages/gateway/src/thorncleat_gateway/groups/lost_endpoints.py
@@ -22,6 +22,7 @@
     """How an endpoint was lost; logged as ``cause`` of event 7208."""
 
     PROCESS_ENDED = "process ended"
+    REFUSED = "refuses connections"
     SILENT = "silent"
     SILENT_WHILE_JOINING = "silent while joining"
     SILENT_UNDER_SUSPICION = "silent under suspicion"
--- a/packages/gateway/src/thorncleat_gateway/groups/model_loader.py
+++ b/packages/gateway/src/thorncleat_gateway/groups/model_loader.py
@@ -12,7 +12,9 @@
 from .. import events
 from ..exceptions import EndpointError
 from ..exceptions import EndpointGoneError
+from ..exceptions import EndpointRefusedError
 from ..ports import Load
+from ..settings import ControlSettings
 from ..store.roster import Endpoint
 from ..store.serving import Engine
 from ..store.serving import EngineModel
@@ -49,6 +51,7 @@
 
     def __init__(
         self,
+        settings: ControlSettings,
         view: StoreView,
         orders: Orders,
         lost: LostEndpoints,
@@ -61,7 +64,7 @@
         self._clock = clock
         self._start = start
         self._loading: dict[str, _Loading] = {}
-        self._rate = LoadRate(clock())
+        self._rate = LoadRate(clock(), settings)
 
     def staging(self) -> dict[str, str]:
         """Return the model that is being loaded, by endpoint id."""
@@ -97,6 +100,8 @@
                 await self._orders.give(endpoint, Load(model.name))
             except EndpointGoneError:
                 self._lost.lose(endpoint, LostCause.PROCESS_ENDED)
+            except EndpointRefusedError:
+                self._lost.lose(endpoint, LostCause.REFUSED)
             except EndpointError:
                 # the order got no answer; it is repeated if the endpoint lives
                 if await self._orders.answers(endpoint):
--- a/packages/gateway/src/thorncleat_gateway/groups/orders.py
+++ b/packages/gateway/src/thorncleat_gateway/groups/orders.py
@@ -18,6 +18,7 @@
 from .. import events
 from ..exceptions import EndpointError
 from ..exceptions import EndpointGoneError
+from ..exceptions import EndpointRefusedError
 from ..exceptions import EndpointSilentError
 from ..ports import EngineReport
 from ..ports import Engines
@@ -129,7 +130,7 @@
         for _ in range(PROBES):
             try:
                 await self.ask(endpoint)
-            except EndpointGoneError:
+            except (EndpointGoneError, EndpointRefusedError):
                 return False
             except EndpointError:
                 # no answer in time; it is asked again
--- a/packages/gateway/src/thorncleat_gateway/groups/term.py
+++ b/packages/gateway/src/thorncleat_gateway/groups/term.py
@@ -12,6 +12,7 @@
 
 from ..peers.datagrams import PeerChannel
 from ..peers.failure_detector import FailureDetector
+from ..peers.load_table import LoadTable
 from ..settings import ControlSettings
 from ..store.view import StoreView
 from .ended import EndedGroups
@@ -57,6 +58,7 @@
         orders: Orders,
         records: GroupRecords,
         detector: FailureDetector,
+        load_table: LoadTable,
         peers: PeerChannel,
         ended: EndedGroups,
         clock: t.Callable[[], float],
@@ -66,6 +68,7 @@
         self._orders = orders
         self._records = records
         self._detector = detector
+        self._load_table = load_table
         self._peers = peers
         self._ended = ended
         self._clock = clock
@@ -80,7 +83,9 @@
         records.begin_term()
         jobs = Jobs(wake)
         lost = LostEndpoints(view, orders, jobs.start, wake)
-        liveness = LeaderLiveness(view, orders, self._detector, self._peers, clock)
+        liveness = LeaderLiveness(
+            view, orders, self._detector, self._load_table, self._peers, clock
+        )
         ending = GroupEnding(orders, records, self._ended, liveness, clock, jobs.start)
         state = FormingState(number, clock)
         steps = GroupSteps(self._settings, view, orders, records, lost, clock)
@@ -94,5 +99,5 @@
             ending=ending,
             forming_state=state,
             forming=GroupForming(state, records, steps, ending, clock, jobs.start),
-            loader=ModelLoader(view, orders, lost, clock, jobs.start),
+            loader=ModelLoader(self._settings, view, orders, lost, clock, jobs.start),
         )
--- a/packages/gateway/src/thorncleat_gateway/peers/datagrams.py
+++ b/packages/gateway/src/thorncleat_gateway/peers/datagrams.py
@@ -53,7 +53,10 @@
 
 @dataclasses.dataclass(frozen=True)
 class Probe:
-    """The controller wants to know whether anyone hears an endpoint."""
+    """The controller wants to know who has requests at an endpoint, and whether anyone hears it.
+
+    Each daemon reports at once, and again if the endpoint answers it.
+    """
 
     endpoint_id: str
 
@@ -145,6 +148,11 @@
         """The number of daemons that are registered, at least 1 for this one."""
         return max(1, len(self._addresses()))
 
+    @property
+    def others(self) -> set[str]:
+        """The ids of the other registered daemons."""
+        return set(self._addresses()) - {self._id}
+
     def interval(self) -> float:
         """Return the seconds between two reports of a daemon."""
         return report_interval(self.daemons)
--- a/packages/gateway/src/thorncleat_gateway/peers/load_table.py
+++ b/packages/gateway/src/thorncleat_gateway/peers/load_table.py
@@ -53,6 +53,10 @@
         self._others[daemon] = Report(self._clock(), counts)
         self._sum.update(counts)
 
+    def reporters_since(self, moment: float) -> set[str]:
+        """Return the daemons whose newest report came after a moment."""
+        return {name for name, report in self._others.items() if report.at >= moment}
+
     def refresh(self) -> None:
         """Forget the reports that are too old."""
         begin = self._clock() - self._lasting()
--- a/packages/gateway/src/thorncleat_gateway/peers/probe_answers.py
+++ b/packages/gateway/src/thorncleat_gateway/peers/probe_answers.py
@@ -1,4 +1,7 @@
-"""Answering the controller's probes: whether an endpoint that it can't reach answers here.
+"""Answering the controller's probes: what is under way here, and whether an endpoint answers here.
+
+The first report comes at once, also from a daemon that has nothing under way: the controller
+must not take a daemon that it can't hear for one that has no requests at the endpoint.
 
 Owns: the questions under way.
 Relies on: the view for the endpoint's address, also of one that is no longer listed.
@@ -39,6 +42,7 @@
     def _message(self, sender: str, message: Message) -> None:
         if not isinstance(message, Probe):
             return
+        self._peers.tell(sender, self._reporter.report())
         endpoint = self._known(message.endpoint_id)
         if endpoint is not None:
             self.add_future(self._ask(sender, endpoint))
--- a/packages/gateway/src/thorncleat_gateway/ports/engines.py
+++ b/packages/gateway/src/thorncleat_gateway/ports/engines.py
@@ -90,7 +90,8 @@
 class Engines(t.Protocol):
     """Reports from engines and orders to them.
 
-    Every method raises :class:`EndpointSilentError` and :class:`EndpointGoneError`.
+    Every method raises :class:`EndpointSilentError`, :class:`EndpointGoneError` and
+    :class:`EndpointRefusedError`.
     """
 
     async def report(self, endpoint: Endpoint, timeout: float) -> EngineReport:
--- a/packages/gateway/src/thorncleat_gateway/requests/retry_policy.py
+++ b/packages/gateway/src/thorncleat_gateway/requests/retry_policy.py
@@ -193,7 +193,7 @@
 def counts_as_sent(failure: AttemptError, *, heard_since_sent: bool) -> bool:
     """Return whether a failed attempt at a group counts towards the route's attempts.
 
-    One of which nothing was sent doesn't, nor does one that may have run at a group that nobody
-    has heard since: the group was silent before, so the attempt cannot have begun to run.
+    The route bounds how many endpoints may run a request. One that declined it has not run it;
+    nor has a group that nobody has heard since: it was silent before.
     """
-    return failure.sent and (failure.ran is not Ran.MAYBE or heard_since_sent)
+    return failure.ran is Ran.MAYBE and heard_since_sent
--- a/packages/gateway/src/thorncleat_gateway/settings.py
+++ b/packages/gateway/src/thorncleat_gateway/settings.py
@@ -21,6 +21,8 @@
     :param order_timeout: for an answer to an order.
     :param probe_timeout: for a report.
     :param form_timeout: for a group whose hosts hold the model.
+    :param load_window: in which the weight store counts the loads that begin.
+    :param load_overage: times its rate that it lets begin in that window.
     """
 
     # the absence of a controller costs repairs only, so 2 s are enough; chosen, not measured
@@ -33,6 +35,9 @@
     probe_timeout: float = 0.15
     # chosen, not measured
     form_timeout: float = 5.0
+    # the adapter fills both in from the deployment's bounds; these are the values of today's three
+    load_window: float = 5.0
+    load_overage: float = 1.1
 
 
 @dataclasses.dataclass(frozen=True)
--- a/tests/test_group_control.py
+++ b/tests/test_group_control.py
@@ -95,6 +95,35 @@
     assert seconds < bound
 
 
+async def _leader_works_on(seconds: float):
+    """Return the world, how long the leader worked on, and when its group was replaced."""
+    world = World(seed=2, domains=1)
+    await world.start()
+    await world.pass_time(CALM_SECONDS)
+    leader = next(
+        worker
+        for worker in world.workers.values()
+        if worker.model == "large" and worker.members and worker.members[0] == worker.id
+    )
+    leader.draining = True
+    world.publish(leader)
+    world.drain_and_work_on(leader, seconds)
+    begun = world.now()
+    while world.standing()["large"] < 1 or not leader.refuses or leader.alive:
+        await world.pass_time(0.1)
+        assert world.now() - begun < 30
+    replaced = world.now() - begun
+    await world.stop()
+    return world, replaced
+
+
+def test_leader_that_stopped_listening_and_works_on_keeps_its_members():
+    world, replaced = virtual_time.run(_leader_works_on(8.0))
+    assert world.broken == []
+    # at once when it has ended: its entry need not run out first, which takes 3.6 s
+    assert replaced < 8.0 + 3.0
+
+
 async def _troubled(seed: int):
     world = World(seed)
     rng = world.random
--- a/tests/test_leader_liveness.py
+++ b/tests/test_leader_liveness.py
@@ -19,6 +19,19 @@
     assert leader_liveness.is_unlisted(listed, list_age) is unlisted
 
 
+@pytest.mark.parametrize(
+    ("requests", "silent_daemons", "idle"),
+    [
+        pytest.param(0, set(), True, id="all daemons say that they have none there"),
+        pytest.param(1, set(), False, id="one is under way"),
+        pytest.param(0, {"b"}, False, id="a daemon that says nothing may have some"),
+    ],
+)
+def test_idle(requests, silent_daemons, idle):
+    found = leader_liveness.is_idle(requests=requests, silent_daemons=silent_daemons)
+    assert found is idle
+
+
 @pytest.mark.parametrize(
     ("listed", "answered", "heard", "dead"),
     [
