--- a/packages/gateway/src/thorncleat_gateway/groups/group_steps.py
+++ b/packages/gateway/src/thorncleat_gateway/groups/group_steps.py
@@ -33,6 +33,9 @@
 
 # orders to join that one endpoint is given; chosen, not measured
 JOIN_TRIES = 6
+# times the lag of reports over which these are spread, where the endpoint's state has changed since
+# its report: the last one must be judged by a report that shows the change; chosen, not measured
+LAG_PATIENCE = 1.5
 # orders to open that one leader is given; chosen, not measured
 OPEN_TRIES = 5
 # between two rounds of questions to members that are not ready, in seconds; chosen, not measured
@@ -95,8 +98,15 @@
                 continue
             if answer is not JoinAnswer.STATE_CHANGED:
                 return answer is JoinAnswer.JOINED
+            await asyncio.sleep(LAG_PATIENCE * self._report_lag(endpoint) / (JOIN_TRIES - 1))
         return False
 
+    def _report_lag(self, endpoint: Endpoint) -> float:
+        """Return by how many seconds an endpoint's report may be behind its state."""
+        configuration = self._view.configuration
+        service = configuration.services.get(endpoint.service) if configuration else None
+        return service.engine.report_lag if service and service.engine else 0.0
+
     async def _try_join(self, endpoint: Endpoint, order: Join) -> JoinAnswer:
         report = await self._orders.ask(endpoint)
         match join_rules.place(report.membership, order.group, self._records.may_answer):
--- a/packages/gateway/src/thorncleat_gateway/groups/orders.py
+++ b/packages/gateway/src/thorncleat_gateway/groups/orders.py
@@ -125,16 +125,18 @@
         member = (await self.ask(endpoint)).membership
         return member is not None and member.group == group
 
-    async def answers(self, endpoint: Endpoint) -> bool:
-        """Return whether an endpoint answers, asked :data:`PROBES` times at most."""
+    async def report(self, endpoint: Endpoint) -> EngineReport | None:
+        """Return an endpoint's report, asked :data:`PROBES` times at most; None if silent."""
         for _ in range(PROBES):
             try:
-                await self.ask(endpoint)
+                return await self.ask(endpoint)
             except (EndpointGoneError, EndpointRefusedError):
-                return False
+                return None
             except EndpointError:
                 # no answer in time; it is asked again
                 await asyncio.sleep(0)
-                continue
-            return True
-        return False
+        return None
+
+    async def answers(self, endpoint: Endpoint) -> bool:
+        """Return whether an endpoint answers, asked :data:`PROBES` times at most."""
+        return await self.report(endpoint) is not None
--- a/packages/gateway/src/thorncleat_gateway/groups/unlisted_endpoints.py
+++ b/packages/gateway/src/thorncleat_gateway/groups/unlisted_endpoints.py
@@ -3,7 +3,11 @@
 They may be leaving, or only be cut off from the store. A group with such a member goes on
 serving; one may also help out in a new group, but it never leads.
 
-Owns: the unlisted endpoints that answer, with their last reports.
+A term begins with a question to all those that the roster remembers: a daemon that has just become
+the controller doesn't know which of them the former controller had found to answer.
+
+Owns: the unlisted endpoints that answer, with their last reports, and those that are asked for the
+first time.
 Relies on: the roster's memory of endpoints that were unlisted lately.
 """
 
@@ -11,7 +15,6 @@
 import dataclasses
 import typing as t
 
-from ..exceptions import EndpointError
 from ..store.roster import Endpoint
 from ..store.roster import GroupId
 from ..store.roster import Membership
@@ -49,6 +52,8 @@
         self._clock = clock
         self._start = start
         self._watched: set[str] = set()
+        self._first_asked: dict[str, Endpoint] = {}
+        self._begun = False
         self._answering: dict[str, Endpoint] = {}
 
     def of_service(self, service: str) -> list[Endpoint]:
@@ -62,7 +67,8 @@
 
     def holds(self, group: GroupId, rank: int) -> bool:
         """Return whether a member that isn't listed may still be in its place."""
-        if any(_is_place(known.membership, group, rank) for known in self._answering.values()):
+        maybe_there = (*self._answering.values(), *self._first_asked.values())
+        if any(_is_place(known.membership, group, rank) for known in maybe_there):
             return True
         begin = self._clock() - BENEFIT_SECONDS
         return any(
@@ -71,31 +77,32 @@
         )
 
     def look(self) -> None:
-        """Begin to ask those that were unlisted lately."""
-        begin = self._clock() - BENEFIT_SECONDS
+        """Begin to ask those that were unlisted lately; at first all that are remembered."""
+        begin = self._clock() - BENEFIT_SECONDS if self._begun else float("-inf")
+        self._begun = True
         for endpoint_id, gone in self._view.roster.gone.items():
             lately = gone.at >= begin
             if lately and gone.endpoint.fabric_domain and endpoint_id not in self._watched:
                 self._watched.add(endpoint_id)
+                self._first_asked[endpoint_id] = gone.endpoint
                 self._start(self._watch(gone.endpoint))
 
     async def _watch(self, endpoint: Endpoint) -> None:
         until = self._clock() + WATCH_SECONDS
         try:
             while endpoint.id not in self._view.roster.endpoints and self._clock() < until:
-                if not await self._orders.answers(endpoint):
+                report = await self._orders.report(endpoint)
+                if report is None:
                     return
-                report = await self._orders.ask(endpoint)
                 self._answering[endpoint.id] = dataclasses.replace(
                     endpoint,
                     membership=report.membership,
                     staged=report.staged,
                     models=report.models,
                 )
+                self._first_asked.pop(endpoint.id, None)
                 await asyncio.sleep(WATCH_AGAIN_SECONDS)
-        except EndpointError:
-            # silent at the second question: it counts as not answering
-            return
         finally:
+            self._first_asked.pop(endpoint.id, None)
             self._answering.pop(endpoint.id, None)
             self._watched.discard(endpoint.id)
--- a/tests/group_engines.py
+++ b/tests/group_engines.py
@@ -50,6 +50,9 @@
     draining: bool = False
     refuses: bool = False
     order_count: int = 0
+    # before the newest order, and when that was
+    former_count: int = 0
+    counted_at: float = float("-inf")
     staged: tuple[str, ...] = ()
     model: str = ""
     group: GroupId | None = None
@@ -66,6 +69,12 @@
             return None
         return Membership(self.group, self.members.index(self.id), self.state)
 
+    @property
+    def reported_count(self) -> int:
+        """The orders that it has begun, as its report says: some hundred ms behind."""
+        behind = self.world.now() - self.counted_at < ENGINE.report_lag
+        return self.former_count if behind else self.order_count
+
     def entry(self) -> Endpoint:
         return Endpoint(
             id=self.id,
@@ -84,7 +93,8 @@
         if expected is not None and expected != self.order_count and not again:
             return Outcome.CONFLICT
         outcome = self._take(order)
-        if outcome is Outcome.BEGUN:
+        if outcome is Outcome.BEGUN or (isinstance(order, Leave) and outcome is Outcome.DONE):
+            self.former_count, self.counted_at = self.order_count, self.world.now()
             self.order_count += 1
             self.world.publish(self)
         return outcome
@@ -108,7 +118,8 @@
                 if self.group != group:
                     return Outcome.CONFLICT
                 self._leave()
-                return Outcome.BEGUN
+                self.world.publish(self)
+                return Outcome.DONE
         return Outcome.INVALID
 
     def _join(self, order: Join) -> Outcome:
@@ -206,7 +217,7 @@
             worker.membership,
             (worker.model,) if worker.model else (),
             worker.staged,
-            worker.order_count,
+            worker.reported_count,
         )
 
     async def order(self, endpoint, order, expected, timeout) -> Outcome:
