--- a/packages/gateway/src/thorncleat_gateway/gateway.py
+++ b/packages/gateway/src/thorncleat_gateway/gateway.py
@@ -7,6 +7,9 @@
 Relies on: the adapter's ports for the store, the engines and the names of headers.
 """
 
+import asyncio
+import contextlib
+import socket
 import typing as t
 
 import aiohttp
@@ -45,6 +48,10 @@
 from .store.relays import Daemon
 from .store.view import StoreView
 
+# for the first configuration to come before callers' connections are taken; they wait that long
+# at most, since a daemon without one has to say so; chosen, not measured
+FIRST_CONFIGURATION_SECONDS = 0.25
+
 
 class Gateway(mode.Service):
     """One daemon.
@@ -55,6 +62,7 @@
     :param codec: the names of headers.
     :param clock: seconds that never go back.
     :param first_start: whether this is the very first start of the whole system.
+    :param callers: a socket that listens at the callers' address; None to open one.
     """
 
     def __init__(
@@ -67,12 +75,14 @@
         clock: t.Callable[[], float],
         *,
         first_start: bool = False,
+        callers: socket.socket | None = None,
     ) -> None:
         super().__init__()
         self._settings = settings
         self._codec = codec
         self._clock = clock
         self._first_start = first_start
+        self._callers = callers
         self._listeners = Listeners()
         self._client: aiohttp.ClientSession | None = None
         self._frontend: Frontend | None = None
@@ -170,11 +180,21 @@
         if self._settings.metrics is not None:
             await self._listeners.open(self.metrics.handle, self._settings.metrics)
         await self._listeners.open(self._frontend.readiness, self._settings.readiness)
-        await self._listeners.open(self._frontend.handle, self._settings.callers)
+        await self._first_configuration()
+        await self._listeners.open(self._frontend.handle, self._settings.callers, self._callers)
         await self.add_runtime_dependency(self._reporter)
         await self.add_runtime_dependency(self._probe_answers)
         events.STARTED.log(callers=self._settings.callers, first_start=self._first_start)
 
+    async def _first_configuration(self) -> None:
+        """Wait a little for the configuration, without which every request would be refused."""
+        loaded = asyncio.Event()
+        self.view.on_change(lambda: loaded.set() if self.view.loaded else None)
+        if self.view.loaded:
+            return
+        with contextlib.suppress(TimeoutError):
+            await asyncio.wait_for(loaded.wait(), FIRST_CONFIGURATION_SECONDS)
+
     def _build_requests(self) -> Frontend:
         settings, clock = self._settings, self._clock
         self._client = endpoint_client.session()
--- a/packages/gateway/src/thorncleat_gateway/listeners.py
+++ b/packages/gateway/src/thorncleat_gateway/listeners.py
@@ -4,6 +4,7 @@
 Relies on: a handler for each address; what a request means is the handler's business.
 """
 
+import socket
 import typing as t
 
 from aiohttp import web
@@ -29,10 +30,13 @@
     def __init__(self) -> None:
         self._runners: list[web.ServerRunner] = []
 
-    async def open(self, handler: Handler, address: Address) -> None:
+    async def open(
+        self, handler: Handler, address: Address, listening: socket.socket | None = None
+    ) -> None:
         """Listen at an address.
 
         :param address: host and port.
+        :param listening: a socket that listens there already; None to open one.
         :raises OSError: if the address is taken.
         """
         server = web.Server(
@@ -49,7 +53,11 @@
         )
         await runner.setup()
         self._runners.append(runner)
-        site = web.TCPSite(runner, *address, backlog=BACKLOG, reuse_address=True)
+        site: web.BaseSite
+        if listening is not None:
+            site = web.SockSite(runner, listening, backlog=BACKLOG)
+        else:
+            site = web.TCPSite(runner, *address, backlog=BACKLOG, reuse_address=True)
         await site.start()
 
     async def close(self) -> None:
--- a/tests/test_forms_settings.py
+++ b/tests/test_forms_settings.py
@@ -8,8 +8,8 @@
 
 from thorncleat_core.exceptions import DocumentError
 from thorncleat_platform import settings
+from thorncleat_platform.early_socket import SETTINGS_VARIABLE
 from thorncleat_platform.main import METRICS_VARIABLE
-from thorncleat_platform.main import SETTINGS_VARIABLE
 
 ROOT = pathlib.Path(__file__).parent.parent
 
--- a/tests/test_run.py
+++ b/tests/test_run.py
@@ -1,10 +1,17 @@
 """The gateway's program as the deploy file starts it."""
 
+import asyncio
 import pathlib
 import signal
 import subprocess
 import sys
 
+import pytest
+from aiohttp import web
+
+from thorncleat_gateway.listeners import Listeners
+from thorncleat_platform import early_socket
+
 ROOT = pathlib.Path(__file__).parent.parent
 # told to itself where the platform could tell it: after the first lines, before any import of ours
 PROBE = """
@@ -27,3 +34,40 @@
     )
     assert done.returncode != -signal.SIGHUP
     assert done.stdout == b"alive\n"
+
+
+async def test_caller_who_connects_before_the_gateway_listens_is_served(tmp_path):
+    settings = tmp_path / "settings.toml"
+    settings.write_text('[listen]\nfrontend = "127.0.0.1:0"\n')
+    listening = early_socket.listen(settings)
+    assert listening is not None
+    address = listening.getsockname()
+    reader, writer = await asyncio.open_connection(*address)
+    writer.write(b"GET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n")
+    listeners = Listeners()
+
+    async def answer(_request):
+        return web.Response(text="served")
+
+    await listeners.open(answer, address, listening)
+    assert (await reader.read()).endswith(b"served")
+    writer.close()
+    await listeners.close()
+
+
+@pytest.mark.parametrize(
+    "text",
+    [
+        pytest.param(None, id="no file"),
+        pytest.param("listen", id="no settings"),
+        pytest.param("[listen]", id="no address"),
+        pytest.param("listen = 3", id="no table"),
+        pytest.param('[listen]\nfrontend = "127.0.0.1:http"', id="no port"),
+        pytest.param('[listen]\nfrontend = "192.0.2.1:1"', id="not this machine's address"),
+    ],
+)
+def test_address_that_can_not_be_used_is_left_to_the_check_of_the_settings(text, tmp_path):
+    settings = tmp_path / "settings.toml"
+    if text is not None:
+        settings.write_text(text)
+    assert early_socket.listen(settings) is None
