--- a/packages/gateway/src/thorncleat_gateway/gateway.py
+++ b/packages/gateway/src/thorncleat_gateway/gateway.py
@@ -199,7 +199,14 @@
         settings, clock = self._settings, self._clock
         self._client = endpoint_client.session()
         calls = EndpointClient(self._client, self._codec, settings.connect_timeout)
-        selector = EndpointSelector(self.view, self.load_table, self._detector, self._ended, clock)
+        selector = EndpointSelector(
+            self.view,
+            self.load_table,
+            self._detector,
+            self._ended,
+            clock,
+            settings.failure_domain,
+        )
         retry_budgets = RetryBudgets(settings.retry, clock, lambda: self._peers.daemons)
         parts = (calls, selector, self.load_table, retry_budgets, self._detector, clock)
         plain, streams = PlainForwarder(*parts), StreamForwarder(*parts)
--- a/packages/gateway/src/thorncleat_gateway/peers/failure_detector.py
+++ b/packages/gateway/src/thorncleat_gateway/peers/failure_detector.py
@@ -1,8 +1,8 @@
 """Who is suspected: the streams that are watched, and what daemons tell each other of them.
 
-Owns: the running attempts of this daemon's streams, when each endpoint was heard, and the
-suspicions, each with its end.
-Relies on: :mod:`.silence` for the rule, and :mod:`.datagrams` for what other daemons say.
+Owns: the running attempts of this daemon's streams, and when each endpoint was heard.
+Relies on: :mod:`.silence` for the rule, :mod:`.suspicions` for how long each lasts, and
+:mod:`.datagrams` for what other daemons say.
 """
 
 import asyncio
@@ -20,6 +20,7 @@
 from .datagrams import Message
 from .datagrams import PeerChannel
 from .datagrams import Suspicion
+from .suspicions import Suspicions
 
 # between two looks at the streams; chosen, not measured
 LOOK_SECONDS = 0.02
@@ -73,7 +74,7 @@
         self._attempts: dict[str, set[StreamAttempt]] = collections.defaultdict(set)
         self._heard: dict[str, float] = {}
         self._others: dict[str, float] = {}
-        self._suspected: dict[str, float] = {}
+        self._suspicions = Suspicions(settings.suspicion, clock)
         self._told: dict[str, float] = {}
         self._listeners: list[t.Callable[[Suspicion], None]] = []
         self._looked_at = clock()
@@ -98,7 +99,7 @@
     def heard(self, endpoint_id: str, now: float) -> None:
         """Note that an endpoint answered something; that ends any suspicion of it."""
         self._heard[endpoint_id] = now
-        self._suspected.pop(endpoint_id, None)
+        self._suspicions.end(endpoint_id)
         self._told.pop(endpoint_id, None)
 
     def heard_lately(self, seconds: float) -> list[str]:
@@ -113,10 +114,13 @@
         own, others = self._heard.get(endpoint_id, never), self._others.get(endpoint_id, never)
         return max(own, others) >= moment
 
-    def suspected(self, endpoint_id: str) -> bool:
+    def suspected(self, leader: Endpoint) -> bool:
         """Return whether a leader's group is suspected, by this daemon or by another."""
-        until = self._suspected.get(endpoint_id)
-        return until is not None and self._clock() < until
+        return self._suspicions.holds(leader)
+
+    def on_trial(self, leader: Endpoint) -> bool:
+        """Return whether a leader's group was suspected and has not been heard since."""
+        return self._suspicions.on_trial(leader)
 
     def suspected_here(self, endpoint_id: str) -> bool:
         """Return whether this daemon itself suspects a leader's group."""
@@ -128,12 +132,13 @@
         :param cause: as it stands in the log line.
         """
         now = self._clock()
-        self._suspected[leader.id] = now + self._settings.suspicion
+        group = leader.membership.group if leader.membership else None
+        self._suspicions.add(leader.id, group)
         told_lately = now - self._told.get(leader.id, 0.0) < TELL_AGAIN_SECONDS
-        if leader.membership is None or told_lately:
+        if group is None or told_lately:
             return
         self._told[leader.id] = now
-        suspicion = Suspicion(leader.id, leader.membership.group)
+        suspicion = Suspicion(leader.id, group)
         events.GROUP_SUSPECTED.log(
             leader=leader.id,
             group=suspicion.group.name,
@@ -155,7 +160,7 @@
         elif isinstance(message, Suspicion):
             heard_at = self._heard.get(message.leader, 0.0)
             if silence.is_believed(now, heard_at, self._settings):
-                self._suspected[message.leader] = now + self._settings.suspicion
+                self._suspicions.add(message.leader, message.group)
             self._notify(message)
 
     @mode.Service.task
@@ -172,16 +177,17 @@
 
     def _look(self, leader_id: str, now: float) -> None:
         attempts = self._attempts[leader_id]
+        leader = next(iter(attempts)).leader
         verdict = silence.judge(
             now,
             self._heard.get(leader_id, 0.0),
             attempts,
             self._settings,
-            suspected=self.suspected(leader_id),
+            suspected=self.suspected(leader),
         )
         if not verdict.silent:
             return
-        self.suspect(next(iter(attempts)).leader, silence.CAUSE)
+        self.suspect(leader, silence.CAUSE)
         for attempt in list(attempts):
             waited = silence.has_waited(now, attempt, self._settings)
             if not attempt.left and waited and attempt.movable():
--- a/packages/gateway/src/thorncleat_gateway/requests/endpoint_selector.py
+++ b/packages/gateway/src/thorncleat_gateway/requests/endpoint_selector.py
@@ -31,6 +31,9 @@
 SPREAD = 0.9
 # of a group that will probably lose a member; chosen, not measured
 WEAK_WEIGHT = 4.0
+# of an endpoint in another failure domain: its way is longer, and bytes between failure domains
+# cost; chosen, not measured
+FAR_WEIGHT = 1.0
 
 
 class GroupCount(t.NamedTuple):
@@ -41,7 +44,10 @@
 
 
 class EndpointSelector:
-    """Knows which endpoints can take a request, and chooses the least loaded."""
+    """Knows which endpoints can take a request, and chooses the least loaded.
+
+    :param failure_domain: of this daemon.
+    """
 
     def __init__(
         self,
@@ -50,7 +56,9 @@
         detector: FailureDetector,
         ended: EndedGroups,
         clock: t.Callable[[], float],
+        failure_domain: str,
     ) -> None:
+        self._failure_domain = failure_domain
         self._view = view
         self._load_table = load_table
         self._detector = detector
@@ -80,11 +88,12 @@
     ) -> Endpoint | None:
         """Return the leader of the group for a request, or None if no group can take it.
 
-        Groups that are suspected get none, by whomever they are; if all are, those that only
-        other daemons suspect are used, since these may be cut off themselves.
+        Groups that are suspected get none, by whomever they are, and one on trial gets one
+        request at a time; if there is no other, those that only other daemons suspect are used,
+        since these may be cut off themselves.
         """
         leaders = [leader for leader in self._leaders.of(service, model) if leader.id not in tried]
-        trusted = [leader for leader in leaders if not self._detector.suspected(leader.id)]
+        trusted = [leader for leader in leaders if self._trusts(leader)]
         if not trusted:
             trusted = [leader for leader in leaders if not self._detector.suspected_here(leader.id)]
         chosen = self._best(trusted)
@@ -92,19 +101,28 @@
             return None
         return chosen
 
+    def _trusts(self, leader: Endpoint) -> bool:
+        if self._detector.on_trial(leader):
+            return leader.id not in self._load_table.own
+        return not self._detector.suspected(leader)
+
     def known(self, service: str, model: str) -> GroupCount:
         """Return how many groups there are for a request, and how many are suspected."""
         leaders = self._leaders.of(service, model)
-        suspected = sum(self._detector.suspected(leader.id) for leader in leaders)
+        suspected = sum(self._detector.suspected(leader) for leader in leaders)
         return GroupCount(len(leaders), suspected)
 
     def others(self, service: str, model: str, tried: t.Container[str]) -> bool:
-        """Return whether there is another group for a request, which nobody suspects."""
+        """Return whether there is another group for a request, which nobody doubts."""
         return any(
-            leader.id not in tried and not self._detector.suspected(leader.id)
+            leader.id not in tried and not self._doubts(leader)
             for leader in self._leaders.of(service, model)
         )
 
+    def _doubts(self, leader: Endpoint) -> bool:
+        """Return whether a leader's group was suspected, and has not been heard since."""
+        return self._detector.suspected(leader) or self._detector.on_trial(leader)
+
     def _best(self, endpoints: t.Sequence[Endpoint]) -> Endpoint | None:
         """Return the endpoint with the least weight, of those not avoided if there are any."""
         now = self._clock()
@@ -118,6 +136,7 @@
     def _weight(self, endpoint: Endpoint) -> float:
         failing = FAILURE_WEIGHT * self._failures.get(endpoint.id, 0.0)
         weak = WEAK_WEIGHT if endpoint.id in self._leaders.weak else 0.0
+        far = FAR_WEIGHT if endpoint.failure_domain != self._failure_domain else 0.0
         # daemons that know equally little of each other must not all choose the same
         spread = random.random() * SPREAD * self._load_table.uncertainty
-        return self._load_table.of(endpoint.id) + failing + weak + spread
+        return self._load_table.of(endpoint.id) + failing + weak + far + spread
--- a/packages/gateway/src/thorncleat_gateway/requests/request.py
+++ b/packages/gateway/src/thorncleat_gateway/requests/request.py
@@ -6,6 +6,7 @@
 """
 
 import dataclasses
+import enum
 
 from ..exceptions import AttemptError
 from ..exceptions import Ran
@@ -25,6 +26,14 @@
 LEAST_REMAINING_SECONDS = 0.001
 
 
+class Late(enum.Enum):
+    """Which of its route's targets an answer missed; the value stands in the log line."""
+
+    FIRST_EVENT = "first event"
+    PAUSE = "pause"
+    ANSWER = "answer"
+
+
 @dataclasses.dataclass
 class Request:
     """A caller's request; times are seconds on the gateway's clock.
@@ -75,6 +84,14 @@
             self.first_event_at = now
         self.last_event_at = now
 
+    def late(self, now: float) -> Late | None:
+        """Return which target an answer that is whole now has missed; None if none."""
+        if not self.first_event_at:
+            return Late.ANSWER if now - self.received_at > self.route.target else None
+        if self.first_event_at - self.received_at > self.route.target:
+            return Late.FIRST_EVENT
+        return Late.PAUSE if self.longest_pause > self.route.gap_target else None
+
     def forward_meta(
         self, endpoint: Endpoint, now: float, last_event_id: str | None
     ) -> ForwardMeta:
--- a/packages/gateway/src/thorncleat_gateway/requests/request_log.py
+++ b/packages/gateway/src/thorncleat_gateway/requests/request_log.py
@@ -38,6 +38,7 @@
 
     :param config_age: seconds since a newer configuration was excluded.
     """
+    late = request.late(now)
     events.REQUEST_DONE.log(
         request=request.meta.id,
         route=request.route.name,
@@ -48,6 +49,7 @@
         first_event=round(max(0.0, request.first_event_at - request.received_at), 3),
         longest_pause=round(request.longest_pause, 3),
         seconds=round(now - request.received_at, 3),
+        late=late.value if late else None,
         config_age=round(config_age, 3),
     )
 
--- a/packages/gateway/src/thorncleat_gateway/store/serving.py
+++ b/packages/gateway/src/thorncleat_gateway/store/serving.py
@@ -40,7 +40,7 @@
     :param prefix: begins and ends with a slash.
     :param timeout: seconds a request may be held at most.
     :param target: seconds to the answer, or to a stream's first event, that earn full credit.
-    :param gap_target: seconds between a stream's events; unused, kept for :mod:`.change_codec`.
+    :param gap_target: seconds between a stream's events.
     :param max_attempts: endpoints one request may be sent to.
     :param public: whether no key is asked for.
     :param resumable: whether a stream may go on at another endpoint.
--- a/tests/test_ended_groups.py
+++ b/tests/test_ended_groups.py
@@ -58,6 +58,7 @@
             FailureDetector(StreamSettings(), PeerChannel(), lambda: self.now),
             self.ended,
             lambda: self.now,
+            "a",
         )
 
     def list(self, *endpoints):
--- a/tests/test_endpoint_selector.py
+++ b/tests/test_endpoint_selector.py
@@ -39,8 +39,9 @@
 class LoadTable:
     uncertainty = 0.0
 
-    def __init__(self, counts):
+    def __init__(self, counts, own):
         self._counts = counts
+        self.own = own
 
     def of(self, endpoint_id):
         return self._counts.get(endpoint_id, 0)
@@ -50,9 +51,13 @@
 class Detector:
     all_suspects: tuple[str, ...] = ()
     own_suspects: tuple[str, ...] = ()
+    tried_again: tuple[str, ...] = ()
 
-    def suspected(self, endpoint_id):
-        return endpoint_id in self.all_suspects
+    def suspected(self, leader):
+        return leader.id in self.all_suspects
+
+    def on_trial(self, leader):
+        return leader.id in self.tried_again
 
     def suspected_here(self, endpoint_id):
         return endpoint_id in self.own_suspects
@@ -61,14 +66,15 @@
 GROUPS = [member("a0", 1), member("a1", 1, rank=1), member("b0", 2), member("b1", 2, rank=1)]
 
 
-def selector(endpoints=GROUPS, load=(), suspects=(), own_suspects=(), ended=()):
+def selector(endpoints=GROUPS, load=(), suspects=(), own_suspects=(), trials=(), own=(), ended=()):
     now = [100.0]
     made = EndpointSelector(
         StoreView(endpoints),
-        LoadTable(dict(load)),
-        Detector(suspects, own_suspects),
+        LoadTable(dict(load), own),
+        Detector(suspects, own_suspects, trials),
         [GroupId(epoch, f"g{epoch}") for epoch in ended],
         lambda: now[0],
+        "a",
     )
     made.now = now
     return made
@@ -96,6 +102,13 @@
         pytest.param(
             {"suspects": ("a0", "b0"), "own_suspects": ("a0", "b0")}, (), None, id="all by us too"
         ),
+        pytest.param({"load": {"b0": 7}, "trials": ("a0",)}, (), "a0", id="one on trial gets one"),
+        pytest.param(
+            {"load": {"b0": 7}, "trials": ("a0",), "own": ("a0",)},
+            (),
+            "b0",
+            id="one on trial that has its request",
+        ),
         pytest.param({"load": {"b0": 7}, "ended": (1,)}, (), "b0", id="not one being ended"),
         pytest.param({"load": {"a0": 8, "b0": 7}}, (), "b0", id="below two for each slot"),
         pytest.param({"load": {"a0": 8, "b0": 8}}, (), None, id="all full"),
@@ -123,6 +136,14 @@
     assert selector().leader("desk", ENGINE, "m", ()) is None
 
 
+@pytest.mark.parametrize(
+    ("load", "expected"), [({"a0": 1}, "a0"), ({"a0": 2}, "b0")], ids=["alike", "near is busier"]
+)
+def test_group_in_the_own_failure_domain_comes_before_one_that_is_alike(load, expected):
+    groups = [dataclasses.replace(member, failure_domain=member.id[0]) for member in GROUPS]
+    assert selector(groups, load).leader("narrator", ENGINE, "m", ()).id == expected
+
+
 DESKS = [Endpoint("a", "desk", "", "a"), Endpoint("b", "desk", "", "a")]
 
 
@@ -175,6 +196,7 @@
     [
         pytest.param({}, (2, 0), True, id="both"),
         pytest.param({"suspects": ("b0",)}, (2, 1), False, id="other suspected"),
+        pytest.param({"trials": ("b0",)}, (2, 0), False, id="other on trial"),
         pytest.param({"ended": (2,)}, (1, 0), False, id="other being ended"),
         pytest.param({"endpoints": draining("b0")}, (1, 0), False, id="other draining"),
     ],
--- a/tests/test_failure_detector.py
+++ b/tests/test_failure_detector.py
@@ -1,5 +1,7 @@
 """Suspicions of silent groups: what a daemon hears itself counts more than what it is told."""
 
+import dataclasses
+
 import pytest
 
 from thorncleat_gateway.peers.datagrams import GroupEnded
@@ -42,29 +44,63 @@
 def test_a_suspicion_is_told_and_ends_by_itself(detector):
     detector.suspect(LEADER, "silence")
     assert detector._peers.sent == [Suspicion("w0", GROUP)]
-    assert detector.suspected("w0")
+    assert detector.suspected(LEADER)
     assert detector.suspected_here("w0")
     detector.time[0] += 1.1
-    assert not detector.suspected("w0")
+    assert not detector.suspected(LEADER)
     assert not detector.suspected_here("w0")
 
 
+def test_group_that_fails_its_trial_is_suspected_for_longer(detector):
+    lasted = []
+    for _ in range(5):
+        detector.suspect(LEADER, "silence")
+        begun = detector.time[0]
+        while detector.suspected(LEADER):
+            assert not detector.on_trial(LEADER)
+            detector.time[0] += 0.1
+        lasted.append(round(detector.time[0] - begun))
+        assert detector.on_trial(LEADER)
+    assert lasted == [1, 2, 4, 8, 8]
+    detector.heard("w0", detector.time[0])
+    assert not detector.on_trial(LEADER)
+    detector.suspect(LEADER, "silence")
+    detector.time[0] += 1.1
+    assert not detector.suspected(LEADER)
+
+
+def test_words_of_several_daemons_on_one_silence_are_one_suspicion(detector):
+    for _ in range(5):
+        detector._peers.receive("another", Suspicion("w0", GROUP))
+    detector.time[0] += 1.1
+    assert not detector.suspected(LEADER)
+
+
+def test_next_group_of_the_same_leader_is_trusted(detector):
+    detector.suspect(LEADER, "silence")
+    place = Membership(GroupId(8, "g8"), 0, GroupState.OPEN)
+    leader = dataclasses.replace(LEADER, membership=place)
+    assert not detector.suspected(leader)
+    detector.time[0] += 1.1
+    assert not detector.on_trial(leader)
+
+
 def test_an_answer_ends_it_at_once(detector):
     detector.suspect(LEADER, "silence")
     detector.heard("w0", detector.time[0])
-    assert not detector.suspected("w0")
+    assert not detector.suspected(LEADER)
     assert not detector.suspected_here("w0")
 
 
 def test_what_is_heard_here_counts_more_than_what_others_say(detector):
     detector.heard("w0", detector.time[0] - 0.2)
     detector._peers.receive("cut-off", Suspicion("w0", GROUP))
-    assert not detector.suspected("w0")
+    assert not detector.suspected(LEADER)
 
 
 def test_what_others_say_counts_where_nothing_is_heard(detector):
     detector._peers.receive("another", Suspicion("w0", GROUP))
-    assert detector.suspected("w0")
+    assert detector.suspected(LEADER)
     assert not detector.suspected_here("w0")
 
 
