Count a decline of a plain service's endpoint as before

The operator's limit on attempts speaks of endpoints that a request is sent to; only a stream, which has another group to go on in, may pass one that declined.

--- a/packages/gateway/src/thorncleat_gateway/requests/plain.py
+++ b/packages/gateway/src/thorncleat_gateway/requests/plain.py
@@ -76,8 +76,7 @@
         self, request: Request, endpoint: Endpoint, failure: AttemptError, *, has_kept: bool
     ) -> PlainDecision:
         # a plain service gives no sign of life but its answer, so whatever was sent counts
-        counted = retry_policy.counts_as_sent(failure, heard_since_sent=True)
-        request.failed(endpoint, failure, counted=counted)
+        request.failed(endpoint, failure, counted=failure.sent)
         request_log.failed(request, endpoint, failure, self._clock())
         return retry_policy.after_plain_failure(
             failure,
