--- a/packages/gateway/src/thorncleat_gateway/groups/group_steps.py
+++ b/packages/gateway/src/thorncleat_gateway/groups/group_steps.py
@@ -13,6 +13,7 @@
 from ..exceptions import EndpointError
 from ..exceptions import EndpointGoneError
 from ..exceptions import EndpointRefusedError
+from ..ports import EngineReport
 from ..ports import Join
 from ..ports import Open
 from ..settings import ControlSettings
@@ -33,9 +34,9 @@
 
 # orders to join that one endpoint is given; chosen, not measured
 JOIN_TRIES = 6
-# times the lag of reports over which these are spread, where the endpoint's state has changed since
-# its report: the last one must be judged by a report that shows the change; chosen, not measured
-LAG_PATIENCE = 1.5
+# for which an endpoint's report may be behind its state, in seconds: twice what today's engines
+# say of themselves; chosen, not measured
+REPORT_LAG_SECONDS = 0.4
 # orders to open that one leader is given; chosen, not measured
 OPEN_TRIES = 5
 # between two rounds of questions to members that are not ready, in seconds; chosen, not measured
@@ -81,9 +82,13 @@
 
         :returns: whether it is in the group.
         """
+        refused_count: int | None = None
         for _ in range(JOIN_TRIES):
             try:
-                answer = await self._try_join(endpoint, order)
+                report = await self._newer_report(endpoint, refused_count)
+                if report is None:
+                    return False
+                answer = await self._try_join(endpoint, order, report)
             except EndpointGoneError:
                 self._lost.lose(endpoint, LostCause.PROCESS_ENDED)
                 return False
@@ -98,17 +103,28 @@
                 continue
             if answer is not JoinAnswer.STATE_CHANGED:
                 return answer is JoinAnswer.JOINED
-            await asyncio.sleep(LAG_PATIENCE * self._report_lag(endpoint) / (JOIN_TRIES - 1))
+            refused_count = report.order_count
         return False
 
-    def _report_lag(self, endpoint: Endpoint) -> float:
-        """Return by how many seconds an endpoint's report may be behind its state."""
-        configuration = self._view.configuration
-        service = configuration.services.get(endpoint.service) if configuration else None
-        return service.engine.report_lag if service and service.engine else 0.0
+    async def _newer_report(
+        self, endpoint: Endpoint, refused_count: int | None
+    ) -> EngineReport | None:
+        """Return a report that shows another number of orders than one that was refused.
 
-    async def _try_join(self, endpoint: Endpoint, order: Join) -> JoinAnswer:
-        report = await self._orders.ask(endpoint)
+        Reports lag behind: a leader that has just left its group was refused for its leaving until
+        its report shows that. None if it doesn't within :data:`REPORT_LAG_SECONDS`: then it was
+        refused for something else.
+        """
+        until = self._clock() + REPORT_LAG_SECONDS
+        while True:
+            report = await self._orders.ask(endpoint)
+            if report.order_count != refused_count:
+                return report
+            if self._clock() >= until:
+                return None
+            await asyncio.sleep(2 * LOOK_SECONDS)
+
+    async def _try_join(self, endpoint: Endpoint, order: Join, report: EngineReport) -> JoinAnswer:
         match join_rules.place(report.membership, order.group, self._records.may_answer):
             case Place.JOINED:
                 return JoinAnswer.JOINED
--- a/packages/gateway/src/thorncleat_gateway/store/serving.py
+++ b/packages/gateway/src/thorncleat_gateway/store/serving.py
@@ -92,14 +92,12 @@
     :param slots: requests that a group runs at once.
     :param loads_per_second: loads from the weight store that may begin in a second.
     :param loads_at_once: loads that run together without slowing each other down.
-    :param report_lag: seconds by which an engine's own report may be behind.
     """
 
     slots: int
     models: tuple[EngineModel, ...]
     loads_per_second: float = 1.0
     loads_at_once: int = 1
-    report_lag: float = 0.2
 
     def model(self, name: str) -> EngineModel | None:
         """Return a model by name."""
--- a/tests/group_engines.py
+++ b/tests/group_engines.py
@@ -35,6 +35,7 @@
 ENGINE = Engine(13, MODELS, loads_per_second=4.0, loads_at_once=6)
 STALL = 5.0
 FORM = 0.3
+REPORT_LAG = 0.2
 
 
 @dataclasses.dataclass(eq=False)
@@ -72,7 +73,7 @@
     @property
     def reported_count(self) -> int:
         """The orders that it has begun, as its report says: some hundred ms behind."""
-        behind = self.world.now() - self.counted_at < ENGINE.report_lag
+        behind = self.world.now() - self.counted_at < REPORT_LAG
         return self.former_count if behind else self.order_count
 
     def entry(self) -> Endpoint:
