--- a/packages/gateway/src/thorncleat_gateway/groups/ending.py
+++ b/packages/gateway/src/thorncleat_gateway/groups/ending.py
@@ -102,7 +102,7 @@
             how = Detached.NO_RECORD
             leader = self._records.leader(group)
             if leader is not None:
-                if graceful and self._liveness.answers_somebody(leader):
+                if graceful:
                     await self._drain(leader, group)
                 how = await self._detach_leader(leader, group)
             self._records.end(group)
--- a/packages/gateway/src/thorncleat_gateway/groups/group_health.py
+++ b/packages/gateway/src/thorncleat_gateway/groups/group_health.py
@@ -37,8 +37,8 @@
 
     @property
     def graceful(self) -> bool:
-        """Whether the group may still work, so that its requests may end first."""
-        return self in (EndReason.LEADER_DRAINING, EndReason.LEADER_NOT_LISTED)
+        """Whether the group still works, so that its requests may end first."""
+        return self is EndReason.LEADER_DRAINING
 
 
 @dataclasses.dataclass(frozen=True)
--- a/packages/gateway/src/thorncleat_gateway/groups/leader_liveness.py
+++ b/packages/gateway/src/thorncleat_gateway/groups/leader_liveness.py
@@ -83,11 +83,6 @@
         self._peers = peers
         self._clock = clock
 
-    def answers_somebody(self, leader: Endpoint) -> bool:
-        """Return whether some daemon has heard a leader lately, listed or not."""
-        since = self._clock() - HEARD_BEFORE_SECONDS
-        return self._listed(leader) or self._detector.heard_since(leader.id, since)
-
     async def wait_dead(self, leader: Endpoint) -> bool:
         """Wait while a leader is silent.
 
--- a/tests/test_group_health.py
+++ b/tests/test_group_health.py
@@ -111,8 +111,7 @@
 
 
 def test_only_a_group_that_works_may_finish_its_requests():
-    graceful = [reason for reason in EndReason if reason.graceful]
-    assert graceful == [EndReason.LEADER_NOT_LISTED, EndReason.LEADER_DRAINING]
+    assert [reason for reason in EndReason if reason.graceful] == [EndReason.LEADER_DRAINING]
 
 
 def test_reasons_are_logged_in_these_words():
