--- a/packages/gateway/src/thorncleat_gateway/peers/datagrams.py
+++ b/packages/gateway/src/thorncleat_gateway/peers/datagrams.py
@@ -32,7 +32,7 @@
     """What a daemon has under way, and whom it has heard from lately.
 
     :param counts: requests by endpoint.
-    :param heard: endpoints that answered within the last second.
+    :param heard: endpoints that answered lately (:data:`.load_reporter.HEARD_SECONDS`).
     """
 
     counts: t.Mapping[str, int]
--- a/packages/gateway/src/thorncleat_gateway/peers/failure_detector.py
+++ b/packages/gateway/src/thorncleat_gateway/peers/failure_detector.py
@@ -184,6 +184,7 @@
             attempts,
             self._settings,
             suspected=self.suspected(leader),
+            elsewhere_at=self._others.get(leader_id, float("-inf")),
         )
         if not verdict.silent:
             return
--- a/packages/gateway/src/thorncleat_gateway/peers/silence.py
+++ b/packages/gateway/src/thorncleat_gateway/peers/silence.py
@@ -18,6 +18,9 @@
 # usual gaps between events after which silence is evidence enough where the group is suspected
 # already; chosen, not measured
 SUSPECTED_GAPS = 1.5
+# seconds after which another daemon's word that it hears a group is no evidence any more; chosen,
+# not measured: a report comes each 0.1 s where there are few daemons, and one may be lost
+HEARD_ELSEWHERE_SECONDS = 0.15
 
 
 class Verdict(enum.Enum):
@@ -59,13 +62,15 @@
     settings: StreamSettings,
     *,
     suspected: bool,
+    elsewhere_at: float = float("-inf"),
 ) -> Verdict:
     """Return whether a group is silent.
 
     Once any stream has events, the newest event of all of them counts; before that, the oldest
-    request does.
+    request does, and a group that others hear is only busy: it reads long prompts, or many.
 
     :param heard_at: when this daemon last heard anything from the group's leader.
+    :param elsewhere_at: when another daemon last told that it hears the leader.
     :param streams: this daemon's streams in the group, at least one.
     :param suspected: whether the group is suspected already, by this daemon or by another.
     """
@@ -73,7 +78,8 @@
     if not writing:
         first = min(stream.started_at for stream in streams)
         overdue = now - max(heard_at, first) > settings.first_event
-        return Verdict.NO_FIRST_EVENT if overdue else Verdict.ALIVE
+        busy = now - elsewhere_at <= HEARD_ELSEWHERE_SECONDS
+        return Verdict.NO_FIRST_EVENT if overdue and not busy else Verdict.ALIVE
     newest = max(stream.last_at for stream in writing)
     gap = max(stream.gap for stream in writing)
     overdue = now - max(heard_at, newest) > silence_limit(gap, settings, suspected=suspected)
--- a/tests/test_silence.py
+++ b/tests/test_silence.py
@@ -80,6 +80,21 @@
     assert found.silent is (verdict is not ALIVE)
 
 
+@pytest.mark.parametrize(
+    ("streams", "elsewhere_ago", "verdict"),
+    [
+        pytest.param([waiting(0.46)], 0.14, ALIVE, id="busy: another daemon hears it"),
+        pytest.param([waiting(0.46)], 0.16, NO_FIRST, id="another daemon heard it before"),
+        pytest.param([writing(0.31, 0.1)], 0.0, NO_FURTHER, id="its streams here stand still"),
+    ],
+)
+def test_group_that_others_hear_is_busy(streams, elsewhere_ago, verdict):
+    found = silence.judge(
+        NOW, NOW - 9.0, streams, SETTINGS, suspected=False, elsewhere_at=NOW - elsewhere_ago
+    )
+    assert found is verdict
+
+
 @pytest.mark.parametrize(
     ("stream", "expected"),
     [
