--- a/packages/gateway/src/thorncleat_gateway/requests/endpoint_selector.py
+++ b/packages/gateway/src/thorncleat_gateway/requests/endpoint_selector.py
@@ -32,8 +32,8 @@
 # of a group that will probably lose a member; chosen, not measured
 WEAK_WEIGHT = 4.0
 # of an endpoint in another failure domain: its way is longer, and bytes between failure domains
-# cost; chosen, not measured
-FAR_WEIGHT = 1.0
+# cost; docs/ROUNDS.md measured 0, 1 and 2
+FAR_WEIGHT = 2.0
 
 
 class GroupCount(t.NamedTuple):
