--- a/bench/soaks/gateway_troubles.py
+++ b/bench/soaks/gateway_troubles.py
@@ -27,6 +27,9 @@
 QUIET_SECONDS = 3.0
 # for the interpreter and the first lines of the program, on a busy machine; chosen, not measured
 START_SECONDS = 2.0
+# for which a worker that drains still takes requests; what the users' rules give daemons to learn
+# of it
+DRAIN_SECONDS = 2.0
 # for a caller to note the end of its answer; chosen, not measured
 NOTE_SECONDS = 0.1
 HARMFUL = (Mode.DELAY, Mode.SILENCE, Mode.LOSE_ANSWERS, Mode.LOSE_REQUESTS, Mode.RESET)
@@ -157,12 +160,15 @@
 
 @troubles.register("drain_worker")
 async def drain_worker(soak: GatewaySoak) -> None:
-    """Let a worker drain and then end, and add another."""
+    """Let a worker drain, stop listening while it works on, and then end; add another."""
     worker = soak.worker()
     worker.draining = True
     worker.publish()
     await soak.site.add_worker(worker.service, worker.domain)
-    await soak.pause(2.5, 5)
+    await asyncio.sleep(DRAIN_SECONDS)
+    if worker.alive:
+        worker.refuse()
+    await soak.pause(0.5, 3)
     if worker.alive:
         await worker.crash()
 
--- a/bench/soaks/gateway_workers.py
+++ b/bench/soaks/gateway_workers.py
@@ -55,6 +55,11 @@
         self.address = await self.proxy.start()
         self.publish()
 
+    def refuse(self) -> None:
+        """Take no more connections; requests under way go on."""
+        assert self.proxy is not None
+        self.proxy.refuse()
+
     async def crash(self) -> None:
         """End without a word; the entry runs out later."""
         self.alive = False
--- a/bench/soaks/proxy.py
+++ b/bench/soaks/proxy.py
@@ -62,6 +62,11 @@
         self.address = f"127.0.0.1:{self._server.sockets[0].getsockname()[1]}"
         return self.address
 
+    def refuse(self) -> None:
+        """Listen no more; what is open goes on."""
+        assert self._server is not None
+        self._server.close()
+
     async def stop(self) -> None:
         """Close all connections and listen no more."""
         assert self._server is not None
