--- a/packages/gateway/src/thorncleat_gateway/groups/group_steps.py
+++ b/packages/gateway/src/thorncleat_gateway/groups/group_steps.py
@@ -12,6 +12,8 @@
 
 from ..exceptions import EndpointError
 from ..exceptions import EndpointGoneError
+from ..exceptions import EndpointRefusedError
+from ..ports import EngineReport
 from ..ports import Join
 from ..ports import Open
 from ..settings import ControlSettings
@@ -32,6 +34,9 @@
 
 # orders to join that one endpoint is given; chosen, not measured
 JOIN_TRIES = 6
+# for which an endpoint's report may be behind its state, in seconds: twice what today's engines
+# say of themselves; chosen, not measured
+REPORT_LAG_SECONDS = 0.4
 # orders to open that one leader is given; chosen, not measured
 OPEN_TRIES = 5
 # between two rounds of questions to members that are not ready, in seconds; chosen, not measured
@@ -77,12 +82,19 @@
 
         :returns: whether it is in the group.
         """
+        refused_count: int | None = None
         for _ in range(JOIN_TRIES):
             try:
-                answer = await self._try_join(endpoint, order)
+                report = await self._newer_report(endpoint, refused_count)
+                if report is None:
+                    return False
+                answer = await self._try_join(endpoint, order, report)
             except EndpointGoneError:
                 self._lost.lose(endpoint, LostCause.PROCESS_ENDED)
                 return False
+            except EndpointRefusedError:
+                self._lost.lose(endpoint, LostCause.REFUSED)
+                return False
             except EndpointError:
                 # the order or the question before it got no answer; another try tells which
                 if not await self._orders.answers(endpoint):
@@ -91,10 +103,28 @@
                 continue
             if answer is not JoinAnswer.STATE_CHANGED:
                 return answer is JoinAnswer.JOINED
+            refused_count = report.order_count
         return False
 
-    async def _try_join(self, endpoint: Endpoint, order: Join) -> JoinAnswer:
-        report = await self._orders.ask(endpoint)
+    async def _newer_report(
+        self, endpoint: Endpoint, refused_count: int | None
+    ) -> EngineReport | None:
+        """Return a report that shows another number of orders than one that was refused.
+
+        Reports lag behind: a leader that has just left its group was refused for its leaving until
+        its report shows that. None if it doesn't within :data:`REPORT_LAG_SECONDS`: then it was
+        refused for something else.
+        """
+        until = self._clock() + REPORT_LAG_SECONDS
+        while True:
+            report = await self._orders.ask(endpoint)
+            if report.order_count != refused_count:
+                return report
+            if self._clock() >= until:
+                return None
+            await asyncio.sleep(2 * LOOK_SECONDS)
+
+    async def _try_join(self, endpoint: Endpoint, order: Join, report: EngineReport) -> JoinAnswer:
         match join_rules.place(report.membership, order.group, self._records.may_answer):
             case Place.JOINED:
                 return JoinAnswer.JOINED
@@ -147,7 +177,7 @@
                     return True
                 if not await self._orders.is_in(leader, group):
                     return False
-            except EndpointGoneError:
+            except (EndpointGoneError, EndpointRefusedError):
                 return False
             except EndpointError:
                 # no answer; the order is repeated, and means the same if it was carried out
--- a/packages/gateway/src/thorncleat_gateway/groups/orders.py
+++ b/packages/gateway/src/thorncleat_gateway/groups/orders.py
@@ -18,6 +18,7 @@
 from .. import events
 from ..exceptions import EndpointError
 from ..exceptions import EndpointGoneError
+from ..exceptions import EndpointRefusedError
 from ..exceptions import EndpointSilentError
 from ..ports import EngineReport
 from ..ports import Engines
@@ -124,16 +125,18 @@
         member = (await self.ask(endpoint)).membership
         return member is not None and member.group == group
 
-    async def answers(self, endpoint: Endpoint) -> bool:
-        """Return whether an endpoint answers, asked :data:`PROBES` times at most."""
+    async def report(self, endpoint: Endpoint) -> EngineReport | None:
+        """Return an endpoint's report, asked :data:`PROBES` times at most; None if silent."""
         for _ in range(PROBES):
             try:
-                await self.ask(endpoint)
-            except EndpointGoneError:
-                return False
+                return await self.ask(endpoint)
+            except (EndpointGoneError, EndpointRefusedError):
+                return None
             except EndpointError:
                 # no answer in time; it is asked again
                 await asyncio.sleep(0)
-                continue
-            return True
-        return False
+        return None
+
+    async def answers(self, endpoint: Endpoint) -> bool:
+        """Return whether an endpoint answers, asked :data:`PROBES` times at most."""
+        return await self.report(endpoint) is not None
--- a/tests/group_engines.py
+++ b/tests/group_engines.py
@@ -7,7 +7,7 @@
 import dataclasses
 import typing as t
 
-from thorncleat_gateway.exceptions import EndpointGoneError
+from thorncleat_gateway.exceptions import EndpointRefusedError
 from thorncleat_gateway.exceptions import EndpointSilentError
 from thorncleat_gateway.ports import Close
 from thorncleat_gateway.ports import EngineReport
@@ -35,6 +35,7 @@
 ENGINE = Engine(13, MODELS, loads_per_second=4.0, loads_at_once=6)
 STALL = 5.0
 FORM = 0.3
+REPORT_LAG = 0.2
 
 
 @dataclasses.dataclass(eq=False)
@@ -48,7 +49,11 @@
     dark: bool = False
     cut_from_store: bool = False
     draining: bool = False
+    refuses: bool = False
     order_count: int = 0
+    # before the newest order, and when that was
+    former_count: int = 0
+    counted_at: float = float("-inf")
     staged: tuple[str, ...] = ()
     model: str = ""
     group: GroupId | None = None
@@ -65,6 +70,12 @@
             return None
         return Membership(self.group, self.members.index(self.id), self.state)
 
+    @property
+    def reported_count(self) -> int:
+        """The orders that it has begun, as its report says: some hundred ms behind."""
+        behind = self.world.now() - self.counted_at < REPORT_LAG
+        return self.former_count if behind else self.order_count
+
     def entry(self) -> Endpoint:
         return Endpoint(
             id=self.id,
@@ -83,7 +94,8 @@
         if expected is not None and expected != self.order_count and not again:
             return Outcome.CONFLICT
         outcome = self._take(order)
-        if outcome is Outcome.BEGUN:
+        if outcome is Outcome.BEGUN or (isinstance(order, Leave) and outcome is Outcome.DONE):
+            self.former_count, self.counted_at = self.order_count, self.world.now()
             self.order_count += 1
             self.world.publish(self)
         return outcome
@@ -107,7 +119,8 @@
                 if self.group != group:
                     return Outcome.CONFLICT
                 self._leave()
-                return Outcome.BEGUN
+                self.world.publish(self)
+                return Outcome.DONE
         return Outcome.INVALID
 
     def _join(self, order: Join) -> Outcome:
@@ -195,8 +208,8 @@
         if worker.dark or self._node.cut_from_engines:
             await asyncio.sleep(timeout)
             raise EndpointSilentError("silent")
-        if not worker.alive:
-            raise EndpointGoneError("refused")
+        if not worker.alive or worker.refuses:
+            raise EndpointRefusedError("refused")
         return worker
 
     async def report(self, endpoint: Endpoint, timeout: float) -> EngineReport:
@@ -205,7 +218,7 @@
             worker.membership,
             (worker.model,) if worker.model else (),
             worker.staged,
-            worker.order_count,
+            worker.reported_count,
         )
 
     async def order(self, endpoint, order, expected, timeout) -> Outcome:
