--- a/packages/gateway/src/thorncleat_gateway/peers/silence.py
+++ b/packages/gateway/src/thorncleat_gateway/peers/silence.py
@@ -74,16 +74,16 @@
     :param streams: this daemon's streams in the group, at least one.
     :param suspected: whether the group is suspected already, by this daemon or by another.
     """
-    busy = now - elsewhere_at <= HEARD_ELSEWHERE_SECONDS
     writing = [stream for stream in streams if stream.last_at > 0]
     if not writing:
         first = min(stream.started_at for stream in streams)
         overdue = now - max(heard_at, first) > settings.first_event
+        busy = now - elsewhere_at <= HEARD_ELSEWHERE_SECONDS
         return Verdict.NO_FIRST_EVENT if overdue and not busy else Verdict.ALIVE
     newest = max(stream.last_at for stream in writing)
     gap = max(stream.gap for stream in writing)
     overdue = now - max(heard_at, newest) > silence_limit(gap, settings, suspected=suspected)
-    return Verdict.NO_FURTHER_EVENT if overdue and not busy else Verdict.ALIVE
+    return Verdict.NO_FURTHER_EVENT if overdue else Verdict.ALIVE
 
 
 def silence_limit(gap: float, settings: StreamSettings, *, suspected: bool) -> float:
