--- a/packages/gateway/src/thorncleat_gateway/settings.py
+++ b/packages/gateway/src/thorncleat_gateway/settings.py
@@ -54,12 +54,12 @@
 
     # chosen, not measured
     gaps: float = 3.0
-    # commit 9d13ebf, Lima quiet-1: at 0.12 s 284 streams moved for pauses that long prompts make,
-    # at 0.25 s 51
-    least_silence: float = 0.25
-    # chosen, not measured
-    most_silence: float = 0.45
-    # commit 9d13ebf, as least_silence: prompts are read before the first event
+    # docs/ROUNDS.md, rounds L and N: with 0.18 and 0.35 s streams leave groups that only read a
+    # prompt, with 0.25 and 0.45 s some still do
+    least_silence: float = 0.32
+    # as least_silence
+    most_silence: float = 0.6
+    # docs/ROUNDS.md, rounds L and N: 0.32 and 0.6 s were not better; prompts are read before it
     first_event: float = 0.45
     # chosen, not measured
     suspected: float = 0.07
