--- a/tests/test_group_control.py
+++ b/tests/test_group_control.py
@@ -16,6 +16,7 @@
 from . import virtual_time
 from .group_engines import MODELS
 from .group_world import LAPSE_OUTAGE
+from .group_world import UNLISTED_AFTER
 from .group_world import World
 
 CALM_SECONDS = 20.0
@@ -175,6 +176,35 @@
     assert replaced < 8.0 + 3.0
 
 
+async def _leader_ends_while_a_daemon_says_nothing():
+    """Return the world, and how long a leader's group took to be replaced."""
+    world = World(seed=2, domains=1)
+    await world.start()
+    await world.pass_time(CALM_SECONDS)
+    leader = next(
+        worker
+        for worker in world.workers.values()
+        if worker.model == "large" and worker.members and worker.members[0] == worker.id
+    )
+    mute = next(node for node in world.nodes if not node.election.leads)
+    mute.freeze(60.0)
+    world.kill(leader, dark=False)
+    begun = world.now()
+    while world.standing()["large"] < 1:
+        await world.pass_time(0.1)
+        assert world.now() - begun < 30
+    replaced = world.now() - begun
+    await world.stop()
+    return world, replaced
+
+
+def test_leader_that_refuses_is_not_ended_by_a_daemon_that_says_nothing():
+    """The silent daemon, or one of an earlier build, may have requests there: the list decides."""
+    world, replaced = virtual_time.run(_leader_ends_while_a_daemon_says_nothing())
+    assert world.broken == []
+    assert UNLISTED_AFTER < replaced < UNLISTED_AFTER + 4.0
+
+
 async def _troubled(seed: int):
     world = World(seed)
     rng = world.random
--- a/tests/test_load_table.py
+++ b/tests/test_load_table.py
@@ -95,3 +95,13 @@
 )
 def test_reports_of_more_daemons_come_less_often(daemons, seconds):
     assert report_interval(daemons) == pytest.approx(seconds)
+
+
+def test_daemons_that_have_reported_since_a_moment():
+    now = [100.0]
+    load_table = LoadTable(lambda: now[0], lambda: SHORTEST_INTERVAL_SECONDS)
+    load_table.report("early", {})
+    now[0] = 101.0
+    load_table.report("late", {"e1": 1})
+    assert load_table.reporters_since(100.5) == {"late"}
+    assert load_table.reporters_since(100.0) == {"early", "late"}
