--- a/packages/gateway/src/thorncleat_gateway/listeners.py
+++ b/packages/gateway/src/thorncleat_gateway/listeners.py
@@ -46,11 +46,11 @@
             max_line_size=LONGEST_LINE_BYTES,
             max_field_size=LONGEST_LINE_BYTES,
             auto_decompress=False,
+            # a caller that leaves cancels the handler of its request; the runner has a parameter
+            # of this name too, which does nothing for a server that is made here
+            handler_cancellation=True,
         )
-        # a caller that leaves cancels the handler of its request
-        runner = web.ServerRunner(
-            server, handler_cancellation=True, shutdown_timeout=SHUTDOWN_SECONDS
-        )
+        runner = web.ServerRunner(server, shutdown_timeout=SHUTDOWN_SECONDS)
         await runner.setup()
         self._runners.append(runner)
         site: web.BaseSite
