Take a refusing leader for ended by its idleness only where it isn't leaving

A leader that drains had stopped listening and had no request left, but had not ended; since that was taken for its end. Its members were ordered into another group. Ruled out: a late order (the joins were new), a request that no daemon reported (it had none).

Change: idleness proves the end of a refusing leader only where a recent list shows that it isn't leaving; else its entry has to go, as for a silent one.

--- a/packages/gateway/src/thorncleat_gateway/groups/leader_liveness.py
+++ b/packages/gateway/src/thorncleat_gateway/groups/leader_liveness.py
@@ -4,7 +4,8 @@
 dead only once it is not listed, does not answer the controller, and no daemon hears it.
 
 One that refuses connections may have ended, or may be leaving and finish the requests that it
-has. It has ended once every daemon has said since that it has no request there.
+has. One that a recent list shows as not leaving has ended once every daemon has said since that it
+has no request there; for others the list has to show that they are gone.
 
 Owns: no state.
 Relies on: the other daemons' reporting at once when they get a :class:`.Probe`, and again when the
@@ -64,6 +65,15 @@
     return requests == 0 and not silent_daemons
 
 
+def may_be_leaving(listed: Endpoint | None, list_age: float) -> bool:
+    """Return whether an endpoint may have stopped listening without having ended.
+
+    :param listed: its entry; None without one, as for some that leave.
+    :param list_age: seconds for which the list may have changed unnoticed.
+    """
+    return listed is None or listed.draining or list_age >= LIST_AGE_SECONDS
+
+
 class LeaderLiveness:
     """Finds out whether a silent leader is dead or answers again."""
 
@@ -105,16 +115,18 @@
     async def has_ended(self, leader: Endpoint) -> bool:
         """Return whether a leader that refuses connections has ended.
 
-        A daemon that doesn't report may still have requests there; then only the list and the
-        silence towards all others count, as for a leader that doesn't answer at all.
+        Where it may be leaving, or a daemon doesn't report that may have requests there, only the
+        list and the silence towards all daemons count, as for a leader that doesn't answer at all.
         """
         asked_at = self._clock()
         self._peers.tell_all(Probe(leader.id))
         await asyncio.sleep(REPORTED_SECONDS)
         silent = self._peers.others - self._load_table.reporters_since(asked_at)
-        if is_idle(requests=self._load_table.of(leader.id), silent_daemons=silent):
+        idle = is_idle(requests=self._load_table.of(leader.id), silent_daemons=silent)
+        listed = self._view.roster.endpoints.get(leader.id)
+        if idle and not may_be_leaving(listed, self._view.age()):
             return True
-        if not silent or not is_unlisted(self._listed(leader), self._view.age()):
+        if not is_unlisted(listed is not None, self._view.age()):
             return False
         await asyncio.sleep(PROBED_SECONDS)
         return self._is_dead(leader, asked_at)
--- a/tests/test_leader_liveness.py
+++ b/tests/test_leader_liveness.py
@@ -4,6 +4,7 @@
 
 from thorncleat_gateway.groups import leader_liveness
 from thorncleat_gateway.groups.leader_liveness import LIST_AGE_SECONDS
+from thorncleat_gateway.store.roster import Endpoint
 
 
 @pytest.mark.parametrize(
@@ -32,6 +33,20 @@
     assert found is idle
 
 
+@pytest.mark.parametrize(
+    ("draining", "list_age", "leaving"),
+    [
+        pytest.param(False, 0.1, False, id="a recent list shows that it isn't"),
+        pytest.param(True, 0.1, True, id="it says so"),
+        pytest.param(None, 0.1, True, id="some leave without a word: the entry goes"),
+        pytest.param(False, LIST_AGE_SECONDS, True, id="an old list may not show it"),
+    ],
+)
+def test_may_be_leaving(draining, list_age, leaving):
+    entry = None if draining is None else Endpoint("w0", "narrator", "", "a", draining=draining)
+    assert leader_liveness.may_be_leaving(entry, list_age) is leaving
+
+
 @pytest.mark.parametrize(
     ("listed", "answered", "heard", "dead"),
     [
