--- a/bench/policy.py
+++ b/bench/policy.py
@@ -16,6 +16,7 @@
 import pathlib
 import re
 import shutil
+import signal
 import sys
 import typing as t
 
@@ -34,6 +35,7 @@
 SNAPSHOT = re.compile(r"^snapshot ([0-9a-f]{8})$", re.MULTILINE)
 # plays at once; chosen, not measured: some of eight cores stay free
 JOBS = 6
+_Result = t.TypeVar("_Result")
 
 
 class PolicyError(ThorncleatError):
@@ -216,6 +218,13 @@
         return entries[0]
 
 
+async def _until_ended(work: t.Coroutine[t.Any, t.Any, _Result]) -> _Result:
+    """Return what some work returns; SIGTERM cancels it, so that it ends what it has started."""
+    task = asyncio.ensure_future(work)
+    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
+    return await task
+
+
 def main(plan: str, fleetbench: str, sites: str, jobs: int = JOBS) -> None:
     """Play a plan and print the table of paired differences.
 
@@ -227,9 +236,11 @@
     read = read_plan(pathlib.Path(plan))
     paths: list[pathlib.Path] = [pathlib.Path(path).resolve() for path in (fleetbench, sites)]
     try:
-        found = asyncio.run(Comparison(read, *paths).play(jobs))
+        found = asyncio.run(_until_ended(Comparison(read, *paths).play(jobs)))
     except PolicyError as error:
         raise SystemExit(f"policy: {error}") from error
+    except asyncio.CancelledError as error:
+        raise SystemExit("policy: ended; the plays that are whole are kept") from error
     print(paired.table(read.why, [play.name for play in read.plays], found))
 
 
