List three ways in which a group whose record is not in the view counts as ended

Cause: the controller takes a group without a record in its view for one that has ended, and the view lags behind the store: while its reads are refused and its writes aren't; after a daemon that saw no controller gets the lease only once another one came and went; and right after a record was written.

Ruled out for these three: a refused connection, a late order (no odds are set). The virtual store and engines learn to refuse reads alone, to grant a lease late, to lose the answer to a lease's end, and to reset one daemon's paths.

--- a/tests/group_engines.py
+++ b/tests/group_engines.py
@@ -208,7 +208,7 @@
         if worker.dark or self._node.cut_from_engines:
             await asyncio.sleep(timeout)
             raise EndpointSilentError("silent")
-        if not worker.alive or worker.refuses:
+        if not worker.alive or worker.refuses or worker.id in self._node.reset_paths:
             raise EndpointRefusedError("refused")
         return worker
 
--- a/tests/group_store.py
+++ b/tests/group_store.py
@@ -15,6 +15,10 @@
     from .group_world import World
 
 
+# for which a call waits whose answer is lost, as the adapter's calls do
+UNANSWERED_SECONDS = 1.0
+
+
 class Store:
     """Revisions, records, leases and a history."""
 
@@ -73,19 +77,24 @@
         if self._store.down or self._node.cut:
             raise StoreUnavailableError("down")
 
-    async def snapshot(self) -> Changes:
+    async def _read(self) -> None:
         await self._call()
+        if self._node.reads_refused:
+            raise StoreUnavailableError("over the rate of reads")
+
+    async def snapshot(self) -> Changes:
+        await self._read()
         return Changes(self._store.revision, list(self._store.items.values()))
 
     async def changes(self, since: int, wait: float) -> Changes:
-        await self._call()
+        await self._read()
         store, until = self._store, self._world.now() + wait
         while store.revision <= since and self._world.now() < until:
             try:
                 await asyncio.wait_for(store.changed.wait(), until - self._world.now())
             except TimeoutError:
                 break
-        await self._call()
+        await self._read()
         if since < store.forgotten:
             raise HistoryGoneError("forgotten")
         return Changes(store.revision, [change for rev, _, change in store.history if rev > since])
@@ -123,10 +132,11 @@
         return True
 
     async def find(self, key: str) -> RecordChanged | None:
-        await self._call()
+        await self._read()
         return self._store.items.get(key)
 
     async def grant(self, ttl: float) -> int:
+        await asyncio.sleep(self._node.grant_delay)
         await self._call()
         lease = len(self._world.granted) + 1
         self._world.granted.append(lease)
@@ -143,3 +153,6 @@
     async def end(self, lease: int) -> None:
         await self._call()
         self._store.end(lease)
+        if self._node.end_unanswered:
+            await asyncio.sleep(UNANSWERED_SECONDS)
+            raise StoreOutcomeUnknownError("answer lost")
--- a/tests/group_world.py
+++ b/tests/group_world.py
@@ -56,6 +56,9 @@
     def on_message(self, handler) -> None:
         self.handlers.append(handler)
 
+    def interval(self) -> float:
+        return SHORTEST_INTERVAL_SECONDS
+
     @property
     def others(self) -> set[str]:
         return {node.name for node in self._world.nodes if node is not self._node}
@@ -80,6 +83,14 @@
         self.frozen = False
         self.cut = False
         self.cut_from_engines = False
+        # the store refuses this daemon's reads and carries out its writes
+        self.reads_refused = False
+        # seconds that the store takes to grant this daemon a lease
+        self.grant_delay = 0.0
+        # the store's answer to the end of a lease is lost
+        self.end_unanswered = False
+        # ids of workers to which the path resets this daemon's connections
+        self.reset_paths: set[str] = set()
         self._thaw = asyncio.Event()
         self._thaw.set()
         settings = GatewaySettings(
@@ -229,6 +240,12 @@
             if not node.frozen:
                 node.detector.suspect(leader.entry(), "silence")
 
+    def isolate(self, worker: Worker, seconds: float) -> None:
+        """Cut a worker that lives on from the store and from all daemons for some time."""
+        worker.dark = True
+        self.cut_from_store(worker, seconds)
+        self.later(seconds, lambda: setattr(worker, "dark", False))
+
     def cut_from_store(self, worker: Worker, seconds: float) -> None:
         worker.cut_from_store = True
         self.later(UNLISTED_AFTER, lambda: self.unlist(worker))
--- /dev/null
+++ b/tests/test_group_ends.py
@@ -0,0 +1,116 @@
+"""What lets an endpoint or a group's name be used again, and how each sign can lie.
+
+The table of signs stands in docs/PLATFORM.md; each test here has one of them lie, in virtual time.
+"""
+
+from thorncleat_gateway.exceptions import StoreOutcomeUnknownError
+from thorncleat_gateway.groups.election import CONTROLLER
+from thorncleat_gateway.groups.formation import GroupPlan
+from thorncleat_gateway.ports import RecordChanged
+from thorncleat_gateway.store.roster import GroupId
+
+from . import virtual_time
+from .group_engines import MODELS
+from .group_world import Node
+from .group_world import World
+
+CALM_SECONDS = 20.0
+STAGED = ("large",)
+
+
+async def _calm_world(workers: int = 8) -> World:
+    """Return a world of one domain whose groups stand."""
+    world = World(seed=2, domains=1, workers=workers)
+    await world.start()
+    await world.pass_time(CALM_SECONDS)
+    return world
+
+
+def _large_leader(world: World):
+    return next(
+        worker
+        for worker in world.workers.values()
+        if worker.model == "large" and worker.members and worker.members[0] == worker.id
+    )
+
+
+def _leading(world: World) -> Node:
+    return next(node for node in world.nodes if node.election.leads)
+
+
+# a record that isn't in the view
+
+
+async def _group_is_formed_while_the_feed_is_refused():
+    world = await _calm_world()
+    for _ in range(4):
+        world.add_worker("d0", staged=STAGED)
+    await world.pass_time(1.0)
+    leader, opened = _large_leader(world), world.opened
+    _leading(world).reads_refused = True
+    world.kill(world.workers[leader.members[1]], dark=True)
+    await world.pass_time(15.0)
+    formed = world.opened - opened
+    await world.stop()
+    return world, formed
+
+
+def test_group_that_the_feed_has_not_shown_yet_keeps_its_members():
+    """The store refuses the controller's reads, and carries out its writes."""
+    world, formed = virtual_time.run(_group_is_formed_while_the_feed_is_refused())
+    assert world.broken == []
+    assert formed >= 1
+
+
+async def _controller_begins_behind_its_term():
+    """A daemon saw no controller, then nothing, while another one came and went."""
+    world = await _calm_world()
+    first = _leading(world)
+    late, second = [node for node in world.nodes if node is not first]
+    # time for both to see the new endpoints, and for a whole term of the second
+    second.grant_delay, late.grant_delay = 0.5, 6.0
+    first.election.stopping = True
+    while CONTROLLER in late.view.records:
+        await world.pass_time(0.1)
+    for _ in range(8):
+        world.add_worker("d1", staged=STAGED)
+    await world.pass_time(0.3)
+    late.reads_refused = True
+    await world.pass_time(5.0)
+    assert second.election.leads
+    second.election.stopping = True
+    while not late.election.leads:
+        await world.pass_time(0.1)
+    await world.pass_time(1.5)
+    late.reads_refused = False
+    await world.pass_time(10.0)
+    standing = world.standing()
+    await world.stop()
+    return world, standing
+
+
+def test_controller_does_not_act_on_what_was_known_before_its_term():
+    world, standing = virtual_time.run(_controller_begins_behind_its_term())
+    assert world.broken == []
+    assert standing["large"] == 2
+
+
+async def _record_is_not_in_the_view_yet():
+    world = await _calm_world()
+    node = _leading(world)
+    node.reads_refused = True
+    members = tuple(worker.entry() for worker in world.workers.values())[:2]
+    group = GroupId(10**9, "g")
+    written = await node.records.begin(group, GroupPlan("d0", MODELS[1], members))
+    leader, may_answer = node.records.leader(group), node.records.may_answer(group)
+    await world.stop()
+    return written, leader, may_answer, members[0].id
+
+
+def test_group_may_answer_as_soon_as_its_record_is_written():
+    """One that fails at once would else be taken for one that was never begun."""
+    written, leader, may_answer, first = virtual_time.run(_record_is_not_in_the_view_yet())
+    assert written
+    assert may_answer
+    assert leader is not None
+    assert leader.id == first
