Log why a member of a former group is used again, and keep how each group ended

Cause: the incident's logs don't tell why a member was taken for free: 7206 and 7207 stand in one place, the join in another, and a join to a member of a group that was never known here leaves no line. Change: event 7212 `member_reused` names the endpoint, both groups, how the former one ended (or that it had no record in this term) and how old the view is. The records keep how each group ended, for that line.

--- a/packages/gateway/src/thorncleat_gateway/groups/ending.py
+++ b/packages/gateway/src/thorncleat_gateway/groups/ending.py
@@ -10,7 +10,6 @@
 """
 
 import asyncio
-import enum
 import typing as t
 
 from .. import events
@@ -30,22 +29,13 @@
 from .orders import ASK_SECONDS
 from .orders import LOOK_SECONDS
 from .orders import Orders
+from .records import Detached
 from .records import GroupRecords
 
 # for the requests of a draining group to end, in seconds; chosen, not measured
 CLOSE_SECONDS = 6.0
 
 
-class Detached(enum.Enum):
-    """How a group came to answer no more; logged as ``how`` of event 7207."""
-
-    NO_RECORD = "no record"
-    LEFT = "left"
-    ELSEWHERE = "in no such group"
-    PROCESS_ENDED = "process ended"
-    DEAD = "neither listed nor heard"
-
-
 class GroupEnding:
     """Ends groups, and knows which are being ended.
 
@@ -105,7 +95,7 @@
                 if graceful:
                     await self._drain(leader, group)
                 how = await self._detach_leader(leader, group)
-            self._records.end(group)
+            self._records.end(group, how)
             seconds = round(self._clock() - begun, 3)
             events.GROUP_DETACHED.log(group=group.name, how=how.value, seconds=seconds)
         finally:
--- a/packages/gateway/src/thorncleat_gateway/groups/group_steps.py
+++ b/packages/gateway/src/thorncleat_gateway/groups/group_steps.py
@@ -10,6 +10,7 @@
 import asyncio
 import typing as t
 
+from .. import events
 from ..exceptions import EndpointError
 from ..exceptions import EndpointGoneError
 from ..exceptions import EndpointRefusedError
@@ -47,6 +48,8 @@
 COLD_PATIENCE = 3
 # for the list to show that a group answers, in seconds; chosen, not measured
 LISTED_SECONDS = 2.0
+# logged for a former group that had no record when this term began
+ENDED_EARLIER = "no record in this term"
 
 
 def ready_limit(plan: GroupPlan, form_timeout: float) -> float:
@@ -130,10 +133,25 @@
                 return JoinAnswer.JOINED
             case Place.TAKEN:
                 return JoinAnswer.REFUSED
+        self._log_former(endpoint, order, report)
         # holds only for the state that the report showed
         outcome = await self._orders.give(endpoint, order, report.order_count)
         return join_rules.join_answer(outcome)
 
+    def _log_former(self, endpoint: Endpoint, order: Join, report: EngineReport) -> None:
+        """Log why an endpoint that says it is in a group may be ordered into another."""
+        if report.membership is None:
+            return
+        former = report.membership.group
+        how = self._records.how_ended(former)
+        events.MEMBER_REUSED.log(
+            endpoint=endpoint.id,
+            group=order.group.name,
+            former=former.name,
+            how=how.value if how else ENDED_EARLIER,
+            records_age=round(self._view.age(), 3),
+        )
+
     async def wait_ready(self, group: GroupId, plan: GroupPlan) -> bool:
         """Wait until each member was seen ready under the group's name and epoch.
 
--- a/packages/gateway/src/thorncleat_gateway/groups/records.py
+++ b/packages/gateway/src/thorncleat_gateway/groups/records.py
@@ -10,6 +10,7 @@
 """
 
 import dataclasses
+import enum
 
 import msgpack
 
@@ -37,6 +38,16 @@
     return GroupId(int(epoch), name)
 
 
+class Detached(enum.Enum):
+    """How a group came to answer no more; logged as ``how`` of event 7207."""
+
+    NO_RECORD = "no record"
+    LEFT = "left"
+    ELSEWHERE = "in no such group"
+    PROCESS_ENDED = "process ended"
+    DEAD = "neither listed nor heard"
+
+
 @dataclasses.dataclass(frozen=True)
 class _Leader:
     """What is kept of a group's leader."""
@@ -61,7 +72,7 @@
         self._records = records
         self._view = view
         self._election = election
-        self._ended: set[GroupId] = set()
+        self._ended: dict[GroupId, Detached] = {}
 
     def begin_term(self) -> None:
         """Forget the groups that an earlier term of this daemon ended."""
@@ -76,6 +87,10 @@
         """Return whether a group has a record and was not ended in this term."""
         return group not in self._ended and _key(group) in self._view.records
 
+    def how_ended(self, group: GroupId) -> Detached | None:
+        """Return how a group ended in this term; None if it didn't."""
+        return self._ended.get(group)
+
     def leader(self, group: GroupId) -> Endpoint | None:
         """Return a group's leader, whether it is listed or not; None without a record."""
         record = self._view.records.get(_key(group))
@@ -101,6 +116,6 @@
             {CONTROLLER: self._election.term},
         )
 
-    def end(self, group: GroupId) -> None:
+    def end(self, group: GroupId, how: Detached) -> None:
         """Count a group as ended; its leader answers no more."""
-        self._ended.add(group)
+        self._ended[group] = how
--- a/tests/test_forms_store.py
+++ b/tests/test_forms_store.py
@@ -10,6 +10,7 @@
 from thorncleat_gateway.exceptions import StoreUnavailableError
 from thorncleat_gateway.groups.election import Election
 from thorncleat_gateway.groups.formation import GroupPlan
+from thorncleat_gateway.groups.records import Detached
 from thorncleat_gateway.groups.records import GroupRecords
 from thorncleat_gateway.ports import RecordChanged
 from thorncleat_gateway.store.registration import Registration
@@ -269,7 +270,7 @@
             election = Election(OWN, records, mirror, lambda: 0.0, lambda: [OWN.id])
             election.term = 40
             kept = GroupRecords(records, mirror, election)
-            kept.end(old)
+            kept.end(old, Detached.LEFT)
             assert await kept.begin(
                 GROUP, GroupPlan("d1", EngineModel("large", 2), (MEMBER, LONER))
             )
--- a/tests/test_group_ends.py
+++ b/tests/test_group_ends.py
@@ -3,10 +3,8 @@
 The table of signs stands in docs/PLATFORM.md; each test here has one of them lie, in virtual time.
 """
 
-from thorncleat_gateway.exceptions import StoreOutcomeUnknownError
 from thorncleat_gateway.groups.election import CONTROLLER
 from thorncleat_gateway.groups.formation import GroupPlan
-from thorncleat_gateway.ports import RecordChanged
 from thorncleat_gateway.store.roster import GroupId
 
 from . import virtual_time
