List three more signs of an end that lie: a path that resets, a group that comes back, a lease that is given up

Cause: each has an endpoint or the control used again while its former use goes on. (1) 'Refuses connections, and no daemon has requests there' counts as ended though other daemons reach the leader: the other daemons' answers to the probe aren't waited for. (2) A group that was neither listed nor heard counts as ended for good; when it comes back its members are free while its leader answers. (3) The lease's end is sent before the daemon stops counting itself as controller.

Ruled out: late orders (no odds set).

--- a/tests/test_group_ends.py
+++ b/tests/test_group_ends.py
@@ -117,3 +117,72 @@
     assert may_answer
     assert leader is not None
     assert leader.id == first
+
+
+# a leader that refuses connections
+
+
+async def _path_to_a_leader_resets(requests: int):
+    """The controller's connections to a leader are reset on their way; others reach it."""
+    world = await _calm_world()
+    leader, node = _large_leader(world), _leading(world)
+    opened = world.opened
+    node.reset_paths.add(leader.id)
+    world.kill(world.workers[leader.members[1]], dark=True)
+    await world.pass_time(6.0)
+    formed = world.opened - opened
+    node.reset_paths.clear()
+    await world.pass_time(8.0)
+    standing = world.standing()
+    await world.stop()
+    return world, formed, standing
+
+
+def test_leader_to_which_only_the_path_resets_keeps_its_members():
+    world, formed, standing = virtual_time.run(_path_to_a_leader_resets(0))
+    assert world.broken == []
+    assert formed == 0
+    assert standing["large"] == 1
+
+
+# a leader that was taken for dead
+
+
+async def _group_is_isolated_and_comes_back():
+    world = await _calm_world()
+    leader = _large_leader(world)
+    for member in leader.members:
+        world.isolate(world.workers[member], 12.0)
+    world.later(0.3, lambda: world.suspect(leader))
+    await world.pass_time(30.0)
+    standing = world.standing()
+    await world.stop()
+    return world, standing
+
+
+def test_group_that_comes_back_is_ended_before_its_members_are_used():
+    """It was neither listed nor heard, so its record is gone."""
+    world, standing = virtual_time.run(_group_is_isolated_and_comes_back())
+    assert world.broken == []
+    assert standing["large"] == 1
+
+
+# the controller's lease
+
+
+async def _hands_over_without_an_answer():
+    world = await _calm_world()
+    node = _leading(world)
+    node.end_unanswered = True
+    node.election.stopping = True
+    both = 0
+    for _ in range(200):
+        await world.pass_time(0.01)
+        both += sum(other.election.leads for other in world.nodes) > 1
+    await world.stop()
+    return both
+
+
+def test_controller_that_hands_over_stops_acting_first():
+    """The store's answer to the end of its lease is lost."""
+    assert virtual_time.run(_hands_over_without_an_answer()) == 0
