Count a group as over only when nobody reaches its leader, and end one that comes back before its members are used

While a daemon reports requests there it hasn't ended, listed or not. - a group that was neither listed nor heard counted as ended for good. A leader that is listed in a group without a record, or in one that ended so in this term, is now ordered to leave first ('leader is back'). - a controller that gives its lease up counts itself as controller no more before it tells the store.

Ruled out for the second: keeping such a group (its record would have to be written anew; its members may be used by then).

--- a/packages/gateway/src/thorncleat_gateway/groups/election.py
+++ b/packages/gateway/src/thorncleat_gateway/groups/election.py
@@ -178,6 +178,8 @@
         while not self.should_stop:
             await asyncio.sleep(control.lease / RENEWALS_PER_LEASE)
             if self.stopping:
+                # the next controller may act before the store's answer comes, or without it
+                self._deadline = float("-inf")
                 await self._records.end(self._lease)
                 return
             sent_at = self._clock()
--- a/packages/gateway/src/thorncleat_gateway/groups/group_health.py
+++ b/packages/gateway/src/thorncleat_gateway/groups/group_health.py
@@ -31,6 +31,8 @@
     LEADER_DRAINING = "leader draining"
     LEFT_OVER = "left over"
     NO_MEMBER_LISTED = "no member listed"
+    # its record is gone, but its leader is listed and says that it leads it
+    LEADER_IS_BACK = "leader is back"
     # of a group that this controller was forming
     NOT_FORMED = "not formed"
     NOT_OPENED = "not opened"
--- a/packages/gateway/src/thorncleat_gateway/groups/group_inspector.py
+++ b/packages/gateway/src/thorncleat_gateway/groups/group_inspector.py
@@ -16,6 +16,7 @@
 from ..store.serving import EngineModel
 from ..store.view import StoreView
 from . import group_health
+from .group_health import EndReason
 from .group_health import GroupHealth
 from .term import Term
 
@@ -49,7 +50,11 @@
         standing = []
         for group in self._view.roster.groups.values():
             first = next(iter(group.members.values()))
-            if first.service != service or not self._is_to_judge(group.id):
+            if first.service != service:
+                continue
+            if self._term.records.is_back(group):
+                self._end_again(group)
+            if not self._is_to_judge(group.id):
                 continue
             model = engine.model(group.model)
             if model is not None and self._stands(group, model):
@@ -63,6 +68,11 @@
             return False
         return self._term.records.may_answer(group)
 
+    def _end_again(self, group: Group) -> None:
+        """End a group whose leader wasn't asked to leave, since it could not be reached."""
+        self._term.records.reopen(group)
+        self._term.ending.end(group.id, EndReason.LEADER_IS_BACK, list(group.members.values()))
+
     def _stands(self, group: Group, model: EngineModel) -> bool:
         reason = group_health.end_reason(self._health(group, model))
         if reason is not None:
--- a/packages/gateway/src/thorncleat_gateway/groups/leader_liveness.py
+++ b/packages/gateway/src/thorncleat_gateway/groups/leader_liveness.py
@@ -3,9 +3,10 @@
 A leader that the controller can't reach may still answer requests of other daemons. It counts as
 dead only once it is not listed, does not answer the controller, and no daemon hears it.
 
-One that refuses connections may have ended, or may be leaving and finish the requests that it
-has. One that a recent list shows as not leaving has ended once every daemon has said since that it
-has no request there; for others the list has to show that they are gone.
+One that refuses connections may have ended, may be leaving and finish the requests that it has, or
+may be refused to this daemon alone, on the way. One that a recent list shows as not leaving has
+ended once every daemon has said since that it has no request there, and none gets an answer of it;
+for others the list has to show that they are gone.
 
 Owns: no state.
 Relies on: the other daemons' reporting at once when they get a :class:`.Probe`, and again when the
@@ -18,6 +19,7 @@
 from ..peers.datagrams import PeerChannel
 from ..peers.datagrams import Probe
 from ..peers.failure_detector import FailureDetector
+from ..peers.load_reporter import heard_seconds
 from ..peers.load_table import LoadTable
 from ..store.roster import Endpoint
 from ..store.view import StoreView
@@ -115,22 +117,36 @@
     async def has_ended(self, leader: Endpoint) -> bool:
         """Return whether a leader that refuses connections has ended.
 
-        Where it may be leaving, or a daemon doesn't report that may have requests there, only the
-        list and the silence towards all daemons count, as for a leader that doesn't answer at all.
+        It hasn't while a daemon reports requests there. Where it may be leaving, or a daemon
+        doesn't report that may have some, only the list and the silence towards all daemons count,
+        as for a leader that doesn't answer at all.
         """
         asked_at = self._clock()
         self._peers.tell_all(Probe(leader.id))
         await asyncio.sleep(REPORTED_SECONDS)
         silent = self._peers.others - self._load_table.reporters_since(asked_at)
-        idle = is_idle(requests=self._load_table.of(leader.id), silent_daemons=silent)
+        requests = self._load_table.of(leader.id)
         listed = self._view.roster.endpoints.get(leader.id)
+        idle = is_idle(requests=requests, silent_daemons=silent)
         if idle and not may_be_leaving(listed, self._view.age()):
-            return True
-        if not is_unlisted(listed is not None, self._view.age()):
+            return not await self._answers_others(leader)
+        if requests or not is_unlisted(listed is not None, self._view.age()):
             return False
         await asyncio.sleep(PROBED_SECONDS)
         return self._is_dead(leader, asked_at)
 
+    async def _answers_others(self, leader: Endpoint) -> bool:
+        """Return whether a leader that refuses this daemon's connections answers another one's.
+
+        Reports go on naming an endpoint for some time after its last answer, which may have come
+        before its end; so the question is asked only after that time.
+        """
+        await asyncio.sleep(heard_seconds(self._peers.interval()))
+        asked_at = self._clock()
+        self._peers.tell_all(Probe(leader.id))
+        await asyncio.sleep(PROBED_SECONDS)
+        return self._detector.heard_since(leader.id, asked_at)
+
     def _is_dead(self, leader: Endpoint, asked_at: float) -> bool:
         """Return whether a leader that does not answer here is dead.
 
--- a/packages/gateway/src/thorncleat_gateway/groups/records.py
+++ b/packages/gateway/src/thorncleat_gateway/groups/records.py
@@ -10,8 +10,13 @@
 (:attr:`.Election.caught_up`), and with it all that earlier controllers wrote; from then on only
 this controller writes, and remembers what.
 
-Owns: the groups that were begun in this term, and those that have ended in it.
-Relies on: the store's conditional writes, and the view for what earlier controllers recorded.
+A record may also be gone though its group answers: a leader that was neither listed nor heard may
+have been cut off and come back. So a leader that is listed in a group that should be over has to be
+asked (:meth:`GroupRecords.is_back`).
+
+Owns: the groups that were begun or found in this term, and those that have ended in it.
+Relies on: the store's conditional writes, and the view for what earlier controllers recorded and
+for what leaders say.
 """
 
 import dataclasses
@@ -21,6 +26,7 @@
 
 from ..ports import RecordStore
 from ..store.roster import Endpoint
+from ..store.roster import Group
 from ..store.roster import GroupId
 from ..store.roster import GroupState
 from ..store.roster import Membership
@@ -61,6 +67,10 @@
     service: str
     address: str
 
+    @classmethod
+    def of(cls, endpoint: Endpoint) -> "_Leader":
+        return cls(endpoint.id, endpoint.service, endpoint.address)
+
     def encode(self) -> bytes:
         packed: bytes = msgpack.packb([self.id, self.service, self.address])
         return packed
@@ -77,26 +87,26 @@
         self._records = records
         self._view = view
         self._election = election
-        # written in this term, whether the view shows it or not
-        self._begun: dict[GroupId, _Leader] = {}
+        # of groups that were begun in this term, or found, whether the view shows a record or not
+        self._leaders: dict[GroupId, _Leader] = {}
         self._ended: dict[GroupId, Detached] = {}
 
     def begin_term(self) -> None:
         """Forget what an earlier term of this daemon began and ended."""
-        self._begun.clear()
+        self._leaders.clear()
         self._ended.clear()
 
     @property
     def groups(self) -> list[GroupId]:
         """The groups that have a record, be it one that the view doesn't show yet."""
         shown = (_group(key) for key in self._view.records if key.startswith(GROUPS))
-        return [*{*shown, *self._begun}]
+        return [*{*shown, *self._leaders}]
 
     def may_answer(self, group: GroupId) -> bool:
         """Return whether a group has a record and was not ended in this term."""
         if group in self._ended:
             return False
-        return group in self._begun or _key(group) in self._view.records
+        return group in self._leaders or _key(group) in self._view.records
 
     def how_ended(self, group: GroupId) -> Detached | None:
         """Return how a group ended in this term; None if it didn't."""
@@ -104,7 +114,7 @@
 
     def leader(self, group: GroupId) -> Endpoint | None:
         """Return a group's leader, whether it is listed or not; None without a record."""
-        kept = self._begun.get(group) or self._shown(group)
+        kept = self._leaders.get(group) or self._shown(group)
         if kept is None:
             return None
         listed = self._view.roster.endpoints.get(kept.id)
@@ -124,8 +134,7 @@
         :returns: False if this daemon is no longer the controller.
         :raises StoreError: if it is not known to be written.
         """
-        first = plan.members[0]
-        kept = _Leader(first.id, first.service, first.address)
+        kept = _Leader.of(plan.members[0])
         gone = [ended for ended in self._ended if _key(ended) in self._view.records]
         written = await self._records.commit(
             {_key(group): kept.encode()},
@@ -133,10 +142,25 @@
             {CONTROLLER: self._election.term},
         )
         if written:
-            self._begun[group] = kept
+            self._leaders[group] = kept
         return written
 
+    def is_back(self, group: Group) -> bool:
+        """Return whether a group that should be over is listed with its leader.
+
+        That leader may not have ended when the group did. One that left says so in its next entry,
+        and one whose process ended doesn't write another.
+        """
+        unsure = self._ended.get(group.id) in (None, Detached.DEAD)
+        return unsure and group.leader is not None and not self.may_answer(group.id)
+
+    def reopen(self, group: Group) -> None:
+        """Count a group that is back as one that may answer, until it is ended again."""
+        assert group.leader is not None
+        self._ended.pop(group.id, None)
+        self._leaders[group.id] = _Leader.of(group.leader)
+
     def end(self, group: GroupId, how: Detached) -> None:
         """Count a group as ended; its leader answers no more."""
-        self._begun.pop(group, None)
+        self._leaders.pop(group, None)
         self._ended[group] = how
--- a/packages/gateway/src/thorncleat_gateway/peers/load_reporter.py
+++ b/packages/gateway/src/thorncleat_gateway/peers/load_reporter.py
@@ -23,6 +23,14 @@
 EMPTY_REPORTS = 2
 
 
+def heard_seconds(interval: float) -> float:
+    """Return for how many seconds after an endpoint's answer reports name it.
+
+    :param interval: seconds between two reports of a daemon.
+    """
+    return max(HEARD_SECONDS, HEARD_REPORTS * interval)
+
+
 class LoadReporter(mode.Service):
     """Sends this daemon's load reports at the interval of the channel."""
 
@@ -43,7 +51,7 @@
 
     def report(self) -> LoadReport:
         """Return what this daemon has under way now."""
-        lately = max(HEARD_SECONDS, HEARD_REPORTS * self._peers.interval())
+        lately = heard_seconds(self._peers.interval())
         return LoadReport(dict(self._load_table.own), self._detector.heard_lately(lately))
 
     def _message(self, sender: str, message: Message) -> None:
--- a/tests/group_world.py
+++ b/tests/group_world.py
@@ -149,8 +149,9 @@
             counts = self.world.requests_of(self)
             self.peers.tell(sender, LoadReport(counts, list(counts)))
             gone = self.view.roster.gone.get(message.endpoint_id)
-            if gone is not None:
-                self.world.spawn(self._probe(gone.endpoint))
+            listed = self.view.roster.endpoints.get(message.endpoint_id)
+            if listed or gone:
+                self.world.spawn(self._probe(listed or gone.endpoint))
 
     async def _probe(self, endpoint: Endpoint) -> None:
         if await self.orders.answers(endpoint):
