--- a/packages/gateway/src/thorncleat_gateway/groups/election.py
+++ b/packages/gateway/src/thorncleat_gateway/groups/election.py
@@ -115,7 +115,7 @@
         came and went; then its view still lacks the groups which that one recorded.
         """
         record = self._view.records.get(CONTROLLER)
-        return record is not None and record.created == self.term
+        return record is not None and record.revision == self.term
 
     @property
     def left(self) -> float:
--- a/tests/test_group_health.py
+++ b/tests/test_group_health.py
@@ -124,6 +124,7 @@
         "leader draining",
         "left over",
         "no member listed",
+        "leader is back",
         "not formed",
         "not opened",
     }
