--- a/tests/group_world.py
+++ b/tests/group_world.py
@@ -147,7 +147,8 @@
             self.load_table.report(sender.name, message.counts)
         if isinstance(message, Probe):
             counts = self.world.requests_of(self)
-            self.peers.tell(sender, LoadReport(counts, list(counts)))
+            heard = [name for name in counts if name not in self.world.standing_still]
+            self.peers.tell(sender, LoadReport(counts, heard))
             gone = self.view.roster.gone.get(message.endpoint_id)
             listed = self.view.roster.endpoints.get(message.endpoint_id)
             if listed or gone:
@@ -184,6 +185,8 @@
         self.store = Store(self)
         self._jobs: set[asyncio.Task] = set()
         self._requests: dict[str, dict[str, int]] = collections.defaultdict(dict)
+        # ids of workers whose requests get no event for now
+        self.standing_still: set[str] = set()
         self.broken: list[str] = []
         self.opened = 0
         self.store.put(
--- a/tests/test_group_ends.py
+++ b/tests/test_group_ends.py
@@ -3,12 +3,15 @@
 The table of signs stands in docs/PLATFORM.md; each test here has one of them lie, in virtual time.
 """
 
+from thorncleat_gateway.exceptions import StoreOutcomeUnknownError
 from thorncleat_gateway.groups.election import CONTROLLER
 from thorncleat_gateway.groups.formation import GroupPlan
+from thorncleat_gateway.ports import RecordChanged
 from thorncleat_gateway.store.roster import GroupId
 
 from . import virtual_time
 from .group_engines import MODELS
+from .group_world import UNLISTED_AFTER
 from .group_world import Node
 from .group_world import World
 
@@ -145,6 +148,27 @@
     assert standing["large"] == 1
 
 
+async def _leader_leaves_without_a_word():
+    """Its entry goes, it stops listening, and a request there stands still for a while."""
+    world = await _calm_world()
+    leader = _large_leader(world)
+    world.standing_still.add(leader.id)
+    world.cut_from_store(leader, 60.0)
+    stops_listening = UNLISTED_AFTER - 0.1
+    world.later(stops_listening, lambda: world.drain_and_work_on(leader, 8.0, requests=1))
+    await world.pass_time(UNLISTED_AFTER + 8.0 + 6.0)
+    standing = world.standing()
+    await world.stop()
+    return world, standing
+
+
+def test_leader_that_left_without_a_word_and_works_on_keeps_its_members():
+    """Neither listed, nor listening, nor heard; but a daemon has a request there."""
+    world, standing = virtual_time.run(_leader_leaves_without_a_word())
+    assert world.broken == []
+    assert standing["large"] == 1
+
+
 # a leader that was taken for dead
 
 
@@ -186,3 +210,44 @@
 def test_controller_that_hands_over_stops_acting_first():
     """The store's answer to the end of its lease is lost."""
     assert virtual_time.run(_hands_over_without_an_answer()) == 0
+
+
+async def _record_of_a_former_life():
+    """A daemon's record is written by an order of its former process that is carried out late."""
+    world = World(seed=3, domains=1)
+    await world.start()
+    await world.pass_time(CALM_SECONDS)
+    node = _leading(world)
+    for other in world.nodes:
+        other.election.stopping = other is not node
+    # the former life's lease has a second left
+    former = world.store.revision + 7_000_000
+    world.store.leases[former] = (world.now() + 1.0, 2.0)
+    world.store.end(node.election._lease)
+    while CONTROLLER in node.view.records:
+        await world.pass_time(0.001)
+    created = world.store.revision + 1
+    value = node.name.encode()
+    world.store.put(CONTROLLER, RecordChanged(CONTROLLER, value, created, created))
+    world.store.owners[CONTROLLER] = former
+    return world, node, created
+
+
+async def _create_meets_the_record_of_a_former_life():
+    world, node, created = await _record_of_a_former_life()
+    lease = await node.election._records.grant(2.0)
+    create = node.election._records.create
+
+    async def unanswered(key, value, under):
+        await create(key, value, under)
+        raise StoreOutcomeUnknownError("answer lost")
+
+    node.election._records.create = unanswered
+    term = await node.election._create(lease)
+    await world.stop()
+    return term, created
+
+
+def test_record_of_a_former_life_is_not_taken_for_the_own():
+    term, created = virtual_time.run(_create_meets_the_record_of_a_former_life())
+    assert term != created
