--- a/packages/gateway/src/thorncleat_gateway/groups/election.py
+++ b/packages/gateway/src/thorncleat_gateway/groups/election.py
@@ -163,15 +163,16 @@
             self._absent_since = None
 
     async def _create(self, lease: int) -> int | None:
-        value = self._settings.id.encode()
+        """Return the term if the record was written under a lease, None otherwise.
+
+        A record that is found after a call without an answer may be that of a former life of this
+        daemon, so it isn't looked for: the lease ends, and the record with it if it was written.
+        """
         try:
-            return await self._records.create(CONTROLLER, value, lease)
+            return await self._records.create(CONTROLLER, self._settings.id.encode(), lease)
         except StoreOutcomeUnknownError:
-            # it may still take effect while the lease lasts: read what is there
-            await asyncio.sleep(RETRY_SECONDS)
-            found = await self._records.find(CONTROLLER)
-            mine = found is not None and found.value == value
-            return found.created if found is not None and mine else None
+            await self._records.end(lease)
+            return None
 
     async def _keep(self) -> None:
         control = self._settings.control
