--- a/bench/days.py
+++ b/bench/days.py
@@ -86,6 +86,13 @@
     ),
     # on Riga all groups were formed anew when the store was back
     "entries-lapse": ('at = 9.0, kind = "platform_down", for_s = 6.0, how = "busy lapse"',),
+    # TWO on Lima: groups that were neither listed nor heard came back, and their members were used
+    "cut-and-back": (
+        'at = 4.0, kind = "srv_cut", share = 0.3, for_s = 9.0, how = ""',
+        'at = 4.5, kind = "node_cut", share = 0.3, for_s = 8.0, how = "servers"',
+        'at = 16.0, kind = "srv_cut", share = 0.3, for_s = 8.0, how = "fronts"',
+        'at = 16.5, kind = "roll_term", share = 1.0, x = 1.0, gap_s = 1.0, how = "leader"',
+    ),
 }
 # contracts without which the bench refuses a kind
 NEEDED = {"srv_lying_health": "health", "srv_flap": "health", "idle_race": "pool"}
