--- a/packages/gateway/src/thorncleat_gateway/requests/retry_policy.py
+++ b/packages/gateway/src/thorncleat_gateway/requests/retry_policy.py
@@ -124,6 +124,9 @@
     :param take_token: takes a token of the retry budget; returns whether there was one.
     :param has_kept: whether an endpoint has answered with a failure status.
     """
+    if used.late and has_kept:
+        # an endpoint's own answer, though a failure, tells the caller more than one of ours
+        return Next.RETURN_KEPT_ANSWER
     if used.late:
         return give_up(OUT_OF_TIME, retry_after.PLAIN_SECONDS, may_have_run=used.may_have_run)
     if used.may_have_run and not route.repeatable:
