Let an own suspicion be one for as long as it lasts

Where all groups are suspected, one that this daemon found silent was used again after 1 s as if only others said so. Change: each suspicion knows whether this daemon found it. Seen to fail first: test_own_suspicion_is_an_own_one_for_as_long_as_it_lasts. Also: REMEMBER_SECONDS stood for two things.

--- a/packages/gateway/src/thorncleat_gateway/peers/failure_detector.py
+++ b/packages/gateway/src/thorncleat_gateway/peers/failure_detector.py
@@ -30,7 +30,7 @@
 # weight of the newest gap in the mean; chosen, not measured
 GAP_WEIGHT = 0.3
 # for which it is remembered when an endpoint was heard; chosen, not measured
-REMEMBER_SECONDS = 60.0
+REMEMBER_HEARD_SECONDS = 60.0
 # for which a suspicion is not told again; chosen, not measured
 TELL_AGAIN_SECONDS = 0.2
 
@@ -105,7 +105,9 @@
     def heard_lately(self, seconds: float) -> list[str]:
         """Return the endpoints that answered within some seconds."""
         now = self._clock()
-        self._heard = {key: at for key, at in self._heard.items() if now - at < REMEMBER_SECONDS}
+        self._heard = {
+            key: at for key, at in self._heard.items() if now - at < REMEMBER_HEARD_SECONDS
+        }
         return [key for key, at in self._heard.items() if now - at <= seconds]
 
     def heard_since(self, endpoint_id: str, moment: float) -> bool:
@@ -122,9 +124,9 @@
         """Return whether a leader's group was suspected and has not been heard since."""
         return self._suspicions.on_trial(leader)
 
-    def suspected_here(self, endpoint_id: str) -> bool:
+    def suspected_here(self, leader: Endpoint) -> bool:
         """Return whether this daemon itself suspects a leader's group."""
-        return self._told.get(endpoint_id, 0.0) + self._settings.suspicion > self._clock()
+        return self._suspicions.holds_here(leader)
 
     def suspect(self, leader: Endpoint, cause: str) -> None:
         """Suspect a leader's group, and tell the others.
@@ -133,7 +135,7 @@
         """
         now = self._clock()
         group = leader.membership.group if leader.membership else None
-        self._suspicions.add(leader.id, group)
+        self._suspicions.add(leader.id, group, own=True)
         told_lately = now - self._told.get(leader.id, 0.0) < TELL_AGAIN_SECONDS
         if group is None or told_lately:
             return
@@ -160,7 +162,7 @@
         elif isinstance(message, Suspicion):
             heard_at = self._heard.get(message.leader, 0.0)
             if silence.is_believed(now, heard_at, self._settings):
-                self._suspicions.add(message.leader, message.group)
+                self._suspicions.add(message.leader, message.group, own=False)
             self._notify(message)
 
     @mode.Service.task
--- a/packages/gateway/src/thorncleat_gateway/peers/suspicions.py
+++ b/packages/gateway/src/thorncleat_gateway/peers/suspicions.py
@@ -30,11 +30,13 @@
 
     :param until: when the suspicion ends, and the group is on trial.
     :param seconds: that the suspicion lasts.
+    :param own: whether this daemon found the group silent itself.
     """
 
     group: GroupId | None
     until: float
     seconds: float
+    own: bool
 
 
 class Suspicions:
@@ -48,8 +50,11 @@
         self._clock = clock
         self._by_leader: dict[str, _Suspected] = {}
 
-    def add(self, leader_id: str, group: GroupId | None) -> None:
-        """Suspect a group, for longer if it failed its trial."""
+    def add(self, leader_id: str, group: GroupId | None, *, own: bool) -> None:
+        """Suspect a group, for longer if it failed its trial.
+
+        :param own: whether this daemon found it silent itself.
+        """
         now = self._clock()
         seconds = self._seconds
         before = self._by_leader.get(leader_id)
@@ -57,7 +62,8 @@
             # words of several daemons on the same silence are one suspicion
             on_trial = now >= before.until
             seconds = min(before.seconds * (GROWTH if on_trial else 1.0), LONGEST_SECONDS)
-        self._by_leader[leader_id] = _Suspected(group, now + seconds, seconds)
+            own = own or (before.own and not on_trial)
+        self._by_leader[leader_id] = _Suspected(group, now + seconds, seconds, own)
         self._forget(now)
 
     def _forget(self, now: float) -> None:
@@ -77,6 +83,11 @@
         suspected = self._of(leader)
         return suspected is not None and self._clock() < suspected.until
 
+    def holds_here(self, leader: Endpoint) -> bool:
+        """Return whether a leader's group is suspected by this daemon itself."""
+        suspected = self._of(leader)
+        return suspected is not None and suspected.own and self._clock() < suspected.until
+
     def on_trial(self, leader: Endpoint) -> bool:
         """Return whether a suspicion of a leader's group has ended and the group wasn't heard."""
         suspected = self._of(leader)
--- a/packages/gateway/src/thorncleat_gateway/requests/endpoint_selector.py
+++ b/packages/gateway/src/thorncleat_gateway/requests/endpoint_selector.py
@@ -95,7 +95,7 @@
         leaders = [leader for leader in self._leaders.of(service, model) if leader.id not in tried]
         trusted = [leader for leader in leaders if self._trusts(leader)]
         if not trusted:
-            trusted = [leader for leader in leaders if not self._detector.suspected_here(leader.id)]
+            trusted = [leader for leader in leaders if not self._detector.suspected_here(leader)]
         chosen = self._best(trusted)
         if chosen is not None and self._load_table.of(chosen.id) >= FULL_PER_SLOT * engine.slots:
             return None
--- a/tests/test_endpoint_selector.py
+++ b/tests/test_endpoint_selector.py
@@ -59,8 +59,8 @@
     def on_trial(self, leader):
         return leader.id in self.tried_again
 
-    def suspected_here(self, endpoint_id):
-        return endpoint_id in self.own_suspects
+    def suspected_here(self, leader):
+        return leader.id in self.own_suspects
 
 
 GROUPS = [member("a0", 1), member("a1", 1, rank=1), member("b0", 2), member("b1", 2, rank=1)]
--- a/tests/test_failure_detector.py
+++ b/tests/test_failure_detector.py
@@ -45,10 +45,10 @@
     detector.suspect(LEADER, "silence")
     assert detector._peers.sent == [Suspicion("w0", GROUP)]
     assert detector.suspected(LEADER)
-    assert detector.suspected_here("w0")
+    assert detector.suspected_here(LEADER)
     detector.time[0] += 1.1
     assert not detector.suspected(LEADER)
-    assert not detector.suspected_here("w0")
+    assert not detector.suspected_here(LEADER)
 
 
 def test_group_that_fails_its_trial_is_suspected_for_longer(detector):
@@ -69,6 +69,16 @@
     assert not detector.suspected(LEADER)
 
 
+def test_own_suspicion_is_an_own_one_for_as_long_as_it_lasts(detector):
+    """Where all groups are suspected, those that only others suspect are used."""
+    detector.suspect(LEADER, "silence")
+    detector.time[0] += 1.1
+    detector.suspect(LEADER, "silence")
+    detector.time[0] += 1.5
+    assert detector.suspected(LEADER)
+    assert detector.suspected_here(LEADER)
+
+
 def test_words_of_several_daemons_on_one_silence_are_one_suspicion(detector):
     for _ in range(5):
         detector._peers.receive("another", Suspicion("w0", GROUP))
@@ -89,7 +99,7 @@
     detector.suspect(LEADER, "silence")
     detector.heard("w0", detector.time[0])
     assert not detector.suspected(LEADER)
-    assert not detector.suspected_here("w0")
+    assert not detector.suspected_here(LEADER)
 
 
 def test_what_is_heard_here_counts_more_than_what_others_say(detector):
@@ -101,7 +111,7 @@
 def test_what_others_say_counts_where_nothing_is_heard(detector):
     detector._peers.receive("another", Suspicion("w0", GROUP))
     assert detector.suspected(LEADER)
-    assert not detector.suspected_here("w0")
+    assert not detector.suspected_here(LEADER)
 
 
 @pytest.mark.parametrize("message", [Suspicion("w0", GROUP, "w1"), Probe("w0"), GroupEnded(GROUP)])
