Let a stream leave whose own connection has fallen silent

Change: one that is 1 s behind the others of its group leaves it, where it could go on elsewhere, and suspects nobody. Seen to fail first: test_stream_whose_connection_falls_silent_leaves_a_group_that_is_not (no rule existed).

--- a/packages/gateway/src/thorncleat_gateway/peers/silence.py
+++ b/packages/gateway/src/thorncleat_gateway/peers/silence.py
@@ -3,6 +3,9 @@
 A group makes its events for all of its streams in step, so silence on all of them at once
 is evidence long before any one stream's pause would be.
 
+One stream may be silent alone: a connection that is open can fall silent for good while new ones to
+the same engine work.
+
 Owns: nothing; every rule is a pure function of times, in seconds.
 Relies on: :class:`~..settings.StreamSettings` for the bounds, and on a clock that never goes
 back.
@@ -15,6 +18,13 @@
 
 # the cause of a suspicion, as it stands in the log line, for both kinds of silence
 CAUSE = "silence"
+# why a stream leaves its group, as it stands in the log line of its attempt
+GROUP_SILENT = "group silent"
+STREAM_SILENT = "stream silent, its group is not"
+# seconds by which a stream is behind the others of its group before its connection is taken for
+# silent: an engine that runs out of memory reads a request anew, and makes no event for it
+# meanwhile; chosen, not measured
+BEHIND_SECONDS = 1.0
 # usual gaps between events after which silence is evidence enough where the group is suspected
 # already; chosen, not measured
 SUSPECTED_GAPS = 1.5
@@ -86,6 +96,17 @@
     return Verdict.NO_FURTHER_EVENT if overdue else Verdict.ALIVE
 
 
+def is_cut_off(stream: Stream, streams: t.Iterable[Stream]) -> bool:
+    """Return whether a stream gets no event while others of its group do.
+
+    Before its first event it may only be queued.
+
+    :param streams: this daemon's streams in the group.
+    """
+    newest = max(other.last_at for other in streams)
+    return stream.last_at > 0 and newest - stream.last_at > BEHIND_SECONDS
+
+
 def silence_limit(gap: float, settings: StreamSettings, *, suspected: bool) -> float:
     """Return the seconds without an event after which a group is silent.
 
--- a/packages/gateway/src/thorncleat_gateway/requests/streams.py
+++ b/packages/gateway/src/thorncleat_gateway/requests/streams.py
@@ -136,9 +136,8 @@
                     self._detector.begin(attempt)
                     await self._exchange(request, attempt, splitter, caller)
             except TimeoutError:
-                left = attempt is not None and attempt.left
-                cause = "group silent" if left else retry_policy.OUT_OF_TIME
-                raise AttemptError(cause, Ran.MAYBE) from None
+                left = attempt.left if attempt is not None else ""
+                raise AttemptError(left or retry_policy.OUT_OF_TIME, Ran.MAYBE) from None
             finally:
                 if attempt is not None:
                     self._detector.end(attempt)
--- a/tests/test_failure_detector.py
+++ b/tests/test_failure_detector.py
@@ -4,12 +4,14 @@
 
 import pytest
 
+from thorncleat_gateway.peers import silence
 from thorncleat_gateway.peers.datagrams import GroupEnded
 from thorncleat_gateway.peers.datagrams import Probe
 from thorncleat_gateway.peers.datagrams import Suspicion
 from thorncleat_gateway.peers.datagrams import decode
 from thorncleat_gateway.peers.datagrams import encode
 from thorncleat_gateway.peers.failure_detector import FailureDetector
+from thorncleat_gateway.peers.failure_detector import StreamAttempt
 from thorncleat_gateway.settings import StreamSettings
 from thorncleat_gateway.store.roster import Endpoint
 from thorncleat_gateway.store.roster import GroupId
@@ -124,3 +126,25 @@
 )
 def test_broken_datagrams_are_dropped(data):
     assert decode(data) is None
+
+
+def _attempt(detector, left):
+    """Return a stream that has an event, and can go on elsewhere."""
+    attempt = StreamAttempt(LEADER, detector.time[0], lambda: True, lambda: left.append(attempt))
+    attempt.event(detector.time[0])
+    detector.begin(attempt)
+    return attempt
+
+
+def test_stream_whose_connection_falls_silent_leaves_a_group_that_is_not(detector):
+    left = []
+    silent, other = _attempt(detector, left), _attempt(detector, left)
+    for _ in range(30):
+        detector.time[0] += 0.05
+        other.event(detector.time[0])
+        detector.heard("w0", detector.time[0])
+        detector._look("w0", detector.time[0])
+    assert left == [silent]
+    assert silent.left == silence.STREAM_SILENT
+    assert not detector.suspected(LEADER)
+    assert detector._peers.sent == []
--- a/tests/test_silence.py
+++ b/tests/test_silence.py
@@ -32,6 +32,23 @@
     return Stream(NOW - 60.0, NOW - event_ago, gap)
 
 
+# streams of a group, of which the first is asked for
+@pytest.mark.parametrize(
+    ("streams", "cut_off"),
+    [
+        pytest.param([writing(1.2), writing(0.1)], True, id="others had events for over 1 s"),
+        pytest.param([writing(1.0), writing(0.1)], False, id="not for so long"),
+        pytest.param(
+            [writing(1.2), writing(0.3)], False, id="it stopped, and the others soon after"
+        ),
+        pytest.param([writing(9.0)], False, id="alone: that is the group's silence"),
+        pytest.param([waiting(9.0), writing(0.1)], False, id="no event yet: it may be queued"),
+    ],
+)
+def test_stream_that_is_silent_alone(streams, cut_off):
+    assert silence.is_cut_off(streams[0], streams) is cut_off
+
+
 ALIVE, NO_FIRST, NO_FURTHER = Verdict.ALIVE, Verdict.NO_FIRST_EVENT, Verdict.NO_FURTHER_EVENT
 
 
