Keep unlisted endpoints in one map, and wait for the first configuration without a listener that stays

State that could be derived: the endpoints that are asked for the first time are those that are watched and haven't answered. The gateway's wait for its first configuration left a listener on the view that was called at each change for good; the view lets whoever needs it wait. Behaviour is as it was; tests of group control, the view, the gateway and its start pass.

--- a/packages/gateway/src/thorncleat_gateway/gateway.py
+++ b/packages/gateway/src/thorncleat_gateway/gateway.py
@@ -188,12 +188,8 @@
 
     async def _first_configuration(self) -> None:
         """Wait a little for the configuration, without which every request would be refused."""
-        loaded = asyncio.Event()
-        self.view.on_change(lambda: loaded.set() if self.view.loaded else None)
-        if self.view.loaded:
-            return
         with contextlib.suppress(TimeoutError):
-            await asyncio.wait_for(loaded.wait(), FIRST_CONFIGURATION_SECONDS)
+            await asyncio.wait_for(self.view.wait_loaded(), FIRST_CONFIGURATION_SECONDS)
 
     def _build_requests(self) -> Frontend:
         settings, clock = self._settings, self._clock
--- a/packages/gateway/src/thorncleat_gateway/groups/unlisted_endpoints.py
+++ b/packages/gateway/src/thorncleat_gateway/groups/unlisted_endpoints.py
@@ -6,8 +6,7 @@
 A term begins with a question to all those that the roster remembers: a daemon that has just become
 the controller doesn't know which of them the former controller had found to answer.
 
-Owns: the unlisted endpoints that answer, with their last reports, and those that are asked for the
-first time.
+Owns: the unlisted endpoints that are asked, with their last reports, and which of them answer.
 Relies on: the roster's memory of endpoints that were unlisted lately.
 """
 
@@ -51,24 +50,26 @@
         self._orders = orders
         self._clock = clock
         self._start = start
-        self._watched: set[str] = set()
-        self._first_asked: dict[str, Endpoint] = {}
+        # as last listed, and then as they report
+        self._watched: dict[str, Endpoint] = {}
+        # ids of those that have answered
+        self._answering: set[str] = set()
         self._begun = False
-        self._answering: dict[str, Endpoint] = {}
 
     def of_service(self, service: str) -> list[Endpoint]:
         """Return those of a service that answered when they were last asked."""
         listed = self._view.roster.endpoints
         return [
             endpoint
-            for endpoint in self._answering.values()
-            if endpoint.service == service and endpoint.id not in listed
+            for endpoint in self._watched.values()
+            if endpoint.id in self._answering
+            and endpoint.service == service
+            and endpoint.id not in listed
         ]
 
     def holds(self, group: GroupId, rank: int) -> bool:
         """Return whether a member that isn't listed may still be in its place."""
-        maybe_there = (*self._answering.values(), *self._first_asked.values())
-        if any(_is_place(known.membership, group, rank) for known in maybe_there):
+        if any(_is_place(known.membership, group, rank) for known in self._watched.values()):
             return True
         begin = self._clock() - BENEFIT_SECONDS
         return any(
@@ -83,8 +84,7 @@
         for endpoint_id, gone in self._view.roster.gone.items():
             lately = gone.at >= begin
             if lately and gone.endpoint.fabric_domain and endpoint_id not in self._watched:
-                self._watched.add(endpoint_id)
-                self._first_asked[endpoint_id] = gone.endpoint
+                self._watched[endpoint_id] = gone.endpoint
                 self._start(self._watch(gone.endpoint))
 
     async def _watch(self, endpoint: Endpoint) -> None:
@@ -94,15 +94,14 @@
                 report = await self._orders.report(endpoint)
                 if report is None:
                     return
-                self._answering[endpoint.id] = dataclasses.replace(
+                self._watched[endpoint.id] = dataclasses.replace(
                     endpoint,
                     membership=report.membership,
                     staged=report.staged,
                     models=report.models,
                 )
-                self._first_asked.pop(endpoint.id, None)
+                self._answering.add(endpoint.id)
                 await asyncio.sleep(WATCH_AGAIN_SECONDS)
         finally:
-            self._first_asked.pop(endpoint.id, None)
-            self._answering.pop(endpoint.id, None)
-            self._watched.discard(endpoint.id)
+            self._answering.discard(endpoint.id)
+            self._watched.pop(endpoint.id, None)
--- a/packages/gateway/src/thorncleat_gateway/store/view.py
+++ b/packages/gateway/src/thorncleat_gateway/store/view.py
@@ -59,6 +59,7 @@
         self.roster = Roster()
         self.records: dict[str, RecordChanged] = {}
         self.configuration: ServingConfiguration | None = None
+        self._configured = asyncio.Event()
         # rises with each batch of changes
         self.version = 0
 
@@ -81,6 +82,10 @@
         """
         return self._freshness.settled(self._clock())
 
+    async def wait_loaded(self) -> None:
+        """Wait until a configuration is known."""
+        await self._configured.wait()
+
     def configuration_version(self) -> float:
         """Return the version of the configuration, or 0 if none is known."""
         return self.configuration.version if self.configuration else 0
@@ -186,4 +191,5 @@
         if configuration.version <= known:
             return
         self.configuration = configuration
+        self._configured.set()
         events.CONFIG_IN_FORCE.log(version=configuration.version, before=known)
