--- a/bench/soaks/gateway_daemons.py
+++ b/bench/soaks/gateway_daemons.py
@@ -5,22 +5,17 @@
 """
 
 import asyncio
-import contextlib
 import ctypes
 import dataclasses
 import os
 import pathlib
-import random
 import signal
-import socket
 import sys
 
 from thorncleat_standins.processes import Process
 
 from .proxy import Proxy
 
-# below those that the kernel gives to outgoing connections
-PORTS = (10_000, 32_000)
 PROGRAM = pathlib.Path(__file__).resolve().parents[2] / "platform" / "run.py"
 # that a daemon has to finish its requests; chosen, not measured
 GRACE_SECONDS = 6.0
@@ -35,21 +30,6 @@
     ctypes.CDLL(None).prctl(_DEATH_SIGNAL, signal.SIGKILL)
 
 
-def free_ports(count: int) -> list[int]:
-    """Return ports of the loopback that are free now.
-
-    They lie below those that the kernel gives to outgoing connections: one of these could take
-    a port while its daemon is down.
-    """
-    found: list[int] = []
-    while len(found) < count:
-        port = random.SystemRandom().randrange(*PORTS)
-        with socket.socket() as probe, contextlib.suppress(OSError):
-            probe.bind(("127.0.0.1", port))
-            found.append(port)
-    return found
-
-
 @dataclasses.dataclass
 class Daemon:
     """One gateway process.
--- a/bench/soaks/gateway_site.py
+++ b/bench/soaks/gateway_site.py
@@ -12,13 +12,13 @@
 import typing as t
 
 from thorncleat_standins.platform_store import PlatformStore
+from thorncleat_standins.ports import free_ports
 
 from .gateway_checks import Checks
 from .gateway_checks import Exchange
 from .gateway_checks import RequestKind
 from .gateway_daemons import GRACE_SECONDS
 from .gateway_daemons import Daemon
-from .gateway_daemons import free_ports
 from .gateway_workers import STALL_SECONDS
 from .gateway_workers import STREAM_EVENTS
 from .gateway_workers import SoakWorker
--- a/tests/test_forms_orders.py
+++ b/tests/test_forms_orders.py
@@ -13,6 +13,7 @@
 from thorncleat_gateway.store.roster import GroupId
 from thorncleat_gateway.store.roster import GroupState
 from thorncleat_platform.engines import WorkerEngines
+from thorncleat_standins.ports import free_port
 
 from . import recording
 from . import wire_forms
@@ -82,7 +83,7 @@
 
 async def test_endpoint_that_refuses_connections_may_work_on():
     engines = WorkerEngines()
-    nowhere = wire_forms.at(LONER, f"127.0.0.1:{wire_forms.free_port()}")
+    nowhere = wire_forms.at(LONER, f"127.0.0.1:{free_port()}")
     with pytest.raises(EndpointRefusedError):
         await ask(engines, nowhere)
     await engines.close()
--- a/tests/test_forms_refusals.py
+++ b/tests/test_forms_refusals.py
@@ -22,6 +22,7 @@
 from thorncleat_gateway.store.serving import ServingConfiguration
 from thorncleat_gateway.store.serving import Split
 from thorncleat_gateway.store.serving import Workspace
+from thorncleat_standins.ports import free_port
 
 from . import recording
 from . import wire_forms
@@ -210,7 +211,7 @@
     @pytest.mark.parametrize("kind", PATHS)
     @pytest.mark.parametrize("repeats", [True, False])
     async def test_endpoint_that_refuses_connections(self, kind, repeats, snapshot):
-        nowhere = f"127.0.0.1:{wire_forms.free_port()}"
+        nowhere = f"127.0.0.1:{free_port()}"
         settings = {} if repeats else {"retry": NO_REPEATS}
         async with site([configuration(), desk(nowhere), leader(nowhere)], **settings) as daemon:
             assert await call(daemon, PATHS[kind]) == snapshot
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -3,7 +3,6 @@
 import asyncio
 import contextlib
 import pathlib
-import socket
 import time
 
 import aiohttp
@@ -17,18 +16,13 @@
 from thorncleat_platform.store import KeyValueStore
 from thorncleat_standins.platform_store import PlatformStore
 from thorncleat_standins.platform_worker import PlatformWorker
+from thorncleat_standins.ports import free_port
 
 KEY = "secret-key"
 HOST = "shop.example"
 PATIENCE_SECONDS = 10.0
 
 
-def _free_port() -> int:
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
-
-
 def configuration(version: int = 1, keys=(KEY,)):
     return {
         "version": version,
@@ -112,7 +106,7 @@
         return worker
 
     def _settings(self, store: str) -> pathlib.Path:
-        ports = [_free_port() for _ in range(3)]
+        ports = [free_port() for _ in range(3)]
         self.frontend, self.readiness = (f"127.0.0.1:{port}" for port in ports[:2])
         path = self._directory / "settings.toml"
         path.write_text(
--- a/tests/test_gateway_metrics.py
+++ b/tests/test_gateway_metrics.py
@@ -11,8 +11,8 @@
 from thorncleat_gateway.metrics import MOST_TARGETS
 from thorncleat_gateway.metrics import Metrics
 from thorncleat_platform import settings
+from thorncleat_standins.ports import free_port
 
-from .test_gateway import _free_port
 from .test_gateway import site
 
 
@@ -86,7 +86,7 @@
 
 
 async def test_metrics_are_served_at_their_address(tmp_path):
-    port = _free_port()
+    port = free_port()
     async with site(tmp_path, metrics=f"{port}/metrics") as made:
         await made.chat()
         async with (
--- a/tests/wire_forms.py
+++ b/tests/wire_forms.py
@@ -8,7 +8,6 @@
 import asyncio
 import contextlib
 import dataclasses
-import socket
 import time
 import typing as t
 
@@ -43,6 +42,7 @@
 from thorncleat_gateway.store.serving import Workspace
 from thorncleat_gateway.store.view import StoreView
 from thorncleat_platform.headers import PlatformHeaders
+from thorncleat_standins.ports import free_port
 
 CHAT = Route(
     name="chat",
@@ -238,12 +238,6 @@
         await asyncio.sleep(0.005)
 
 
-def free_port() -> int:
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return int(probe.getsockname()[1])
-
-
 class Daemons:
     """One gateway between callers and recorded endpoints; its clock can be moved."""
 
