Read the change once more: order of the groups, one newest event, a bound on a wait

records.groups keeps an order that doesn't depend on hashes; the newest event of a group's streams is looked for once a look, not once a stream; StreamAttempt.left held a cause and is called leave_cause; the wait for old answers to leave the reports ends after 1 s, since with many daemons the list is quicker (it only makes the controller go on waiting).

--- a/packages/gateway/src/thorncleat_gateway/groups/leader_liveness.py
+++ b/packages/gateway/src/thorncleat_gateway/groups/leader_liveness.py
@@ -37,6 +37,9 @@
 # for the other daemons to report what they have under way, in seconds: a datagram each way and
 # one turn of the other daemon's loop; chosen, not measured
 REPORTED_SECONDS = 0.1
+# that answers from before a question are waited out, in seconds; where many daemons report rarely
+# that takes longer, and the list shows sooner that an endpoint is gone; chosen, not measured
+LONGEST_FADE_SECONDS = 1.0
 
 
 def is_unlisted(listed: bool, list_age: float) -> bool:
@@ -137,7 +140,7 @@
         Reports go on naming an endpoint for some time after its last answer, which may have come
         before its end; so the question is asked only after that time.
         """
-        await asyncio.sleep(heard_seconds(self._peers.interval()))
+        await asyncio.sleep(min(heard_seconds(self._peers.interval()), LONGEST_FADE_SECONDS))
         asked_at = self._ask_others(leader)
         await asyncio.sleep(PROBED_SECONDS)
         return self._detector.heard_since(leader.id, asked_at)
--- a/packages/gateway/src/thorncleat_gateway/groups/records.py
+++ b/packages/gateway/src/thorncleat_gateway/groups/records.py
@@ -100,7 +100,7 @@
     def groups(self) -> list[GroupId]:
         """The groups that have a record, be it one that the view doesn't show yet."""
         shown = (_group(key) for key in self._view.records if key.startswith(GROUPS))
-        return [*{*shown, *self._leaders}]
+        return list(dict.fromkeys([*shown, *self._leaders]))
 
     def may_answer(self, group: GroupId) -> bool:
         """Return whether a group has a record and was not ended in this term."""
--- a/packages/gateway/src/thorncleat_gateway/peers/failure_detector.py
+++ b/packages/gateway/src/thorncleat_gateway/peers/failure_detector.py
@@ -43,7 +43,7 @@
     :param leave: makes it leave the group.
     :param last_at: when the last event came; 0 if none has come.
     :param gap: the usual seconds between two events.
-    :param left: why it was made to leave, as logged; empty if it wasn't.
+    :param leave_cause: why it was made to leave, as logged; empty if it wasn't.
     """
 
     leader: Endpoint
@@ -52,7 +52,7 @@
     leave: t.Callable[[], None]
     last_at: float = 0.0
     gap: float = 0.0
-    left: str = ""
+    leave_cause: str = ""
 
     def event(self, now: float) -> None:
         """Note that an event came."""
@@ -189,7 +189,8 @@
             elsewhere_at=self._others.get(leader_id, float("-inf")),
         )
         if not verdict.silent:
-            cut_off = [attempt for attempt in attempts if silence.is_cut_off(attempt, attempts)]
+            newest_at = max(attempt.last_at for attempt in attempts)
+            cut_off = [attempt for attempt in attempts if silence.is_cut_off(attempt, newest_at)]
             _leave(cut_off, silence.STREAM_SILENT)
             return
         self.suspect(leader, silence.CAUSE)
@@ -202,6 +203,6 @@
 def _leave(attempts: t.Iterable[StreamAttempt], cause: str) -> None:
     """Make the attempts leave their group that could go on in another one."""
     for attempt in attempts:
-        if not attempt.left and attempt.movable():
-            attempt.left = cause
+        if not attempt.leave_cause and attempt.movable():
+            attempt.leave_cause = cause
             attempt.leave()
--- a/packages/gateway/src/thorncleat_gateway/peers/silence.py
+++ b/packages/gateway/src/thorncleat_gateway/peers/silence.py
@@ -96,15 +96,14 @@
     return Verdict.NO_FURTHER_EVENT if overdue else Verdict.ALIVE
 
 
-def is_cut_off(stream: Stream, streams: t.Iterable[Stream]) -> bool:
+def is_cut_off(stream: Stream, newest_at: float) -> bool:
     """Return whether a stream gets no event while others of its group do.
 
     Before its first event it may only be queued.
 
-    :param streams: this daemon's streams in the group.
+    :param newest_at: when the newest event of this daemon's streams in the group came.
     """
-    newest = max(other.last_at for other in streams)
-    return stream.last_at > 0 and newest - stream.last_at > BEHIND_SECONDS
+    return stream.last_at > 0 and newest_at - stream.last_at > BEHIND_SECONDS
 
 
 def silence_limit(gap: float, settings: StreamSettings, *, suspected: bool) -> float:
--- a/packages/gateway/src/thorncleat_gateway/requests/streams.py
+++ b/packages/gateway/src/thorncleat_gateway/requests/streams.py
@@ -136,8 +136,8 @@
                     self._detector.begin(attempt)
                     await self._exchange(request, attempt, splitter, caller)
             except TimeoutError:
-                left = attempt.left if attempt is not None else ""
-                raise AttemptError(left or retry_policy.OUT_OF_TIME, Ran.MAYBE) from None
+                leave_cause = attempt.leave_cause if attempt is not None else ""
+                raise AttemptError(leave_cause or retry_policy.OUT_OF_TIME, Ran.MAYBE) from None
             finally:
                 if attempt is not None:
                     self._detector.end(attempt)
