Refuse a soak's directory that another run has used; what was verified

Change: a seed's directory must be new. Seen to fail first: test_directory_of_another_run_is_refused.

--- a/bench/soaks/harness.py
+++ b/bench/soaks/harness.py
@@ -57,12 +57,14 @@
     :param play_seed: plays one seed with a directory for its logs.
     :param logs: a directory for the logs of all seeds; a temporary one if empty.
     :raises SystemExit: with 1 if any seed had a fault, else with 0.
+    :raises FileExistsError: if the directory has a run of a seed: the daemons of two runs would
+        read each other's settings there.
     """
     failed = 0
     for seed in seeds:
         with tempfile.TemporaryDirectory(prefix="thorncleat-soak-") as name:
             directory = pathlib.Path(logs or name) / f"seed-{seed}"
-            directory.mkdir(parents=True, exist_ok=True)
+            directory.mkdir(parents=True)
             played = asyncio.run(play_seed(directory, seed))
         _show(seed, played)
         failed += bool(played.faults)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -57,6 +57,11 @@
         assert "FAULT TWICE r1\nverdict, seed 1: FAILED, 1 faults" in shown
         assert "verdict, seed 2: passed, 0 faults" in shown
 
+    def test_directory_of_another_run_is_refused(self, tmp_path):
+        assert self._play({1: []}, tmp_path) == 0
+        with pytest.raises(FileExistsError, match="seed-1"):
+            harness.play(lambda *_: None, [1], str(tmp_path))
+
 
 def exchange(kind=RequestKind.ONCE, **fields):
     made = Exchange("r1", kind, 10.0, "key", b"body", 200, whole=True, signed=True, echoed="r1")
