--- a/tests/test_group_ends.py
+++ b/tests/test_group_ends.py
@@ -113,7 +113,7 @@
 # a leader that refuses connections
 
 
-async def _path_to_a_leader_resets(requests: int):
+async def _path_to_a_leader_resets():
     """The controller's connections to a leader are reset on their way; others reach it."""
     world = await calm_world()
     leader, node = large_leader(world), leading(world)
@@ -130,7 +130,7 @@
 
 
 def test_leader_to_which_only_the_path_resets_keeps_its_members():
-    world, formed, standing = virtual_time.run(_path_to_a_leader_resets(0))
+    world, formed, standing = virtual_time.run(_path_to_a_leader_resets())
     assert world.broken == []
     assert formed == 0
     assert standing["large"] == 1
