Say nothing of a group by a stream whose caller reads slowly

Cause, found on reading the change: while a caller hasn't taken the events that it was sent, no more are read, so its stream looks silent. The new rule would have made it leave after 1 s; the older one, where it is alone in its group at this daemon, suspected the group after 0.6 s and told the others. Change: such a stream isn't judged meanwhile. Seen to fail first, both cases: test_stream_whose_caller_reads_slowly_says_nothing_of_its_group.

--- a/packages/gateway/src/thorncleat_gateway/peers/failure_detector.py
+++ b/packages/gateway/src/thorncleat_gateway/peers/failure_detector.py
@@ -44,6 +44,7 @@
     :param last_at: when the last event came; 0 if none has come.
     :param gap: the usual seconds between two events.
     :param leave_cause: why it was made to leave, as logged; empty if it wasn't.
+    :param held_by_caller: whether its caller has yet to take events; no more are read meanwhile.
     """
 
     leader: Endpoint
@@ -53,6 +54,7 @@
     last_at: float = 0.0
     gap: float = 0.0
     leave_cause: str = ""
+    held_by_caller: bool = False
 
     def event(self, now: float) -> None:
         """Note that an event came."""
@@ -178,8 +180,10 @@
                     self._look(leader_id, now)
 
     def _look(self, leader_id: str, now: float) -> None:
-        attempts = self._attempts[leader_id]
-        leader = next(iter(attempts)).leader
+        attempts = [attempt for attempt in self._attempts[leader_id] if not attempt.held_by_caller]
+        if not attempts:
+            return
+        leader = attempts[0].leader
         verdict = silence.judge(
             now,
             self._heard.get(leader_id, 0.0),
--- a/packages/gateway/src/thorncleat_gateway/requests/streams.py
+++ b/packages/gateway/src/thorncleat_gateway/requests/streams.py
@@ -186,7 +186,9 @@
             request.event(now)
             if not caller.begun:
                 await caller.begin(exchange.status, exchange.headers)
+            attempt.held_by_caller = True
             await caller.write(whole)
+            attempt.held_by_caller = False
         if splitter.mid_event or not splitter.events:
             raise AttemptError("the stream ended within an event", Ran.MAYBE)
         await caller.end()
--- a/tests/test_failure_detector.py
+++ b/tests/test_failure_detector.py
@@ -148,3 +148,19 @@
     assert silent.leave_cause == silence.STREAM_SILENT
     assert not detector.suspected(LEADER)
     assert detector._peers.sent == []
+
+
+@pytest.mark.parametrize("others", [0, 1], ids=["alone", "beside another"])
+def test_stream_whose_caller_reads_slowly_says_nothing_of_its_group(detector, others):
+    """Its events aren't read while the caller has not taken the ones before."""
+    left = []
+    held = _attempt(detector, left)
+    held.held_by_caller = True
+    beside = [_attempt(detector, left) for _ in range(others)]
+    for _ in range(30):
+        detector.time[0] += 0.05
+        for attempt in beside:
+            attempt.event(detector.time[0])
+        detector._look("w0", detector.time[0])
+    assert left == []
+    assert not detector.suspected(LEADER)
