Draw a test's ports together, and say in one place which worker leads

Found on reading the whole change: two places drew three ports one by one, which may give the same port twice, where free_ports(3) gives three different ones; and 'is the first of its members' stood in the world, in a worker and in a test of its own. Tests alone change; every assertion is as it was.

--- a/tests/group_engines.py
+++ b/tests/group_engines.py
@@ -70,6 +70,11 @@
             return None
         return Membership(self.group, self.members.index(self.id), self.state)
 
+    @property
+    def leads(self) -> bool:
+        """Whether it is the leader of its group, in whatever state."""
+        return bool(self.members) and self.members[0] == self.id
+
     @property
     def reported_count(self) -> int:
         """The orders that it has begun, as its report says: some hundred ms behind."""
@@ -180,7 +185,7 @@
 
     def look(self) -> None:
         """Notice, as a leader, that a member is missing for too long."""
-        if not self.alive or self.state is not GroupState.OPEN or self.members[0] != self.id:
+        if not self.alive or self.state is not GroupState.OPEN or not self.leads:
             self.broken_since = None
             return
         members = [self.world.workers.get(name) for name in self.members]
--- a/tests/group_world.py
+++ b/tests/group_world.py
@@ -370,9 +370,7 @@
 def large_leader(world: World) -> Worker:
     """Return the leader of the group of the large model."""
     return next(
-        worker
-        for worker in world.workers.values()
-        if worker.model == "large" and worker.members and worker.members[0] == worker.id
+        worker for worker in world.workers.values() if worker.model == "large" and worker.leads
     )
 
 
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -16,7 +16,7 @@
 from thorncleat_platform.store import KeyValueStore
 from thorncleat_standins.platform_store import PlatformStore
 from thorncleat_standins.platform_worker import PlatformWorker
-from thorncleat_standins.ports import free_port
+from thorncleat_standins.ports import free_ports
 
 KEY = "secret-key"
 HOST = "shop.example"
@@ -106,7 +106,7 @@
         return worker
 
     def _settings(self, store: str) -> pathlib.Path:
-        ports = [free_port() for _ in range(3)]
+        ports = free_ports(3)
         self.frontend, self.readiness = (f"127.0.0.1:{port}" for port in ports[:2])
         path = self._directory / "settings.toml"
         path.write_text(
--- a/tests/test_group_ends.py
+++ b/tests/test_group_ends.py
@@ -249,7 +249,7 @@
     rng = world.random
     seconds = rng.uniform(0.5, 6.0)
     node = rng.choice([*world.nodes, *_controllers(world)])
-    leaders = [worker for worker in world.workers.values() if worker.alive and _leads(worker)]
+    leaders = [worker for worker in world.workers.values() if worker.alive and worker.leads]
     match rng.randrange(7):
         case 0:
             _for_some_time(world, node, "reads_refused", seconds)
@@ -274,10 +274,6 @@
     return [node for node in world.nodes if node.election.leads]
 
 
-def _leads(worker) -> bool:
-    return bool(worker.members) and worker.members[0] == worker.id
-
-
 def _for_some_time(world: World, thing, name: str, seconds: float) -> None:
     setattr(thing, name, True)
     world.later(seconds, lambda: setattr(thing, name, False))
--- a/tests/wire_forms.py
+++ b/tests/wire_forms.py
@@ -42,7 +42,7 @@
 from thorncleat_gateway.store.serving import Workspace
 from thorncleat_gateway.store.view import StoreView
 from thorncleat_platform.headers import PlatformHeaders
-from thorncleat_standins.ports import free_port
+from thorncleat_standins.ports import free_ports
 
 CHAT = Route(
     name="chat",
@@ -243,7 +243,7 @@
 
     def __init__(self, feed: FixedFeed, **settings: t.Any) -> None:
         self.ahead = 0.0
-        self.callers, self.ready, self.peers = (("127.0.0.1", free_port()) for _ in range(3))
+        self.callers, self.ready, self.peers = (("127.0.0.1", port) for port in free_ports(3))
         self._settings = dataclasses.replace(
             OWN, callers=self.callers, readiness=self.ready, peers=self.peers, **settings
         )
