Say of a broken attempt when it broke, and of which request it was

The lines of the incident could not tell which tries are of the same content, nor whether an attempt had begun to run when its endpoint ended. attempt_failed has two more fields, broken (before or after the head) and fingerprint (a 128-bit digest of workspace, host, path and body); both are null unless the endpoint's side of the connection ended.

--- a/packages/core/src/thorncleat_core/single_send.py
+++ b/packages/core/src/thorncleat_core/single_send.py
@@ -14,6 +14,11 @@
     """
 
 
+def is_lost(error: BaseException) -> bool:
+    """Return whether an error says that a call's connection was lost before its answer began."""
+    return isinstance(error, _LostError)
+
+
 async def never_again(
     request: aiohttp.ClientRequest, handler: aiohttp.ClientHandlerType
 ) -> aiohttp.ClientResponse:
--- a/packages/gateway/src/thorncleat_gateway/exceptions.py
+++ b/packages/gateway/src/thorncleat_gateway/exceptions.py
@@ -56,18 +56,33 @@
     MAYBE = "maybe"
 
 
+class Broken(enum.Enum):
+    """When the connection of an attempt broke; the value stands in the log line.
+
+    A streamed request that waits at its endpoint has no head yet; one that runs has.
+    """
+
+    BEFORE_HEAD = "before head"
+    AFTER_HEAD = "after head"
+
+
 class AttemptError(ThorncleatError):
     """An attempt at an endpoint brought no answer for the caller.
 
     :param ran: whether the request may have run.
     :param sent: whether any of it can have reached the endpoint.
+    :param broken: when the endpoint's side of the connection ended before the answer was whole;
+        None if it didn't.
     """
 
-    def __init__(self, cause: str, ran: Ran, *, sent: bool = True) -> None:
+    def __init__(
+        self, cause: str, ran: Ran, *, sent: bool = True, broken: Broken | None = None
+    ) -> None:
         super().__init__(cause)
         self.cause = cause
         self.ran = ran
         self.sent = sent
+        self.broken = broken
 
 
 class RefusalError(ThorncleatError):
--- a/packages/gateway/src/thorncleat_gateway/requests/endpoint_client.py
+++ b/packages/gateway/src/thorncleat_gateway/requests/endpoint_client.py
@@ -17,9 +17,11 @@
 from aiohttp.client_proto import ResponseHandler
 from yarl import URL
 
+from thorncleat_core.single_send import is_lost
 from thorncleat_core.single_send import never_again
 
 from ..exceptions import AttemptError
+from ..exceptions import Broken
 from ..exceptions import Ran
 from ..ports import ForwardMeta
 from ..ports import HeaderCodec
@@ -124,7 +126,7 @@
         try:
             return await self._response.read()
         except (aiohttp.ClientError, ConnectionError) as error:
-            raise AttemptError(f"answer cut: {type(error).__name__}", Ran.MAYBE) from error
+            raise _answer_cut(error) from error
 
     async def whole(self) -> EndpointAnswer:
         """Return the whole answer.
@@ -141,7 +143,12 @@
         try:
             return await self._response.content.readany()
         except (aiohttp.ClientError, ConnectionError) as error:
-            raise AttemptError(f"answer cut: {type(error).__name__}", Ran.MAYBE) from error
+            raise _answer_cut(error) from error
+
+
+def _answer_cut(error: Exception) -> AttemptError:
+    cause = f"answer cut: {type(error).__name__}"
+    return AttemptError(cause, Ran.MAYBE, broken=Broken.AFTER_HEAD)
 
 
 class EndpointClient:
@@ -182,7 +189,9 @@
                 cause = f"no connection: {type(error).__name__}"
                 raise AttemptError(cause, Ran.NO, sent=False) from error
             except (aiohttp.ClientError, ConnectionError, ValueError) as error:
-                raise AttemptError(f"no answer: {type(error).__name__}", Ran.MAYBE) from error
+                broken = Broken.BEFORE_HEAD if is_lost(error) else None
+                cause = f"no answer: {type(error).__name__}"
+                raise AttemptError(cause, Ran.MAYBE, broken=broken) from error
             stack.callback(response.close)
             self._check(response, request.meta.id)
             yield Exchange(response, self._codec)
--- a/packages/gateway/src/thorncleat_gateway/requests/request.py
+++ b/packages/gateway/src/thorncleat_gateway/requests/request.py
@@ -7,6 +7,7 @@
 
 import dataclasses
 import enum
+import functools
 
 from ..exceptions import AttemptError
 from ..exceptions import Ran
@@ -17,6 +18,8 @@
 from ..store.serving import Route
 from ..store.serving import Service
 from ..store.serving import Workspace
+from . import fingerprint
+from .fingerprint import Fingerprint
 from .retry_policy import AttemptsUsed
 
 # rank of the least urgent requests; engines know ranks 0 to 9
@@ -70,6 +73,12 @@
     endpoint_id: str = ""
     sent_at: float = 0.0
 
+    @functools.cached_property
+    def fingerprint(self) -> Fingerprint:
+        """What it asks for, as a digest that its caller's other tries share."""
+        workspace = self.workspace.name if self.workspace else ""
+        return fingerprint.of(workspace, self.route.host, self.path, self.body)
+
     @property
     def priority(self) -> int:
         """The rank for engines: the workspace's before the route's; 0 is the highest."""
--- a/packages/gateway/src/thorncleat_gateway/requests/request_log.py
+++ b/packages/gateway/src/thorncleat_gateway/requests/request_log.py
@@ -28,6 +28,8 @@
         endpoint=endpoint.id,
         cause=failure.cause,
         ran=failure.ran.value,
+        broken=failure.broken.value if failure.broken else None,
+        fingerprint=request.fingerprint.hex() if failure.broken else None,
         sends=request.sends,
         after=round(now - request.received_at, 3),
     )
--- a/packages/gateway/src/thorncleat_gateway/requests/streams.py
+++ b/packages/gateway/src/thorncleat_gateway/requests/streams.py
@@ -10,6 +10,7 @@
 import typing as t
 
 from ..exceptions import AttemptError
+from ..exceptions import Broken
 from ..exceptions import Ran
 from ..exceptions import RefusalError
 from ..peers.failure_detector import StreamAttempt
@@ -217,7 +218,8 @@
             await caller.write(whole)
             attempt.held_by_caller = False
         if splitter.mid_event or not splitter.events:
-            raise AttemptError("the stream ended within an event", Ran.MAYBE)
+            cause = "the stream ended within an event"
+            raise AttemptError(cause, Ran.MAYBE, broken=Broken.AFTER_HEAD)
         await caller.end()
 
     async def _without_stream(
