--- a/packages/standins/src/thorncleat_standins/platform_worker.py
+++ b/packages/standins/src/thorncleat_standins/platform_worker.py
@@ -32,6 +32,8 @@
 RESET_SECONDS = 0.05
 # for handlers to end; chosen, not measured
 SHUTDOWN_SECONDS = 0.1
+# from the beginning of a run to the crash that it brings about; chosen, not measured
+CRASH_SECONDS = 0.15
 
 
 @dataclasses.dataclass
@@ -55,11 +57,18 @@
     :ivar cut_after: events after which its streams are cut, unless they continue another.
     :ivar reset_body: whether it resets answers without a length in the middle.
     :ivar fail: status with which it fails requests; 0 for none.
+    :ivar crashes_on: bytes of a body whose request crashes it once it runs; None for none.
+    :ivar crash_events: events that such a request gets before the crash.
+    :ivar back_after: seconds after such a crash in which it starts again under its id; None for
+        never.
+    :ivar crashes: how often that happened.
     """
 
     def __init__(self, store: PlatformStore, name: str, service: str, domain: str = "") -> None:
         self._store = store
+        self._server: web.Server | None = None
         self._runner: web.ServerRunner | None = None
+        self._crashing: set[asyncio.Task[None]] = set()
         self.id = name
         self.service = service
         self.domain = domain
@@ -70,6 +79,11 @@
         self.cut_after: int | None = None
         self.reset_body = False
         self.fail = 0
+        self.crashes_on: bytes | None = None
+        self.crash_events = 0
+        self.back_after: float | None = None
+        self.crashes = 0
+        self.born: int | None = None
         self.runs: list[Run] = []
         self._seq = 0
         self._model = ""
@@ -84,8 +98,8 @@
 
     async def start(self) -> None:
         """Listen on a free port of the loopback and enter the store."""
-        server = web.Server(self._handle, access_log=None)
-        self._runner = web.ServerRunner(server, shutdown_timeout=SHUTDOWN_SECONDS)
+        self._server = web.Server(self._handle, access_log=None)
+        self._runner = web.ServerRunner(self._server, shutdown_timeout=SHUTDOWN_SECONDS)
         await self._runner.setup()
         site = web.TCPSite(self._runner, "127.0.0.1", 0)
         await site.start()
@@ -94,10 +108,34 @@
 
     async def stop(self) -> None:
         """Stop listening and leave the store."""
+        for task in self._crashing:
+            task.cancel()
         if self._runner is not None:
             await self._runner.cleanup()
         self._store.delete(f"servers/{self.id}")
 
+    async def crash(self) -> None:
+        """End without a word: connections break, and the entry stays as it was."""
+        assert self._server is not None
+        assert self._runner is not None
+        for connection in self._server.connections:
+            if connection.transport is not None:
+                connection.transport.abort()
+        await self._runner.cleanup()
+
+    async def start_again(self) -> None:
+        """Start under the same id, with nothing known of before."""
+        self.born = (self.born or 0) + 1
+        self._seq, self._model, self._group, self._members, self._epoch = 0, "", None, [], 0
+        await self.start()
+
+    async def _crash_and_return(self) -> None:
+        self.crashes += 1
+        await self.crash()
+        if self.back_after is not None:
+            await asyncio.sleep(self.back_after)
+            await self.start_again()
+
     def publish(self) -> None:
         """Write its entry."""
         entry = {
@@ -116,6 +154,8 @@
         }
         if self._group is not None:
             entry["group"] = self._group
+        if self.born is not None:
+            entry["born"] = self.born
         self._store.write(f"servers/{self.id}", entry)
 
     def _models(self) -> list[dict[str, t.Any]]:
@@ -132,12 +172,13 @@
         return await self._serve(request)
 
     def _report(self) -> dict[str, t.Any]:
-        return {
+        report = {
             "models": self._models(),
             "staged": [self._model] if self._model else [],
             "seq": self._seq,
             "group": self._group,
         }
+        return report if self.born is None else {**report, "born": self.born}
 
     def _order(self, order: dict[str, t.Any]) -> int:
         if order.get("expected_rev", self._seq) != self._seq:
@@ -194,6 +235,8 @@
             return web.Response(status=421)
         self.began(Run(self.id, attempt, request.raw_path, request.headers, body))
         headers = {ATTEMPT: attempt, STAMP: f"stamp-{self.id}"}
+        if self.crashes_on is not None and self.crashes_on in body:
+            return await self._run_into_crash(request, headers)
         if self.fail:
             return web.Response(status=self.fail, headers=headers, text="failed")
         if self.domain:
@@ -202,6 +245,27 @@
             return await self._reset(request, headers)
         return web.Response(headers=headers, body=b"answer to " + body)
 
+    async def _run_into_crash(
+        self, request: web.BaseRequest, headers: dict[str, str]
+    ) -> web.StreamResponse:
+        """Answer as much as a request gets that crashes the worker, and crash."""
+        response = web.StreamResponse(headers={**headers, "Content-Type": "text/event-stream"})
+        if self.crash_events:
+            response.enable_chunked_encoding()
+            await response.prepare(request)
+            first = int(request.headers.get(LAST_EVENT, "0"))
+            for number in range(first + 1, first + self.crash_events + 1):
+                await response.write(
+                    b"id: %d\ndata: %s\n\n" % (number, self.event(request, number))
+                )
+        await asyncio.sleep(CRASH_SECONDS)
+        task = asyncio.create_task(self._crash_and_return())
+        self._crashing.add(task)
+        task.add_done_callback(self._crashing.discard)
+        # the crash ends this connection too
+        await asyncio.sleep(SILENCE_SECONDS)
+        return response
+
     async def _stream(
         self, request: web.BaseRequest, headers: dict[str, str]
     ) -> web.StreamResponse:
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -63,27 +63,44 @@
 
 
 class Site:
-    """One gateway before stand-ins."""
+    """Gateways before stand-ins; one unless more are asked for."""
 
     def __init__(self, directory: pathlib.Path) -> None:
         self._directory = directory
+        self._adapters: list[KeyValueStore | WorkerEngines] = []
         self.store = PlatformStore()
         self.workers: list[PlatformWorker] = []
-        self.frontend = ""
+        self.frontends: list[str] = []
         self.readiness = ""
-        self.gateway: Gateway | None = None
+        self.gateways: list[Gateway] = []
 
-    async def start(self, domains: int = 2, desks: int = 2, metrics: str = "") -> None:
+    @property
+    def gateway(self) -> Gateway:
+        return self.gateways[0]
+
+    @property
+    def frontend(self) -> str:
+        return self.frontends[0]
+
+    async def start(
+        self, domains: int = 2, desks: int = 2, metrics: str = "", daemons: int = 1
+    ) -> None:
         address = await self.store.start()
         self.store.write("op/config", configuration())
         for number in range(domains * 2):
             await self.add(f"w{number}", "narrator", f"d{number // 2}")
         for number in range(desks):
             await self.add(f"desk{number}", "desk")
-        loaded = settings.load(self._settings(address), metrics)
-        self._adapters = [KeyValueStore(loaded.store), WorkerEngines()]
-        store, engines = self._adapters
-        self.gateway = Gateway(
+        for number in range(daemons):
+            await self._start_gateway(address, metrics, number + 1)
+        await self.until(lambda: sum(worker.leads for worker in self.workers) == domains)
+        await self.until(lambda: self._listed_leaders() == domains * daemons)
+
+    async def _start_gateway(self, address: str, metrics: str, number: int) -> None:
+        loaded = settings.load(self._settings(address, number), metrics)
+        store, engines = KeyValueStore(loaded.store), WorkerEngines()
+        self._adapters += [store, engines]
+        gateway = Gateway(
             loaded.gateway,
             store,
             store,
@@ -92,12 +109,15 @@
             time.monotonic,
             first_start=True,
         )
-        await self.gateway.start()
-        await self.until(lambda: sum(worker.leads for worker in self.workers) == domains)
-        await self.until(lambda: self._listed_leaders() == domains)
+        self.gateways.append(gateway)
+        await gateway.start()
 
     def _listed_leaders(self) -> int:
-        return sum(endpoint.leads for endpoint in self.gateway.view.roster.endpoints.values())
+        return sum(
+            endpoint.leads
+            for gateway in self.gateways
+            for endpoint in gateway.view.roster.endpoints.values()
+        )
 
     async def add(self, name: str, service: str, domain: str = "") -> PlatformWorker:
         worker = PlatformWorker(self.store, name, service, domain)
@@ -105,19 +125,20 @@
         self.workers.append(worker)
         return worker
 
-    def _settings(self, store: str) -> pathlib.Path:
+    def _settings(self, store: str, number: int) -> pathlib.Path:
         ports = free_ports(3)
-        self.frontend, self.readiness = (f"127.0.0.1:{port}" for port in ports[:2])
-        path = self._directory / "settings.toml"
+        frontend, self.readiness = (f"127.0.0.1:{port}" for port in ports[:2])
+        self.frontends.append(frontend)
+        path = self._directory / f"settings-{number}.toml"
         path.write_text(
             f"""
-            node_name = "edge-1"
+            node_name = "edge-{number}"
             ip = "127.0.0.1"
             bootstrap = true
             something_new = 1
             internal_ports = [{ports[2]}, {ports[2] + 1}]
             [listen]
-            frontend = "{self.frontend}"
+            frontend = "{frontend}"
             readiness = "{self.readiness}"
             [bounds]
             revoke_fail_closed = true
@@ -135,14 +156,15 @@
             await asyncio.sleep(0.01)
 
     async def stop(self) -> None:
-        await self.gateway.stop()
+        for gateway in self.gateways:
+            await gateway.stop()
         for adapter in self._adapters:
             await adapter.close()
         for worker in self.workers:
             await worker.stop()
         await self.store.stop()
 
-    async def call(self, method, path, body=b"", key=KEY, number="r1", **headers):
+    async def call(self, method, path, body=b"", key=KEY, number="r1", daemon=0, **headers):
         sent = {"Host": HOST, "X-Thorncleat-Attempt-Id": number, **headers}
         sent.setdefault("X-Thorncleat-Deadline-Ms", "3000")
         if key:
@@ -150,16 +172,25 @@
         async with (
             aiohttp.ClientSession(auto_decompress=False) as client,
             client.request(
-                method, f"http://{self.frontend}{path}", data=body, headers=sent
+                method, f"http://{self.frontends[daemon]}{path}", data=body, headers=sent
             ) as response,
         ):
             return response.status, response.headers, await response.read()
 
-    async def chat(self, **headers):
+    async def chat(self, body=b"prompt", **headers):
         return await self.call(
-            "POST", "/chat/x", b"prompt", **{"X-Thorncleat-Model": "large", **headers}
+            "POST", "/chat/x", body, **{"X-Thorncleat-Model": "large", **headers}
         )
 
+    async def try_fatal(self, body, number):
+        """Send a request that no endpoint survives, to one daemon after the other."""
+        daemon = number % len(self.frontends)
+        try:
+            status, headers, _ = await self.chat(body, daemon=daemon, number=f"fatal-{number}")
+        except aiohttp.ClientPayloadError:
+            return 0, {}
+        return status, headers
+
     def runs(self, service: str):
         return [run for worker in self.workers if worker.service == service for run in worker.runs]
 
