--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -1,11 +1,11 @@
 """A request that ends each endpoint which begins to run it, sent again and again by its caller.
 
-On a site of eight daemons one such request ended 26 leaders of groups, and a second one 22: each try of it
-was sent to two endpoints, each time its caller tried again all counts began anew, and no daemon told the
-others. The lines of one try: "request_sent" to its first endpoint, 0.220 s later "attempt_failed" with
-"answer cut: ClientPayloadError" and sends=1, 0.4 ms later "request_sent" to the next endpoint, there
-"answer cut: ClientPayloadError" again with sends=2, and "request_refused" with 502. The same request came back
-every 2.5 to 5 s, at any daemon, and was sent to two more each time.
+On a site of eight daemons one such request ended 26 leaders of groups, and a second one 22: each
+try of it was sent to two endpoints, each time its caller tried again all counts began anew, and no
+daemon told the others. The lines of one try: "request_sent" to its first endpoint, 0.220 s later
+"attempt_failed" with "answer cut: ClientPayloadError" and sends=1, 0.3 ms later "request_sent" to
+the next endpoint, there "answer cut: ClientPayloadError" again with sends=2, and "request_refused"
+with 502. The same request came back every 2.5 to 5 s, at any daemon, and ended two more each time.
 """
 
 import pytest
--- a/tests/test_suspension.py
+++ b/tests/test_suspension.py
@@ -1,9 +1,10 @@
 """An instance that is suspended for seconds, as when its host moves it.
 
-The steady clock stands still meanwhile, and the boot clock goes on. Whatever the gateway counts on a steady
-clock seems younger by the whole suspension: the controller's lease still holds though the store has given it to
-another daemon, and keys count as fresh for so much longer after they were taken away. On the steady clock a lease of
-2 s and a suspension of 10 s left "controls_groups 1"; the program was started with time.monotonic.
+The monotonic clock stands still meanwhile, and the boot clock goes on. Whatever the gateway counts
+on the monotonic clock seems younger by the whole suspension: the controller's lease seems to hold
+though the store has given it to another daemon, keys that were taken away seem fresh, and timers
+are late. The program was started with time.monotonic: of a suspension of 10 s it saw 0.000003 s,
+and a timer that was due within it did not run.
 """
 
 import asyncio
@@ -26,10 +27,10 @@
 
 @pytest.fixture
 def boot_clock(monkeypatch):
-    """Yield a list whose element is how far the boot clock is ahead of the steady one."""
+    """Yield a list whose element is how far the boot clock is ahead, in seconds."""
     ahead = [0.0]
-    steady = time.monotonic
-    monkeypatch.setattr(time, "clock_gettime", lambda clock: steady() + ahead[0])
+    monotonic = time.monotonic
+    monkeypatch.setattr(time, "clock_gettime", lambda clock: monotonic() + ahead[0])
     return ahead
 
 
