Read one clock that goes on while an instance is suspended

Cause: all times of the gateway and its adapter, and the timers of its event loop, were read from the monotonic clock, which stands still with a suspended instance. A lease, the age of keys and a deadline then seem younger by the whole suspension.

--- a/packages/daemon/src/thorncleat_daemon/attempts.py
+++ b/packages/daemon/src/thorncleat_daemon/attempts.py
@@ -8,10 +8,10 @@
 import asyncio
 import typing as t
 
+from thorncleat_core import clock
 from thorncleat_core.daemon.retries import RetryThrottle
 from thorncleat_core.daemon.retries import may_send_again
 
-from . import clock
 from . import events
 from . import retry_after
 from .callers import Caller
--- a/packages/daemon/src/thorncleat_daemon/callers.py
+++ b/packages/daemon/src/thorncleat_daemon/callers.py
@@ -10,11 +10,11 @@
 
 from aiohttp import web
 
+from thorncleat_core import clock
 from thorncleat_core.daemon import keys
 from thorncleat_core.daemon.configuration import Configuration
 from thorncleat_core.daemon.configuration import Workspace
 
-from . import clock
 from .exceptions import RequestError
 
 DEADLINE = "X-Request-Deadline"
--- a/packages/daemon/src/thorncleat_daemon/claims.py
+++ b/packages/daemon/src/thorncleat_daemon/claims.py
@@ -12,6 +12,7 @@
 
 import mode
 
+from thorncleat_core import clock
 from thorncleat_core import codec
 from thorncleat_core.daemon import claims
 from thorncleat_core.daemon.budget import Purpose
@@ -24,7 +25,6 @@
 from thorncleat_core.exceptions import DecodeError
 
 from . import background
-from . import clock
 from . import events
 from . import retry_after
 from .exceptions import PeerError
--- a/packages/daemon/src/thorncleat_daemon/completions.py
+++ b/packages/daemon/src/thorncleat_daemon/completions.py
@@ -11,12 +11,12 @@
 import aiohttp
 from aiohttp import web
 
+from thorncleat_core import clock
 from thorncleat_core.daemon import routing
 from thorncleat_core.daemon.burn import GOOD
 from thorncleat_core.daemon.configuration import Configuration
 from thorncleat_core.daemon.configuration import Intent
 
-from . import clock
 from . import events
 from .attempts import Attempts
 from .attempts import SlotRequestOf
--- a/packages/daemon/src/thorncleat_daemon/config.py
+++ b/packages/daemon/src/thorncleat_daemon/config.py
@@ -10,6 +10,7 @@
 
 import mode
 
+from thorncleat_core import clock
 from thorncleat_core import rendezvous
 from thorncleat_core.daemon.budget import Backoff
 from thorncleat_core.daemon.budget import Purpose
@@ -24,7 +25,6 @@
 from thorncleat_core.exceptions import ThorncleatError
 
 from . import background
-from . import clock
 from . import events
 from .exceptions import PeerError
 from .exceptions import StoreError
--- a/packages/daemon/src/thorncleat_daemon/daemon.py
+++ b/packages/daemon/src/thorncleat_daemon/daemon.py
@@ -11,6 +11,7 @@
 import mode
 from aiohttp import web
 
+from thorncleat_core import clock
 from thorncleat_core.daemon.budget import FleetRates
 from thorncleat_core.daemon.budget import StoreBudget
 from thorncleat_core.daemon.configuration import Configuration
@@ -18,7 +19,6 @@
 from thorncleat_core.daemon.settings import Settings
 from thorncleat_core.daemon.settings import Tls
 
-from . import clock
 from . import events
 from .attempts import Attempts
 from .claims import ClaimClient
--- a/packages/daemon/src/thorncleat_daemon/dispatch.py
+++ b/packages/daemon/src/thorncleat_daemon/dispatch.py
@@ -11,6 +11,7 @@
 
 import mode
 
+from thorncleat_core import clock
 from thorncleat_core.daemon import routing
 from thorncleat_core.daemon.configuration import Configuration
 from thorncleat_core.daemon.configuration import Intent
@@ -19,7 +20,6 @@
 from thorncleat_core.daemon.queues import Waiting
 from thorncleat_core.daemon.retries import Ejection
 
-from . import clock
 from . import retry_after
 from .exceptions import RequestError
 from .permits import PermitKeeper
--- a/packages/daemon/src/thorncleat_daemon/domain_state.py
+++ b/packages/daemon/src/thorncleat_daemon/domain_state.py
@@ -8,6 +8,8 @@
 import dataclasses
 import typing as t
 
+from thorncleat_core import clock
+from thorncleat_core.clock import Clock
 from thorncleat_core.daemon.fleet import Instance
 from thorncleat_core.daemon.groups import Assignments
 from thorncleat_core.daemon.groups import Group
@@ -17,8 +19,6 @@
 from thorncleat_core.daemon.leases import LeaseTerms
 from thorncleat_core.daemon.settings import Control
 
-from . import clock
-from .clock import Clock
 from .exceptions import StoreUnavailableError
 from .gossip import Gossip
 from .keyspace import Keyspace
--- a/packages/daemon/src/thorncleat_daemon/downtime.py
+++ b/packages/daemon/src/thorncleat_daemon/downtime.py
@@ -7,11 +7,10 @@
 import collections
 import typing as t
 
+from thorncleat_core.clock import Clock
 from thorncleat_core.daemon.fleet import Instance
 from thorncleat_core.daemon.groups import Group
 
-from .clock import Clock
-
 
 class Downtime:
     """Adds up the time in which assigned groups could not answer."""
--- a/packages/daemon/src/thorncleat_daemon/entry.py
+++ b/packages/daemon/src/thorncleat_daemon/entry.py
@@ -4,11 +4,11 @@
 Relies on: the balancer asking ``/readyz`` before it sends requests.
 """
 
-import time
 import typing as t
 
 from aiohttp import web
 
+from thorncleat_core import clock
 from thorncleat_core.daemon.configuration import Configuration
 
 from . import callers
@@ -77,7 +77,7 @@
     async def _answer(
         self, request: web.Request, answerer: Answerer, target: str
     ) -> web.StreamResponse:
-        started = time.monotonic()
+        started = clock.now()
         caller: Caller | None = None
         try:
             if not await self._gate.enter():
@@ -90,7 +90,7 @@
             return self._refused(error, caller, target, started)
         self._recent.note(
             caller.id,
-            time.monotonic() - started,
+            clock.now() - started,
             workspace=caller.workspace.name,
             target=target,
             status=response.status,
@@ -113,7 +113,7 @@
             events.REQUEST_FAILED.log(request=request_id, cause=error.cause, detail=error.detail)
         self._recent.note(
             request_id,
-            time.monotonic() - started,
+            clock.now() - started,
             workspace=workspace,
             target=target,
             status=error.status,
--- a/packages/daemon/src/thorncleat_daemon/instance_probes.py
+++ b/packages/daemon/src/thorncleat_daemon/instance_probes.py
@@ -7,11 +7,11 @@
 import asyncio
 import typing as t
 
+from thorncleat_core.clock import Clock
 from thorncleat_core.daemon.groups import Confirmations
 from thorncleat_core.daemon.groups import Group
 from thorncleat_core.daemon.groups import InstanceReport
 
-from .clock import Clock
 from .exceptions import EndpointError
 from .exceptions import EndpointSilentError
 from .ports import Engines
--- a/packages/daemon/src/thorncleat_daemon/lag.py
+++ b/packages/daemon/src/thorncleat_daemon/lag.py
@@ -12,7 +12,7 @@
 
 import mode
 
-from .clock import Clock
+from thorncleat_core.clock import Clock
 
 # between timers; chosen, not measured
 TICK_SECONDS = 0.02
--- a/packages/daemon/src/thorncleat_daemon/main.py
+++ b/packages/daemon/src/thorncleat_daemon/main.py
@@ -12,6 +12,7 @@
 
 import fire
 
+from thorncleat_core import clock
 from thorncleat_core.daemon import settings
 from thorncleat_core.exceptions import DocumentError
 
@@ -54,7 +55,8 @@
         """
         loaded = _load(path)
         logs.setup(loaded.log_level, loaded.daemon.id)
-        asyncio.run(_run(Daemon(loaded)))
+        with asyncio.Runner(loop_factory=clock.BootClockLoop) as runner:
+            runner.run(_run(Daemon(loaded)))
 
     def check(self, path: str) -> None:
         """Check a settings file and list everything that is wrong with it.
--- a/packages/daemon/src/thorncleat_daemon/permits.py
+++ b/packages/daemon/src/thorncleat_daemon/permits.py
@@ -11,6 +11,7 @@
 
 import mode
 
+from thorncleat_core import clock
 from thorncleat_core import codec
 from thorncleat_core.daemon import routing
 from thorncleat_core.daemon.permits import HeldPermit
@@ -20,7 +21,6 @@
 from thorncleat_core.exceptions import DecodeError
 
 from . import background
-from . import clock
 from .exceptions import PeerError
 from .gossip import Gossip
 from .invariants import Invariant
--- a/packages/daemon/src/thorncleat_daemon/plain.py
+++ b/packages/daemon/src/thorncleat_daemon/plain.py
@@ -10,6 +10,7 @@
 import aiohttp
 from aiohttp import web
 
+from thorncleat_core import clock
 from thorncleat_core import rendezvous
 from thorncleat_core.daemon.burn import GOOD
 from thorncleat_core.daemon.configuration import Configuration
@@ -18,7 +19,6 @@
 from thorncleat_core.daemon.retries import RetryThrottle
 from thorncleat_core.daemon.retries import may_send_again
 
-from . import clock
 from .callers import Caller
 from .claims import ClaimClient
 from .exceptions import RequestError
--- a/packages/daemon/src/thorncleat_daemon/splice.py
+++ b/packages/daemon/src/thorncleat_daemon/splice.py
@@ -13,7 +13,8 @@
 import asyncio
 import typing as t
 
-from . import clock
+from thorncleat_core import clock
+
 from .pieces import Pieces
 
 # bytes that may wait for a slow caller before the engine is read no further; chosen, not measured
--- a/packages/daemon/src/thorncleat_daemon/store.py
+++ b/packages/daemon/src/thorncleat_daemon/store.py
@@ -8,11 +8,11 @@
 import asyncio
 import base64
 import json
-import time
 import typing as t
 
 import aiohttp
 
+from thorncleat_core import clock
 from thorncleat_core.daemon.budget import Purpose
 from thorncleat_core.daemon.budget import StoreBudget
 
@@ -160,7 +160,7 @@
 
     async def _admit(self, write: bool, purpose: Purpose) -> None:
         waited = 0.0
-        while wait := self._budget.wait(write, purpose, time.monotonic()):
+        while wait := self._budget.wait(write, purpose, clock.now()):
             waited += wait
             if waited > MAX_BUDGET_WAIT:
                 raise StoreUnavailableError(f"no room in the store's budget for {purpose!s}")
--- a/packages/daemon/src/thorncleat_daemon/streams.py
+++ b/packages/daemon/src/thorncleat_daemon/streams.py
@@ -11,9 +11,9 @@
 import aiohttp
 from aiohttp import web
 
+from thorncleat_core import clock
 from thorncleat_core.daemon.burn import GOOD
 
-from . import clock
 from . import events
 from . import problems
 from .attempts import Attempts
--- a/packages/gateway/src/thorncleat_gateway/logs.py
+++ b/packages/gateway/src/thorncleat_gateway/logs.py
@@ -6,9 +6,9 @@
 
 import logging
 import os
-import time
-import typing as t
 
+from thorncleat_core import clock as boot_clock
+from thorncleat_core.clock import Clock
 from thorncleat_core.log_events import json_formatter
 from thorncleat_core.log_events import send_to
 
@@ -29,7 +29,7 @@
     :param clock: seconds that never go back.
     """
 
-    def __init__(self, descriptor: int, clock: t.Callable[[], float] = time.monotonic) -> None:
+    def __init__(self, descriptor: int, clock: Clock = boot_clock.now) -> None:
         super().__init__()
         self._descriptor = descriptor
         self._clock = clock
--- a/tests/test_splice.py
+++ b/tests/test_splice.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from thorncleat_daemon import clock
+from thorncleat_core import clock
 from thorncleat_daemon.attempts import group_closed
 from thorncleat_daemon.dispatch import Slot
 from thorncleat_daemon.exceptions import RequestError
