Let operators lift a hold; tell a repeated crash with those before

A record thorncleat/lifted/FINGERPRINT lifts the hold of a request at all daemons. A crash of a request that was under way at another one is told together with that one: of two datagrams to a daemon, one lost no longer costs another endpoint there. A crash with more requests than a datagram holds is told in parts.

--- a/packages/gateway/src/thorncleat_gateway/gateway.py
+++ b/packages/gateway/src/thorncleat_gateway/gateway.py
@@ -41,6 +41,7 @@
 from .requests.endpoint_client import EndpointClient
 from .requests.endpoint_selector import EndpointSelector
 from .requests.frontend import Frontend
+from .requests.lifted_holds import LiftedHolds
 from .requests.plain import PlainForwarder
 from .requests.quarantine import Quarantine
 from .requests.retry_budget import RetryBudgets
@@ -116,6 +117,7 @@
         self._ended = EndedGroups(self._peers, self._clock)
         self._quarantine = Quarantine(self._clock)
         self._crash_reporter = CrashReporter(self._quarantine, self._peers, self._clock)
+        self._lifted_holds = LiftedHolds(self.view, self._quarantine)
 
     def _wire_control(self, records: RecordStore, engines: Engines) -> None:
         settings, clock, view = self._settings, self._clock, self.view
--- a/packages/gateway/src/thorncleat_gateway/requests/crash_reporter.py
+++ b/packages/gateway/src/thorncleat_gateway/requests/crash_reporter.py
@@ -38,8 +38,8 @@
 REPEAT_SECONDS = 1.0
 # daemons that are told at each repetition
 REPEAT_TO = 3
-# requests in one datagram, of some 25 bytes each, so that it is not split on its way
-MOST_REQUESTS_TOLD = 40
+# crashes and requests in one datagram, of some 25 bytes each, so that it is not split on its way
+MOST_TOLD = 40
 
 
 class CrashReporter(mode.Service):
@@ -63,9 +63,10 @@
         self, life: Life, at: float, requests: t.Mapping[Fingerprint, Involvement]
     ) -> None:
         """Tell that requests were under way at an endpoint when it crashed."""
-        if self._quarantine.has_repeated(requests):
-            self._tell([Crash(life, at, dict(requests))])
-            return
+        repeated = self._quarantine.repeated(requests)
+        if repeated:
+            # with the crashes before, of which a datagram may have been lost
+            self._tell(repeated)
         crash = self._untold.setdefault(life, Crash(life, at))
         crash.requests.update(requests)
         self._has_untold.set()
@@ -107,11 +108,11 @@
             await asyncio.sleep(GATHER_SECONDS)
             self._has_untold.clear()
             untold, self._untold = self._untold, {}
+            for crash in untold.values():
+                _log(crash.life, None, len(crash.requests))
             self._tell(untold.values())
 
-    def _tell(self, crashes: t.Collection[Crash]) -> None:
-        for crash in crashes:
-            _log(crash.life, None, len(crash.requests))
+    def _tell(self, crashes: t.Iterable[Crash]) -> None:
         for report in self._reports(crashes):
             self._peers.tell_all(report)
 
@@ -139,23 +140,25 @@
         """Yield reports of some crashes, none of which is too large for a datagram."""
         now, size = self._clock(), 0
         report: list[ReportedCrash] = []
-        for crash in crashes:
-            told = _reported(crash, now)
-            if report and size + len(told.requests) > MOST_REQUESTS_TOLD:
+        for told in (part for crash in crashes for part in _reported(crash, now)):
+            if report and size + 1 + len(told.requests) > MOST_TOLD:
                 yield CrashReport(report)
                 report, size = [], 0
             report.append(told)
-            size += len(told.requests)
+            size += 1 + len(told.requests)
         if report:
             yield CrashReport(report)
 
 
-def _reported(crash: Crash, now: float) -> ReportedCrash:
+def _reported(crash: Crash, now: float) -> t.Iterator[ReportedCrash]:
+    """Yield a crash in parts, none of which is too large for a datagram."""
     requests = [
         ReportedRequest(fingerprint, part.points, part.ran)
         for fingerprint, part in crash.requests.items()
     ]
-    return ReportedCrash(crash.life.endpoint_id, crash.life.born, now - crash.at, requests)
+    for begin in range(0, len(requests), MOST_TOLD - 1):
+        part = requests[begin : begin + MOST_TOLD - 1]
+        yield ReportedCrash(crash.life.endpoint_id, crash.life.born, now - crash.at, part)
 
 
 def _log(life: Life, told_by: str | None, requests: int) -> None:
--- a/packages/gateway/src/thorncleat_gateway/requests/quarantine.py
+++ b/packages/gateway/src/thorncleat_gateway/requests/quarantine.py
@@ -134,10 +134,6 @@
         """Return whether a request was under way at a crash that is remembered."""
         return fingerprint in self._by_request
 
-    def has_repeated(self, fingerprints: t.Iterable[Fingerprint]) -> bool:
-        """Return whether any of some requests was under way at several crashes."""
-        return any(len(self._by_request.get(key, ())) > 1 for key in fingerprints)
-
     def knows(self, life: Life) -> bool:
         """Return whether an endpoint's life is remembered to have ended by a crash."""
         return self._find(life) is not None
@@ -158,12 +154,13 @@
         }
         crash = self._find(life)
         known = crash.requests if crash is not None else {}
-        new = {key: found for key, found in wanted.items() if key not in known}
+        unknown = [(key, found) for key, found in wanted.items() if key not in known]
+        new = dict(unknown[: MOST_REQUESTS - len(known)])
         if not new:
             return {}
         if crash is None:
             crash = self._add(Crash(life, at))
-        for fingerprint, found in list(new.items())[: MOST_REQUESTS - len(known)]:
+        for fingerprint, found in new.items():
             crash.requests[fingerprint] = found
             self._link(fingerprint, crash)
         self._judge()
@@ -192,9 +189,19 @@
             self._judge()
         return bool(crashes)
 
-    def repeated(self) -> list[Crash]:
-        """Return the crashes of requests that were under way at several, with these alone."""
-        wanted = {key for key, crashes in self._by_request.items() if len(crashes) > 1}
+    def lift(self, fingerprint: Fingerprint) -> None:
+        """Forget all crashes of a request until now."""
+        self.request_served(fingerprint, self._clock())
+
+    def repeated(self, among: t.Iterable[Fingerprint] | None = None) -> list[Crash]:
+        """Return the crashes of requests that were under way at several, with these alone.
+
+        :param among: the requests that are asked for; None for all.
+        """
+        asked = self._by_request if among is None else among
+        wanted = {key for key in asked if len(self._by_request.get(key, ())) > 1}
+        if not wanted:
+            return []
         found = []
         for crash in self._all():
             requests = {key: part for key, part in crash.requests.items() if key in wanted}
--- a/tests/crash_world.py
+++ b/tests/crash_world.py
@@ -217,7 +217,7 @@
         self.handlers.append(handler)
 
     def tell_all(self, message) -> None:
-        for other in self.others:
+        for other in sorted(self.others):
             self.tell(other, message)
 
     def tell(self, other: str, message) -> None:
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -3,8 +3,10 @@
 import pytest
 
 from thorncleat_gateway.exceptions import Broken
+from thorncleat_gateway.ports import RecordChanged
 from thorncleat_gateway.requests import crash_watch
 from thorncleat_gateway.requests import fingerprint
+from thorncleat_gateway.requests.lifted_holds import LiftedHolds
 from thorncleat_gateway.requests.quarantine import HOLD_SECONDS
 from thorncleat_gateway.requests.quarantine import MAY_HAVE_WAITED_POINTS
 from thorncleat_gateway.requests.quarantine import MOMENT_SECONDS
@@ -225,10 +227,57 @@
         assert len(quarantine._by_request) <= MOST_CRASHES * MOST_REQUESTS
 
 
+class View:
+    """The records of the store, as a daemon knows them."""
+
+    def __init__(self):
+        self.records = {}
+        self.records_version = 0
+
+    def on_change(self, listener):
+        self._listener = listener
+
+    def write(self, key, revision):
+        self.records[key] = RecordChanged(key, b"", revision)
+        self.records_version += 1
+        self._listener()
+
+
+class TestLifted:
+    def test_operator_lifts_a_hold(self, quarantine, clock):
+        view = View()
+        followed = LiftedHolds(view, quarantine)
+        for number in range(3):
+            crash(quarantine, clock, number, a=RAN, b=RAN)
+        clock.now += 1.0
+        view.write(f"thorncleat/lifted/{b'b'.hex()}", 7)
+        assert held(quarantine) == ["a"]
+        view.write(f"thorncleat/lifted/{b'a'.hex()}", 8)
+        assert held(quarantine) == []
+        # once for each time that it is written
+        for number in range(3, 6):
+            crash(quarantine, clock, number, a=RAN)
+        view.write("thorncleat/daemons/edge-1", 9)
+        assert held(quarantine) == ["a"]
+        clock.now += 1.0
+        view.write(f"thorncleat/lifted/{b'a'.hex()}", 10)
+        assert held(quarantine) == []
+        assert followed
+
+    def test_record_that_names_no_request_lifts_nothing(self, quarantine, clock):
+        view = View()
+        followed = LiftedHolds(view, quarantine)
+        for number in range(3):
+            crash(quarantine, clock, number, a=RAN)
+        view.write("thorncleat/lifted/other words", 7)
+        assert held(quarantine) == ["a"]
+        assert followed
+
+
 def test_only_requests_of_several_crashes_are_repeated(quarantine, clock):
     crash(quarantine, clock, 1, a=RAN, b=LONG)
     assert quarantine.repeated() == []
-    assert not quarantine.has_repeated([b"a"])
     crash(quarantine, clock, 2, a=RAN, c=LONG)
     assert [set(one.requests) for one in quarantine.repeated()] == [{b"a"}, {b"a"}]
-    assert quarantine.has_repeated([b"c", b"a"])
+    assert quarantine.repeated([b"b", b"c"]) == []
+    assert len(quarantine.repeated([b"c", b"a"])) == 2
