--- a/bench/soaks/gateway.py
+++ b/bench/soaks/gateway.py
@@ -18,6 +18,7 @@
 import aiohttp
 import fire
 
+from . import gateway_fatal
 from .gateway_callers import Caller
 from .gateway_checks import RequestKind
 from .gateway_site import SoakSite
@@ -142,6 +143,7 @@
             _watch_ends(played),
         )
         await _heal(played)
+        await gateway_fatal.play(site, Caller(site, "fatal", draw))
         return played
     finally:
         await site.stop()
--- a/bench/soaks/gateway_callers.py
+++ b/bench/soaks/gateway_callers.py
@@ -34,7 +34,7 @@
     def __init__(self, site: SoakSite, name: str, draw: random.Random) -> None:
         self._site = site
         self._name = name
-        self._draw = draw
+        self.draw = draw
         self._sent = 0
         self.running: Exchange | None = None
 
@@ -42,29 +42,39 @@
         """Call one daemon after the other until a moment on the loop's clock."""
         async with aiohttp.ClientSession(auto_decompress=False) as client:
             while asyncio.get_running_loop().time() < until:
-                daemon = self._draw.choice(self._site.daemons)
-                kind = self._draw.choice(KINDS)
-                former = self._draw.random() < FORMER_KEYS
+                daemon = self.draw.choice(self._site.daemons)
+                kind = self.draw.choice(KINDS)
+                former = self.draw.random() < FORMER_KEYS
                 keys = self._site.former_keys if former else self._site.keys
-                key = self._draw.choice(keys)
+                key = self.draw.choice(keys)
                 exchange = await self.call(client, daemon, kind, key)
                 if exchange.status != 200:
-                    await asyncio.sleep(self._draw.uniform(0, 2 * PAUSE_SECONDS))
+                    await asyncio.sleep(self.draw.uniform(0, 2 * PAUSE_SECONDS))
 
     async def call(
-        self, client: aiohttp.ClientSession, daemon: Daemon, kind: RequestKind, key: str
+        self,
+        client: aiohttp.ClientSession,
+        daemon: Daemon,
+        kind: RequestKind,
+        key: str,
+        *,
+        body: bytes = b"",
     ) -> Exchange:
-        """Send one request and note the answer."""
+        """Send one request and note the answer.
+
+        :param body: if not empty, in place of one that names the request; the path is then the
+            same for all requests with it.
+        """
         self._sent += 1
         loop = asyncio.get_running_loop()
         name = f"{self._name}-{self._sent}"
         exchange = Exchange(
-            name, kind, loop.time(), key, b"body of " + name.encode(), daemon=daemon.name
+            name, kind, loop.time(), key, body or b"body of " + name.encode(), daemon=daemon.name
         )
         self._site.exchanges[name] = self.running = exchange
         try:
             async with asyncio.timeout(DEADLINE_SECONDS):
-                await self._send(client, daemon, exchange)
+                await self._send(client, daemon, exchange, "same" if body else name)
         except (aiohttp.ClientError, OSError, TimeoutError):
             pass
         exchange.ended_at = loop.time()
@@ -73,7 +83,7 @@
         return exchange
 
     async def _send(
-        self, client: aiohttp.ClientSession, daemon: Daemon, exchange: Exchange
+        self, client: aiohttp.ClientSession, daemon: Daemon, exchange: Exchange, path: str
     ) -> None:
         headers = {
             "Host": HOST,
@@ -83,7 +93,7 @@
         }
         if exchange.kind is RequestKind.STREAM:
             headers["X-Thorncleat-Model"] = "large"
-        url = f"http://{daemon.callers}{PATHS[exchange.kind]}{exchange.id}"
+        url = f"http://{daemon.callers}{PATHS[exchange.kind]}{path}"
         # a library that sends GET again by itself would hide what happened to the first
         async with client.post(url, data=exchange.sent, headers=headers) as response:
             exchange.status = response.status
--- /dev/null
+++ b/bench/soaks/gateway_fatal.py
@@ -0,0 +1,45 @@
+"""The last phase of the gateway's soak: a request that ends each endpoint which runs it.
+
+All faults are undone by then, so every daemon has to know what the others have seen. It is no
+trouble among the others, since a further one would change what each seed draws.
+
+Owns: the tries of one such request.
+Relies on: workers that crash on a marked body and are back under their id, with another ``born``.
+"""
+
+import asyncio
+
+import aiohttp
+
+from .gateway_callers import Caller
+from .gateway_checks import RequestKind
+from .gateway_site import SoakSite
+from .gateway_workers import FATAL
+
+TRIES = 10
+# on average between two tries: some come at once, some after a worker is back; chosen, not measured
+PAUSE_SECONDS = 0.3
+# that all daemons in touch may let through: three, and one whose word was under way
+MOST_ENDED = 4
+
+
+async def play(site: SoakSite, caller: Caller) -> None:
+    """Send the request to daemons at random, and others beside it."""
+    before = sum(worker.crashes for worker in site.workers.values())
+    async with aiohttp.ClientSession(auto_decompress=False) as client:
+        for _ in range(TRIES):
+            daemon = caller.draw.choice(site.daemons)
+            await caller.call(client, daemon, RequestKind.STREAM, site.keys[0], body=FATAL)
+            await asyncio.sleep(caller.draw.uniform(0, 2 * PAUSE_SECONDS))
+        ended = sum(worker.crashes for worker in site.workers.values()) - before
+        site.checks.counts["endpoints ended by a fatal request"] += ended
+        if ended > MOST_ENDED:
+            site.checks.faults.append(f"BUDGET a request ended {ended} endpoints")
+        await _others_are_served(site, caller, client)
+
+
+async def _others_are_served(site: SoakSite, caller: Caller, client: aiohttp.ClientSession) -> None:
+    for daemon in site.daemons:
+        exchange = await caller.call(client, daemon, RequestKind.STREAM, site.keys[0])
+        if exchange.status == 429:
+            site.checks.faults.append(f"HELD {exchange.id}, which ended nothing")
--- a/bench/soaks/gateway_workers.py
+++ b/bench/soaks/gateway_workers.py
@@ -18,6 +18,8 @@
 if t.TYPE_CHECKING:
     from .gateway_site import SoakSite
 
+# the body of a request that ends each worker of a group which runs it
+FATAL = b"a request that no worker survives"
 # of each stream; chosen, not measured
 STREAM_EVENTS = 20
 # a leader without a member stands still for so long before it breaks its group; told to the
@@ -25,6 +27,8 @@
 STALL_SECONDS = 1.0
 # from a worker's end to the end of its entry in the store; chosen, not measured
 LAPSE_SECONDS = 1.5
+# after which a worker that a request has ended is back under its id; chosen, not measured
+BACK_SECONDS = 1.0
 
 
 class SoakWorker(PlatformWorker):
@@ -35,7 +39,12 @@
         self._site = site
         self.proxy: Proxy | None = None
         self.events = STREAM_EVENTS
+        self.crashes_on = FATAL if domain else None
+        # a worker sends the head as soon as a request runs
+        self.crash_events = 1
+        self.back_after = BACK_SECONDS
         self.alive = True
+        self._lapse: asyncio.TimerHandle | None = None
 
     @property
     def takes_work(self) -> bool:
@@ -67,10 +76,17 @@
         assert self._runner is not None
         await self.proxy.stop()
         await self._runner.cleanup()
-        asyncio.get_running_loop().call_later(
+        self._lapse = asyncio.get_running_loop().call_later(
             LAPSE_SECONDS, self._store.delete, f"servers/{self.id}"
         )
 
+    async def start_again(self) -> None:
+        """Start under the same id, behind another proxy."""
+        if self._lapse is not None:
+            self._lapse.cancel()
+        self.alive = True
+        await super().start_again()
+
     def publish(self) -> None:
         """Write its entry while it lives."""
         if self.alive:
