Crash reports: numbers within bounds; broken requests pass by groups that fail

A daemon of another build can make no crash count for more than one. A request that a crash broke is drawn a group among those that neither failed lately nor are suspected.

--- a/packages/gateway/src/thorncleat_gateway/peers/datagrams.py
+++ b/packages/gateway/src/thorncleat_gateway/peers/datagrams.py
@@ -186,7 +186,7 @@
             case [1, str(sender), "crash", list(crashes)]:
                 return Datagram(sender, CrashReport([_crash(*crash) for crash in crashes]))
             case [1, str(sender), "no crash", str(endpoint_id), born, bytes(digest), int(age)]:
-                seconds = age / MILLISECONDS
+                seconds = _natural(age) / MILLISECONDS
                 return Datagram(sender, CrashWithdrawal(endpoint_id, _born(born), digest, seconds))
     except (ValueError, TypeError, msgpack.UnpackException):
         # any process may send anything here; the channel counts what it rejects
@@ -216,10 +216,17 @@
     :raises TypeError, ValueError: if it has another form.
     """
     found = [
-        ReportedRequest(_digest(digest), int(points), int(ran) / MILLISECONDS)
+        ReportedRequest(_digest(digest), _natural(points), _natural(ran) / MILLISECONDS)
         for digest, points, ran in requests
     ]
-    return ReportedCrash(str(endpoint_id), _born(born), int(age) / MILLISECONDS, found)
+    return ReportedCrash(str(endpoint_id), _born(born), _natural(age) / MILLISECONDS, found)
+
+
+def _natural(value: t.Any) -> int:
+    number = int(value)
+    if number < 0:
+        raise ValueError(f"{value!r} is negative")
+    return number
 
 
 def _born(value: t.Any) -> int | None:
--- a/packages/gateway/src/thorncleat_gateway/requests/crash_reporter.py
+++ b/packages/gateway/src/thorncleat_gateway/requests/crash_reporter.py
@@ -27,6 +27,7 @@
 from ..peers.datagrams import ReportedRequest
 from ..store.roster import Life
 from .fingerprint import Fingerprint
+from .quarantine import RAN_POINTS
 from .quarantine import Crash
 from .quarantine import Involvement
 from .quarantine import Quarantine
@@ -94,7 +95,9 @@
 
     def _take(self, sender: str, told: ReportedCrash, now: float) -> None:
         requests = {
-            Fingerprint(one.fingerprint): Involvement(one.points, one.ran) for one in told.requests
+            # no crash counts more, whatever a daemon of another build says
+            Fingerprint(one.fingerprint): Involvement(min(one.points, RAN_POINTS), one.ran)
+            for one in told.requests
         }
         life = Life(told.endpoint_id, told.born)
         new = self._quarantine.note(life, now - told.age, requests)
--- a/packages/gateway/src/thorncleat_gateway/requests/endpoint_selector.py
+++ b/packages/gateway/src/thorncleat_gateway/requests/endpoint_selector.py
@@ -137,15 +137,23 @@
         trusted = [leader for leader in leaders if self._trusts(leader)]
         if not trusted:
             trusted = [leader for leader in leaders if not self._detector.suspected_here(leader)]
-        if apart:
-            with_room = [one for one in trusted if self._load_table.of(one.id) < engine.slots]
-            if with_room:
-                return random.choice(with_room)
+        drawn = self._any_with_room(trusted, engine.slots) if apart else None
+        if drawn is not None:
+            return drawn
         chosen = self._best(trusted, engine.slots)
         if chosen is not None and self._load_table.of(chosen.id) >= FULL_PER_SLOT * engine.slots:
             return None
         return chosen
 
+    def _any_with_room(self, leaders: t.Iterable[Endpoint], slots: int) -> Endpoint | None:
+        """Return one of the leaders with room, at random; None if there is none."""
+        usable = [
+            leader
+            for leader in leaders
+            if not self._is_avoided(leader) and self._load_table.of(leader.id) < slots
+        ]
+        return random.choice(usable) if usable else None
+
     def _trusts(self, leader: Endpoint) -> bool:
         if self._detector.on_trial(leader):
             return leader.id not in self._load_table.own
--- a/tests/test_endpoint_selector.py
+++ b/tests/test_endpoint_selector.py
@@ -229,3 +229,26 @@
     made = selector(**given)
     assert made.known("narrator", "m") == known
     assert made.others("narrator", "m", ("a0",)) is others
+
+
+THREE = [member("a0", 1), member("b0", 2), member("c0", 3)]
+
+
+def _drawn_apart(made):
+    return {made.leader("narrator", ENGINE, "m", (), apart=True).id for _ in range(40)}
+
+
+def test_requests_that_a_crash_broke_go_to_any_group_with_room():
+    """By least load all of them would follow the cause of the crash into the same group."""
+    assert _drawn_apart(selector(THREE, load={"a0": 1, "b0": 3, "c0": SLOTS})) == {"a0", "b0"}
+
+
+def test_of_groups_without_room_the_one_with_the_least_load_gets_them():
+    load = {"a0": SLOTS + 1, "b0": SLOTS, "c0": SLOTS + 2}
+    assert _drawn_apart(selector(THREE, load=load)) == {"b0"}
+
+
+def test_such_requests_avoid_groups_that_fail_or_are_suspected():
+    made = selector(THREE, suspects=("b0",))
+    made.avoid(THREE[2])
+    assert _drawn_apart(made) == {"a0"}
--- a/tests/test_forms_datagrams.py
+++ b/tests/test_forms_datagrams.py
@@ -90,7 +90,10 @@
         [1, "edge-1", "crash", [["i-1", 7, 500, [["text", 2, 36]]]]],
         [1, "edge-1", "crash", [["i-1", 7, 500, [[b"\x01", None, 36]]]]],
         [1, "edge-1", "crash", [["i-1", 7, 500, 3]]],
+        [1, "edge-1", "crash", [["i-1", 7, -500, []]]],
+        [1, "edge-1", "crash", [7]],
         [1, "edge-1", "no crash", "i-1", 7, "text", 250],
+        [1, "edge-1", "no crash", "i-1", 7, b"", -250],
         [1, "edge-1", "no crash", "i-1", [], b"", 250],
     ],
 )
