Keep a request that was at two crashes from the last endpoint that could serve it

Cause: three crashes, the limit, are all endpoints of a small plain service, and the last groups of a model at the worst of the incident ("no group ...: 1 open", 93 refusals).

Such a request waits until another endpoint is back, for 5 s at most after its newest crash. The limit itself is as it was.

--- a/packages/gateway/src/thorncleat_gateway/requests/endpoint_selector.py
+++ b/packages/gateway/src/thorncleat_gateway/requests/endpoint_selector.py
@@ -109,12 +109,17 @@
 
     def plain(self, service: str, tried: t.Container[str]) -> Endpoint | None:
         """Return the endpoint of a plain service for a request, or None if there is none."""
-        listed = self._view.roster.of_service(service)
-        usable = [
-            endpoint for endpoint in listed if not endpoint.draining and endpoint.id not in tried
-        ]
+        usable = [one for one in self.endpoints(service) if one.id not in tried]
         return self._best(usable, UNKNOWN_PLACES)
 
+    def endpoints(self, service: str) -> list[Endpoint]:
+        """Return the endpoints of a plain service that take requests."""
+        return [one for one in self._view.roster.of_service(service) if not one.draining]
+
+    def leaders(self, service: str, model: str) -> list[Endpoint]:
+        """Return the leaders of the open groups of a model."""
+        return self._leaders.of(service, model)
+
     def leader(
         self,
         service: str,
--- a/packages/gateway/src/thorncleat_gateway/requests/plain.py
+++ b/packages/gateway/src/thorncleat_gateway/requests/plain.py
@@ -33,10 +33,10 @@
         kept: EndpointAnswer | None = None
         while True:
             self._check_held(request, begun=False)
-            endpoint = self._selector.plain(request.service.name, request.tried)
+            endpoint, cause = self._choose(request)
             if endpoint is None:
                 end = retry_policy.without_endpoint(
-                    may_have_run=request.may_have_run, has_kept=kept is not None
+                    may_have_run=request.may_have_run, has_kept=kept is not None, cause=cause
                 )
                 return self._end(end, kept)
             try:
@@ -59,6 +59,13 @@
             if decision is not Next.SEND_AGAIN:
                 return self._end(decision, kept)
 
+    def _choose(self, request: Request) -> tuple[Endpoint | None, str]:
+        """Return the endpoint for the next attempt; or None, and why there is none."""
+        service = request.service.name
+        if self._crash_watch.keeps_from(request, self._selector.endpoints(service)):
+            return None, retry_policy.LAST_ENDPOINT
+        return self._selector.plain(service, request.tried), retry_policy.NO_ENDPOINT
+
     def _after_failure(
         self, request: Request, endpoint: Endpoint, failure: AttemptError, *, has_kept: bool
     ) -> PlainDecision:
--- a/packages/gateway/src/thorncleat_gateway/requests/quarantine.py
+++ b/packages/gateway/src/thorncleat_gateway/requests/quarantine.py
@@ -29,6 +29,11 @@
 # within which crashes are of one moment: connections that break together take some milliseconds, a
 # request that is sent again took 0.22 s or more to end the next endpoint in the recorded incident
 MOMENT_SECONDS = 0.02
+# crashes from which on a request is kept from the last endpoint that could serve it
+SPARED_CRASHES = 2
+# after the newest of them, for which it is kept from it: others are back by then, 2 to 3 s after
+# their crash in the recorded incident; chosen, not measured
+SPARED_SECONDS = 5.0
 # that a request is held after its newest crash: then it is let in once more, since its endpoints
 # may run other software by then; chosen, not measured
 HOLD_SECONDS = 600.0
@@ -134,6 +139,14 @@
         """Return whether a request was under way at a crash that is remembered."""
         return fingerprint in self._by_request
 
+    def spares_last(self, fingerprint: Fingerprint) -> bool:
+        """Return whether a request is to be kept from the last endpoint that could serve it."""
+        crashes = self._by_request.get(fingerprint, ())
+        if len(crashes) < SPARED_CRASHES:
+            return False
+        newest_at = max(crash.at for crash in crashes)
+        return self._clock() < newest_at + SPARED_SECONDS
+
     def knows(self, life: Life) -> bool:
         """Return whether an endpoint's life is remembered to have ended by a crash."""
         return self._find(life) is not None
--- a/packages/gateway/src/thorncleat_gateway/requests/retry_policy.py
+++ b/packages/gateway/src/thorncleat_gateway/requests/retry_policy.py
@@ -32,6 +32,7 @@
 NO_ENDPOINT = "no endpoint"
 NO_GROUP_LEFT = "no group to go on in"
 ENDS_ENDPOINTS = "it ends its endpoints"
+LAST_ENDPOINT = "it may end the last endpoint"
 
 
 @dataclasses.dataclass(frozen=True)
@@ -140,15 +141,15 @@
 
 
 def without_endpoint(
-    *, may_have_run: bool, has_kept: bool
+    *, may_have_run: bool, has_kept: bool, cause: str = NO_ENDPOINT
 ) -> t.Literal[Next.RETURN_KEPT_ANSWER] | Refusal:
-    """Decide how a request to a plain service ends if there is no endpoint that it has not tried.
+    """Decide how a request to a plain service ends if there is no endpoint that it may try.
 
     :param has_kept: whether an endpoint has answered with a failure status.
     """
     if has_kept:
         return Next.RETURN_KEPT_ANSWER
-    return give_up(NO_ENDPOINT, retry_after.PLAIN_SECONDS, may_have_run=may_have_run)
+    return give_up(cause, retry_after.PLAIN_SECONDS, may_have_run=may_have_run)
 
 
 def without_group(
--- a/packages/gateway/src/thorncleat_gateway/requests/streams.py
+++ b/packages/gateway/src/thorncleat_gateway/requests/streams.py
@@ -138,11 +138,13 @@
         apart = self._crash_watch.is_suspect(request)
         while True:
             self._check_held(request, begun=caller.begun)
+            spared = self._crash_watch.keeps_from(request, self._selector.leaders(service, model))
             endpoint = self._selector.leader(service, engine, model, request.tried, apart=apart)
-            if endpoint is not None:
+            if endpoint is not None and not spared:
                 return endpoint
+            no_group = retry_policy.LAST_ENDPOINT if spared else self._no_group(service, model)
             decision = retry_policy.without_group(
-                "" if caller.begun else self._no_group(service, model),
+                no_group,
                 may_have_run=request.may_have_run,
                 begun=caller.begun,
                 waited=self._clock() >= until,
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -14,6 +14,7 @@
 from thorncleat_gateway.requests.quarantine import MOST_REQUESTS
 from thorncleat_gateway.requests.quarantine import RAN_POINTS
 from thorncleat_gateway.requests.quarantine import REMEMBER_SECONDS
+from thorncleat_gateway.requests.quarantine import SPARED_SECONDS
 from thorncleat_gateway.requests.quarantine import Involvement
 from thorncleat_gateway.requests.quarantine import Quarantine
 from thorncleat_gateway.store.roster import Life
@@ -165,6 +166,17 @@
         assert held(quarantine) == ["b"]
 
 
+class TestLastEndpoint:
+    def test_request_is_kept_from_it_after_two_crashes_for_some_time(self, quarantine, clock):
+        crash(quarantine, clock, 1, a=RAN)
+        assert not quarantine.spares_last(b"a")
+        crash(quarantine, clock, 2, a=RAN, b=RAN)
+        assert quarantine.spares_last(b"a")
+        assert not quarantine.spares_last(b"b")
+        clock.now += SPARED_SECONDS
+        assert not quarantine.spares_last(b"a")
+
+
 class TestWithdrawn:
     def test_endpoint_that_lives(self, quarantine, clock):
         for number in range(3):
--- a/tests/test_quarantine_fleet.py
+++ b/tests/test_quarantine_fleet.py
@@ -17,6 +17,7 @@
 SMALL = Size(8, 16, 13, 70.0)
 GROWN = Size(30, 20, 24, 120.0)
 FEW_PLAIN = Size(8, 3, 6, 8.0, plain=True)
+FEW_GROUPS = Size(8, 4, 13, 24.0)
 # what is given to learn of a third crash from another daemon, beside what the limit lets through
 MOST_ENDED = 6
 
@@ -53,9 +54,19 @@
     assert world.served > 0.98
 
 
-def test_fatal_request_of_a_plain_service():
-    world, (name,) = virtual_time.run(_fatal_beside_others(FEW_PLAIN, 1, 1, 20.0))
+@pytest.mark.parametrize("seed", range(4))
+def test_fatal_request_leaves_a_service_of_few_endpoints_its_last_one(seed):
+    """Without that, 53 to 68 in 100 of the others were served: all three were away at once."""
+    world, (name,) = virtual_time.run(_fatal_beside_others(FEW_PLAIN, seed, 1, 8.0))
     assert world.ended_by(name) <= 3
+    assert world.served > 0.99
+
+
+@pytest.mark.parametrize("seed", range(2))
+def test_fatal_request_where_there_are_few_groups(seed):
+    world, (name,) = virtual_time.run(_fatal_beside_others(FEW_GROUPS, seed, 1, 8.0))
+    assert world.ended_by(name) <= 4
+    assert world.sends_too_many(name) <= 1
 
 
 # other ends
