--- a/packages/gateway/src/thorncleat_gateway/groups/formation.py
+++ b/packages/gateway/src/thorncleat_gateway/groups/formation.py
@@ -65,7 +65,7 @@
     :param standing: groups by model that serve or are being formed.
     :param free: endpoints that may join a group.
     :param weak: endpoints that may, but will probably end soon; they never lead.
-    :param slow: endpoints that may where there are no others.
+    :param slow: endpoints that may, after all others that hold the model; before those that don't.
     :param holding: hosts by the model that they hold.
     :param staging: model that is being loaded onto the host, by endpoint id.
     """
--- a/packages/gateway/src/thorncleat_gateway/groups/slow_endpoints.py
+++ b/packages/gateway/src/thorncleat_gateway/groups/slow_endpoints.py
@@ -5,8 +5,9 @@
 in five of the endpoints would do for more than half of the groups.
 
 So slow groups of a domain are ended where their other members and the spares that hold the model
-are enough for a group, which stands 2 s later. Where there are not enough, a slow group is better
-than none. Slow endpoints join a group only after those that aren't.
+are enough for a group, which stands 1 to 2 s later, sooner if the spares are warm. Where there are
+not enough, a slow group is better than none. Slow endpoints join a group only after those that
+aren't, but before those that don't hold the model.
 
 Owns: the lives of the endpoints whose last report said that they are slow.
 Relies on: :mod:`.member_examination`, which asks the members of a group that some daemon suspects:
@@ -54,8 +55,8 @@
 ) -> list[SlowGroup]:
     """Return the groups of a domain to end, so that one can be formed without slow members.
 
-    None if there are too few others. Those with the fewest slow members come first, so that as
-    few groups as can be are ended.
+    There are none if their other members are too few for one. Those with the fewest slow members
+    come first, so that as few groups as can be are ended.
 
     :param groups: of one model.
     :param spares: free endpoints of the domain that aren't slow.
--- a/packages/gateway/src/thorncleat_gateway/groups/spare_warming.py
+++ b/packages/gateway/src/thorncleat_gateway/groups/spare_warming.py
@@ -26,14 +26,13 @@
 from . import join_rules
 from .call_window import LAST
 from .forming_state import FormingState
+from .group_steps import WARM_PATIENCE
 from .jobs import Start
 from .join_rules import Place
 from .orders import ACCEPTED
 from .orders import Orders
 from .records import GroupRecords
 
-# times its usual duration that a load from the host may take; chosen, not measured
-PATIENCE = 2.0
 # after an endpoint was warmed, or wasn't, until it is tried again, in seconds: the list shows its
 # model long before; chosen, not measured
 TRY_AGAIN_SECONDS = 10.0
@@ -109,7 +108,7 @@
     async def _run(self, endpoint: Endpoint, group: GroupId, model: EngineModel) -> None:
         try:
             if await self._join(endpoint, group, model):
-                await self._wait_ready(endpoint, group, PATIENCE * model.warm)
+                await self._wait_ready(endpoint, group, WARM_PATIENCE * model.warm)
                 # refused if the endpoint has been ordered into another group meanwhile
                 await self._orders.give(endpoint, Leave(group))
         except EndpointError:
