A test that fails: a crash that a late daemon sees after its group was ended

The controller asks a suspected leader and ends its group within some 8 ms of the crash (lines of test_crashing_requests); its word is handled as it arrives, a stream's break one turn of the loop later.

--- a/tests/crash_world.py
+++ b/tests/crash_world.py
@@ -16,6 +16,7 @@
 from thorncleat_gateway.exceptions import CutError
 from thorncleat_gateway.exceptions import Ran
 from thorncleat_gateway.exceptions import RefusalError
+from thorncleat_gateway.groups.ended import EndedGroups
 from thorncleat_gateway.peers import datagrams
 from thorncleat_gateway.peers.datagrams import CrashReport
 from thorncleat_gateway.peers.datagrams import CrashWithdrawal
@@ -267,13 +268,14 @@
         self.table = LoadTable(clock, self.peers.interval)
         self.quarantine = Quarantine(clock)
         self.reporter = CrashReporter(self.quarantine, self.peers, clock)
-        ended = ()
+        self.ended = ended = EndedGroups(self.peers, clock)
         selector = EndpointSelector(
             world.view, self.table, self.detector, ended, clock, f"z{number % 3}"
         )
         terms = RetryBudgetSettings(0.2, 134.0, 10.0)
         budgets = RetryBudgets(terms, clock, lambda: world.size.daemons)
         watch = CrashWatch(self.quarantine, world.view, self.detector, ended, self.reporter, clock)
+        self.watch = watch
         parts = (Client(world), selector, self.table, budgets, self.detector, watch, clock)
         self.plain, self.streams = PlainForwarder(*parts), StreamForwarder(*parts)
         self.peers.on_message(self._loads)
--- /dev/null
+++ b/tests/test_crash_watch.py
@@ -0,0 +1,107 @@
+"""What this daemon's attempts say of crashes, with the parts around it played."""
+
+import dataclasses
+
+import pytest
+
+from thorncleat_gateway.exceptions import AttemptError
+from thorncleat_gateway.exceptions import Broken
+from thorncleat_gateway.exceptions import Ran
+from thorncleat_gateway.peers.datagrams import GroupEnded
+
+from . import virtual_time
+from .crash_world import CrashWorld
+from .crash_world import Size
+
+SIZE = Size(2, 3, 4, 1.0)
+CUT = AttemptError("answer cut: X", Ran.MAYBE, broken=Broken.AFTER_HEAD)
+
+
+class Scene:
+    """A daemon with a request under way at an endpoint."""
+
+    def __init__(self):
+        self.world = CrashWorld(SIZE, 1)
+
+    async def __aenter__(self):
+        await self.world.begin()
+        self.daemon = self.world.daemons[0]
+        self.watch = self.daemon.watch
+        self.worker = next(iter(self.world.workers.values()))
+        self.endpoint = self.worker.endpoint
+        self.request = self.world.request(b"body")
+        self.request.sent_at = self.request.head_at = self.world.now()
+        return self
+
+    async def __aexit__(self, *error):
+        await self.world.end()
+
+    def fails(self, failure=CUT):
+        self.watch.failed(self.request, self.endpoint, failure)
+        return self.daemon.quarantine.is_suspect(self.request.fingerprint)
+
+
+def play(scene):
+    async def whole():
+        async with Scene() as made:
+            return scene(made)
+
+    return virtual_time.run(whole())
+
+
+def test_broken_attempt_is_noted():
+    assert play(lambda scene: scene.fails())
+
+
+def test_attempt_that_did_not_break_is_not():
+    assert not play(lambda scene: scene.fails(AttemptError("group silent", Ran.MAYBE)))
+
+
+def test_endpoint_that_leaves_is_no_crash():
+    def leaving(scene):
+        scene.world.view.roster.put(dataclasses.replace(scene.endpoint, draining=True))
+        return scene.fails()
+
+    assert not play(leaving)
+
+
+def test_endpoint_that_is_not_listed_is_no_crash():
+    def unlisted(scene):
+        scene.world.unlist(scene.worker)
+        return scene.fails()
+
+    assert not play(unlisted)
+
+
+def test_group_that_stood_still_is_no_crash():
+    def still(scene):
+        scene.request.sent_at -= 5.0
+        return scene.fails()
+
+    assert not play(still)
+
+
+def test_group_that_is_ended_at_once_for_its_leaders_crash_is_one():
+    """A daemon whose loop is late reads the controller's word before it sees its streams break.
+
+    The controller asks a suspected leader and ends its group some 8 ms after the crash.
+    """
+
+    def ended(scene):
+        group = scene.endpoint.membership.group
+        for handler in scene.daemon.peers.handlers:
+            handler("edge-1", GroupEnded(group))
+        assert group in scene.daemon.ended
+        return scene.fails()
+
+    assert play(ended)
+
+
+@pytest.mark.parametrize("after", [-0.5, 0.5])
+def test_endpoint_that_answers_a_later_request_has_not_crashed(after):
+    def answers(scene):
+        scene.fails()
+        scene.watch.answers(scene.endpoint, scene.world.now() + after)
+        return scene.daemon.quarantine.knows(scene.endpoint.life)
+
+    assert play(answers) is (after < 0)
