Note a crash also where its group was ended first

Cause: an attempt that broke while the controller was ending its group counted as an end that was expected. But the controller ends a group some 8 ms after its leader's crash, so a daemon whose loop was late took the crash that its own request had caused for that. The few breaks by an order to leave that now count are forgotten once the request is served elsewhere.

crash_noted is written once for each crash at each daemon, not for each daemon that tells it.

--- a/packages/gateway/src/thorncleat_gateway/gateway.py
+++ b/packages/gateway/src/thorncleat_gateway/gateway.py
@@ -241,7 +241,7 @@
         )
         retry_budgets = RetryBudgets(settings.retry, clock, lambda: self._peers.daemons)
         crash_watch = CrashWatch(
-            self._quarantine, self.view, self._detector, self._ended, self._crash_reporter, clock
+            self._quarantine, self.view, self._detector, self._crash_reporter, clock
         )
         parts = (
             calls,
--- a/packages/gateway/src/thorncleat_gateway/requests/crash_reporter.py
+++ b/packages/gateway/src/thorncleat_gateway/requests/crash_reporter.py
@@ -100,8 +100,9 @@
             for one in told.requests
         }
         life = Life(told.endpoint_id, told.born)
+        is_known = self._quarantine.knows(life)
         new = self._quarantine.note(life, now - told.age, requests)
-        if new:
+        if new and not is_known:
             _log(life, sender, len(new))
 
     @mode.Service.task
--- a/packages/gateway/src/thorncleat_gateway/requests/crash_watch.py
+++ b/packages/gateway/src/thorncleat_gateway/requests/crash_watch.py
@@ -9,7 +9,6 @@
 
 from ..exceptions import AttemptError
 from ..exceptions import Broken
-from ..groups.ended import EndedGroups
 from ..peers.failure_detector import FailureDetector
 from ..store.roster import Endpoint
 from ..store.roster import Life
@@ -34,7 +33,8 @@
     An endpoint of a plain service sends the head only when the answer is there, so there a request
     without one counts as running.
 
-    :param expected: whether the endpoint, or its group, was about to end anyway.
+    :param expected: whether the endpoint was about to end anyway. That its group is being ended
+        says nothing: the controller ends it some milliseconds after its leader's crash.
     :param still: whether nothing had come from the endpoint for :data:`STILL_SECONDS`.
     """
     if broken is None or expected or still:
@@ -73,14 +73,12 @@
         quarantine: Quarantine,
         view: StoreView,
         detector: FailureDetector,
-        ended: EndedGroups,
         listener: CrashListener,
         clock: t.Callable[[], float],
     ) -> None:
         self._quarantine = quarantine
         self._view = view
         self._detector = detector
-        self._ended = ended
         self._listener = listener
         self._clock = clock
 
@@ -144,11 +142,9 @@
         self._listener.request_served(request.fingerprint, now)
 
     def _is_expected(self, endpoint: Endpoint) -> bool:
-        """Return whether an endpoint is leaving, or its group is being ended."""
+        """Return whether an endpoint is leaving."""
         listed = self._view.roster.endpoints.get(endpoint.id)
-        if listed is None or listed.draining:
-            return True
-        return endpoint.membership is not None and endpoint.membership.group in self._ended
+        return listed is None or listed.draining
 
     def _heard_lately(self, endpoint: Endpoint, request: Request, now: float) -> bool:
         begin = now - STILL_SECONDS
--- a/tests/crash_world.py
+++ b/tests/crash_world.py
@@ -274,7 +274,7 @@
         )
         terms = RetryBudgetSettings(0.2, 134.0, 10.0)
         budgets = RetryBudgets(terms, clock, lambda: world.size.daemons)
-        watch = CrashWatch(self.quarantine, world.view, self.detector, ended, self.reporter, clock)
+        watch = CrashWatch(self.quarantine, world.view, self.detector, self.reporter, clock)
         self.watch = watch
         parts = (Client(world), selector, self.table, budgets, self.detector, watch, clock)
         self.plain, self.streams = PlainForwarder(*parts), StreamForwarder(*parts)
