--- a/bench/soaks/gateway_workers.py
+++ b/bench/soaks/gateway_workers.py
@@ -43,6 +43,8 @@
         # a worker sends the head as soon as a request runs
         self.crash_events = 1
         self.back_after = BACK_SECONDS
+        # told in its first life as well: a life that isn't told apart counts as the same one
+        self.born = 1
         self.alive = True
         self._lapse: asyncio.TimerHandle | None = None
 
