--- a/packages/gateway/src/thorncleat_gateway/requests/quarantine.py
+++ b/packages/gateway/src/thorncleat_gateway/requests/quarantine.py
@@ -19,9 +19,9 @@
 from . import request_log
 from .fingerprint import Fingerprint
 
-# what a crash counts against a request that ran there, and against one that may have or may only
-# have waited: three crashes that it surely had a part in are as much as six others
+# what a crash counts against a request that ran there
 RAN_POINTS = 2
+# against one that may have run there, or may only have waited: half as much
 MAY_HAVE_WAITED_POINTS = 1
 # at which a request is held: three crashes at different moments
 LIMIT_CRASHES = 3
