Restore an assertion that was loosened: one fatal request ends three endpoints

The run that had shown 4 drew its losses in the order of a set, which differs from run to run; that a lost datagram was the cause was assumed and not traced. As first written the six cases pass with PYTHONHASHSEED 0, 1, 2 and 3.

--- a/tests/test_quarantine_fleet.py
+++ b/tests/test_quarantine_fleet.py
@@ -38,9 +38,8 @@
     world, (name,) = virtual_time.run(
         _fatal_beside_others(SMALL, seed, 1, 8.0, tells_born=tells_born)
     )
-    # one more where a datagram to the next daemon was lost
-    assert world.ended_by(name) <= 4
-    assert len(world.ended) == world.ended_by(name)
+    assert world.ended_by(name) == 3
+    assert len(world.ended) == 3
     assert world.held_bystanders == 0
     assert world.served > 0.99
 
