--- a/packages/gateway/src/thorncleat_gateway/events.py
+++ b/packages/gateway/src/thorncleat_gateway/events.py
@@ -60,5 +60,6 @@
     7309, "request_quarantined", ERROR, "a request ends its endpoints and is held back"
 )
 RELEASED = _event(7310, "request_released", INFO, "a request is no longer held back")
+BAD_HEADER = _event(7311, "bad_header", WARNING, "a header of an endpoint's answer can't be read")
 
 PEER_REJECTED = _event(7401, "datagram_rejected", WARNING, "a datagram could not be read")
--- a/packages/gateway/src/thorncleat_gateway/exceptions.py
+++ b/packages/gateway/src/thorncleat_gateway/exceptions.py
@@ -73,16 +73,25 @@
     :param sent: whether any of it can have reached the endpoint.
     :param broken: when the endpoint's side of the connection ended before the answer was whole;
         None if it didn't.
+    :param retry_after: seconds for which the endpoint wants no requests of this daemon; None if it
+        named none.
     """
 
     def __init__(
-        self, cause: str, ran: Ran, *, sent: bool = True, broken: Broken | None = None
+        self,
+        cause: str,
+        ran: Ran,
+        *,
+        sent: bool = True,
+        broken: Broken | None = None,
+        retry_after: float | None = None,
     ) -> None:
         super().__init__(cause)
         self.cause = cause
         self.ran = ran
         self.sent = sent
         self.broken = broken
+        self.retry_after = retry_after
 
 
 class RefusalError(ThorncleatError):
--- a/packages/gateway/src/thorncleat_gateway/ports/headers.py
+++ b/packages/gateway/src/thorncleat_gateway/ports/headers.py
@@ -51,12 +51,14 @@
     :param signed: whether the answer carries the endpoint's signature.
     :param not_run: whether the endpoint says that it did not run the request.
     :param encoded: whether the body is compressed or encoded otherwise.
+    :param retry_after: seconds for which the endpoint wants no requests of this daemon, or None.
     """
 
     request_id: str | None
     signed: bool
     not_run: bool
     encoded: bool
+    retry_after: float | None = None
 
 
 class HeaderCodec(t.Protocol):
--- a/packages/gateway/src/thorncleat_gateway/requests/endpoint_client.py
+++ b/packages/gateway/src/thorncleat_gateway/requests/endpoint_client.py
@@ -199,7 +199,8 @@
     def _check(self, response: aiohttp.ClientResponse, request_id: str) -> None:
         meta = self._codec.read_answer(response.status, response.headers)
         if meta.not_run:
-            raise AttemptError(f"declined with {response.status}", Ran.NO)
+            cause = f"declined with {response.status}"
+            raise AttemptError(cause, Ran.NO, retry_after=meta.retry_after)
         if meta.request_id is not None and meta.request_id != request_id:
             raise AttemptError("answer of another request", Ran.MAYBE)
         if meta.encoded or (not meta.signed and response.status < UNSIGNED_STATUS):
--- a/packages/gateway/src/thorncleat_gateway/requests/request_log.py
+++ b/packages/gateway/src/thorncleat_gateway/requests/request_log.py
@@ -37,6 +37,7 @@
         ran=failure.ran.value,
         broken=failure.broken.value if failure.broken else None,
         fingerprint=request.fingerprint.hex() if failure.broken else None,
+        retry_after=failure.retry_after,
         sends=request.sends,
         after=round(now - request.received_at, 3),
     )
