--- /dev/null
+++ b/tests/notice_world.py
@@ -0,0 +1,508 @@
+"""Daemons, endpoints that ask for no requests or say that they drain, and callers, in virtual time.
+
+The request path of each daemon is the real one, the client of endpoints and the adapter's headers
+included. What lies around it is played: the connections, the endpoints, the store's list, and
+callers who come back at another daemon.
+
+Each endpoint checks what reaches it against what it has answered to whom, so the oracle knows
+nothing of what a daemon believes.
+"""
+
+import asyncio
+import collections
+import contextlib
+import dataclasses
+import random
+
+import aiohttp
+import multidict
+
+from thorncleat_gateway.exceptions import CutError
+from thorncleat_gateway.exceptions import RefusalError
+from thorncleat_gateway.groups.ended import EndedGroups
+from thorncleat_gateway.peers import datagrams
+from thorncleat_gateway.peers.failure_detector import FailureDetector
+from thorncleat_gateway.peers.load_table import LoadTable
+from thorncleat_gateway.ports import RequestMeta
+from thorncleat_gateway.requests.crash_reporter import CrashReporter
+from thorncleat_gateway.requests.crash_watch import CrashWatch
+from thorncleat_gateway.requests.endpoint_client import EndpointClient
+from thorncleat_gateway.requests.endpoint_selector import EndpointSelector
+from thorncleat_gateway.requests.plain import PlainForwarder
+from thorncleat_gateway.requests.quarantine import Quarantine
+from thorncleat_gateway.requests.request import Request
+from thorncleat_gateway.requests.retry_budget import RetryBudgets
+from thorncleat_gateway.requests.retry_budget import RetryBudgetSettings
+from thorncleat_gateway.requests.streams import StreamForwarder
+from thorncleat_gateway.settings import StreamSettings
+from thorncleat_gateway.store.roster import Endpoint
+from thorncleat_gateway.store.roster import GroupId
+from thorncleat_gateway.store.roster import GroupState
+from thorncleat_gateway.store.roster import Membership
+from thorncleat_gateway.store.roster import Roster
+from thorncleat_gateway.store.serving import Engine
+from thorncleat_gateway.store.serving import EngineModel
+from thorncleat_gateway.store.serving import Route
+from thorncleat_gateway.store.serving import RouteKind
+from thorncleat_gateway.store.serving import Service
+from thorncleat_gateway.store.serving import ServingConfiguration
+from thorncleat_gateway.store.serving import Split
+from thorncleat_gateway.store.serving import Workspace
+from thorncleat_platform.headers import PlatformHeaders
+
+from .crash_world import Peers
+
+# one way, in seconds
+WAY = 0.0014
+# after an answer that asks for no requests, for what was on its way to the endpoint
+IN_FLIGHT = 0.5
+# that may still reach it in the rest of the time that it asked for
+MOST_IN_PAUSE = 2
+# after an answer by an endpoint that drains, for callers' requests that were sent before
+DRAIN = 2.0
+# of callers, and their routes' targets
+DEADLINE = 6.0
+TARGET = 1.3
+CONNECT_TIMEOUT = 0.25
+EVENT = 0.05
+PLAIN_RUN = 0.05
+WORKSPACE = Workspace("growers", ("key",))
+
+
+@dataclasses.dataclass(frozen=True)
+class Size:
+    """A site.
+
+    :param rate: requests a second.
+    :param queue: requests that wait at an endpoint at most.
+    :param pause: seconds that an endpoint asks for when its queue is full.
+    """
+
+    daemons: int = 8
+    endpoints: int = 16
+    slots: int = 13
+    rate: float = 60.0
+    queue: int = 13
+    pause: float = 3.0
+    plain: bool = False
+
+
+class Worker:
+    """An endpoint, or the leader of a group, which checks what reaches it.
+
+    :ivar declines: headers beside "not run" with which it declines every request; None if it
+        declines only when its queue is full.
+    :ivar says: headers of all its answers.
+    :ivar in_pauses: requests that reached it in a pause that it had asked for, by daemon and by
+        when it had asked.
+    :ivar late_sends: of these, how many were sent after the answer had come.
+    :ivar sends_to_draining: requests that were sent to it after the daemon had its word.
+    """
+
+    def __init__(self, world: "NoticeWorld", number: int, born: int) -> None:
+        self.world = world
+        self.number = number
+        self.alive = True
+        self.declines: dict[str, str] | None = None
+        self.says: dict[str, str] = {}
+        self.running = 0
+        self.waiting: collections.deque[asyncio.Future] = collections.deque()
+        self.asked: dict[str, list[tuple[float, float]]] = collections.defaultdict(list)
+        self.told: dict[str, float] = {}
+        self.in_pauses: collections.Counter = collections.Counter()
+        self.late_sends = 0
+        self.sends_to_draining = 0
+        self.late_to_draining = 0
+        self.arrivals: list[float] = []
+        self.declined = 0
+        group = Membership(GroupId(born, f"g{number}"), 0, GroupState.OPEN)
+        self.endpoint = Endpoint(
+            f"w{number}",
+            "narrator",
+            f"10.0.0.{number}:1",
+            f"z{number % 3}",
+            models=() if world.size.plain else ("m",),
+            membership=None if world.size.plain else group,
+            born=born,
+        )
+
+    @property
+    def most_in_a_pause(self) -> int:
+        return max(self.in_pauses.values(), default=0)
+
+    def arrives(self, daemon: str, sent_at: float, caller_sent_at: float) -> None:
+        """Check a request against what this endpoint has answered to its daemon."""
+        now = self.world.now()
+        self.arrivals.append(now)
+        for asked_at, seconds in self.asked[daemon]:
+            if now > asked_at + seconds:
+                continue
+            if now > asked_at + IN_FLIGHT:
+                self.in_pauses[daemon, asked_at] += 1
+            if sent_at > asked_at + 2 * WAY:
+                self.late_sends += 1
+        told_at = self.told.get(daemon)
+        if told_at is not None:
+            self.sends_to_draining += sent_at > told_at
+            self.late_to_draining += caller_sent_at > told_at + DRAIN
+
+    def answer(self, daemon: str, status: int, headers: dict[str, str]) -> multidict.CIMultiDict:
+        """Note what an answer says, and return its headers."""
+        headers = {**headers, **self.says}
+        now = self.world.now()
+        if status == 503 and "Retry-After" in headers:
+            with contextlib.suppress(ValueError):
+                self.asked[daemon].append((now, float(headers["Retry-After"])))
+        if headers.get("Server-Leaving") == "1":
+            self.told.setdefault(daemon, now + 2 * WAY)
+        return multidict.CIMultiDict(headers)
+
+    async def slot(self) -> bool:
+        """Wait for a place; return whether there is one, or room to wait."""
+        if self.running < self.world.size.slots:
+            self.running += 1
+            return True
+        if len(self.waiting) >= self.world.size.queue:
+            return False
+        turn = asyncio.get_running_loop().create_future()
+        self.waiting.append(turn)
+        await turn
+        return True
+
+    def free(self) -> None:
+        while self.waiting:
+            turn = self.waiting.popleft()
+            if not turn.done():
+                turn.set_result(None)
+                return
+        self.running -= 1
+
+
+class Content:
+    """The body of an answer, as it comes."""
+
+    def __init__(self, worker: Worker, events: int) -> None:
+        self._worker = worker
+        self._left = events
+        self._number = 0
+
+    async def readany(self) -> bytes:
+        if not self._left:
+            return b""
+        await asyncio.sleep(EVENT)
+        self._left -= 1
+        self._number += 1
+        return b"id: %d\ndata: x\n\n" % self._number
+
+
+class Response:
+    def __init__(self, status, headers, content) -> None:
+        self.status = status
+        self.headers = headers
+        self.content = content
+
+    async def read(self) -> bytes:
+        return b"whole"
+
+    def close(self) -> None:
+        pass
+
+
+class Session:
+    """The connections of one daemon to the endpoints."""
+
+    def __init__(self, world: "NoticeWorld", daemon: str) -> None:
+        self._world = world
+        self._daemon = daemon
+
+    @contextlib.asynccontextmanager
+    async def request(self, method, url, *, data, headers, timeout, allow_redirects):
+        world, sent_at = self._world, self._world.now()
+        headers = multidict.CIMultiDict(headers)
+        await asyncio.sleep(world.connecting)
+        worker = world.at(f"{url.host}:{url.port}")
+        if worker is None:
+            raise aiohttp.ConnectionTimeoutError("nobody")
+        await asyncio.sleep(WAY)
+        request_id = headers["X-Thorncleat-Attempt-Id"]
+        echo = {"X-Thorncleat-Attempt-Id": request_id}
+        not_run = {**echo, "X-Thorncleat-Not-Executed": "1"}
+        if headers["X-Thorncleat-Expect-Instance"] != worker.endpoint.id:
+            yield await self._back(421, multidict.CIMultiDict({**not_run, **worker.says}))
+            return
+        worker.arrives(self._daemon, sent_at, world.sent_at[request_id])
+        if worker.declines is not None:
+            worker.declined += 1
+            yield await self._back(
+                503, worker.answer(self._daemon, 503, {**not_run, **worker.declines})
+            )
+            return
+        if not await worker.slot():
+            worker.declined += 1
+            pause = {"Retry-After": f"{world.size.pause:.2f}"} if world.size.pause else {}
+            yield await self._back(503, worker.answer(self._daemon, 503, {**not_run, **pause}))
+            return
+        try:
+            if world.size.plain:
+                await asyncio.sleep(PLAIN_RUN)
+            signed = {**echo, "X-Thorncleat-Response-Stamp": "stamp"}
+            answered = worker.answer(self._daemon, 200, signed)
+            yield await self._back(200, answered, Content(worker, world.events()))
+        finally:
+            worker.free()
+
+    async def _back(self, status, headers, content=None) -> Response:
+        await asyncio.sleep(WAY)
+        return Response(status, headers, content)
+
+
+class View:
+    """What one daemon knows from the store."""
+
+    def __init__(self, size: Size) -> None:
+        self.version = 0
+        self.roster = Roster()
+        engine = None if size.plain else Engine(size.slots, (EngineModel("m", 1),))
+        self.service = Service("narrator", engine=engine)
+        self.configuration = ServingConfiguration(1, services={"narrator": self.service})
+
+    def put(self, endpoint: Endpoint) -> None:
+        self.roster.put(endpoint)
+        self.version += 1
+
+
+class Caller:
+    """The caller's side of one stream."""
+
+    def __init__(self, world: "NoticeWorld") -> None:
+        self._world = world
+        self.begun = False
+        self.whole = False
+        self.status = 0
+        self.first_at = 0.0
+        self.headers = ()
+
+    async def begin(self, status, headers) -> None:
+        self.begun, self.status, self.headers = True, status, headers
+        self.first_at = self._world.now()
+
+    async def write(self, data) -> None:
+        pass
+
+    async def end(self) -> None:
+        self.whole = True
+
+
+@dataclasses.dataclass
+class Outcome:
+    """How one try of a request ended; times are on the loop's clock.
+
+    :param retry_after: seconds after which to come back, or None.
+    """
+
+    status: int
+    answered_at: float
+    retry_after: float | None = None
+    cause: str = ""
+    headers: tuple = ()
+
+
+class Daemon:
+    """The request path of one daemon."""
+
+    def __init__(self, world: "NoticeWorld", number: int) -> None:
+        clock = world.now
+        self.world = world
+        self.peers = Peers(world, f"edge-{number}")
+        self.view = View(world.size)
+        self.detector = FailureDetector(StreamSettings(), self.peers, clock)
+        self.table = LoadTable(clock, self.peers.interval)
+        quarantine = Quarantine(clock)
+        reporter = CrashReporter(quarantine, self.peers, clock)
+        ended = EndedGroups(self.peers, clock)
+        self.selector = EndpointSelector(
+            self.view, self.table, self.detector, ended, clock, f"z{number % 3}"
+        )
+        terms = RetryBudgetSettings(0.2, 134.0, 10.0)
+        self.budgets = RetryBudgets(terms, clock, lambda: world.size.daemons)
+        watch = CrashWatch(quarantine, self.view, self.detector, reporter, clock)
+        session = Session(world, self.peers.id)
+        client = EndpointClient(session, PlatformHeaders(), CONNECT_TIMEOUT)
+        parts = (client, self.selector, self.table, self.budgets, self.detector, watch, clock)
+        self.plain, self.streams = PlainForwarder(*parts), StreamForwarder(*parts)
+
+    async def serve(self, request: Request) -> Outcome:
+        caller = Caller(self.world)
+        now = self.world.now
+        try:
+            if self.world.size.plain:
+                answer = await self.plain.serve(request)
+                return Outcome(answer.status, now(), headers=tuple(answer.headers))
+            await self.streams.serve(request, request.service.engine, caller)
+            return Outcome(caller.status, caller.first_at, headers=tuple(caller.headers))
+        except CutError:
+            return Outcome(0, now())
+        except RefusalError as error:
+            return Outcome(error.status, now(), error.retry_after, error.cause)
+
+
+class NoticeWorld:
+    """A site, with the figures that are asked of it.
+
+    :ivar served: requests that were served, by whether that was within the target, counted from
+        their callers' first try.
+    :ivar unserved: requests that were not, by the cause of the last refusal.
+    :ivar tries: at all daemons.
+    :ivar connecting: seconds that a connection takes to come up.
+    """
+
+    def __init__(self, size: Size, seed: int) -> None:
+        self.size = size
+        self.random = random.Random(seed)
+        self.workers: dict[int, Worker] = {}
+        self.daemons: list[Daemon] = []
+        self.sent_at: dict[str, float] = {}
+        self.served: collections.Counter[bool] = collections.Counter()
+        self.unserved: collections.Counter[str] = collections.Counter()
+        self.refusals: list[Outcome] = []
+        self.tries = 0
+        self.connecting = WAY
+        self._tasks: set[asyncio.Task] = set()
+        self._lives = 0
+
+    def now(self) -> float:
+        return asyncio.get_running_loop().time()
+
+    def later(self, seconds, action) -> None:
+        asyncio.get_running_loop().call_later(seconds, action)
+
+    def random_later(self, least, most, action) -> None:
+        self.later(self.random.uniform(least, most), action)
+
+    def events(self) -> int:
+        return self.random.randint(4, 26)
+
+    def at(self, address: str) -> Worker | None:
+        """Return the endpoint that listens at an address."""
+        found = (one for one in self.workers.values() if one.endpoint.address == address)
+        return next((one for one in found if one.alive), None)
+
+    async def begin(self) -> None:
+        self.daemons += [Daemon(self, number) for number in range(self.size.daemons)]
+        for number in range(self.size.endpoints):
+            self.start(number)
+        self._spawn(self._report())
+
+    async def end(self) -> None:
+        for task in list(self._tasks):
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    def start(self, number: int) -> Worker:
+        """Start an endpoint, or start it again under its id, with nothing known of before."""
+        self._lives += 1
+        worker = Worker(self, number, self._lives)
+        self.workers[number] = worker
+        self.publish(worker.endpoint)
+        return worker
+
+    def publish(self, endpoint: Endpoint) -> None:
+        """Let every daemon's list have an entry."""
+        for daemon in self.daemons:
+            daemon.view.put(endpoint)
+
+    def spawn(self, work) -> asyncio.Task:
+        return self._spawn(work)
+
+    def _spawn(self, work) -> asyncio.Task:
+        task = asyncio.ensure_future(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        return task
+
+    async def _report(self) -> None:
+        while True:
+            await asyncio.sleep(datagrams.SHORTEST_INTERVAL_SECONDS)
+            for daemon in self.daemons:
+                counts = dict(daemon.table.own)
+                for other in self.daemons:
+                    if other is not daemon:
+                        other.table.report(daemon.peers.id, counts)
+
+    # callers
+
+    def request(self, name: str, *, resumable: bool = True, left: float = DEADLINE) -> Request:
+        kind = RouteKind.REPEATABLE if self.size.plain else RouteKind.STREAMING
+        splits = (Split("narrator", 1.0),)
+        route = Route("r", "h", "/", kind, DEADLINE, TARGET, 0.2, 1, splits, 2, False, resumable)
+        now = self.now()
+        self.sent_at[name] = now
+        headers = (("X-Thorncleat-Attempt-Id", name),)
+        return Request(
+            meta=RequestMeta(name, "key", left, "m"),
+            method="POST",
+            path="/x",
+            headers=headers,
+            body=name.encode(),
+            route=route,
+            service=self.daemons[0].view.service,
+            workspace=WORKSPACE,
+            received_at=now,
+            until=now + left,
+            deadline_at=now + left,
+        )
+
+    async def call(self, name: str, daemon: Daemon | None = None) -> Outcome:
+        """Send one try of a request to a daemon, drawn if it isn't given."""
+        self.tries += 1
+        await asyncio.sleep(WAY)
+        chosen = daemon or self.random.choice(self.daemons)
+        left = DEADLINE - self.now() + self.sent_at.get(name.partition("/")[0], self.now())
+        outcome = await chosen.serve(self.request(name, left=left))
+        if outcome.status == 503:
+            self.refusals.append(outcome)
+        return outcome
+
+    async def _ask(self, name: str) -> None:
+        """Try a request until it is served, coming back when the answer says so."""
+        begun, number = self.now(), 0
+        self.sent_at[name] = begun
+        while True:
+            outcome = await self.call(f"{name}/{number}")
+            number += 1
+            left = begun + DEADLINE - self.now()
+            if outcome.status == 200:
+                self.served[outcome.answered_at - begun <= TARGET] += 1
+                return
+            if outcome.status != 503 or left <= 0 or number > 4:
+                self.unserved[outcome.cause or str(outcome.status)] += 1
+                return
+            await asyncio.sleep(min(outcome.retry_after or 0.05, left / 3))
+
+    async def requests(self, seconds: float, rate: float | None = None) -> None:
+        """Let requests come for some time, and wait for their ends."""
+        until, number = self.now() + seconds, 0
+        asked = []
+        while self.now() < until:
+            await asyncio.sleep(self.random.expovariate(rate or self.size.rate))
+            number += 1
+            asked.append(self._spawn(self._ask(f"q{self.now():.6f}-{number}")))
+        await asyncio.gather(*asked)
+
+    # figures
+
+    @property
+    def most_in_a_pause(self) -> int:
+        """Requests that reached an endpoint from one daemon in a pause, at most."""
+        return max(worker.most_in_a_pause for worker in self.workers.values())
+
+    @property
+    def late_sends(self) -> int:
+        """Requests that were sent though their daemon had been asked for a pause."""
+        return sum(worker.late_sends for worker in self.workers.values())
+
+    @property
+    def in_time(self) -> float:
+        """The part of all requests that was served within the target."""
+        total = self.served.total() + self.unserved.total()
+        return self.served[True] / max(1, total)
