Read what endpoints ask for in their answers: a pause, or no more requests

Cause: an endpoint that turned a request away with 503 and a time, or that said that it leaves, was heard by nobody: the adapter read neither header. A decline only added 1.2 requests to the endpoint's weight, so one that declines all, and has nothing under way, went on getting requests.

Change: requests/endpoint_notices keeps until when an endpoint wants no requests of this daemon, by its life; it is asked where endpoints are chosen (plain, streams, resumed ones, last resorts, those drawn apart) and again where a request is sent. That an endpoint drains is kept by the roster beside what the list says, so that the control of groups, crash_watch and leader_liveness know it as well; relays go on telling what the list says. Answers to reports and orders are read too. Callers don't get either header. A refusal while all pause tells when to come back.

An answer that names another request is no longer believed to say 'not run' of this one.

--- a/packages/gateway/src/thorncleat_gateway/events.py
+++ b/packages/gateway/src/thorncleat_gateway/events.py
@@ -31,6 +31,7 @@
 SOURCE_CHANGED = _event(7106, "source_changed", INFO, "changes are learnt from elsewhere")
 BAD_DOCUMENT = _event(7105, "bad_document", WARNING, "a document of the store can't be read")
 STARTED_AGAIN = _event(7107, "endpoint_started_again", INFO, "an endpoint runs anew under its id")
+SAID_DRAINING = _event(7108, "endpoint_said_draining", INFO, "an endpoint's answer says it drains")
 
 LEADING = _event(7201, "controller_elected", INFO, "this daemon controls the groups")
 NOT_LEADING = _event(7202, "controller_lost", WARNING, "this daemon no longer controls the groups")
@@ -61,5 +62,6 @@
 )
 RELEASED = _event(7310, "request_released", INFO, "a request is no longer held back")
 BAD_HEADER = _event(7311, "bad_header", WARNING, "a header of an endpoint's answer can't be read")
+ENDPOINT_PAUSED = _event(7312, "endpoint_paused", INFO, "an endpoint wants no requests for a time")
 
 PEER_REJECTED = _event(7401, "datagram_rejected", WARNING, "a datagram could not be read")
--- a/packages/gateway/src/thorncleat_gateway/exceptions.py
+++ b/packages/gateway/src/thorncleat_gateway/exceptions.py
@@ -49,6 +49,10 @@
     """Nobody listens at the address: the process has ended, or takes nothing new and works on."""
 
 
+class EndpointClosedError(EndpointError):
+    """An endpoint takes no requests of this daemon now; nothing was sent to it."""
+
+
 class Ran(enum.Enum):
     """Whether a request may have run in a failed attempt; the value stands in the log line."""
 
--- a/packages/gateway/src/thorncleat_gateway/gateway.py
+++ b/packages/gateway/src/thorncleat_gateway/gateway.py
@@ -39,6 +39,7 @@
 from .requests.crash_reporter import CrashReporter
 from .requests.crash_watch import CrashWatch
 from .requests.endpoint_client import EndpointClient
+from .requests.endpoint_notices import EndpointNotices
 from .requests.endpoint_selector import EndpointSelector
 from .requests.frontend import Frontend
 from .requests.lifted_holds import LiftedHolds
@@ -100,7 +101,9 @@
         self.view = StoreView(self._feed, clock, settings.watch, self._coalesce)
         self._registration = Registration(settings, records, self.view, clock)
         self._relay_server = RelayServer(self.view, self._daemons)
+        self._notices = EndpointNotices(self.view, clock)
         self._wire_peers()
+        engines.on_answer(self._notices.answered)
         self._wire_control(records, engines)
         self.metrics = Metrics()
         self._add_gauges()
@@ -230,12 +233,13 @@
     def _build_requests(self) -> Frontend:
         settings, clock = self._settings, self._clock
         self._client = endpoint_client.session()
-        calls = EndpointClient(self._client, self._codec, settings.connect_timeout)
+        calls = EndpointClient(self._client, self._codec, self._notices, settings.connect_timeout)
         selector = EndpointSelector(
             self.view,
             self.load_table,
             self._detector,
             self._ended,
+            self._notices,
             clock,
             settings.failure_domain,
         )
--- a/packages/gateway/src/thorncleat_gateway/ports/engines.py
+++ b/packages/gateway/src/thorncleat_gateway/ports/engines.py
@@ -12,6 +12,7 @@
 from ..store.roster import Endpoint
 from ..store.roster import GroupId
 from ..store.roster import Membership
+from .headers import AnswerMeta
 
 
 @dataclasses.dataclass(frozen=True)
@@ -98,10 +99,14 @@
 class Engines(t.Protocol):
     """Reports from engines and orders to them.
 
-    Every method raises :class:`EndpointSilentError`, :class:`EndpointGoneError` and
+    Every call raises :class:`EndpointSilentError`, :class:`EndpointGoneError` and
     :class:`EndpointRefusedError`.
     """
 
+    def on_answer(self, listener: t.Callable[[Endpoint, AnswerMeta], None]) -> None:
+        """Call a function with what the headers of each answer say."""
+        ...
+
     async def report(self, endpoint: Endpoint, timeout: float) -> EngineReport:
         """Ask an engine how it stands.
 
--- a/packages/gateway/src/thorncleat_gateway/ports/headers.py
+++ b/packages/gateway/src/thorncleat_gateway/ports/headers.py
@@ -52,6 +52,8 @@
     :param not_run: whether the endpoint says that it did not run the request.
     :param encoded: whether the body is compressed or encoded otherwise.
     :param retry_after: seconds for which the endpoint wants no requests of this daemon, or None.
+    :param draining: whether the endpoint says that it is about to end.
+    :param speaks_for: the endpoint whose fault the answer is, if it names one.
     """
 
     request_id: str | None
@@ -59,6 +61,8 @@
     not_run: bool
     encoded: bool
     retry_after: float | None = None
+    draining: bool = False
+    speaks_for: str | None = None
 
 
 class HeaderCodec(t.Protocol):
@@ -76,8 +80,11 @@
         """Read an endpoint's headers."""
         ...
 
-    def for_caller(self, headers: Headers) -> Headers:
-        """Return the headers of an endpoint's answer that the caller gets."""
+    def for_caller(self, status: int, headers: Headers) -> Headers:
+        """Return the headers of an endpoint's answer that the caller gets.
+
+        What the endpoint says to this daemon alone is not among them.
+        """
         ...
 
     def is_readiness(self, method: str, path: str) -> bool:
--- a/packages/gateway/src/thorncleat_gateway/requests/crash_watch.py
+++ b/packages/gateway/src/thorncleat_gateway/requests/crash_watch.py
@@ -92,16 +92,18 @@
         """Return whether a request was under way at a crash."""
         return not self._quarantine.is_empty and self._quarantine.is_suspect(request.fingerprint)
 
-    def keeps_from(self, request: Request, endpoints: t.Iterable[Endpoint]) -> bool:
+    def keeps_from(self, request: Request, endpoints: t.Callable[[], t.Iterable[Endpoint]]) -> bool:
         """Return whether a request is to be sent to none of the endpoints that could serve it.
 
+        :param endpoints: returns them; asked only for a request that was at crashes.
+
         One that was at two crashes doesn't get the last endpoint until others are back, so that
         other requests are still served: of a plain service with 3 endpoints that one request ends,
         all requests in place of 67 in 100 (virtual time, 10 seeds of 8 s).
         """
         if not self.is_suspect(request) or not self._quarantine.spares_last(request.fingerprint):
             return False
-        living = sum(not self._quarantine.knows(endpoint.life) for endpoint in endpoints)
+        living = sum(not self._quarantine.knows(endpoint.life) for endpoint in endpoints())
         return living <= 1
 
     def failed(self, request: Request, endpoint: Endpoint, failure: AttemptError) -> None:
--- a/packages/gateway/src/thorncleat_gateway/requests/endpoint_client.py
+++ b/packages/gateway/src/thorncleat_gateway/requests/endpoint_client.py
@@ -27,6 +27,7 @@
 from ..ports import HeaderCodec
 from ..ports import Headers
 from ..store.roster import Endpoint
+from .endpoint_notices import EndpointNotices
 from .request import Request
 
 # headers that the client library adds by itself; only the caller's own are sent
@@ -116,7 +117,7 @@
     @property
     def headers(self) -> Headers:
         """The endpoint's headers that the caller gets."""
-        return self._codec.for_caller(list(self._response.headers.items()))
+        return self._codec.for_caller(self.status, list(self._response.headers.items()))
 
     async def body(self) -> bytes:
         """Return the whole body.
@@ -152,16 +153,22 @@
 
 
 class EndpointClient:
-    """Opens exchanges with endpoints.
+    """Opens exchanges with endpoints that take requests.
 
-    :param connect_timeout: seconds for a connection to come up.
+    :param connect_timeout: seconds for a connection to come up; by so much later than the check at
+        most a request is sent.
     """
 
     def __init__(
-        self, client: aiohttp.ClientSession, codec: HeaderCodec, connect_timeout: float
+        self,
+        client: aiohttp.ClientSession,
+        codec: HeaderCodec,
+        notices: EndpointNotices,
+        connect_timeout: float,
     ) -> None:
         self._client = client
         self._codec = codec
+        self._notices = notices
         self._timeout = aiohttp.ClientTimeout(total=None, sock_connect=connect_timeout)
 
     @contextlib.asynccontextmanager
@@ -171,8 +178,10 @@
         """Send a request and yield the exchange once the answer's head is there.
 
         :param meta: what the endpoint is told beside the caller's own headers.
+        :raises EndpointClosedError: if the endpoint takes none now; nothing was sent.
         :raises AttemptError: if there is no answer to this request.
         """
+        self._notices.check(endpoint)
         has_body = request.body or request.method not in ("GET", "HEAD")
         call = self._client.request(
             request.method,
@@ -193,16 +202,17 @@
                 cause = f"no answer: {type(error).__name__}"
                 raise AttemptError(cause, Ran.MAYBE, broken=broken) from error
             stack.callback(response.close)
-            self._check(response, request.meta.id)
+            self._check(response, endpoint, request.meta.id)
             yield Exchange(response, self._codec)
 
-    def _check(self, response: aiohttp.ClientResponse, request_id: str) -> None:
+    def _check(self, response: aiohttp.ClientResponse, endpoint: Endpoint, request_id: str) -> None:
         meta = self._codec.read_answer(response.status, response.headers)
+        if meta.request_id is not None and meta.request_id != request_id:
+            raise AttemptError("answer of another request", Ran.MAYBE)
+        self._notices.answered(endpoint, meta)
         if meta.not_run:
             cause = f"declined with {response.status}"
             raise AttemptError(cause, Ran.NO, retry_after=meta.retry_after)
-        if meta.request_id is not None and meta.request_id != request_id:
-            raise AttemptError("answer of another request", Ran.MAYBE)
         if meta.encoded or (not meta.signed and response.status < UNSIGNED_STATUS):
             raise AttemptError("not the endpoint's own answer", Ran.MAYBE)
 
--- a/packages/gateway/src/thorncleat_gateway/requests/endpoint_selector.py
+++ b/packages/gateway/src/thorncleat_gateway/requests/endpoint_selector.py
@@ -1,9 +1,9 @@
 """Which endpoint gets a request: of those that can take it, the one with the least weight.
 
 Owns: how often each endpoint failed lately, and which are avoided for a while.
-Relies on: :mod:`.group_leaders` and the roster for those there are, :mod:`..peers.load_table`
-for the requests that they have, and :mod:`..peers.failure_detector` for those that are
-suspected.
+Relies on: :mod:`.group_leaders` and the roster for those there are, :mod:`.endpoint_notices` for
+those that want no requests, :mod:`..peers.load_table` for the requests that they have, and
+:mod:`..peers.failure_detector` for those that are suspected.
 """
 
 import random
@@ -17,6 +17,7 @@
 from ..store.serving import Engine
 from ..store.view import StoreView
 from . import placement
+from .endpoint_notices import EndpointNotices
 from .group_leaders import GroupLeaders
 
 # for which an endpoint that refused a connection, or a group that answered with a failure, is
@@ -56,10 +57,14 @@
 
 
 class GroupCount(t.NamedTuple):
-    """How many groups there are for a request, and how many of them are suspected."""
+    """How many groups there are for a request, and how many of them get none.
+
+    :param paused: that want no requests for now.
+    """
 
     open: int
     suspected: int
+    paused: int
 
 
 class EndpointSelector:
@@ -74,10 +79,12 @@
         load_table: LoadTable,
         detector: FailureDetector,
         ended: EndedGroups,
+        notices: EndpointNotices,
         clock: t.Callable[[], float],
         failure_domain: str,
     ) -> None:
         self._failure_domain = failure_domain
+        self._notices = notices
         self._view = view
         self._load_table = load_table
         self._detector = detector
@@ -114,11 +121,26 @@
 
     def endpoints(self, service: str) -> list[Endpoint]:
         """Return the endpoints of a plain service that take requests."""
+        return [one for one in self._serving(service) if not self._notices.pause_left(one)]
+
+    def _serving(self, service: str) -> list[Endpoint]:
+        """Return the endpoints of a plain service that take requests now or after a pause."""
         return [one for one in self._view.roster.of_service(service) if not one.draining]
 
     def leaders(self, service: str, model: str) -> list[Endpoint]:
-        """Return the leaders of the open groups of a model."""
-        return self._leaders.of(service, model)
+        """Return the leaders of the open groups of a model that take requests."""
+        found = self._leaders.of(service, model)
+        return [leader for leader in found if not self._notices.pause_left(leader)]
+
+    def pause_left(self, service: str, model: str | None) -> float:
+        """Return the seconds until the first endpoint takes requests again that has paused.
+
+        :param model: of a group; None for a plain service.
+        :returns: 0 if none has.
+        """
+        found = self._serving(service) if model is None else self._leaders.of(service, model)
+        pauses = (self._notices.pause_left(endpoint) for endpoint in found)
+        return min((pause for pause in pauses if pause), default=0.0)
 
     def leader(
         self,
@@ -138,7 +160,7 @@
         :param apart: whether to draw any group with room, in place of the one that others would
             choose as well.
         """
-        leaders = [leader for leader in self._leaders.of(service, model) if leader.id not in tried]
+        leaders = [leader for leader in self.leaders(service, model) if leader.id not in tried]
         trusted = [leader for leader in leaders if self._trusts(leader)]
         if not trusted:
             trusted = [leader for leader in leaders if not self._detector.suspected_here(leader)]
@@ -165,16 +187,17 @@
         return not self._detector.suspected(leader)
 
     def known(self, service: str, model: str) -> GroupCount:
-        """Return how many groups there are for a request, and how many are suspected."""
+        """Return how many groups there are for a request, and how many of them get none."""
         leaders = self._leaders.of(service, model)
         suspected = sum(self._detector.suspected(leader) for leader in leaders)
-        return GroupCount(len(leaders), suspected)
+        paused = sum(self._notices.pause_left(leader) > 0 for leader in leaders)
+        return GroupCount(len(leaders), suspected, paused)
 
     def others(self, service: str, model: str, tried: t.Container[str]) -> bool:
         """Return whether there is another group for a request, which nobody doubts."""
         return any(
             leader.id not in tried and not self._doubts(leader)
-            for leader in self._leaders.of(service, model)
+            for leader in self.leaders(service, model)
         )
 
     def _doubts(self, leader: Endpoint) -> bool:
--- a/packages/gateway/src/thorncleat_gateway/requests/plain.py
+++ b/packages/gateway/src/thorncleat_gateway/requests/plain.py
@@ -8,6 +8,7 @@
 import typing as t
 
 from ..exceptions import AttemptError
+from ..exceptions import EndpointClosedError
 from ..exceptions import Ran
 from ..store.roster import Endpoint
 from . import request_log
@@ -32,17 +33,13 @@
         self._count(request)
         kept: EndpointAnswer | None = None
         while True:
-            if kept is None:
-                self._check_held(request, begun=False)
-            elif self._crash_watch.held_for(request):
+            if kept is not None and self._crash_watch.held_for(request):
                 # an endpoint's own answer, though a failure, tells the caller more than one of ours
                 return kept
-            endpoint, cause = self._choose(request)
+            self._check_held(request, begun=False)
+            endpoint = self._choose(request)
             if endpoint is None:
-                end = retry_policy.without_endpoint(
-                    may_have_run=request.may_have_run, has_kept=kept is not None, cause=cause
-                )
-                return self._end(end, kept)
+                return self._end(self._without_endpoint(request, kept), kept)
             try:
                 kept = await self._attempt(request, endpoint)
                 self._detector.heard(endpoint.id, self._clock())
@@ -54,6 +51,9 @@
                 if not self._may_try_elsewhere(request):
                     return kept
                 failure = AttemptError(f"status {kept.status}", Ran.MAYBE)
+            except EndpointClosedError:
+                # it has said so since it was chosen, so that another one is chosen now
+                continue
             except AttemptError as error:
                 failure = error
                 self._selector.answered(endpoint, well=False)
@@ -63,12 +63,32 @@
             if decision is not Next.SEND_AGAIN:
                 return self._end(decision, kept)
 
-    def _choose(self, request: Request) -> tuple[Endpoint | None, str]:
-        """Return the endpoint for the next attempt; or None, and why there is none."""
+    def _choose(self, request: Request) -> Endpoint | None:
+        """Return the endpoint for the next attempt; None if there is none."""
         service = request.service.name
-        if self._crash_watch.keeps_from(request, self._selector.endpoints(service)):
-            return None, retry_policy.LAST_ENDPOINT
-        return self._selector.plain(service, request.tried), retry_policy.NO_ENDPOINT
+        if self._is_spared(request):
+            return None
+        return self._selector.plain(service, request.tried)
+
+    def _is_spared(self, request: Request) -> bool:
+        """Return whether a request is kept from the last endpoint, which it may end."""
+        service = request.service.name
+        return self._crash_watch.keeps_from(request, lambda: self._selector.endpoints(service))
+
+    def _without_endpoint(
+        self, request: Request, kept: EndpointAnswer | None
+    ) -> t.Literal[Next.RETURN_KEPT_ANSWER] | Refusal:
+        """Return how a request ends that no endpoint can take."""
+        pause_left = self._selector.pause_left(request.service.name, None)
+        cause = retry_policy.ALL_PAUSED if pause_left else retry_policy.NO_ENDPOINT
+        if self._is_spared(request):
+            cause = retry_policy.LAST_ENDPOINT
+        return retry_policy.without_endpoint(
+            may_have_run=request.may_have_run,
+            has_kept=kept is not None,
+            cause=cause,
+            pause_left=pause_left,
+        )
 
     def _after_failure(
         self, request: Request, endpoint: Endpoint, failure: AttemptError, *, has_kept: bool
--- a/packages/gateway/src/thorncleat_gateway/requests/retry_policy.py
+++ b/packages/gateway/src/thorncleat_gateway/requests/retry_policy.py
@@ -30,6 +30,7 @@
 # causes, as they stand in log lines and answers
 OUT_OF_TIME = "out of time"
 NO_ENDPOINT = "no endpoint"
+ALL_PAUSED = "every endpoint wants no requests for a time"
 NO_GROUP_LEFT = "no group to go on in"
 ENDS_ENDPOINTS = "it ends its endpoints"
 LAST_ENDPOINT = "it may end the last endpoint"
@@ -141,29 +142,33 @@
 
 
 def without_endpoint(
-    *, may_have_run: bool, has_kept: bool, cause: str = NO_ENDPOINT
+    *, may_have_run: bool, has_kept: bool, cause: str = NO_ENDPOINT, pause_left: float = 0.0
 ) -> t.Literal[Next.RETURN_KEPT_ANSWER] | Refusal:
     """Decide how a request to a plain service ends if there is no endpoint that it may try.
 
     :param has_kept: whether an endpoint has answered with a failure status.
+    :param pause_left: seconds until one takes requests that wants none now; 0 if none does.
     """
     if has_kept:
         return Next.RETURN_KEPT_ANSWER
-    return give_up(cause, retry_after.PLAIN_SECONDS, may_have_run=may_have_run)
+    seconds = retry_after.plain_in_a_pause(pause_left)
+    return give_up(cause, seconds, may_have_run=may_have_run)
 
 
 def without_group(
-    cause: str, *, may_have_run: bool, begun: bool, waited: bool
+    cause: str, *, may_have_run: bool, begun: bool, waited: bool, pause_left: float = 0.0
 ) -> t.Literal[Next.WAIT_FOR_GROUP] | Refusal | CutAnswer:
     """Decide how a streamed request goes on while no group can take it.
 
     :param cause: of the refusal if nothing has begun.
+    :param pause_left: seconds until one takes requests that wants none now; 0 if none does.
     :param begun: whether the caller has got the head of the answer; only then is it worth
         waiting, since a caller who has nothing can come back to another daemon.
     :param waited: whether the time to wait for a group is over.
     """
     if not begun:
-        return give_up(cause, retry_after.STREAM_SECONDS, may_have_run=may_have_run)
+        seconds = retry_after.stream_in_a_pause(pause_left)
+        return give_up(cause, seconds, may_have_run=may_have_run)
     return CutAnswer(NO_GROUP_LEFT) if waited else Next.WAIT_FOR_GROUP
 
 
--- a/packages/gateway/src/thorncleat_gateway/requests/streams.py
+++ b/packages/gateway/src/thorncleat_gateway/requests/streams.py
@@ -11,6 +11,7 @@
 
 from ..exceptions import AttemptError
 from ..exceptions import Broken
+from ..exceptions import EndpointClosedError
 from ..exceptions import Ran
 from ..exceptions import RefusalError
 from ..peers.failure_detector import StreamAttempt
@@ -95,6 +96,9 @@
                 kept.append(answer)
                 self._selector.avoid(endpoint)
                 raise AttemptError(f"status {answer.status}", Ran.MAYBE)
+            except EndpointClosedError:
+                # it has said so since it was chosen, so that another one is chosen now
+                continue
             except AttemptError as failure:
                 decision = self._after_failure(request, endpoint, failure, caller)
                 if decision is not Next.SEND_AGAIN:
@@ -138,7 +142,9 @@
         apart = self._crash_watch.is_suspect(request)
         while True:
             self._check_held(request, begun=caller.begun)
-            spared = self._crash_watch.keeps_from(request, self._selector.leaders(service, model))
+            spared = self._crash_watch.keeps_from(
+                request, lambda: self._selector.leaders(service, model)
+            )
             endpoint = self._selector.leader(service, engine, model, request.tried, apart=apart)
             if endpoint is not None and not spared:
                 return endpoint
@@ -148,6 +154,7 @@
                 may_have_run=request.may_have_run,
                 begun=caller.begun,
                 waited=self._clock() >= until,
+                pause_left=self._selector.pause_left(service, model),
             )
             if decision is not Next.WAIT_FOR_GROUP:
                 raise decision.error()
@@ -155,7 +162,8 @@
 
     def _no_group(self, service: str, model: str) -> str:
         groups = self._selector.known(service, model)
-        return f"no group for {model!r}: {groups.open} open, {groups.suspected} of them suspected"
+        cause = f"no group for {model!r}: {groups.open} open, {groups.suspected} of them suspected"
+        return f"{cause}, {groups.paused} paused" if groups.paused else cause
 
     async def _attempt(
         self, request: Request, endpoint: Endpoint, splitter: EventSplitter, caller: CallerStream
--- a/packages/gateway/src/thorncleat_gateway/store/roster.py
+++ b/packages/gateway/src/thorncleat_gateway/store/roster.py
@@ -3,7 +3,10 @@
 Nothing of a group is stored: its members name it, its epoch and their ranks themselves, so
 whoever reads the list knows all groups.
 
-Owns: the listed endpoints, and for a while those that have gone.
+An endpoint that drains says so in its answers as well, and may be listed as ready still, or
+again: a late write, or one of the life before. What it said itself holds for the rest of its life.
+
+Owns: the listed endpoints, those that said that they drain, and for a while those that have gone.
 Relies on: :mod:`.view` for each change of the list and for when a missing endpoint is removed.
 """
 
@@ -154,6 +157,8 @@
         self._groups: dict[GroupId, Group] | None = None
         # not listed any more, and when they are removed unless they are listed again
         self._lapsed: dict[str, float] = {}
+        # those that said that they drain, as the list shows them
+        self._said_draining: dict[str, Endpoint] = {}
         self.gone: dict[str, Gone] = {}
 
     @property
@@ -161,6 +166,12 @@
         """The listed endpoints."""
         return self._endpoints
 
+    @property
+    def as_listed(self) -> t.Iterable[Endpoint]:
+        """The listed endpoints, without what they have said otherwise."""
+        for endpoint in self._endpoints.values():
+            yield self._said_draining.get(endpoint.id, endpoint)
+
     @property
     def lapsed(self) -> t.Collection[str]:
         """The ids of those that count as listed, and will be removed unless they are again."""
@@ -184,12 +195,38 @@
         """
         known = self._endpoints.get(endpoint.id)
         started_again = known is not None and known.life.is_over(endpoint.life)
-        self._endpoints[endpoint.id] = endpoint
+        self._endpoints[endpoint.id] = self._with_said(endpoint)
         self._lapsed.pop(endpoint.id, None)
         self.gone.pop(endpoint.id, None)
         self._groups = None
         return started_again
 
+    def _with_said(self, listed: Endpoint) -> Endpoint:
+        """Return an entry with what its endpoint has said in this life."""
+        before = self._said_draining.get(listed.id)
+        if before is None:
+            return listed
+        if before.life.is_over(listed.life):
+            del self._said_draining[listed.id]
+            return listed
+        self._said_draining[listed.id] = listed
+        return dataclasses.replace(listed, draining=True)
+
+    def said_draining(self, life: Life) -> bool:
+        """Note that an endpoint said that it drains; return whether that changes anything.
+
+        It may have said so in a life that is over.
+        """
+        endpoint = self._endpoints.get(life.endpoint_id)
+        if endpoint is None or endpoint.life.is_over(life) or endpoint.id in self._said_draining:
+            return False
+        self._said_draining[endpoint.id] = endpoint
+        if endpoint.draining:
+            return False
+        self._endpoints[endpoint.id] = dataclasses.replace(endpoint, draining=True)
+        self._groups = None
+        return True
+
     def unlist(self, endpoint_id: str, now: float, removed_at: float | None) -> None:
         """Note that an endpoint is no longer listed.
 
@@ -212,6 +249,11 @@
             key: gone for key, gone in self.gone.items() if now - gone.at < REMEMBER_GONE_SECONDS
         }
         self.gone[endpoint_id] = Gone(endpoint, now)
+        self._said_draining = {
+            key: said
+            for key, said in self._said_draining.items()
+            if key in self._endpoints or key in self.gone
+        }
 
     def replace(
         self, endpoints: t.Iterable[Endpoint], now: float, removed_at: float | None = None
--- a/packages/gateway/src/thorncleat_gateway/store/view.py
+++ b/packages/gateway/src/thorncleat_gateway/store/view.py
@@ -23,6 +23,7 @@
 from ..ports import EndpointListed
 from ..ports import RecordChanged
 from .freshness import Freshness
+from .roster import Life
 from .roster import Roster
 from .serving import ServingConfiguration
 
@@ -100,10 +101,16 @@
     def everything(self) -> list[Change]:
         """Return all that is known, as the changes that lead to it."""
         configured = [ConfigurationChanged(self.configuration)] if self.configuration else []
-        listed = [EndpointListed(endpoint) for endpoint in self.roster.endpoints.values()]
+        listed = [EndpointListed(endpoint) for endpoint in self.roster.as_listed]
         lapsed = [EndpointGone(endpoint_id) for endpoint_id in self.roster.lapsed]
         return [*configured, *listed, *lapsed, *self.records.values()]
 
+    def said_draining(self, life: Life) -> None:
+        """Take in that an endpoint said in an answer that it drains."""
+        if self.roster.said_draining(life):
+            events.SAID_DRAINING.log(endpoint=life.endpoint_id, born=life.born)
+            self._announce()
+
     def configuration_version(self) -> float:
         """Return the version of the configuration, or 0 if none is known."""
         return self.configuration.version if self.configuration else 0
--- a/packages/standins/src/thorncleat_standins/platform_worker.py
+++ b/packages/standins/src/thorncleat_standins/platform_worker.py
@@ -22,6 +22,9 @@
 STAMP = "X-Thorncleat-Response-Stamp"
 EXPECT = "X-Thorncleat-Expect-Instance"
 LAST_EVENT = "Last-Event-Id"
+LEAVING = "Server-Leaving"
+NOT_RUN = "X-Thorncleat-Not-Executed"
+RETRY_AFTER = "Retry-After"
 # from an order about its group until it is carried out; chosen, not measured
 JOIN_SECONDS = 0.02
 # between the events of a stream; chosen, not measured
@@ -57,6 +60,9 @@
     :ivar cut_after: events after which its streams are cut, unless they continue another.
     :ivar reset_body: whether it resets answers without a length in the middle.
     :ivar fail: status with which it fails requests; 0 for none.
+    :ivar turns_away: seconds, as text, for which it wants no requests of a daemon whose request it
+        turns away; empty to name none, None to turn none away.
+    :ivar leaving: whether all its answers say that it leaves, whatever its entry says.
     :ivar crashes_on: bytes of a body whose request crashes it once it runs; None for none.
     :ivar crash_events: events that such a request gets before the crash.
     :ivar back_after: seconds after such a crash in which it starts again under its id; None for
@@ -79,6 +85,8 @@
         self.cut_after: int | None = None
         self.reset_body = False
         self.fail = 0
+        self.turns_away: str | None = None
+        self.leaving = False
         self.crashes_on: bytes | None = None
         self.crash_events = 0
         self.back_after: float | None = None
@@ -164,13 +172,28 @@
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
         expected = request.headers.get(EXPECT, self.id)
         if expected != self.id:
-            return web.Response(status=421, headers={"X-Thorncleat-Instance-Id": self.id})
+            named = {**self.said(), "X-Thorncleat-Instance-Id": self.id}
+            return web.Response(status=421, headers=named)
         if request.path == "/thorncleat/report":
-            return web.json_response(self._report())
+            return web.json_response(self._report(), headers=self.said())
         if request.path == "/thorncleat/order":
-            return web.Response(status=self._order(json.loads(await request.read())))
+            status = self._order(json.loads(await request.read()))
+            return web.Response(status=status, headers=self.said())
         return await self._serve(request)
 
+    def said(self) -> dict[str, str]:
+        """Return the headers of all its answers."""
+        return {LEAVING: "1"} if self.leaving else {}
+
+    def turned_away(self, request: web.BaseRequest) -> web.Response | None:
+        """Return the answer to a request that it turns away; None if it takes it."""
+        if self.turns_away is None:
+            return None
+        headers = {NOT_RUN: "1", **self.said()}
+        if self.turns_away:
+            headers[RETRY_AFTER] = self.turns_away
+        return web.Response(status=503, headers=headers)
+
     def _report(self) -> dict[str, t.Any]:
         report = {
             "models": self._models(),
@@ -232,9 +255,12 @@
         attempt = request.headers[ATTEMPT]
         body = await request.read()
         if self.domain and not self.leads:
-            return web.Response(status=421)
+            return web.Response(status=421, headers=self.said())
+        turned_away = self.turned_away(request)
+        if turned_away is not None:
+            return turned_away
         self.began(Run(self.id, attempt, request.raw_path, request.headers, body))
-        headers = {ATTEMPT: attempt, STAMP: f"stamp-{self.id}"}
+        headers = {ATTEMPT: attempt, STAMP: f"stamp-{self.id}", **self.said()}
         if self.crashes_on is not None and self.crashes_on in body:
             return await self._run_into_crash(request, headers)
         if self.fail:
--- a/tests/notice_world.py
+++ b/tests/notice_world.py
@@ -27,6 +27,7 @@
 from thorncleat_gateway.requests.crash_reporter import CrashReporter
 from thorncleat_gateway.requests.crash_watch import CrashWatch
 from thorncleat_gateway.requests.endpoint_client import EndpointClient
+from thorncleat_gateway.requests.endpoint_notices import EndpointNotices
 from thorncleat_gateway.requests.endpoint_selector import EndpointSelector
 from thorncleat_gateway.requests.plain import PlainForwarder
 from thorncleat_gateway.requests.quarantine import Quarantine
@@ -38,6 +39,7 @@
 from thorncleat_gateway.store.roster import Endpoint
 from thorncleat_gateway.store.roster import GroupId
 from thorncleat_gateway.store.roster import GroupState
+from thorncleat_gateway.store.roster import Life
 from thorncleat_gateway.store.roster import Membership
 from thorncleat_gateway.store.roster import Roster
 from thorncleat_gateway.store.serving import Engine
@@ -62,6 +64,8 @@
 DRAIN = 2.0
 # of callers, and their routes' targets
 DEADLINE = 6.0
+# tries of a caller after the first one, as of those of today
+RETRIES = 1
 TARGET = 1.3
 CONNECT_TIMEOUT = 0.25
 EVENT = 0.05
@@ -270,6 +274,10 @@
         self.roster.put(endpoint)
         self.version += 1
 
+    def said_draining(self, life: Life) -> None:
+        if self.roster.said_draining(life):
+            self.version += 1
+
 
 class Caller:
     """The caller's side of one stream."""
@@ -320,14 +328,15 @@
         quarantine = Quarantine(clock)
         reporter = CrashReporter(quarantine, self.peers, clock)
         ended = EndedGroups(self.peers, clock)
+        notices = EndpointNotices(self.view, clock)
         self.selector = EndpointSelector(
-            self.view, self.table, self.detector, ended, clock, f"z{number % 3}"
+            self.view, self.table, self.detector, ended, notices, clock, f"z{number % 3}"
         )
         terms = RetryBudgetSettings(0.2, 134.0, 10.0)
         self.budgets = RetryBudgets(terms, clock, lambda: world.size.daemons)
         watch = CrashWatch(quarantine, self.view, self.detector, reporter, clock)
         session = Session(world, self.peers.id)
-        client = EndpointClient(session, PlatformHeaders(), CONNECT_TIMEOUT)
+        client = EndpointClient(session, PlatformHeaders(), notices, CONNECT_TIMEOUT)
         parts = (client, self.selector, self.table, self.budgets, self.detector, watch, clock)
         self.plain, self.streams = PlainForwarder(*parts), StreamForwarder(*parts)
 
@@ -474,7 +483,7 @@
             if outcome.status == 200:
                 self.served[outcome.answered_at - begun <= TARGET] += 1
                 return
-            if outcome.status != 503 or left <= 0 or number > 4:
+            if outcome.status != 503 or left <= 0 or number > RETRIES:
                 self.unserved[outcome.cause or str(outcome.status)] += 1
                 return
             await asyncio.sleep(min(outcome.retry_after or 0.05, left / 3))
--- a/tests/test_ended_groups.py
+++ b/tests/test_ended_groups.py
@@ -10,6 +10,7 @@
 from thorncleat_gateway.peers.datagrams import GroupEnded
 from thorncleat_gateway.peers.failure_detector import FailureDetector
 from thorncleat_gateway.peers.load_table import LoadTable
+from thorncleat_gateway.requests.endpoint_notices import EndpointNotices
 from thorncleat_gateway.requests.endpoint_selector import EndpointSelector
 from thorncleat_gateway.settings import StreamSettings
 from thorncleat_gateway.store.roster import Endpoint
@@ -57,6 +58,7 @@
             LoadTable(lambda: self.now, lambda: 0.1),
             FailureDetector(StreamSettings(), PeerChannel(), lambda: self.now),
             self.ended,
+            EndpointNotices(self.view, lambda: self.now),
             lambda: self.now,
             "a",
         )
@@ -91,7 +93,7 @@
     for leader in (FIRST, SECOND):
         daemon.peers.receive("controller", GroupEnded(leader.membership.group))
     assert daemon.chosen() == {None}
-    assert daemon.selector.known("narrator", "m") == (0, 0)
+    assert daemon.selector.known("narrator", "m") == (0, 0, 0)
     assert not daemon.selector.others("narrator", "m", ())
 
 
--- a/tests/test_endpoint_selector.py
+++ b/tests/test_endpoint_selector.py
@@ -4,7 +4,9 @@
 
 import pytest
 
+from thorncleat_gateway.ports import AnswerMeta
 from thorncleat_gateway.requests import endpoint_selector
+from thorncleat_gateway.requests.endpoint_notices import EndpointNotices
 from thorncleat_gateway.requests.endpoint_selector import AVOID_SECONDS
 from thorncleat_gateway.requests.endpoint_selector import EndpointSelector
 from thorncleat_gateway.store.roster import Endpoint
@@ -74,15 +76,19 @@
 
 def selector(endpoints=GROUPS, load=(), suspects=(), own_suspects=(), trials=(), own=(), ended=()):
     now = [100.0]
+    view = StoreView(endpoints)
+    notices = EndpointNotices(view, lambda: now[0])
     made = EndpointSelector(
-        StoreView(endpoints),
+        view,
         LoadTable(dict(load), own),
         Detector(suspects, own_suspects, trials),
         [GroupId(epoch, f"g{epoch}") for epoch in ended],
+        notices,
         lambda: now[0],
         "a",
     )
     made.now = now
+    made.notices = notices
     return made
 
 
@@ -218,11 +224,11 @@
 @pytest.mark.parametrize(
     ("given", "known", "others"),
     [
-        pytest.param({}, (2, 0), True, id="both"),
-        pytest.param({"suspects": ("b0",)}, (2, 1), False, id="other suspected"),
-        pytest.param({"trials": ("b0",)}, (2, 0), False, id="other on trial"),
-        pytest.param({"ended": (2,)}, (1, 0), False, id="other being ended"),
-        pytest.param({"endpoints": draining("b0")}, (1, 0), False, id="other draining"),
+        pytest.param({}, (2, 0, 0), True, id="both"),
+        pytest.param({"suspects": ("b0",)}, (2, 1, 0), False, id="other suspected"),
+        pytest.param({"trials": ("b0",)}, (2, 0, 0), False, id="other on trial"),
+        pytest.param({"ended": (2,)}, (1, 0, 0), False, id="other being ended"),
+        pytest.param({"endpoints": draining("b0")}, (1, 0, 0), False, id="other draining"),
     ],
 )
 def test_groups_known_and_others_than_the_first(given, known, others):
@@ -252,3 +258,59 @@
     made = selector(THREE, suspects=("b0",))
     made.avoid(THREE[2])
     assert _drawn_apart(made) == {"a0"}
+
+
+# endpoints that want no requests for a time
+
+
+def _pause(made, *names, seconds=3.0):
+    meta = AnswerMeta("r", signed=False, not_run=True, encoded=False, retry_after=seconds)
+    for endpoint in made._view.roster.endpoints.values():
+        if endpoint.id in names:
+            made.notices.answered(endpoint, meta)
+
+
+def test_paused_group_gets_no_request_though_it_has_the_least_load():
+    made = selector(load={"b0": 5})
+    _pause(made, "a0")
+    assert made.leader("narrator", ENGINE, "m", ()).id == "b0"
+    assert _drawn_apart(made) == {"b0"}
+    assert made.known("narrator", "m") == (2, 0, 1)
+    assert [leader.id for leader in made.leaders("narrator", "m")] == ["b0"]
+
+
+@pytest.mark.parametrize(
+    "given",
+    [{"suspects": ("b0",)}, {"trials": ("b0",), "own": ("b0",)}, {"ended": (2,)}],
+    ids=["other suspected", "other on trial", "other being ended"],
+)
+def test_paused_group_is_no_last_resort(given):
+    made = selector(**given)
+    _pause(made, "a0")
+    found = made.leader("narrator", ENGINE, "m", ())
+    assert found is None or found.id == "b0"
+
+
+def test_no_stream_leaves_its_group_for_a_paused_one():
+    made = selector()
+    _pause(made, "b0")
+    assert not made.others("narrator", "m", ("a0",))
+
+
+def test_first_end_of_the_pauses_is_known():
+    made = selector()
+    assert made.pause_left("narrator", "m") == 0.0
+    _pause(made, "a0", seconds=3.0)
+    _pause(made, "b0", seconds=1.0)
+    assert made.pause_left("narrator", "m") == 1.0
+    made.now[0] += 1.0
+    assert made.pause_left("narrator", "m") == 2.0
+    assert made.leader("narrator", ENGINE, "m", ()).id == "b0"
+
+
+def test_plain_endpoints_that_pause_get_none_though_all_others_were_tried():
+    made = selector(DESKS)
+    _pause(made, "b")
+    assert made.plain("desk", ("a",)) is None
+    assert [one.id for one in made.endpoints("desk")] == ["a"]
+    assert made.pause_left("desk", None) == 3.0
--- a/tests/test_forms_headers.py
+++ b/tests/test_forms_headers.py
@@ -69,7 +69,15 @@
 
 
 def test_returned(snapshot):
-    assert [list(one) for one in PlatformHeaders().for_caller(ENDPOINTS)] == snapshot
+    assert [list(one) for one in PlatformHeaders().for_caller(200, ENDPOINTS)] == snapshot
+
+
+def test_what_an_endpoint_says_to_the_daemon_is_not_returned():
+    said = [*ENDPOINTS, ("server-leaving", "1")]
+    returned = PlatformHeaders().for_caller(200, said)
+    assert returned == PlatformHeaders().for_caller(200, ENDPOINTS)
+    turned_away = PlatformHeaders().for_caller(503, said)
+    assert turned_away == [one for one in returned if one != ("Retry-After", "2")]
 
 
 @pytest.mark.parametrize(
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -16,6 +16,7 @@
 from thorncleat_gateway.peers.datagrams import report_interval
 from thorncleat_gateway.peers.load_table import LoadTable
 from thorncleat_gateway.requests import placement
+from thorncleat_gateway.requests.endpoint_notices import EndpointNotices
 from thorncleat_gateway.requests.endpoint_selector import EndpointSelector
 from thorncleat_gateway.store.roster import Endpoint
 from thorncleat_gateway.store.roster import GroupId
@@ -58,7 +59,13 @@
         self.tables = [LoadTable(lambda: self.now, lambda: interval) for _ in range(daemons)]
         self.selectors = [
             EndpointSelector(
-                view, table, Detector(), [], lambda: self.now, DOMAINS[number % domains]
+                view,
+                table,
+                Detector(),
+                [],
+                EndpointNotices(view, lambda: self.now),
+                lambda: self.now,
+                DOMAINS[number % domains],
             )
             for number, table in enumerate(self.tables)
         ]
--- a/tests/wire_forms.py
+++ b/tests/wire_forms.py
@@ -206,6 +206,9 @@
 class SilentEngines:
     """Engines that never answer."""
 
+    def on_answer(self, listener) -> None:
+        pass
+
     async def report(self, endpoint: Endpoint, timeout: float) -> t.Any:
         raise EndpointSilentError("silent")
 
