A test that fails: an endpoint that ended, whose address another one has

In the world of groups (virtual time) an endpoint that has ended may have a successor at its address, which answers its reports.

--- a/tests/group_engines.py
+++ b/tests/group_engines.py
@@ -7,6 +7,7 @@
 import dataclasses
 import typing as t
 
+from thorncleat_gateway.exceptions import EndpointGoneError
 from thorncleat_gateway.exceptions import EndpointRefusedError
 from thorncleat_gateway.exceptions import EndpointSilentError
 from thorncleat_gateway.ports import Close
@@ -280,7 +281,9 @@
             raise EndpointSilentError("silent") from None
 
     async def _report(self, endpoint: Endpoint, timeout: float) -> EngineReport:
-        worker = await self._reach(endpoint, timeout)
+        successor = self._world.successors.get(endpoint.id)
+        # whoever has the address answers, and no report names its endpoint
+        worker = await self._reach(successor.entry() if successor else endpoint, timeout)
         return EngineReport(
             worker.membership,
             (worker.model,) if worker.model else (),
@@ -291,7 +294,13 @@
         )
 
     async def _order(self, endpoint, order, expected, timeout) -> Outcome:
-        worker = await self._reach(endpoint, timeout)
+        successor = self._world.successors.get(endpoint.id)
+        worker = await self._reach(successor.entry() if successor else endpoint, timeout)
+        if successor is not None and not self._world.chance("lost order answer"):
+            raise EndpointGoneError("another endpoint has the address")
+        if successor is not None:
+            await asyncio.sleep(timeout)
+            raise EndpointSilentError("unanswered")
         if self._world.chance("late order"):
             delay = self._world.random.uniform(2, 12)
             self._world.later(delay, lambda: worker.alive and worker.take(order, expected))
--- a/tests/group_world.py
+++ b/tests/group_world.py
@@ -212,6 +212,8 @@
         self._requests: dict[str, dict[str, int]] = collections.defaultdict(dict)
         # ids of workers whose requests get no event for now
         self.standing_still: set[str] = set()
+        # workers that have the address of one that has ended, by its id
+        self.successors: dict[str, Worker] = {}
         self.broken: list[str] = []
         self.opened = 0
         self.store.put(
