Only an endpoint's answer to an order shows that it has joined a group

Cause: a report names no endpoint, and whatever process has the address answers it. A join that got no answer counted as carried out once a report named the group, so a group could open with the report of another endpoint, at the address of one that had ended.

Change: a join without an answer is given again; another endpoint at the address answers that with 421. A member counts as ready only by an entry or a report that names its own rank, which another member at its address can't have. Ruled out: to ask by id in reports (they take none).

Cost: one order for each that got no answer.

test_place had said that a report of this group shows a join; it says now that the order is given again, which is stricter. test_restarts asks seen_ready with the member's rank.

--- a/packages/gateway/src/thorncleat_gateway/groups/group_steps.py
+++ b/packages/gateway/src/thorncleat_gateway/groups/group_steps.py
@@ -141,11 +141,9 @@
             await asyncio.sleep(2 * LOOK_SECONDS)
 
     async def _try_join(self, endpoint: Endpoint, order: Join, report: EngineReport) -> JoinAnswer:
-        match join_rules.place(report.membership, order.group, self._records.may_answer):
-            case Place.JOINED:
-                return JoinAnswer.JOINED
-            case Place.TAKEN:
-                return JoinAnswer.REFUSED
+        place = join_rules.place(report.membership, order.group, self._records.may_answer)
+        if place is Place.TAKEN:
+            return JoinAnswer.REFUSED
         self._log_former(endpoint, order, report)
         # holds only for the state that the report showed
         outcome = await self._orders.give(endpoint, order, report.order_count)
@@ -153,7 +151,7 @@
 
     def _log_former(self, endpoint: Endpoint, order: Join, report: EngineReport) -> None:
         """Log why an endpoint that says it is in a group may be ordered into another."""
-        if report.membership is None:
+        if report.membership is None or report.membership.group == order.group:
             return
         former = report.membership.group
         how = self._records.how_ended(former)
@@ -181,21 +179,28 @@
                 return False
             if self._clock() - asked_at > ask_again:
                 asked_at = self._clock()
-                if not await self._all_joining(missing, group):
+                if not await self._all_joining(missing, group, plan):
                     return False
             await self._view.wait_change(REST_SECONDS)
         return False
 
     def _missing(self, group: GroupId, members: t.Sequence[Endpoint]) -> list[Endpoint]:
-        return [member for member in members if not self._orders.seen_ready(member, group)]
-
-    async def _all_joining(self, members: t.Sequence[Endpoint], group: GroupId) -> bool:
+        return [
+            member
+            for rank, member in enumerate(members)
+            if not self._orders.seen_ready(member, group, rank)
+        ]
+
+    async def _all_joining(
+        self, members: t.Sequence[Endpoint], group: GroupId, plan: GroupPlan
+    ) -> bool:
         for member in members:
             report = await self._orders.report(member, forming(group))
             if report is None:
                 self._lost.lose(member, LostCause.SILENT_WHILE_JOINING)
                 return False
-            if report.membership is None or report.membership.group != group:
+            place = report.membership
+            if place is None or not place.is_at(group, plan.members.index(member)):
                 return False
         return True
 
--- a/packages/gateway/src/thorncleat_gateway/groups/join_rules.py
+++ b/packages/gateway/src/thorncleat_gateway/groups/join_rules.py
@@ -4,6 +4,10 @@
 judged, so it is refused by an engine whose state has changed since, and then the engine is judged
 anew.
 
+A report names no endpoint: whatever process has the address answers it. An order is answered only
+by the endpoint that is meant, so only such an answer shows that it has joined; an order without an
+answer is given again, which means the same to one that carried it out.
+
 Owns: no state.
 Relies on: :meth:`.GroupRecords.may_answer` for whether the endpoint's former group is over.
 """
@@ -21,7 +25,6 @@
     """Where an endpoint stands that is to join a group."""
 
     FREE = enum.auto()
-    JOINED = enum.auto()
     TAKEN = enum.auto()
 
 
@@ -42,10 +45,8 @@
     :param group: the group that it is to join.
     :param may_answer: returns whether a former group may still answer requests.
     """
-    if member is None:
+    if member is None or member.group == group:
         return Place.FREE
-    if member.group == group:
-        return Place.JOINED
     return Place.TAKEN if may_answer(member.group) else Place.FREE
 
 
--- a/packages/gateway/src/thorncleat_gateway/groups/orders.py
+++ b/packages/gateway/src/thorncleat_gateway/groups/orders.py
@@ -98,15 +98,18 @@
         """Return an endpoint's place in a group, as listed."""
         return self._view.roster.endpoints.get(endpoint.id, endpoint).membership
 
-    def seen_ready(self, endpoint: Endpoint, group: GroupId) -> bool:
-        """Return whether an endpoint was listed or reported ready in a group."""
+    def seen_ready(self, endpoint: Endpoint, group: GroupId, rank: int) -> bool:
+        """Return whether an endpoint was listed or reported ready in its place in a group.
+
+        The rank tells its report from that of another member that has its address by now.
+        """
         report = self._reports.get(endpoint.id)
         if report is not None and self.has_restarted(endpoint, report):
             # one of both is about a life that is over, and lags behind
             return False
         places = (self.listed(endpoint), report.membership if report else None)
         return any(
-            place is not None and place.group == group and place.state in READY_STATES
+            place is not None and place.is_at(group, rank) and place.state in READY_STATES
             for place in places
         )
 
--- a/packages/gateway/src/thorncleat_gateway/groups/spare_warming.py
+++ b/packages/gateway/src/thorncleat_gateway/groups/spare_warming.py
@@ -126,5 +126,5 @@
 
     async def _wait_ready(self, endpoint: Endpoint, group: GroupId, seconds: float) -> None:
         until = self._clock() + seconds
-        while self._clock() < until and not self._orders.seen_ready(endpoint, group):
+        while self._clock() < until and not self._orders.seen_ready(endpoint, group, 0):
             await self._view.wait_change(REST_SECONDS)
--- a/packages/gateway/src/thorncleat_gateway/groups/unlisted_endpoints.py
+++ b/packages/gateway/src/thorncleat_gateway/groups/unlisted_endpoints.py
@@ -30,7 +30,7 @@
 
 
 def _is_place(member: Membership | None, group: GroupId, rank: int) -> bool:
-    return member is not None and member.group == group and member.rank == rank
+    return member is not None and member.is_at(group, rank)
 
 
 class UnlistedEndpoints:
--- a/packages/gateway/src/thorncleat_gateway/store/roster.py
+++ b/packages/gateway/src/thorncleat_gateway/store/roster.py
@@ -47,6 +47,10 @@
     rank: int
     state: GroupState
 
+    def is_at(self, group: GroupId, rank: int) -> bool:
+        """Return whether it is a certain place in a group."""
+        return (self.group, self.rank) == (group, rank)
+
 
 class Life(t.NamedTuple):
     """One run of an endpoint's process.
--- a/tests/test_join_rules.py
+++ b/tests/test_join_rules.py
@@ -17,7 +17,7 @@
     ("group", "may_answer", "place"),
     [
         pytest.param(None, set(), Place.FREE, id="in no group"),
-        pytest.param(NEW, {NEW}, Place.JOINED, id="in this group"),
+        pytest.param(NEW, {NEW}, Place.FREE, id="in this group: it takes the order again"),
         pytest.param(FORMER, {FORMER}, Place.TAKEN, id="in a group that may answer"),
         pytest.param(FORMER, set(), Place.FREE, id="in a group that is over"),
     ],
--- a/tests/test_restarts.py
+++ b/tests/test_restarts.py
@@ -126,9 +126,9 @@
     node, worker = leading(world), large_leader(world)
     group, former = worker.group, worker.entry()
     await node.orders.ask(former)
-    seen = node.orders.seen_ready(former, group)
+    seen = node.orders.seen_ready(former, group, former.membership.rank)
     node.view.roster.put(dataclasses.replace(former, born=former.born + 1, membership=None))
-    again = node.orders.seen_ready(former, group)
+    again = node.orders.seen_ready(former, group, former.membership.rank)
     await world.stop()
     return seen, again
 
--- a/tests/test_taken_addresses.py
+++ b/tests/test_taken_addresses.py
@@ -44,7 +44,7 @@
     await world.pass_time(3.0)
     assert other.state is GroupState.READY
     await node.orders.ask(ended.entry())
-    ready = node.orders.seen_ready(ended.entry(), order.group)
+    ready = node.orders.seen_ready(ended.entry(), order.group, 0)
     await world.stop()
     return joined, ready
 
