--- a/packages/gateway/src/thorncleat_gateway/requests/retry_after.py
+++ b/packages/gateway/src/thorncleat_gateway/requests/retry_after.py
@@ -18,8 +18,8 @@
 PLAIN_SECONDS = 0.3
 # no group for the model, or a stream that has not begun is given up; chosen, not measured
 STREAM_SECONDS = 0.4
-# for which endpoints' pauses are waited for at most, in seconds: a third of the 8 s for which callers
-# wait at most
+# for which endpoints' pauses are waited for at most, in seconds: a third of the 8 s that the most
+# patient callers of today wait
 LONGEST_WAIT_SECONDS = 2.7
 
 
