Soak: workers that turn requests away for a time or say that they leave; older builds

They run beside the troubles that each seed draws, with a draw of their own, so that kept seeds draw what they drew.

--- a/bench/soaks/gateway.py
+++ b/bench/soaks/gateway.py
@@ -19,6 +19,8 @@
 import fire
 
 from . import gateway_fatal
+from . import gateway_notices
+from . import gateway_upgrade
 from .gateway_callers import Caller
 from .gateway_checks import RequestKind
 from .gateway_site import SoakSite
@@ -78,6 +80,7 @@
 async def _undo_faults(site: SoakSite) -> None:
     site.store.refuse, site.store.lose_answers = False, 0
     for worker in site.workers.values():
+        worker.turns_away = None
         if worker.proxy is not None:
             worker.proxy.mode = Mode.PASS
     for daemon in site.daemons:
@@ -114,10 +117,18 @@
 
 
 async def run(
-    directory: pathlib.Path, seed: int, minutes: float, processes: int, trouble_names: list[str]
+    directory: pathlib.Path,
+    seed: int,
+    minutes: float,
+    processes: int,
+    trouble_names: list[str],
+    older: str = "",
 ) -> GatewaySoak:
-    """Play one seed and return what was seen."""
-    site = SoakSite(directory, processes)
+    """Play one seed and return what was seen.
+
+    :param older: a checkout whose build all daemons run at the start, and which is replaced.
+    """
+    site = SoakSite(directory, processes, gateway_upgrade.program_of(older))
     draw = random.Random(seed)
     try:
         await site.start()
@@ -141,6 +152,12 @@
             *(_make_trouble(played) for _ in range(TROUBLES_AT_ONCE)),
             *(caller.run(end) for caller in callers),
             _watch_ends(played),
+            gateway_notices.play(played, seed),
+            *(
+                [gateway_upgrade.play(played, seed, gateway_upgrade.program_of(older))]
+                if older
+                else []
+            ),
         )
         await _heal(played)
         await gateway_fatal.play(site, Caller(site, "fatal", draw))
@@ -156,6 +173,7 @@
     seeds: int = 1,
     only: str = "",
     logs: str = "",
+    older: str = "",
 ) -> None:
     """Play seeds one after the other; exit with 1 if anything that must hold did not.
 
@@ -163,12 +181,14 @@
     :param seeds: how many, counted up from ``seed``.
     :param only: make this kind of trouble alone.
     :param logs: a directory for the daemons' logs; a temporary one otherwise.
+    :param older: a checkout of an older build, which the daemons run at the start and which is
+        replaced one by one.
     """
     trouble_names = [only] if only else troubles.names
     # the stand-ins' streams break whenever a caller or a group does
     logging.getLogger("aiohttp.server").setLevel(logging.CRITICAL)
     play(
-        lambda directory, number: run(directory, number, minutes, processes, trouble_names),
+        lambda directory, number: run(directory, number, minutes, processes, trouble_names, older),
         range(seed, seed + seeds),
         logs,
     )
--- a/bench/soaks/gateway_daemons.py
+++ b/bench/soaks/gateway_daemons.py
@@ -34,8 +34,11 @@
 class Daemon:
     """One gateway process.
 
+    :param program: of the build that it runs from its next start on.
+    :ivar running: the program that it runs now, or ran last.
     :ivar ended: whether the soak ended it.
     :ivar started_at: on the loop's clock.
+    :ivar signalled_at: the same.
     """
 
     name: str
@@ -43,11 +46,24 @@
     callers: str
     readiness: str
     proxy: Proxy
+    program: pathlib.Path = PROGRAM
     process: Process | None = None
     ended: bool = True
+    running: pathlib.Path = PROGRAM
     started_at: float = 0.0
+    signalled_at: float = float("-inf")
     starting: asyncio.Lock = dataclasses.field(default_factory=asyncio.Lock)
 
+    @property
+    def reads_notices(self) -> bool:
+        """Whether its build reads what workers say in answers about taking requests."""
+        return self.running == PROGRAM
+
+    @property
+    def disturbed_at(self) -> float:
+        """When it was started, signalled or cut off from the store last, on the loop's clock."""
+        return max(self.started_at, self.signalled_at, self.proxy.changed_at)
+
     @property
     def runs(self) -> bool:
         """Whether the process is there."""
@@ -62,23 +78,26 @@
         with log.open("ab") as output:
             started = await asyncio.create_subprocess_exec(
                 sys.executable,
-                str(PROGRAM),
+                str(self.program),
                 stdout=output,
                 stderr=output,
                 env=environment,
                 preexec_fn=_die_with_parent,
             )
         self.process = Process(self.name, started)
+        self.running = self.program
         # not before: until then the former process is the one that is known
         self.ended = False
         self.started_at = asyncio.get_running_loop().time()
 
     def send(self, number: signal.Signals) -> None:
         """Send a signal, if the process is there."""
+        self.signalled_at = asyncio.get_running_loop().time()
         if self.process is not None:
             self.process.send(number)
 
     async def end(self, number: signal.Signals) -> bool:
         """End the process; return whether it ended by itself in time."""
         self.ended = True
+        self.signalled_at = asyncio.get_running_loop().time()
         return self.process is None or await self.process.stop(number, STOP_SECONDS)
--- a/bench/soaks/gateway_site.py
+++ b/bench/soaks/gateway_site.py
@@ -18,7 +18,9 @@
 from .gateway_checks import Exchange
 from .gateway_checks import RequestKind
 from .gateway_daemons import GRACE_SECONDS
+from .gateway_daemons import PROGRAM
 from .gateway_daemons import Daemon
+from .gateway_notices import NoticeChecks
 from .gateway_workers import STALL_SECONDS
 from .gateway_workers import STREAM_EVENTS
 from .gateway_workers import SoakWorker
@@ -41,13 +43,20 @@
 
 
 class SoakSite:
-    """Daemons, workers, the store, and what callers know."""
+    """Daemons, workers, the store, and what callers know.
 
-    def __init__(self, directory: pathlib.Path, daemons: int) -> None:
+    :param program: of the build that all daemons run at the start.
+    """
+
+    def __init__(
+        self, directory: pathlib.Path, daemons: int, program: pathlib.Path = PROGRAM
+    ) -> None:
         self._directory = directory
         self._count = daemons
+        self._program = program
         self.store = PlatformStore()
         self.checks = Checks(STREAM_EVENTS)
+        self.notices = NoticeChecks(self.checks.faults, self.checks.counts)
         self.workers: dict[str, SoakWorker] = {}
         self.daemons: list[Daemon] = []
         self.exchanges: dict[str, Exchange] = {}
@@ -100,9 +109,18 @@
             """
         )
         return Daemon(
-            f"edge-{number}", path, f"127.0.0.1:{callers}", f"127.0.0.1:{readiness}", proxy
+            f"edge-{number}",
+            path,
+            f"127.0.0.1:{callers}",
+            f"127.0.0.1:{readiness}",
+            proxy,
+            self._program,
         )
 
+    def daemon_named(self, name: str) -> Daemon:
+        """Return a daemon."""
+        return next(daemon for daemon in self.daemons if daemon.name == name)
+
     async def add_worker(self, service: str, domain: str = "") -> SoakWorker:
         """Start one more worker."""
         worker = SoakWorker(self, f"w{len(self.workers):03}", service, domain)
--- a/bench/soaks/gateway_workers.py
+++ b/bench/soaks/gateway_workers.py
@@ -9,7 +9,9 @@
 
 from aiohttp import web
 
+from thorncleat_standins.platform_worker import ATTEMPT
 from thorncleat_standins.platform_worker import EVENT_SECONDS
+from thorncleat_standins.platform_worker import RETRY_AFTER
 from thorncleat_standins.platform_worker import PlatformWorker
 from thorncleat_standins.platform_worker import Run
 
@@ -53,6 +55,11 @@
         """Whether it lives and is not draining."""
         return self.alive and not self.draining
 
+    @property
+    def is_willing(self) -> bool:
+        """Whether it takes all requests, and says nothing else."""
+        return self.takes_work and not self.leaving and self.turns_away is None
+
     @property
     def whole(self) -> bool:
         """Whether all members live and are in the group."""
@@ -87,6 +94,8 @@
         if self._lapse is not None:
             self._lapse.cancel()
         self.alive = True
+        self.leaving, self.turns_away = False, None
+        self._site.notices.forget(self)
         await super().start_again()
 
     def publish(self) -> None:
@@ -98,6 +107,25 @@
         """Return an event that names its request."""
         return b"%s %d" % (request.headers["X-Thorncleat-Attempt-Id"].encode(), number)
 
+    async def _serve(self, request: web.BaseRequest) -> web.StreamResponse:
+        """Serve a request, after a look at whether it should have come."""
+        exchange = self._site.exchanges.get(request.headers[ATTEMPT])
+        if exchange is not None:
+            daemon = self._site.daemon_named(exchange.daemon)
+            self._site.notices.arrived(self, daemon, exchange.id, exchange.sent_at)
+            if self.leaving:
+                self._site.notices.said_leaving(self, daemon)
+        return await super()._serve(request)
+
+    def turned_away(self, request: web.BaseRequest) -> web.Response | None:
+        """Note the time for which it wants no requests of a daemon."""
+        response = super().turned_away(request)
+        exchange = self._site.exchanges.get(request.headers[ATTEMPT])
+        if response is not None and exchange is not None:
+            daemon = self._site.daemon_named(exchange.daemon)
+            self._site.notices.asked(self, daemon, response.headers.get(RETRY_AFTER, ""))
+        return response
+
     def began(self, run: Run) -> None:
         """Check what must hold when a request begins to run."""
         super().began(run)
--- a/bench/soaks/proxy.py
+++ b/bench/soaks/proxy.py
@@ -32,6 +32,7 @@
     """Passes connections on to one address.
 
     :ivar delay: seconds by which each piece comes later in the mode ``DELAY``.
+    :ivar changed_at: when the mode was changed last, on the loop's clock.
     """
 
     def __init__(self, target: str) -> None:
@@ -43,6 +44,7 @@
         self._mode = Mode.PASS
         self._mode_changed = asyncio.Event()
         self.delay = DELAY_SECONDS
+        self.changed_at = float("-inf")
         self.address = ""
 
     @property
@@ -53,6 +55,7 @@
     @mode.setter
     def mode(self, mode: Mode) -> None:
         self._mode = mode
+        self.changed_at = asyncio.get_running_loop().time()
         self._mode_changed.set()
         self._mode_changed = asyncio.Event()
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -1,8 +1,10 @@
 """The fault soak: a short seeded run of real processes, and its checks."""
 
 import asyncio
+import collections
 import dataclasses
 import random
+import types
 
 import pytest
 from bench.soaks import gateway as gateway_soak
@@ -11,11 +13,14 @@
 from bench.soaks.gateway_checks import Exchange
 from bench.soaks.gateway_checks import RequestKind
 from bench.soaks.gateway_checks import expected
+from bench.soaks.gateway_notices import NoticeChecks
 from bench.soaks.proxy import Mode
 from bench.soaks.proxy import Proxy
 
 from thorncleat_standins.platform_worker import Run
 
+from . import virtual_time
+
 EVENTS = 3
 SOAK_MINUTES = 0.15
 # seeds that ever failed, with a line on the cause
@@ -172,3 +177,58 @@
     async def test_resets(self):
         with pytest.raises(ConnectionResetError):
             await self._talk(Mode.RESET)
+
+
+class TestNoticeChecks:
+    """What reaches workers is checked against what they said, unless its daemon is excused."""
+
+    @staticmethod
+    def _scene(**of_daemon):
+        faults, counts = [], collections.Counter()
+        proxy = types.SimpleNamespace(mode=Mode.PASS, changed_at=0.0)
+        worker = types.SimpleNamespace(id="w1", proxy=proxy)
+        daemon = types.SimpleNamespace(
+            **{"name": "edge-1", "reads_notices": True, "disturbed_at": 0.0, **of_daemon}
+        )
+        return NoticeChecks(faults, counts), worker, daemon, faults
+
+    async def _pause(self, requests, pause="1", after=0.7, **of_daemon):
+        checks, worker, daemon, faults = self._scene(**of_daemon)
+        checks.asked(worker, daemon, pause)
+        await asyncio.sleep(after)
+        for _ in range(requests):
+            checks.arrived(worker, daemon, "r1", asyncio.get_running_loop().time())
+        return faults
+
+    async def _drain(self, sent_after, **of_daemon):
+        checks, worker, daemon, faults = self._scene(**of_daemon)
+        checks.said_leaving(worker, daemon)
+        checks.arrived(worker, daemon, "r1", asyncio.get_running_loop().time() + sent_after)
+        return faults
+
+    @pytest.mark.parametrize(
+        ("given", "found"),
+        [
+            ({"requests": 2}, 0),
+            ({"requests": 3}, 1),
+            ({"requests": 9, "after": 0.1}, 0),
+            ({"requests": 9, "pause": "0.6"}, 0),
+            ({"requests": 9, "pause": "soon"}, 0),
+            ({"requests": 9, "reads_notices": False}, 0),
+            ({"requests": 9, "disturbed_at": float("inf")}, 0),
+        ],
+    )
+    def test_pause(self, given, found):
+        assert len(virtual_time.run(self._pause(**given))) == found
+
+    @pytest.mark.parametrize(
+        ("given", "found"),
+        [
+            ({"sent_after": 1.9}, 0),
+            ({"sent_after": 2.1}, 1),
+            ({"sent_after": 9.0, "reads_notices": False}, 0),
+            ({"sent_after": 9.0, "disturbed_at": float("inf")}, 0),
+        ],
+    )
+    def test_leaving(self, given, found):
+        assert len(virtual_time.run(self._drain(**given))) == found
