--- a/bench/days.py
+++ b/bench/days.py
@@ -13,6 +13,7 @@
 import pathlib
 import random
 import re
+import typing as t
 
 import fire
 
@@ -131,6 +132,16 @@
         'at = 13.0, kind = "srv_slow", service = "@s0", count = 2, how = "joined", x = 4.0',
         'at = 21.0, kind = "srv_slow", service = "@s0", share = 0.4, x = 12.0, for_s = 8.0',
     ),
+    # endpoints decline all, at first and with a burst, and leave while the store is away
+    "endpoints-turn-away": (
+        'at = 4.0, kind = "srv_grey", service = "@s0", share = 0.2, x = 1.0, for_s = 6.0, '
+        'how = "shed"',
+        'at = 6.0, kind = "burst", class = "@c0", x = 1.6, for_s = 5.0',
+        'at = 13.0, kind = "scale_in", share = 0.2',
+        'at = 15.0, kind = "platform_down", for_s = 5.0, how = "busy"',
+        'at = 16.0, kind = "release", service = "@s0", share = 0.3, x = 4.0, gap_s = 0.5',
+        'at = 25.0, kind = "srv_grey", share = 0.3, x = 1.0, for_s = 5.0, how = "busy"',
+    ),
     # callers move and leave, while a daemon that has just acknowledged loses power
     "callers-move-and-leave": (
         'at = 3.0, kind = "shift", share = 0.5, for_s = 5.0',
@@ -153,15 +164,18 @@
     return next(day for day in days if 'slot = "quiet"' in day)
 
 
+def _entries(troubles: t.Iterable[str], *, planned: bool) -> str:
+    """Return the entries of a day, planned work or the rest, as its file holds them."""
+    chosen = [entry for entry in troubles if (_kind(entry) in PLANNED) == planned]
+    if not chosen:
+        return "[]"
+    return "[\n" + "".join(f"  {{ {entry} }},\n" for entry in chosen) + "]"
+
+
 def _with(day: str, name: str, troubles: list[str]) -> str:
-    def entries(planned: bool) -> str:
-        chosen = [entry for entry in troubles if (_kind(entry) in PLANNED) == planned]
-        return "[\n" + "".join(f"  {{ {entry} }},\n" for entry in chosen) + "]"
-
-    day = re.sub(r"plan = \[.*?\n\]", lambda _: f"plan = {entries(True)}", day, flags=re.DOTALL)
-    day = re.sub(
-        r"faults = \[.*?\n\]", lambda _: f"faults = {entries(False)}", day, flags=re.DOTALL
-    )
+    plan, faults = (_entries(troubles, planned=planned) for planned in (True, False))
+    day = re.sub(r"plan = \[.*?\n\]", lambda _: f"plan = {plan}", day, flags=re.DOTALL)
+    day = re.sub(r"faults = \[.*?\n\]", lambda _: f"faults = {faults}", day, flags=re.DOTALL)
     day = re.sub(r'name = "[^"]*"', f'name = "{name}"', day, count=1)
     return DAY + day.replace('slot = "quiet"', 'slot = "trouble"')
 
@@ -200,10 +214,10 @@
     target = pathlib.Path(directory)
     target.mkdir(parents=True, exist_ok=True)
     for name, troubles in FOR_ALL.items():
-        entries = "".join(f"  {{ {entry} }},\n" for entry in troubles)
         text = (
             f'{DAY}\nname = "{name}"\nslot = "trouble"\nseed = {FOR_ALL_SEED}\n'
-            f"plan = []\nfaults = [\n{entries}]\n"
+            f"plan = {_entries(troubles, planned=True)}\n"
+            f"faults = {_entries(troubles, planned=False)}\n"
         )
         (target / f"{name}.toml").write_text(text, encoding="utf-8")
 
