--- a/packages/gateway/src/thorncleat_gateway/requests/plain.py
+++ b/packages/gateway/src/thorncleat_gateway/requests/plain.py
@@ -52,7 +52,8 @@
                     return kept
                 failure = AttemptError(f"status {kept.status}", Ran.MAYBE)
             except EndpointClosedError:
-                # it has said so since it was chosen, so that another one is chosen now
+                # it has said so since it was chosen; another one is chosen now
+                request.tried.add(endpoint.id)
                 continue
             except AttemptError as error:
                 failure = error
--- a/packages/gateway/src/thorncleat_gateway/requests/request.py
+++ b/packages/gateway/src/thorncleat_gateway/requests/request.py
@@ -43,7 +43,7 @@
 
     :param until: when it is given up.
     :param deadline_at: when the caller gives it up.
-    :param tried: endpoints that failed it.
+    :param tried: endpoints that failed it, or took no requests when it was about to be sent.
     :param sends: attempts that count towards the route's.
     :param unsent: attempts that don't, since they cannot have run.
     :param may_have_run: whether any attempt may have run.
--- a/packages/gateway/src/thorncleat_gateway/requests/streams.py
+++ b/packages/gateway/src/thorncleat_gateway/requests/streams.py
@@ -97,7 +97,8 @@
                 self._selector.avoid(endpoint)
                 raise AttemptError(f"status {answer.status}", Ran.MAYBE)
             except EndpointClosedError:
-                # it has said so since it was chosen, so that another one is chosen now
+                # it has said so since it was chosen; another one is chosen now
+                request.tried.add(endpoint.id)
                 continue
             except AttemptError as failure:
                 decision = self._after_failure(request, endpoint, failure, caller)
--- a/tests/notice_world.py
+++ b/tests/notice_world.py
@@ -107,6 +107,8 @@
         self.world = world
         self.number = number
         self.alive = True
+        # breaks the streams that it runs
+        self.cut = asyncio.Event()
         self.declines: dict[str, str] | None = None
         self.says: dict[str, str] = {}
         self.running = 0
@@ -194,6 +196,8 @@
         if not self._left:
             return b""
         await asyncio.sleep(EVENT)
+        if self._worker.cut.is_set():
+            raise aiohttp.ClientPayloadError("cut")
         self._left -= 1
         self._number += 1
         return b"id: %d\ndata: x\n\n" % self._number
--- a/tests/test_endpoint_pauses.py
+++ b/tests/test_endpoint_pauses.py
@@ -7,6 +7,8 @@
 8.549 and 9.037 s, each for another request, which another group then served.
 """
 
+import asyncio
+
 import pytest
 
 from . import virtual_time
@@ -36,3 +38,174 @@
         assert world.most_in_a_pause <= MOST_IN_PAUSE
         assert world.late_sends == 0
         assert not world.unserved
+
+
+async def _all_decline(world, seconds, pause):
+    """Have all endpoints decline everything for some time, and ask for a pause."""
+    for worker in world.workers.values():
+        worker.declines = {"Retry-After": pause}
+    await asyncio.sleep(seconds)
+    for worker in world.workers.values():
+        worker.declines = None
+
+
+async def _asked_by_all(size):
+    world = NoticeWorld(size, 1)
+    await world.begin()
+    (daemon,) = world.daemons
+    world.spawn(_all_decline(world, 0.3, "1"))
+    while (
+        daemon.selector.endpoints("narrator")
+        if size.plain
+        else daemon.selector.leaders("narrator", "m")
+    ):
+        await world.call(f"q{world.now()}", daemon)
+    begun = world.now()
+    refused = await world.call("later", daemon)
+    seconds = refused.answered_at - begun
+    arrivals = sum(len(worker.arrivals) for worker in world.workers.values())
+    await asyncio.sleep(refused.retry_after)
+    served = await world.call("again", daemon)
+    await world.end()
+    return refused, seconds, arrivals - len(world.workers), served
+
+
+@pytest.mark.parametrize(
+    "size",
+    [Size(daemons=1, endpoints=4), Size(daemons=1, endpoints=3, plain=True)],
+    ids=["groups", "plain"],
+)
+def test_while_all_pause_a_request_is_refused_at_once_and_served_when_it_comes_back(size):
+    refused, seconds, later_arrivals, served = virtual_time.run(_asked_by_all(size))
+    assert refused.status == 503
+    assert seconds < 0.01
+    assert later_arrivals == 0
+    # within the pause that the first endpoint asked for, and the spread after it
+    assert 0.9 < refused.retry_after <= 1.4
+    assert served.status == 200
+
+
+async def _half_of_them_decline():
+    world = NoticeWorld(GROUPS, 2)
+    await world.begin()
+    for number, worker in world.workers.items():
+        if number % 2:
+            worker.declines = {"Retry-After": "3"}
+    await world.requests(4.0)
+    await world.end()
+    return world
+
+
+def test_the_others_bear_the_load_of_those_that_pause():
+    """No cascade: at the load of today's sites none of the others declines."""
+    world = virtual_time.run(_half_of_them_decline())
+    assert world.in_time == 1.0
+    assert not any(world.workers[number].declined for number in range(0, GROUPS.endpoints, 2))
+
+
+async def _common_end_of_pauses():
+    world = NoticeWorld(GROUPS, 3)
+    await world.begin()
+    asked = world.spawn(world.requests(4.0))
+    await asyncio.sleep(1.0)
+    await _all_decline(world, 0.5, "1")
+    most = 0
+    while not asked.done():
+        await asyncio.sleep(0.01)
+        most = max(most, *(worker.running for worker in world.workers.values()))
+    await world.end()
+    return world, most
+
+
+def test_load_that_comes_back_at_the_end_of_all_pauses_is_spread():
+    """All endpoints are back within half a second; none of them gets it all."""
+    world, most = virtual_time.run(_common_end_of_pauses())
+    assert world.late_sends == 0
+    assert most < GROUPS.slots
+    assert not any(worker.waiting for worker in world.workers.values())
+
+
+async def _starts_again_within_its_pause():
+    world = NoticeWorld(Size(daemons=1, endpoints=1), 4)
+    await world.begin()
+    world.workers[0].declines = {"Retry-After": "60"}
+    first = await world.call("first")
+    second = await world.call("second")
+    world.start(0)
+    third = await world.call("third")
+    await world.end()
+    return first.status, second.cause, third.status
+
+
+def test_endpoint_that_starts_again_gets_requests_at_once():
+    first, cause, third = virtual_time.run(_starts_again_within_its_pause())
+    assert first == 503
+    assert cause == "no group for 'm': 1 open, 0 of them suspected, 1 paused"
+    assert third == 200
+
+
+async def _stream_goes_on_elsewhere(wait):
+    """A stream breaks while the only other group wants no requests for a time."""
+    world = NoticeWorld(Size(daemons=1, endpoints=2), 5)
+    await world.begin()
+    (daemon,) = world.daemons
+    world.workers[0].declines = {"Retry-After": str(wait)}
+    while not world.workers[0].declined:
+        world.spawn(world.call(f"q{world.now()}", daemon))
+        await asyncio.sleep(0.01)
+    world.workers[0].declines = None
+    ((asked_at, _),) = world.workers[0].asked[daemon.peers.id]
+    running = world.spawn(world.call("stream", daemon))
+    await asyncio.sleep(0.1)
+    world.workers[1].cut.set()
+    outcome = await running
+    later = [at for at in world.workers[0].arrivals if at > asked_at]
+    await world.end()
+    return outcome.status, [round(at - asked_at, 1) for at in later]
+
+
+def test_stream_that_has_begun_waits_for_the_end_of_a_pause():
+    assert virtual_time.run(_stream_goes_on_elsewhere(1)) == (200, [1.0])
+
+
+def test_stream_that_has_begun_is_cut_if_the_pause_is_long():
+    assert virtual_time.run(_stream_goes_on_elsewhere(5)) == (0, [])
+
+
+async def _choice_before_the_word():
+    """Two requests are chosen an endpoint for; one is sent after the other was turned away."""
+    world = NoticeWorld(Size(daemons=1, endpoints=2, plain=True), 6)
+    await world.begin()
+    (daemon,) = world.daemons
+    world.workers[0].declines = {"Retry-After": "3"}
+    choose = daemon.selector.plain
+
+    def choose_the_first_once(service, tried):
+        first = world.workers[0].endpoint
+        return choose(service, tried) if first.id in tried else first
+
+    daemon.selector.plain = choose_the_first_once
+    statuses = [(await world.call(name, daemon)).status for name in ("first", "second")]
+    await world.end()
+    return statuses, len(world.workers[0].arrivals)
+
+
+def test_choice_that_was_made_before_the_word_is_made_again():
+    statuses, arrivals = virtual_time.run(_choice_before_the_word())
+    assert statuses == [200, 200]
+    assert arrivals == 1
+
+
+async def _declined_in_anothers_name():
+    world = NoticeWorld(Size(daemons=1, endpoints=1, plain=True), 7)
+    await world.begin()
+    world.workers[0].declines = {"X-Thorncleat-Attempt-Id": "another", "Retry-After": "3"}
+    first = await world.call("first")
+    left = world.daemons[0].selector.pause_left("narrator", None)
+    await world.end()
+    return first.status, left
+
+
+def test_answer_to_another_request_says_nothing_of_this_one():
+    """It neither promises that this one has not run, nor asks for a pause."""
+    assert virtual_time.run(_declined_in_anothers_name()) == (502, 0.0)
