--- a/bench/soaks/gateway.py
+++ b/bench/soaks/gateway.py
@@ -135,10 +135,6 @@
         async with asyncio.timeout(FORM_SECONDS):
             await _serving(site)
         end = asyncio.get_running_loop().time() + minutes * 60
-        callers = [
-            Caller(site, f"c{number}", random.Random(draw.random()))
-            for number in range(CALLERS_PER_DAEMON * processes)
-        ]
         played = GatewaySoak(
             draw=draw,
             end=end,
@@ -146,19 +142,9 @@
             faults=site.checks.faults,
             counts=site.checks.counts,
             site=site,
-            callers=callers,
-        )
-        await asyncio.gather(
-            *(_make_trouble(played) for _ in range(TROUBLES_AT_ONCE)),
-            *(caller.run(end) for caller in callers),
-            _watch_ends(played),
-            gateway_notices.play(played, seed),
-            *(
-                [gateway_upgrade.play(played, seed, gateway_upgrade.program_of(older))]
-                if older
-                else []
-            ),
+            callers=_callers(site, draw, CALLERS_PER_DAEMON * processes),
         )
+        await _play(played, seed, older)
         await _heal(played)
         await gateway_fatal.play(site, Caller(site, "fatal", draw))
         return played
@@ -166,6 +152,20 @@
         await site.stop()
 
 
+def _callers(site: SoakSite, draw: random.Random, count: int) -> list[Caller]:
+    return [Caller(site, f"c{number}", random.Random(draw.random())) for number in range(count)]
+
+
+async def _play(soak: GatewaySoak, seed: int, older: str) -> None:
+    """Let callers call and troubles happen until the time is up."""
+    parts = [_make_trouble(soak) for _ in range(TROUBLES_AT_ONCE)]
+    parts += [caller.run(soak.end) for caller in soak.callers]
+    parts += [_watch_ends(soak), gateway_notices.play(soak, seed)]
+    if older:
+        parts.append(gateway_upgrade.play(soak, seed, gateway_upgrade.program_of(older)))
+    await asyncio.gather(*parts)
+
+
 def soak(
     seed: int = 1,
     minutes: float = 1.0,
--- a/tests/test_draining_endpoints.py
+++ b/tests/test_draining_endpoints.py
@@ -16,8 +16,8 @@
 from .group_world import UNLISTED_AFTER
 from .group_world import calm_world
 from .group_world import large_leader
+from .notice_endpoints import Size
 from .notice_world import NoticeWorld
-from .notice_world import Size
 from .test_gateway import events
 from .test_gateway import site
 
--- a/tests/test_endpoint_pauses.py
+++ b/tests/test_endpoint_pauses.py
@@ -12,9 +12,9 @@
 import pytest
 
 from . import virtual_time
-from .notice_world import MOST_IN_PAUSE
+from .notice_endpoints import MOST_IN_PAUSE
+from .notice_endpoints import Size
 from .notice_world import NoticeWorld
-from .notice_world import Size
 
 PAUSE = 3.0
 GROUPS = Size()
