Log the limits that endpoints name in their answers

Cause: no log line told whether a daemon had heard how many requests a second an endpoint takes from all daemons together, so the logs could not tell a limit that nobody reads from one that each daemon keeps by itself. Nothing is decided by it yet. Callers no longer get the header.

--- a/packages/gateway/src/thorncleat_gateway/events.py
+++ b/packages/gateway/src/thorncleat_gateway/events.py
@@ -63,5 +63,8 @@
 RELEASED = _event(7310, "request_released", INFO, "a request is no longer held back")
 BAD_HEADER = _event(7311, "bad_header", WARNING, "a header of an endpoint's answer can't be read")
 ENDPOINT_PAUSED = _event(7312, "endpoint_paused", INFO, "an endpoint wants no requests for a time")
+ENDPOINT_LIMITED = _event(
+    7313, "endpoint_limited", INFO, "an endpoint names how many requests a second it takes"
+)
 
 PEER_REJECTED = _event(7401, "datagram_rejected", WARNING, "a datagram could not be read")
--- a/packages/gateway/src/thorncleat_gateway/gateway.py
+++ b/packages/gateway/src/thorncleat_gateway/gateway.py
@@ -39,6 +39,7 @@
 from .requests.crash_reporter import CrashReporter
 from .requests.crash_watch import CrashWatch
 from .requests.endpoint_client import EndpointClient
+from .requests.endpoint_limits import EndpointLimits
 from .requests.endpoint_notices import EndpointNotices
 from .requests.endpoint_selector import EndpointSelector
 from .requests.frontend import Frontend
@@ -102,8 +103,10 @@
         self._registration = Registration(settings, records, self.view, clock)
         self._relay_server = RelayServer(self.view, self._daemons)
         self._notices = EndpointNotices(self.view, clock)
+        self._limits = EndpointLimits(clock)
         self._wire_peers()
         engines.on_answer(self._notices.answered)
+        engines.on_answer(lambda endpoint, meta: self._limits.answered(endpoint, meta, None))
         self._wire_control(records, engines)
         self.metrics = Metrics()
         self._add_gauges()
@@ -233,7 +236,9 @@
     def _build_requests(self) -> Frontend:
         settings, clock = self._settings, self._clock
         self._client = endpoint_client.session()
-        calls = EndpointClient(self._client, self._codec, self._notices, settings.connect_timeout)
+        calls = EndpointClient(
+            self._client, self._codec, self._notices, self._limits, settings.connect_timeout
+        )
         selector = EndpointSelector(
             self.view,
             self.load_table,
--- a/packages/gateway/src/thorncleat_gateway/ports/headers.py
+++ b/packages/gateway/src/thorncleat_gateway/ports/headers.py
@@ -54,6 +54,10 @@
     :param retry_after: seconds for which the endpoint wants no requests of this daemon, or None.
     :param draining: whether the endpoint says that it is about to end.
     :param speaks_for: the endpoint whose fault the answer is, if it names one.
+    :param rate_limit: requests a second that the endpoint takes from all daemons together, or None
+        if the answer names none that can be read.
+    :param names_rate_limit: whether it names any, readable or not.
+    :param misdirected: whether another endpoint answers at the address.
     """
 
     request_id: str | None
@@ -63,6 +67,9 @@
     retry_after: float | None = None
     draining: bool = False
     speaks_for: str | None = None
+    rate_limit: float | None = None
+    names_rate_limit: bool = False
+    misdirected: bool = False
 
 
 class HeaderCodec(t.Protocol):
--- a/packages/gateway/src/thorncleat_gateway/requests/endpoint_client.py
+++ b/packages/gateway/src/thorncleat_gateway/requests/endpoint_client.py
@@ -27,6 +27,7 @@
 from ..ports import HeaderCodec
 from ..ports import Headers
 from ..store.roster import Endpoint
+from .endpoint_limits import EndpointLimits
 from .endpoint_notices import EndpointNotices
 from .request import Request
 
@@ -164,11 +165,13 @@
         client: aiohttp.ClientSession,
         codec: HeaderCodec,
         notices: EndpointNotices,
+        limits: EndpointLimits,
         connect_timeout: float,
     ) -> None:
         self._client = client
         self._codec = codec
         self._notices = notices
+        self._limits = limits
         self._timeout = aiohttp.ClientTimeout(total=None, sock_connect=connect_timeout)
 
     @contextlib.asynccontextmanager
@@ -202,14 +205,17 @@
                 cause = f"no answer: {type(error).__name__}"
                 raise AttemptError(cause, Ran.MAYBE, broken=broken) from error
             stack.callback(response.close)
-            self._check(response, endpoint, request.meta.id)
+            self._check(response, endpoint, request)
             yield Exchange(response, self._codec)
 
-    def _check(self, response: aiohttp.ClientResponse, endpoint: Endpoint, request_id: str) -> None:
+    def _check(
+        self, response: aiohttp.ClientResponse, endpoint: Endpoint, request: Request
+    ) -> None:
         meta = self._codec.read_answer(response.status, response.headers)
-        if meta.request_id is not None and meta.request_id != request_id:
+        if meta.request_id is not None and meta.request_id != request.meta.id:
             raise AttemptError("answer of another request", Ran.MAYBE)
         self._notices.answered(endpoint, meta)
+        self._limits.answered(endpoint, meta, request.sent_at)
         if meta.not_run:
             cause = f"declined with {response.status}"
             raise AttemptError(cause, Ran.NO, retry_after=meta.retry_after)
--- a/tests/notice_endpoints.py
+++ b/tests/notice_endpoints.py
@@ -28,6 +28,14 @@
 MOST_IN_PAUSE = 2
 # after an answer by an endpoint that drains, for callers' requests that were sent before
 DRAIN = 2.0
+# a span in which an endpoint with a limit counts what reaches it
+LIMIT_SPAN = 4.0
+# times its limit that it may get in one, and requests beside
+LIMIT_SLACK = 1.5
+LIMIT_EXTRA = 5
+# after its first word, from which on it counts; and after its word to a daemon
+LIMIT_KNOWN = 3.0
+LIMIT_TOLD = 0.5
 EVENT = 0.05
 PLAIN_RUN = 0.05
 
@@ -79,6 +87,9 @@
         self.sends_to_draining = 0
         self.late_to_draining = 0
         self.arrivals: list[float] = []
+        # by whom they were sent; and when each daemon was first told of a limit
+        self.senders: list[str] = []
+        self.told_limit: dict[str, float] = {}
         self.declined = 0
         group = Membership(GroupId(born, f"g{number}"), 0, GroupState.OPEN)
         self.endpoint = Endpoint(
@@ -99,6 +110,7 @@
         """Check a request against what this endpoint has answered to its daemon."""
         now = self.world.now()
         self.arrivals.append(now)
+        self.senders.append(daemon)
         for asked_at, seconds in self.asked[daemon]:
             if now > asked_at + seconds:
                 continue
@@ -118,10 +130,26 @@
         if status == 503 and "Retry-After" in headers:
             with contextlib.suppress(ValueError):
                 self.asked[daemon].append((now, float(headers["Retry-After"])))
+        if "Server-Limit" in headers:
+            self.told_limit.setdefault(daemon, now + 2 * WAY)
         if headers.get("Server-Leaving") == "1":
             self.told.setdefault(daemon, now + 2 * WAY)
         return multidict.CIMultiDict(headers)
 
+    def most_in_a_span(self, begin: float, end: float = float("inf")) -> int:
+        """Return how many requests reached it in some span, of daemons that it had told.
+
+        :param begin: of the time that is looked at, on the loop's clock.
+        """
+        counted = [
+            at
+            for at, daemon in zip(self.arrivals, self.senders, strict=True)
+            if begin <= at <= end and at >= self.told_limit.get(daemon, at) + LIMIT_TOLD
+        ]
+        return max(
+            (sum(0 <= at - since < LIMIT_SPAN for at in counted) for since in counted), default=0
+        )
+
     async def slot(self) -> bool:
         """Wait for a place; return whether there is one, or room to wait."""
         if self.running < self.world.size.slots:
--- a/tests/notice_world.py
+++ b/tests/notice_world.py
@@ -23,6 +23,7 @@
 from thorncleat_gateway.requests.crash_reporter import CrashReporter
 from thorncleat_gateway.requests.crash_watch import CrashWatch
 from thorncleat_gateway.requests.endpoint_client import EndpointClient
+from thorncleat_gateway.requests.endpoint_limits import EndpointLimits
 from thorncleat_gateway.requests.endpoint_notices import EndpointNotices
 from thorncleat_gateway.requests.endpoint_selector import EndpointSelector
 from thorncleat_gateway.requests.plain import PlainForwarder
@@ -136,7 +137,8 @@
         self.budgets = RetryBudgets(terms, clock, lambda: world.size.daemons)
         watch = CrashWatch(quarantine, self.view, self.detector, reporter, clock)
         session = Session(world, self.peers.id)
-        client = EndpointClient(session, PlatformHeaders(), notices, CONNECT_TIMEOUT)
+        self.limits = EndpointLimits(clock)
+        client = EndpointClient(session, PlatformHeaders(), notices, self.limits, CONNECT_TIMEOUT)
         parts = (client, self.selector, self.table, self.budgets, self.detector, watch, clock)
         self.plain, self.streams = PlainForwarder(*parts), StreamForwarder(*parts)
 
--- a/tests/test_answer_headers.py
+++ b/tests/test_answer_headers.py
@@ -92,3 +92,43 @@
 def test_endpoint_at_fault():
     assert read(503, ("At-Server", "i-2")).speaks_for == "i-2"
     assert read(503).speaks_for is None
+
+
+@pytest.mark.parametrize(
+    ("value", "limit"),
+    [
+        ("1", 1.0),
+        ("1.3", 1.3),
+        ("1.3 ", 1.3),
+        ("0", 0.0),
+        ("0.0001", 0.0001),
+        ("1000000000", 1e9),
+    ],
+)
+@pytest.mark.parametrize("status", [200, 429, 500, 503])
+def test_limit_is_read(logged, status, value, limit):
+    meta = read(status, ("server-limit", value))
+    assert (meta.rate_limit, meta.names_rate_limit) == (limit, True)
+    assert logged == []
+
+
+@pytest.mark.parametrize("value", ["1,3", "-1", "+1", "1e9", "nan", "inf", "", "one", "9" * 40])
+def test_limit_that_cannot_be_read_is_logged_and_still_known_to_stand_there(logged, value):
+    meta = read(200, ("Server-Limit", value))
+    assert (meta.rate_limit, meta.names_rate_limit) == (None, True)
+    assert logged == [("bad_header", {"header": "Server-Limit", "value": value[:40]})]
+
+
+def test_lowest_of_two_limits_counts(logged):
+    assert read(200, ("Server-Limit", "3"), ("Server-Limit", "1.5")).rate_limit == 1.5
+
+
+def test_answer_without_a_limit_names_none(logged):
+    meta = read(200)
+    assert (meta.rate_limit, meta.names_rate_limit, meta.misdirected) == (None, False, False)
+    assert read(421, ("Server-Limit", "1")).misdirected
+
+
+def test_caller_gets_no_limit():
+    headers = [("Server-Limit", "1"), ("Content-Type", "text/plain")]
+    assert PlatformHeaders().for_caller(200, headers) == [("Content-Type", "text/plain")]
