--- a/tests/test_endpoint_limits.py
+++ b/tests/test_endpoint_limits.py
@@ -3,8 +3,8 @@
 Two of 16 groups named a limit of 1 and 1.2 a second, and each went on getting its part of the load,
 some 3 a second: 12 and 14 requests in 4 s where 11 and 12 are allowed, from five of eight daemons,
 1 to 7 each. Nobody read the limit, and no daemon could have kept it alone: none sent two a second.
-In the lines of "request_sent" each was the first attempt of a new request; the endpoints got 10, 11,
-12, 12 requests in the spans of 4 s before and after they had named it.
+In the lines of "request_sent" each was the first attempt of a new request; the first endpoint got
+10, 11, 12 and 12 requests in the spans of 4 s before and after it had named its limit at 8.0 s.
 """
 
 import asyncio
