An order to stop that comes while the program starts is a planned stop

Callers whose connections the early socket held were cut off, unread, when a daemon was told to stop while it still imported: ten requests of one run of the tests beside other plays (imports of over 3 s). Cause: the signal's default action until the program's own handler stands. Shown by tests/test_run.py, which ended with -15 before.

--- a/tests/test_run.py
+++ b/tests/test_run.py
@@ -1,6 +1,7 @@
 """The gateway's program as the deploy file starts it."""
 
 import asyncio
+import os
 import pathlib
 import signal
 import subprocess
@@ -11,6 +12,7 @@
 
 from thorncleat_gateway.listeners import Listeners
 from thorncleat_platform import early_socket
+from thorncleat_standins.ports import free_ports
 
 ROOT = pathlib.Path(__file__).parent.parent
 # told to itself where the platform could tell it: after the first lines, before any import of ours
@@ -36,6 +38,50 @@
     assert done.stdout == b"alive\n"
 
 
+# told to stop once the callers' socket listens, while most of the program isn't imported yet
+TOLD_TO_STOP = """
+import os, runpy, signal, sys
+class Told:
+    def find_spec(self, name, path=None, target=None):
+        if name == "thorncleat_platform.main":
+            sys.meta_path.remove(self)
+            os.kill(os.getpid(), signal.SIGTERM)
+sys.meta_path.insert(0, Told())
+runpy.run_path(sys.argv[1], run_name="__main__")
+"""
+SETTINGS = """
+node_name = "edge-0"
+ip = "127.0.0.1"
+zone = "zone-a"
+internal_ports = [{peers}, {peers}]
+[listen]
+frontend = "127.0.0.1:{callers}"
+readiness = "127.0.0.1:{readiness}"
+[bounds]
+revoke_ms = 3000
+grace_s = 2.0
+stall_ms = 2000
+[platform]
+address = "127.0.0.1:{store}"
+"""
+
+
+def test_stop_that_is_told_during_the_start_is_a_planned_one(tmp_path):
+    """Its callers are answered: the socket that listens early holds some, unread."""
+    ports = dict(zip(("callers", "readiness", "peers", "store"), free_ports(4), strict=True))
+    settings = tmp_path / "settings.toml"
+    settings.write_text(SETTINGS.format(**ports))
+    done = subprocess.run(
+        [sys.executable, "-c", TOLD_TO_STOP, str(ROOT / "platform/run.py")],
+        capture_output=True,
+        timeout=30,
+        check=False,
+        env={**os.environ, "THORNCLEAT_CONFIG": str(settings)},
+    )
+    assert done.returncode == 0, done.stderr
+    assert b'"gateway_stopping"' in done.stdout
+
+
 async def test_caller_who_connects_before_the_gateway_listens_is_served(tmp_path):
     settings = tmp_path / "settings.toml"
     settings.write_text('[listen]\nfrontend = "127.0.0.1:0"\n')
