--- a/bench/days.py
+++ b/bench/days.py
@@ -142,6 +142,14 @@
         'at = 16.0, kind = "release", service = "@s0", share = 0.3, x = 4.0, gap_s = 0.5',
         'at = 25.0, kind = "srv_grey", share = 0.3, x = 1.0, for_s = 5.0, how = "busy"',
     ),
+    # requests that end their endpoints: few, many, and while daemons are killed or cut off
+    "deadly-requests": (
+        'at = 3.0, kind = "poison", how = "deadly", class = "@c0", share = 0.01, for_s = 6.0',
+        'at = 11.0, kind = "poison", how = "deadly", class = "@c0", share = 0.06, for_s = 5.0',
+        'at = 13.0, kind = "node_kill", on = "core", count = 2, how = "leader", for_s = 3.0',
+        'at = 20.0, kind = "poison", how = "deadly", class = "@c0", share = 0.02, for_s = 8.0',
+        'at = 22.0, kind = "node_cut", share = 0.3, for_s = 4.0, how = "all"',
+    ),
     # callers move and leave, while a daemon that has just acknowledged loses power
     "callers-move-and-leave": (
         'at = 3.0, kind = "shift", share = 0.5, for_s = 5.0',
