Retry budget: daemons that are listed no more go on counting for a minute

Cause, found by looking for figures that are meant for all daemons together: the fixed allowance is divided by the daemons that are listed now. Where the records of all ran out in an outage of the store, the first that are back see one or two, and each takes the whole or half of it, beside those that still count eight. Change: the largest number of the last minute divides it. Figures: 287 retries at once of eight daemons before, where 134 are allowed; 13 each, so 104, after (tests/test_retry_budget.py).

--- a/packages/gateway/src/thorncleat_gateway/requests/retry_budget.py
+++ b/packages/gateway/src/thorncleat_gateway/requests/retry_budget.py
@@ -4,7 +4,8 @@
 add up to the whole budget whatever the daemons know of each other's counts.
 
 Owns: this daemon's requests and retries within the window, for each service.
-Relies on: the number of daemons that share a budget, which must not be too low.
+Relies on: the number of daemons that are listed. The list may lack some that live, since they could
+not renew their records; so the largest number of late counts.
 """
 
 import collections
@@ -16,6 +17,10 @@
 # chosen, not measured
 SAFETY = 0.8
 
+# for which a daemon counts that is listed no more: longer than records run out in an outage of the
+# store and come back
+LISTED_LATELY_SECONDS = 60.0
+
 
 @dataclasses.dataclass(frozen=True)
 class RetryBudgetSettings:
@@ -67,10 +72,27 @@
                 times.popleft()
 
 
+class _LargestOfLate:
+    """The largest value that a number had of late."""
+
+    def __init__(self) -> None:
+        # values with the moments at which they were seen, each larger than those after it
+        self._seen: collections.deque[tuple[float, int]] = collections.deque()
+
+    def of(self, value: int, now: float) -> int:
+        """Note a value and return the largest one."""
+        while self._seen and self._seen[-1][1] <= value:
+            self._seen.pop()
+        self._seen.append((now, value))
+        while self._seen[0][0] < now - LISTED_LATELY_SECONDS:
+            self._seen.popleft()
+        return self._seen[0][1]
+
+
 class RetryBudgets:
     """The retry budget of each service, as far as it is this daemon's.
 
-    :param daemons: returns how many daemons share it.
+    :param daemons: returns how many daemons are listed.
     """
 
     def __init__(
@@ -78,12 +100,16 @@
     ) -> None:
         self._clock = clock
         self._daemons = daemons
+        self._sharers = _LargestOfLate()
         self._budgets: dict[str, RetryBudget] = collections.defaultdict(lambda: RetryBudget(terms))
 
     def request(self, service: str) -> None:
         """Count a caller's request to a service."""
-        self._budgets[service].request(self._clock())
+        now = self._clock()
+        self._sharers.of(self._daemons(), now)
+        self._budgets[service].request(now)
 
     def take(self, service: str) -> bool:
         """Count a retry to a service if one may be sent. Returns whether it may."""
-        return self._budgets[service].take(self._clock(), self._daemons())
+        now = self._clock()
+        return self._budgets[service].take(now, self._sharers.of(self._daemons(), now))
