--- a/tests/test_registration.py
+++ b/tests/test_registration.py
@@ -13,6 +13,7 @@
 from thorncleat_gateway.requests.retry_budget import RetryBudgetSettings
 from thorncleat_gateway.settings import GatewaySettings
 from thorncleat_gateway.store import registration
+from thorncleat_gateway.store.fleet_knowledge import FleetKnowledge
 from thorncleat_gateway.store.registration import Registration
 
 from . import virtual_time
@@ -30,6 +31,11 @@
         self.records: dict[str, RecordChanged] = {}
         self.records_version = 0
         self.changed = asyncio.Event()
+        self.known_until = float("inf")
+
+    def age(self) -> float:
+        """Return how old it is: that of one that is followed until it is lost."""
+        return max(0.4, asyncio.get_running_loop().time() - self.known_until)
 
     async def wait_change(self, seconds: float) -> bool:
         with contextlib.suppress(TimeoutError):
@@ -204,3 +210,68 @@
         return found
 
     assert virtual_time.run(lost())
+
+
+def test_what_the_list_of_daemons_is_good_for_through_an_outage():
+    """A share is used by no daemon that others may not list, and in part while the list is old."""
+
+    async def play():
+        view = View()
+        store = Store(view)
+        clock = asyncio.get_running_loop().time
+        service = Registration(SETTINGS, store, view, clock)
+        begun, seen = clock(), {}
+        expiring = asyncio.ensure_future(store.expire())
+
+        async def at(seconds):
+            await asyncio.sleep(begun + seconds - clock())
+            seen[seconds] = service.knowledge()
+
+        before = service.knowledge()
+        await service.start()
+        await at(1.0)
+        await at(4.0)
+        store.down, view.known_until = True, clock()
+        await at(6.0)
+        await at(7.0)
+        await at(20.0)
+        store.down, view.known_until = False, float("inf")
+        await at(22.0)
+        await at(25.5)
+        await service.stop()
+        expiring.cancel()
+        return before, seen
+
+    before, seen = virtual_time.run(play())
+    assert before is FleetKnowledge.NONE
+    assert seen == {
+        1.0: FleetKnowledge.NONE,
+        4.0: FleetKnowledge.RECENT,
+        6.0: FleetKnowledge.RECENT,
+        7.0: FleetKnowledge.OLD,
+        # its record has run out, and it knows
+        20.0: FleetKnowledge.NONE,
+        22.0: FleetKnowledge.NONE,
+        25.5: FleetKnowledge.RECENT,
+    }
+
+
+def test_daemon_that_can_read_but_not_renew_trusts_its_list_as_long_as_its_lease():
+    async def play():
+        view = View()
+        store = Store(view)
+        clock = asyncio.get_running_loop().time
+        service = Registration(SETTINGS, store, view, clock)
+        await service.start()
+        await asyncio.sleep(registration.RENEW_SECONDS + 0.1)
+        store.down = True
+        # sent just before the outage
+        renewed_at = clock() - 0.1
+        await asyncio.sleep(registration.DAEMON_LEASE_SECONDS - 1.0)
+        early = service.knowledge()
+        await asyncio.sleep(renewed_at + registration.DAEMON_LEASE_SECONDS + 0.01 - clock())
+        late = service.knowledge()
+        await service.stop()
+        return early, late
+
+    assert virtual_time.run(play()) == (FleetKnowledge.RECENT, FleetKnowledge.OLD)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -13,6 +13,7 @@
 from bench.soaks.gateway_checks import Exchange
 from bench.soaks.gateway_checks import RequestKind
 from bench.soaks.gateway_checks import expected
+from bench.soaks.gateway_limits import LimitChecks
 from bench.soaks.gateway_notices import NoticeChecks
 from bench.soaks.proxy import Mode
 from bench.soaks.proxy import Proxy
@@ -240,3 +241,46 @@
     )
     def test_leaving(self, given, found):
         assert len(virtual_time.run(self._drain(**given))) == found
+
+
+class TestLimitChecks:
+    """What reaches a worker from all daemons is counted against the limit that it names."""
+
+    async def _play(self, daemons, rate, limit="1", **of_daemon):
+        """Let requests of some daemons reach a worker in turn; return what was found."""
+        faults, counts = [], collections.Counter()
+        checks = LimitChecks(faults, counts)
+        worker = types.SimpleNamespace(
+            id="w1", proxy=types.SimpleNamespace(mode=Mode.PASS, changed_at=0.0)
+        )
+        senders = [
+            types.SimpleNamespace(
+                **{"name": f"edge-{number}", "reads_limits": True, "interrupted_at": 0.0}
+                | of_daemon
+            )
+            for number in range(daemons)
+        ]
+        checks.begin("w1", limit)
+        for number in range(int(9 * rate)):
+            checks.arrived(worker, senders[number % daemons], f"r{number}")
+            await asyncio.sleep(1 / rate)
+        checks.end("w1")
+        checks.arrived(worker, senders[0], "after its end")
+        return bool(faults)
+
+    @pytest.mark.parametrize(
+        ("given", "found"),
+        [
+            ({"daemons": 4, "rate": 2.5}, False),
+            ({"daemons": 4, "rate": 4.0}, True),
+            ({"daemons": 1, "rate": 4.0}, True),
+            ({"daemons": 4, "rate": 4.0, "limit": "3"}, False),
+            ({"daemons": 4, "rate": 4.0, "limit": "1.3 "}, True),
+            ({"daemons": 4, "rate": 4.0, "limit": "0"}, True),
+            ({"daemons": 4, "rate": 9.0, "limit": "1,3"}, False),
+            ({"daemons": 4, "rate": 9.0, "reads_limits": False}, False),
+            ({"daemons": 4, "rate": 9.0, "interrupted_at": float("inf")}, False),
+        ],
+    )
+    def test_limit(self, given, found):
+        assert virtual_time.run(self._play(**given)) is found
