--- a/tests/test_endpoint_limits.py
+++ b/tests/test_endpoint_limits.py
@@ -148,6 +148,28 @@
     assert virtual_time.run(_answers_overtake()) == (True, False)
 
 
+async def _connection_fails():
+    """A request to an endpoint with a limit finds nobody listening; the next one follows at once."""
+    world = NoticeWorld(Size(daemons=1, endpoints=1, plain=True), 1)
+    await world.begin()
+    (daemon,), worker = world.daemons, world.workers[0]
+    worker.says = {"Server-Limit": "0.5"}
+    statuses = [(await world.call("first", daemon)).status]
+    daemon.limits.wait(worker.endpoint)
+    await asyncio.sleep(1 / rate_shares.rate(0.5))
+    worker.alive = False
+    statuses.append((await world.call("second", daemon)).status)
+    worker.alive = True
+    statuses.append((await world.call("third", daemon)).status)
+    statuses.append((await world.call("fourth", daemon)).status)
+    await world.end()
+    return statuses
+
+
+def test_request_that_never_reached_its_endpoint_leaves_its_place_to_the_next():
+    assert virtual_time.run(_connection_fails()) == [200, 503, 200, 503]
+
+
 SERVED = AnswerMeta("r", signed=True, not_run=False, encoded=False)
 NAMED = AnswerMeta("r", True, False, False, rate_limit=2.0, names_rate_limit=True)
 ENDPOINT = Endpoint("i-1", "narrator", "10.0.0.1:1", "z0", born=5)
