--- a/tests/test_endpoint_limits.py
+++ b/tests/test_endpoint_limits.py
@@ -149,7 +149,7 @@
 
 
 async def _connection_fails():
-    """A request to an endpoint with a limit finds nobody listening; the next one follows at once."""
+    """A request to an endpoint with a limit finds nobody listening; another one follows."""
     world = NoticeWorld(Size(daemons=1, endpoints=1, plain=True), 1)
     await world.begin()
     (daemon,), worker = world.daemons, world.workers[0]
