Limits: what is known of former lives of an endpoint is forgotten after two minutes

Cause: an endpoint that starts again and again under its id left an entry for each life, as long as the id was listed. Found by reading; the test kept an entry before.

--- a/packages/gateway/src/thorncleat_gateway/requests/endpoint_limits.py
+++ b/packages/gateway/src/thorncleat_gateway/requests/endpoint_limits.py
@@ -27,7 +27,7 @@
 from .rate_notice import in_force
 
 # after an answer for which an endpoint's limit is remembered though nobody lists the endpoint, and
-# for which it is remembered that a limit has ended, so that no older word brings it back
+# for which it is remembered that it named none, so that no older word brings one back
 REMEMBERED_SECONDS = 120.0
 
 
@@ -207,9 +207,9 @@
             lasts = limited.notice.limit is not None and endpoint_id in listed
             if not lasts and limited.notice.heard_at < begin:
                 del self._limited[endpoint_id]
-        gone = [life for life in self._unlimited if life.endpoint_id not in listed]
-        for life in gone:
-            del self._unlimited[life]
+        for life, notice in list(self._unlimited.items()):
+            if notice.heard_at < begin:
+                del self._unlimited[life]
 
     def _of(self, endpoint: Endpoint) -> _Limited | None:
         """Return what is known of an endpoint's limit; None if it has none."""
--- a/tests/test_endpoint_limits.py
+++ b/tests/test_endpoint_limits.py
@@ -302,11 +302,12 @@
     other = Endpoint("i-2", "narrator", "10.0.0.2:1", "z0", born=5)
     scene.hears(SERVED, other)
     scene.now += REMEMBERED_SECONDS + 1
-    scene.limits.forget({"i-1"})
+    scene.limits.forget({"i-1", "i-2"})
     assert scene.limits.is_limited(ENDPOINT)
+    # an endpoint that starts again and again under its id leaves nothing behind
+    assert not scene.limits._unlimited
     scene.limits.forget(())
     assert not scene.limits.notices
-    assert not scene.limits._unlimited
 
 
 @pytest.mark.parametrize("trouble", limit_fleet.TROUBLES)
