--- a/bench/limit_fleet.py
+++ b/bench/limit_fleet.py
@@ -9,7 +9,6 @@
 Relies on: the gateway's classes for notices, shares and what daemons know of their list.
 """
 
-import collections
 import dataclasses
 import heapq
 import itertools
@@ -31,12 +30,9 @@
 from thorncleat_gateway.store.relays import Daemon
 from thorncleat_gateway.store.roster import Endpoint
 
+from . import limit_rule
+
 ENDPOINT = Endpoint("i-1", "narrator", "10.0.0.1:1", "z1", born=5)
-# the span in which the endpoint counts, and the times after its first word and after its word to a
-# daemon from which on requests count; of the users' rules
-SPAN_SECONDS = 4.0
-KNOWN_SECONDS = 3.0
-TOLD_SECONDS = 0.5
 # one way between any two processes, and how long the endpoint takes for the head of an answer
 WAY_SECONDS = 0.002
 ANSWER_SECONDS = (0.01, 0.4)
@@ -364,22 +360,15 @@
         daemon.limits.answered(ENDPOINT, meta, sent_at)
 
     def _seen(self) -> Seen:
-        since = NAMED_AT + KNOWN_SECONDS
+        since = NAMED_AT + limit_rule.KNOWN_SECONDS
         counted = [
             at
             for at, name in self._arrivals
-            if since <= at < OVER_AT and at >= self._told.get(name, END) + TOLD_SECONDS
+            if since <= at < OVER_AT and at >= self._told.get(name, END) + limit_rule.TOLD_SECONDS
         ]
-        window: collections.deque[float] = collections.deque()
-        most = 0
-        for at in counted:
-            window.append(at)
-            while window[0] <= at - SPAN_SECONDS:
-                window.popleft()
-            most = max(most, len(window))
         arrived = sum(since <= at < OVER_AT for at, _ in self._arrivals)
         used = arrived / ((OVER_AT - since) * max(self._limit, 1e-9))
-        return Seen(most, used, self._known_over_at - OVER_AT)
+        return Seen(limit_rule.most_in_a_span(counted), used, self._known_over_at - OVER_AT)
 
 
 def limits(
@@ -403,7 +392,7 @@
         most = max(one.most for one in seen)
         used = sum(one.used for one in seen) / seeds
         again = max(one.again_after for one in seen)
-        allowed = 1.5 * SPAN_SECONDS * limit + 5
+        allowed = limit_rule.allowed(limit)
         mark = " OVER" if most > allowed else ""
         print(
             f"{way} {size} {figure} {trouble} | {most} ({allowed:g}){mark}"
--- a/bench/soaks/gateway_limits.py
+++ b/bench/soaks/gateway_limits.py
@@ -12,22 +12,14 @@
 import random
 import typing as t
 
-from .proxy import Mode
+from .. import limit_rule
+from .gateway_notices import is_heard
 
 if t.TYPE_CHECKING:
     from .gateway_daemons import Daemon
     from .gateway_troubles import GatewaySoak
     from .gateway_workers import SoakWorker
 
-# in which a worker counts what reaches it; of the users' rules
-SPAN_SECONDS = 4.0
-# times the limit that it may get in a span, and requests beside; of the users' rules
-SLACK = 1.5
-EXTRA = 5
-# after a worker's first word, for what daemons tell each other; of the users' rules
-KNOWN_SECONDS = 3.0
-# after its word to a daemon, for requests that were on their way; of the users' rules
-TOLD_SECONDS = 0.5
 # workers of a service that name none, so that most requests are still served
 LEAST_FREE = 1
 # as workers write them; the last one can't be read
@@ -72,23 +64,23 @@
             return
         now = asyncio.get_running_loop().time()
         told_at = limit.told_at.get(daemon.name, float("inf"))
-        if now > told_at + TOLD_SECONDS and daemon.interrupted_at < told_at:
+        if now > told_at + limit_rule.TOLD_SECONDS and daemon.interrupted_at < told_at:
             self._count(worker, limit, request, now)
-        if worker.proxy is not None and worker.proxy.mode is Mode.PASS:
+        if is_heard(worker):
             limit.named_at = min(limit.named_at, now)
             if daemon.interrupted_at >= limit.told_at.get(daemon.name, float("-inf")):
                 limit.told_at[daemon.name] = now
 
     def _count(self, worker: "SoakWorker", limit: _Limit, request: str, now: float) -> None:
-        if now < limit.named_at + KNOWN_SECONDS:
+        if now < limit.named_at + limit_rule.KNOWN_SECONDS:
             return
         self._counts["requests at a limit"] += 1
         limit.arrivals.append(now)
-        got = sum(at > now - SPAN_SECONDS for at in limit.arrivals)
-        if got > SLACK * SPAN_SECONDS * limit.figure + EXTRA:
+        got = sum(at > now - limit_rule.SPAN_SECONDS for at in limit.arrivals)
+        if got > limit_rule.allowed(limit.figure):
             self._faults.append(
                 f"LIMIT {request} reached {worker.id}, which takes {limit.figure} a second, as "
-                f"number {got} in {SPAN_SECONDS} s"
+                f"number {got} in {limit_rule.SPAN_SECONDS} s"
             )
 
 
--- a/bench/soaks/gateway_notices.py
+++ b/bench/soaks/gateway_notices.py
@@ -69,14 +69,14 @@
     def asked(self, worker: "SoakWorker", daemon: "Daemon", pause: str) -> None:
         """Note that a worker turned a daemon's request away."""
         self._counts["requests turned away"] += 1
-        if not pause.replace(".", "").isdigit() or not _is_heard(worker):
+        if not pause.replace(".", "").isdigit() or not is_heard(worker):
             return
         now = asyncio.get_running_loop().time()
         self._pauses[worker.id, daemon.name].append(_Pause(now, float(pause)))
 
     def said_leaving(self, worker: "SoakWorker", daemon: "Daemon") -> None:
         """Note that a worker said in an answer that it leaves."""
-        if _is_heard(worker):
+        if is_heard(worker):
             now = asyncio.get_running_loop().time()
             self._leaving.setdefault((worker.id, daemon.name), now)
 
@@ -115,7 +115,7 @@
             )
 
 
-def _is_heard(worker: "SoakWorker") -> bool:
+def is_heard(worker: "SoakWorker") -> bool:
     """Return whether a worker's answers reach daemons."""
     return worker.proxy is not None and worker.proxy.mode is Mode.PASS
 
--- a/tests/notice_endpoints.py
+++ b/tests/notice_endpoints.py
@@ -11,6 +11,7 @@
 
 import aiohttp
 import multidict
+from bench import limit_rule
 
 from thorncleat_gateway.store.roster import Endpoint
 from thorncleat_gateway.store.roster import GroupId
@@ -28,14 +29,6 @@
 MOST_IN_PAUSE = 2
 # after an answer by an endpoint that drains, for callers' requests that were sent before
 DRAIN = 2.0
-# a span in which an endpoint with a limit counts what reaches it
-LIMIT_SPAN = 4.0
-# times its limit that it may get in one, and requests beside
-LIMIT_SLACK = 1.5
-LIMIT_EXTRA = 5
-# after its first word, from which on it counts; and after its word to a daemon
-LIMIT_KNOWN = 3.0
-LIMIT_TOLD = 0.5
 EVENT = 0.05
 PLAIN_RUN = 0.05
 
@@ -144,11 +137,10 @@
         counted = [
             at
             for at, daemon in zip(self.arrivals, self.senders, strict=True)
-            if begin <= at <= end and at >= self.told_limit.get(daemon, at) + LIMIT_TOLD
+            if begin <= at <= end
+            and at >= self.told_limit.get(daemon, at) + limit_rule.TOLD_SECONDS
         ]
-        return max(
-            (sum(0 <= at - since < LIMIT_SPAN for at in counted) for since in counted), default=0
-        )
+        return limit_rule.most_in_a_span(counted)
 
     async def slot(self) -> bool:
         """Wait for a place; return whether there is one, or room to wait."""
--- a/tests/test_endpoint_limits.py
+++ b/tests/test_endpoint_limits.py
@@ -14,6 +14,7 @@
 
 import pytest
 from bench import limit_fleet
+from bench import limit_rule
 
 from thorncleat_gateway.exceptions import EndpointClosedError
 from thorncleat_gateway.ports import AnswerMeta
@@ -26,10 +27,6 @@
 from thorncleat_gateway.store.roster import Endpoint
 
 from . import virtual_time
-from .notice_endpoints import LIMIT_EXTRA
-from .notice_endpoints import LIMIT_KNOWN
-from .notice_endpoints import LIMIT_SLACK
-from .notice_endpoints import LIMIT_SPAN
 from .notice_endpoints import Size
 from .notice_world import NoticeWorld
 
@@ -38,11 +35,6 @@
 SEEDS = range(3)
 
 
-def allowed(limit: float) -> float:
-    """Return how many requests an endpoint may get in a span."""
-    return LIMIT_SLACK * LIMIT_SPAN * limit + LIMIT_EXTRA
-
-
 async def _one_names_a_limit(size, seed, limit):
     world = NoticeWorld(size, seed)
     await world.begin()
@@ -51,7 +43,7 @@
     begun = world.now()
     await world.requests(16.0)
     await world.end()
-    return world, world.workers[0].most_in_a_span(begun + LIMIT_KNOWN)
+    return world, world.workers[0].most_in_a_span(begun + limit_rule.KNOWN_SECONDS)
 
 
 @pytest.mark.parametrize("limit", ["0.1", "1", "1.2"])
@@ -59,7 +51,7 @@
 def test_daemons_keep_together_to_what_an_endpoint_takes(size, limit):
     for seed in SEEDS:
         world, most = virtual_time.run(_one_names_a_limit(size, seed, limit))
-        assert most <= allowed(float(limit))
+        assert most <= limit_rule.allowed(float(limit))
         assert not world.unserved
 
 
@@ -72,8 +64,10 @@
         worker.says = {"Server-Limit": limit}
     begun = world.now()
     await world.requests(12.0)
-    spans = [worker.most_in_a_span(begun + LIMIT_KNOWN) for worker in world.workers.values()]
-    refused = [one for one in world.refusals if one.answered_at > begun + LIMIT_KNOWN]
+    spans = [
+        worker.most_in_a_span(begun + limit_rule.KNOWN_SECONDS) for worker in world.workers.values()
+    ]
+    refused = [one for one in world.refusals if one.answered_at > begun + limit_rule.KNOWN_SECONDS]
     for worker in world.workers.values():
         worker.says = {}
     await world.requests(4.0)
@@ -85,7 +79,7 @@
 
 def test_while_all_take_few_the_rest_is_refused_at_once_and_all_is_served_when_it_is_over():
     world, spans, refused = virtual_time.run(_all_name_a_limit("1", 1))
-    assert max(spans) <= LIMIT_SPAN
+    assert max(spans) <= limit_rule.SPAN_SECONDS
     assert refused
     # 12 a second fit in; a caller who comes back at once finds no more
     assert all(0 < one.retry_after < 1.0 for one in refused)
@@ -316,7 +310,7 @@
 def test_fleet_keeps_to_a_limit_whoever_is_cut_off(trouble, daemons, limit):
     """By what the endpoint counts; the bound is the limit itself, and a request at its edges."""
     seen = limit_fleet.LimitFleet("holders", daemons, limit, 3.0, trouble, 1).play()
-    assert seen.most <= LIMIT_SPAN * limit + 1
+    assert seen.most <= limit_rule.SPAN_SECONDS * limit + 1
     # most of it is used while nothing is wrong
     assert seen.used > (0.5 if trouble == "calm" else 0)
     # the slowest holder's next request, and its answer
@@ -327,4 +321,4 @@
 def test_other_ways_to_share_a_limit_break_it(way, daemons, limit):
     """So the fleet's check tells a way that doesn't hold from one that does."""
     seen = limit_fleet.LimitFleet(way, daemons, limit, 3.0, "calm", 0).play()
-    assert seen.most > allowed(limit)
+    assert seen.most > limit_rule.allowed(limit)
