--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -25,7 +25,7 @@
 from .slopes import keep
 
 COMMAND = "bin/bench capacity --runs=3 --record"
-# of a daemon's directory of groups; chosen, not measured
+# of a daemon's directory of groups
 DIRECTORY_MB = 4.0
 
 
--- a/bench/days.py
+++ b/bench/days.py
@@ -18,11 +18,10 @@
 import fire
 
 DAY = "[[day]]"
-# chosen, not measured
 TROUBLES_A_DAY = 3
-# of a day's traffic, within which troubles begin; chosen, not measured
+# of a day's traffic, within which troubles begin
 FIRST_SECOND, LAST_SECOND = 2.0, 24.0
-# between the last moment a trouble may begin and the next one's first; chosen, not measured
+# between the last moment a trouble may begin and the next one's first
 APART_SECONDS = 2.0
 # kind, and what else its entry says, as the bench's page on kinds lists them
 TROUBLES = (
--- a/bench/fairness.py
+++ b/bench/fairness.py
@@ -35,7 +35,7 @@
 from .report import quantile
 from .report import target
 
-# the load and the fleet that serves it; chosen, not measured
+# the load and the fleet that serves it
 DAEMONS = 4
 CAPACITY_TOKENS = 8000
 TOKEN_SECONDS = 0.02
@@ -54,7 +54,7 @@
 RUSH_SHARES = 10.0
 CALM_SHARES = 0.5
 # wanted: others' p95 of first token in a rush, as a multiple of their own; tokens served, as a
-# part of first come, first served; chosen, not measured
+# part of first come, first served
 WANTED_RATIO = 1.2
 WANTED_USE = 0.95
 GROUP = Group("g-0", "g", "m", "v", 1, ("i0",))
--- a/bench/policy.py
+++ b/bench/policy.py
@@ -33,7 +33,7 @@
 WORK = ROOT / "run" / "policy"
 JOURNAL = ROOT / "journal"
 SNAPSHOT = re.compile(r"^snapshot ([0-9a-f]{8})$", re.MULTILINE)
-# plays at once; chosen, not measured: some of eight cores stay free
+# plays at once: some of eight cores stay free
 JOBS = 6
 _Result = t.TypeVar("_Result")
 
--- a/bench/relay.py
+++ b/bench/relay.py
@@ -30,7 +30,7 @@
 COMMAND = "bin/bench relay --record"
 KEY = "caller-key"
 GROUPS = 4
-# wanted at most: of the cost of the bare copy of bytes; chosen, not measured
+# wanted at most: of the cost of the bare copy of bytes
 FLOOR_FACTOR = 1.2
 # wanted at most, for 95 of 100 tokens (docs/DESIGN.md)
 ADDED_MS = 2.0
--- a/bench/soaks/daemon.py
+++ b/bench/soaks/daemon.py
@@ -35,7 +35,7 @@
 KEY = "soak-key"
 # environment variable that the daemon reads
 BROKEN_FENCE = "THORNCLEAT_TEST_BROKEN_FENCE"
-# settings in seconds, short so that a run of minutes sees many leases end; chosen, not measured
+# settings in seconds, short so that a run of minutes sees many leases end
 CONTROL = {
     "probe": 0.2,
     "window": 1.2,
@@ -46,12 +46,12 @@
     "member_probe": 0.3,
 }
 GROUPS = 2
-# callers of each sort; chosen, not measured
+# callers of each sort
 CALLERS = 12
 TROUBLES_AT_ONCE = 2
-# for a trouble with its healing; one that hangs is counted and left; chosen, not measured
+# for a trouble with its healing; one that hangs is counted and left
 TROUBLE_SECONDS = 30.0
-# for a whole stream; chosen, not measured
+# for a whole stream
 STREAM_SECONDS = 20.0
 
 
--- a/bench/soaks/gateway.py
+++ b/bench/soaks/gateway.py
@@ -32,13 +32,13 @@
 from .proxy import Mode
 
 CALLERS_PER_DAEMON = 4
-# for all daemons to serve every kind of request once the faults are over; chosen, not measured
+# for all daemons to serve every kind of request once the faults are over
 RECOVER_SECONDS = 12.0
-# for the groups to stand at the start; chosen, not measured
+# for the groups to stand at the start
 FORM_SECONDS = 30.0
-# for each daemon to have read the store at the start; chosen, not measured
+# for each daemon to have read the store at the start
 READ_SECONDS = 1.0
-# between two looks at processes and groups; chosen, not measured
+# between two looks at processes and groups
 LOOK_SECONDS = 0.1
 
 
--- a/bench/soaks/gateway_callers.py
+++ b/bench/soaks/gateway_callers.py
@@ -16,11 +16,11 @@
 from .gateway_site import PATHS
 from .gateway_site import SoakSite
 
-# of each request; chosen, not measured
+# of each request
 DEADLINE_SECONDS = 4.0
-# on average, after an answer that is not 200; chosen, not measured
+# on average, after an answer that is not 200
 PAUSE_SECONDS = 0.05
-# part of the calls that are made with a key that was taken away; chosen, not measured
+# part of the calls that are made with a key that was taken away
 FORMER_KEYS = 0.1
 KINDS = (RequestKind.STREAM, RequestKind.ONCE, RequestKind.REPEATABLE)
 
--- a/bench/soaks/gateway_daemons.py
+++ b/bench/soaks/gateway_daemons.py
@@ -17,7 +17,7 @@
 from .proxy import Proxy
 
 PROGRAM = pathlib.Path(__file__).resolve().parents[2] / "platform" / "run.py"
-# that a daemon has to finish its requests; chosen, not measured
+# that a daemon has to finish its requests
 GRACE_SECONDS = 6.0
 # from SIGTERM to SIGKILL
 STOP_SECONDS = GRACE_SECONDS + 2.0
--- a/bench/soaks/gateway_fatal.py
+++ b/bench/soaks/gateway_fatal.py
@@ -17,7 +17,7 @@
 from .gateway_workers import FATAL
 
 TRIES = 10
-# on average between two tries: some come at once, some after a worker is back; chosen, not measured
+# on average between two tries: some come at once, some after a worker is back
 PAUSE_SECONDS = 0.3
 # that all daemons in touch may let through: three, and one whose word was under way
 MOST_ENDED = 4
--- a/bench/soaks/gateway_notices.py
+++ b/bench/soaks/gateway_notices.py
@@ -31,9 +31,9 @@
 DRAIN_SECONDS = 2.0
 # pauses that workers ask for, as they write them; the last two can't be read
 PAUSES = ("0.4", "1", "2.5", "3", "", "soon")
-# part of the troubles in which a worker turns requests away; chosen, not measured
+# part of the troubles in which a worker turns requests away
 TURNS_AWAY = 0.6
-# workers of a service that are left alone; chosen, not measured
+# workers of a service that are left alone
 LEAST_WILLING = 1
 
 
--- a/bench/soaks/gateway_site.py
+++ b/bench/soaks/gateway_site.py
@@ -28,7 +28,7 @@
 from .proxy import Proxy
 
 HOST = "soak.example"
-# after which a key that was taken away must not work any more; chosen, not measured
+# after which a key that was taken away must not work any more
 REVOKE_SECONDS = 3.0
 # keys taken away that callers still try
 FORMER_KEYS = 4
--- a/bench/soaks/gateway_workers.py
+++ b/bench/soaks/gateway_workers.py
@@ -22,14 +22,14 @@
 
 # the body of a request that ends each worker of a group which runs it
 FATAL = b"a request that no worker survives"
-# of each stream; chosen, not measured
+# of each stream
 STREAM_EVENTS = 20
 # a leader without a member stands still for so long before it breaks its group; told to the
-# daemons as their bound; chosen, not measured
+# daemons as their bound
 STALL_SECONDS = 1.0
-# from a worker's end to the end of its entry in the store; chosen, not measured
+# from a worker's end to the end of its entry in the store
 LAPSE_SECONDS = 1.5
-# after which a worker that a request has ended is back under its id; chosen, not measured
+# after which a worker that a request has ended is back under its id
 BACK_SECONDS = 1.0
 
 
--- a/bench/soaks/harness.py
+++ b/bench/soaks/harness.py
@@ -13,8 +13,7 @@
 import tempfile
 import typing as t
 
-# of each seed, so that one cause does not push the verdicts of others off the screen; chosen,
-# not measured
+# of each seed, so that one cause does not push the verdicts of others off the screen
 FAULTS_SHOWN = 20
 
 
--- a/bench/soaks/proxy.py
+++ b/bench/soaks/proxy.py
@@ -11,7 +11,7 @@
 import struct
 
 CHUNK_BYTES = 65_536
-# by default; chosen, not measured
+# by default
 DELAY_SECONDS = 0.2
 # SO_LINGER on, 0 s: closing then resets the connection
 RESET = struct.pack("ii", 1, 0)
--- a/packages/client/src/thorncleat_client/api.py
+++ b/packages/client/src/thorncleat_client/api.py
@@ -18,7 +18,7 @@
 from .exceptions import UnusableDocumentError
 
 PREFIX = "/operators/v1"
-# for a whole call; chosen, not measured
+# for a whole call
 TIMEOUT_SECONDS = 20.0
 Json = dict[str, t.Any]
 
--- a/packages/client/src/thorncleat_client/main.py
+++ b/packages/client/src/thorncleat_client/main.py
@@ -32,7 +32,7 @@
 
 URL_VARIABLE = "THORNCLEAT_URL"
 KEY_VARIABLE = "THORNCLEAT_KEY"
-# of randomness in a new key; chosen, not measured
+# of randomness in a new key
 KEY_BYTES = 24
 Json = dict[str, t.Any]
 
--- a/packages/client/src/thorncleat_client/page.py
+++ b/packages/client/src/thorncleat_client/page.py
@@ -8,9 +8,9 @@
 import typing as t
 
 Json = dict[str, t.Any]
-# pixels; chosen, not measured
+# pixels
 BAR_WIDTH = 300
-# pixels; chosen, not measured
+# pixels
 BAR_HEIGHT = 14
 # burn rate that fills a bar: that of the alert ``page`` (core's burn.ALERTS)
 FULL_BURN = 14.4
--- a/packages/client/src/thorncleat_client/tables.py
+++ b/packages/client/src/thorncleat_client/tables.py
@@ -10,7 +10,7 @@
 from rich.table import Table
 
 Json = dict[str, t.Any]
-# characters; chosen, not measured
+# characters
 WIDTH = 120
 
 
--- a/packages/core/src/thorncleat_core/daemon/budget.py
+++ b/packages/core/src/thorncleat_core/daemon/budget.py
@@ -19,7 +19,7 @@
     READ = "read"
 
 
-# part of a bucket that must stay in it for calls of greater importance; chosen, not measured
+# part of a bucket that must stay in it for calls of greater importance
 RESERVES = {
     Purpose.LEASE: 0.0,
     Purpose.CLAIM: 0.2,
@@ -61,7 +61,7 @@
     :param rates: of the whole fleet.
     """
 
-    # calls, part of the fleet's rates, and seconds; all chosen, not measured
+    # calls, part of the fleet's rates, and seconds
     MIN_DEPTH = 8.0
     USED_PART = 0.8
     DEPTH_SECONDS = 10.0
@@ -102,7 +102,7 @@
 class Backoff:
     """Growing, jittered waits after failures.
 
-    :param first: seconds of the first wait; the defaults are chosen, not measured.
+    :param first: seconds of the first wait.
     :param longest: seconds of the longest.
     """
 
--- a/packages/core/src/thorncleat_core/daemon/burn.py
+++ b/packages/core/src/thorncleat_core/daemon/burn.py
@@ -8,10 +8,10 @@
 import dataclasses
 import typing as t
 
-# length of a bucket; chosen, not measured
+# length of a bucket
 BUCKET_SECONDS = 60
 # windows of the multi-window rule: a fast one and a slow one must both burn, at the rate that
-# stands last; docs/OPERATORS.md names both alerts; chosen, not measured
+# stands last; docs/OPERATORS.md names both alerts
 WINDOWS = {"5m": 300, "1h": 3600, "6h": 21_600}
 ALERTS = (("page", "5m", "1h", 14.4), ("ticket", "1h", "6h", 6.0))
 GOOD = "good"
--- a/packages/core/src/thorncleat_core/daemon/claims.py
+++ b/packages/core/src/thorncleat_core/daemon/claims.py
@@ -82,8 +82,7 @@
 class ClaimBook:
     """The claims of one shard, in the memory of its owner.
 
-    :param limit: claims that are kept; one more is refused. The defaults are chosen, not
-        measured.
+    :param limit: claims that are kept; one more is refused.
     :param keep: seconds for which a claim is kept.
     :param patience: seconds after which a run of which nothing is heard counts as unknown.
     """
--- a/packages/core/src/thorncleat_core/daemon/configuration.py
+++ b/packages/core/src/thorncleat_core/daemon/configuration.py
@@ -14,7 +14,7 @@
 from ..exceptions import Problem
 from . import keys
 
-# share of requests answered, where a workspace doesn't say; chosen, not measured
+# share of requests answered, where a workspace doesn't say
 DEFAULT_AVAILABILITY = 0.999
 # instances in a replica; bound of the house brief: 4 to 32 in one fabric domain
 MIN_GROUP_SIZE = 4
--- a/packages/core/src/thorncleat_core/daemon/directory.py
+++ b/packages/core/src/thorncleat_core/daemon/directory.py
@@ -35,7 +35,7 @@
 class Directory:
     """A daemon's copy of all records.
 
-    :param limit: records that are kept; further keys are refused. Chosen, not measured.
+    :param limit: records that are kept; further keys are refused.
     """
 
     def __init__(self, limit: int = 20_000) -> None:
--- a/packages/core/src/thorncleat_core/daemon/journal.py
+++ b/packages/core/src/thorncleat_core/daemon/journal.py
@@ -165,7 +165,7 @@
 class Journal:
     """A daemon's copy of the journal: the newest state and the latest entries.
 
-    :param keep: how many entries are kept for peers that lag; chosen, not measured.
+    :param keep: how many entries are kept for peers that lag.
     """
 
     def __init__(self, keep: int = 512) -> None:
--- a/packages/core/src/thorncleat_core/daemon/leases.py
+++ b/packages/core/src/thorncleat_core/daemon/leases.py
@@ -12,7 +12,7 @@
 
 from ..exceptions import LeaseError
 
-# how much faster one instance's clock may run than another's; chosen, not measured
+# how much faster one instance's clock may run than another's
 MAX_DRIFT = 0.01
 
 
--- a/packages/core/src/thorncleat_core/daemon/members.py
+++ b/packages/core/src/thorncleat_core/daemon/members.py
@@ -21,8 +21,7 @@
     """The membership as one daemon sees it.
 
     :param me: this daemon's id.
-    :param tolerance: probes that may fail in a row before a neighbour is suspected;
-        chosen, not measured.
+    :param tolerance: probes that may fail in a row before a neighbour is suspected.
     """
 
     def __init__(self, me: str, directory: Directory, tolerance: int = 3) -> None:
--- a/packages/core/src/thorncleat_core/daemon/plans.py
+++ b/packages/core/src/thorncleat_core/daemon/plans.py
@@ -37,7 +37,6 @@
     :param drain: letting a group finish its work.
     """
 
-    # both chosen, not measured
     load: float = 120.0
     drain: float = 30.0
 
--- a/packages/core/src/thorncleat_core/daemon/queues.py
+++ b/packages/core/src/thorncleat_core/daemon/queues.py
@@ -15,11 +15,11 @@
 
 Item = t.TypeVar("Item")
 
-# shortest seconds after which to come back; chosen, not measured
+# shortest seconds after which to come back
 MIN_RETRY_AFTER = 0.5
-# longest; chosen, not measured
+# longest
 MAX_RETRY_AFTER = 30.0
-# weight of the newest second in the measured drain rate; chosen, not measured
+# weight of the newest second in the measured drain rate
 RATE_GAIN = 0.3
 
 
@@ -73,7 +73,7 @@
     """Requests that wait for room.
 
     :param limit: tokens that may wait for each workspace.
-    :param quantum: tokens that a workspace of weight 1 may send a round; chosen, not measured.
+    :param quantum: tokens that a workspace of weight 1 may send a round.
     """
 
     def __init__(self, limit: int, quantum: int = 512) -> None:
--- a/packages/core/src/thorncleat_core/daemon/retries.py
+++ b/packages/core/src/thorncleat_core/daemon/retries.py
@@ -11,7 +11,7 @@
 class RetryThrottle:
     """Allows retries as a part of successes, so that a failing fleet isn't loaded further.
 
-    :param part: retries for each success; the defaults are chosen, not measured.
+    :param part: retries for each success.
     :param reserve: retries that may be saved up.
     """
 
@@ -57,12 +57,12 @@
 class Ejection:
     """Leaves out endpoints that fail in a row, but never more than a part of them.
 
-    :param threshold: failures in a row; the defaults are chosen, not measured.
+    :param threshold: failures in a row.
     :param seconds: first time out; it doubles while the endpoint goes on failing.
     :param most: part of the endpoints that may be out at once.
     """
 
-    # of the time out, so 32 times the first; chosen, not measured
+    # of the time out, so 32 times the first
     MAX_DOUBLINGS = 5
 
     def __init__(self, threshold: int = 3, seconds: float = 1.0, most: float = 0.5) -> None:
--- a/packages/core/src/thorncleat_core/daemon/routing.py
+++ b/packages/core/src/thorncleat_core/daemon/routing.py
@@ -12,11 +12,11 @@
 from .. import rendezvous
 from .registry import Registry
 
-# how far above the mean a group may be loaded before affinity yields; chosen, not measured
+# how far above the mean a group may be loaded before affinity yields
 BOUND = 1.25
-# least warmth that a group is reckoned with, so that a load stays finite; chosen, not measured
+# least warmth that a group is reckoned with, so that a load stays finite
 MIN_WARMTH = 0.05
-# leading characters of a prompt that make its identity; chosen, not measured
+# leading characters of a prompt that make its identity
 PREFIX_CHARACTERS = 256
 
 
--- a/packages/core/src/thorncleat_core/daemon/settings.py
+++ b/packages/core/src/thorncleat_core/daemon/settings.py
@@ -96,9 +96,8 @@
     """
 
     endpoints: list[Address] = pydantic.Field(min_length=1)
-    # chosen, not measured
     timeout: Seconds = 2.0
-    # bound of the users' letter, for the whole fleet (docs/DEVELOPERS.md at b7c2758)
+    # of the store, for the whole fleet
     writes: float = pydantic.Field(default=100.0, gt=0)
     reads: float = pydantic.Field(default=2000.0, gt=0)
 
@@ -107,7 +106,7 @@
     """The platform's list of instances."""
 
     endpoints: list[Address] = pydantic.Field(min_length=1)
-    # between fetches; chosen, not measured
+    # between fetches
     poll: Seconds = 2.0
 
 
@@ -124,12 +123,11 @@
     :param repair: how groups are repaired when spares are short.
     """
 
-    # chosen, not measured, but for the lease
     shards: int = pydantic.Field(default=16, ge=1, le=1024)
     probe: Seconds = 0.5
     window: Seconds = 2.0
     permit: Seconds = 2.0
-    # shorter ones take too many writes: at 128 holders 64 of the store's 100, commit b724ec2
+    # shorter ones take too many writes: at 128 holders 64 of the store's 100
     lease: Seconds = 6.0
     lease_margin: Seconds = 1.0
     member_probe: Seconds = 1.0
@@ -160,7 +158,6 @@
     :param routing: how a group is chosen.
     """
 
-    # all chosen, not measured
     body: int = pydantic.Field(default=4_000_000, ge=1024, le=64_000_000)
     deadline: Seconds = 60.0
     stall: Seconds = 10.0
--- a/packages/core/src/thorncleat_core/distributions.py
+++ b/packages/core/src/thorncleat_core/distributions.py
@@ -9,9 +9,9 @@
 from hdrh.histogram import HdrHistogram
 from prometheus_client.core import GaugeMetricFamily
 
-# microseconds; longer durations, of more than ten minutes, count as these; chosen, not measured
+# microseconds; longer durations, of more than ten minutes, count as these
 MAX_MICROSECONDS = 600_000_000
-# significant decimal digits that are kept; chosen, not measured
+# significant decimal digits that are kept
 PRECISION = 2
 # in percent
 QUANTILES = (50.0, 95.0, 99.0)
--- a/packages/core/src/thorncleat_core/jsonc.py
+++ b/packages/core/src/thorncleat_core/jsonc.py
@@ -23,7 +23,7 @@
 Path = tuple[str | int, ...]
 Model = t.TypeVar("Model", bound=pydantic.BaseModel)
 
-# settings and intents are far smaller; chosen, not measured
+# settings and intents are far smaller
 MAX_DOCUMENT_BYTES = 1_000_000
 # keys whose values are not repeated in messages
 SECRET_KEYS = frozenset({"secret", "key_digest", "key_digests"})
--- a/packages/daemon/src/thorncleat_daemon/attempts.py
+++ b/packages/daemon/src/thorncleat_daemon/attempts.py
@@ -22,7 +22,7 @@
 from .metrics import Metrics
 from .permits import PermitKeeper
 
-# groups that a request is tried in; chosen, not measured
+# groups that a request is tried in
 MAX_ATTEMPTS = 4
 RETRIED = frozenset(
     {
--- a/packages/daemon/src/thorncleat_daemon/background.py
+++ b/packages/daemon/src/thorncleat_daemon/background.py
@@ -12,7 +12,7 @@
 
 from . import events
 
-# part by which an interval varies; chosen, not measured
+# part by which an interval varies
 JITTER = 0.1
 
 
--- a/packages/daemon/src/thorncleat_daemon/callers.py
+++ b/packages/daemon/src/thorncleat_daemon/callers.py
@@ -21,13 +21,13 @@
 PRIORITY = "X-Request-Priority"
 REPEATABLE = "X-Request-Repeatable"
 KEY = "Idempotency-Key"
-# highest priority that a caller may name; chosen, not measured
+# highest priority that a caller may name
 MAX_PRIORITY = 9
-# characters of a key; chosen, not measured
+# characters of a key
 MAX_KEY = 200
-# longest deadline in seconds; chosen, not measured
+# longest deadline in seconds
 MAX_DEADLINE = 3600.0
-# for a call that is begun at the deadline: 0 would mean no limit; chosen, not measured
+# for a call that is begun at the deadline: 0 would mean no limit
 MIN_CALL_SECONDS = 0.01
 
 
--- a/packages/daemon/src/thorncleat_daemon/claims.py
+++ b/packages/daemon/src/thorncleat_daemon/claims.py
@@ -45,17 +45,17 @@
 
 # seconds; claims are kept in the store by the hour, to be erased by the hour
 HOUR = 3600
-# claims in one write; chosen, not measured
+# claims in one write
 MAX_BATCH = 500
-# body of an answer that is kept for repeats; chosen, not measured
+# body of an answer that is kept for repeats
 MAX_OUTCOME_BYTES = 65_536
-# between two looks for expired hours; chosen, not measured
+# between two looks for expired hours
 CLEAN_SECONDS = 600.0
-# for the owner's answer, a write to the store included; chosen, not measured
+# for the owner's answer, a write to the store included
 ASK_SECONDS = 3.0
-# between two turns of a shard's writer; chosen, not measured
+# between two turns of a shard's writer
 WRITER_PAUSE_SECONDS = 0.001
-# after a writer could not read the shard's claims; chosen, not measured
+# after a writer could not read the shard's claims
 RESTORE_PAUSE_SECONDS = 0.5
 
 
--- a/packages/daemon/src/thorncleat_daemon/completion.py
+++ b/packages/daemon/src/thorncleat_daemon/completion.py
@@ -16,9 +16,9 @@
 from .exceptions import RequestError
 
 PATH = "/v1/chat/completions"
-# tokens of an answer when the request doesn't say; chosen, not measured
+# tokens of an answer when the request doesn't say
 DEFAULT_MAX_TOKENS = 256
-# most tokens that a request may ask for; chosen, not measured
+# most tokens that a request may ask for
 MAX_TOKENS = 131_072
 # the engine is not (or no longer) what the directory says, or has no room
 REFUSED_BY_ENGINE = frozenset({404, 409, 429, 503})
--- a/packages/daemon/src/thorncleat_daemon/config.py
+++ b/packages/daemon/src/thorncleat_daemon/config.py
@@ -41,27 +41,26 @@
 from .ports import Unchanged
 from .ports import Write
 
-# daemons that watch the store; chosen, not measured
+# daemons that watch the store
 WATCHERS = 3
-# peers asked for the configuration while the store is away; chosen, not measured
+# peers asked for the configuration while the store is away
 PEERS_ASKED = 3
-# first wait after a watch broke; chosen, not measured
+# first wait after a watch broke
 WATCH_RETRY_SECONDS = 0.2
-# between two looks whether this daemon is to watch; chosen, not measured
+# between two looks whether this daemon is to watch
 WATCHER_LOOK_SECONDS = 1.0
 RECORD = "config"
-# revisions; chosen, not measured
+# revisions
 SNAPSHOT_EVERY = 64
-# between looks at the store; chosen, not measured
+# between looks at the store
 POLL_SECONDS = 60.0
-# for finding out whether a write took effect; chosen, not measured
+# for finding out whether a write took effect
 READ_BACK_SECONDS = 5.0
-# entries sent to a peer before a snapshot is sent instead; chosen, not measured
+# entries sent to a peer before a snapshot is sent instead
 ENTRIES_AT_ONCE = 64
-# in which peers may bring what a watch announces; commit 8e5f038 (60 changes everywhere
-# within 0.067 s)
+# in which peers may bring what a watch announces
 WATCH_GRACE_SECONDS = 0.1
-# between tries to get what was announced; commit e484512 (30 of 30 daemons after 2 s)
+# between tries to get what was announced
 FOLLOW_SECONDS = 0.5
 
 
--- a/packages/daemon/src/thorncleat_daemon/daemon.py
+++ b/packages/daemon/src/thorncleat_daemon/daemon.py
@@ -48,7 +48,7 @@
 from .upstream import single_session
 from .upstream import stream_session
 
-# for running requests when the daemon stops; chosen, not measured
+# for running requests when the daemon stops
 FINISH_SECONDS = 60.0
 # for tests only: the soak run must notice when claims are given without a lease
 BROKEN_FENCE = "THORNCLEAT_TEST_BROKEN_FENCE"
--- a/packages/daemon/src/thorncleat_daemon/dispatch.py
+++ b/packages/daemon/src/thorncleat_daemon/dispatch.py
@@ -24,13 +24,13 @@
 from .exceptions import RequestError
 from .permits import PermitKeeper
 
-# between looks at what waits; chosen, not measured
+# between looks at what waits
 TICK_SECONDS = 0.05
-# of a prompt, for its estimated cost; chosen, not measured
+# of a prompt, for its estimated cost
 CHARACTERS_PER_TOKEN = 4
-# in which a new group comes up to full weight; chosen, not measured
+# in which a new group comes up to full weight
 WARM_SECONDS = 5.0
-# weight of a group that has just come up; chosen, not measured
+# weight of a group that has just come up
 COLD_WARMTH = 0.2
 
 
--- a/packages/daemon/src/thorncleat_daemon/domain_keepers.py
+++ b/packages/daemon/src/thorncleat_daemon/domain_keepers.py
@@ -19,7 +19,7 @@
 from .domains import DomainKeeper
 from .shard_map import ShardMap
 
-# seconds without a question after which a keeper without a lease ends; chosen, not measured
+# seconds without a question after which a keeper without a lease ends
 STAND_IN_SECONDS = 10.0
 
 
--- a/packages/daemon/src/thorncleat_daemon/gate.py
+++ b/packages/daemon/src/thorncleat_daemon/gate.py
@@ -16,8 +16,7 @@
 class Gate:
     """Lets a bounded number of requests start in each turn of the loop.
 
-    :param per_turn: how many; 2 and the limit stand since commit ae35788 (400 streams at once:
-        253 errors before, none after).
+    :param per_turn: how many.
     :param limit: how many may wait; more are refused.
     """
 
--- a/packages/daemon/src/thorncleat_daemon/gossip.py
+++ b/packages/daemon/src/thorncleat_daemon/gossip.py
@@ -22,9 +22,9 @@
 from .ports import InstanceList
 from .ports import Peers
 
-# for which records wait for others to go out with; chosen, not measured
+# for which records wait for others to go out with
 FLUSH_SECONDS = 0.02
-# records in one message; chosen, not measured
+# records in one message
 MAX_RECORDS = 500
 Listener = t.Callable[[Record, str], None]
 
--- a/packages/daemon/src/thorncleat_daemon/group_changes.py
+++ b/packages/daemon/src/thorncleat_daemon/group_changes.py
@@ -24,8 +24,7 @@
 from .ports import Unchanged
 from .ports import Write
 
-# seconds of silence after which an instance that is listed no more counts as gone;
-# chosen, not measured
+# seconds of silence after which an instance that is listed no more counts as gone
 GONE_AFTER = 30.0
 
 
--- a/packages/daemon/src/thorncleat_daemon/holder.py
+++ b/packages/daemon/src/thorncleat_daemon/holder.py
@@ -30,13 +30,13 @@
 from .ports import Write
 from .shard_map import ShardMap
 
-# between looks at a shard that another daemon holds; chosen, not measured
+# between looks at a shard that another daemon holds
 LOOK_SECONDS = 2.0
-# part by which they vary; chosen, not measured
+# part by which they vary
 LOOK_JITTER = 0.2
-# between two shards given away; chosen, not measured
+# between two shards given away
 BALANCE_SECONDS = 5.0
-# shards beyond an even part that a daemon keeps; chosen, not measured
+# shards beyond an even part that a daemon keeps
 BALANCE_SLACK = 1
 
 
--- a/packages/daemon/src/thorncleat_daemon/lag.py
+++ b/packages/daemon/src/thorncleat_daemon/lag.py
@@ -14,11 +14,11 @@
 
 from thorncleat_core.clock import Clock
 
-# between timers; chosen, not measured
+# between timers
 TICK_SECONDS = 0.02
-# for which the loop counts as late afterwards; chosen, not measured
+# for which the loop counts as late afterwards
 REMEMBERED_SECONDS = 1.0
-# by which a timer must be late to count; chosen, not measured
+# by which a timer must be late to count
 LATE_SECONDS = 0.1
 
 
--- a/packages/daemon/src/thorncleat_daemon/once.py
+++ b/packages/daemon/src/thorncleat_daemon/once.py
@@ -20,7 +20,7 @@
 from .claims import kept_outcome
 from .exceptions import RequestError
 
-# of randomness that tell attempts apart; chosen, not measured
+# of randomness that tell attempts apart
 ATTEMPT_BYTES = 8
 
 
--- a/packages/daemon/src/thorncleat_daemon/operators.py
+++ b/packages/daemon/src/thorncleat_daemon/operators.py
@@ -35,9 +35,9 @@
 from .recent import RecentRequests
 
 PREFIX = "/operators/v1"
-# daemons asked at the same time; chosen, not measured
+# daemons asked at the same time
 GATHER_AT_ONCE = 32
-# for each daemon's answer; chosen, not measured
+# for each daemon's answer
 GATHER_SECONDS = 2.0
 
 
--- a/packages/daemon/src/thorncleat_daemon/peers.py
+++ b/packages/daemon/src/thorncleat_daemon/peers.py
@@ -23,13 +23,13 @@
 from .exceptions import PeerError
 from .ports import Handler
 
-# bytes; chosen, not measured
+# bytes
 MAX_FRAME = 1_200_000
-# sockets to peers, the least lately used closed first; chosen, not measured
+# sockets to peers, the least lately used closed first
 MAX_CONNECTIONS = 64
-# messages handled at the same time; chosen, not measured
+# messages handled at the same time
 MAX_HANDLING = 256
-# messages that wait in a socket; chosen, not measured
+# messages that wait in a socket
 HIGH_WATER = 1000
 ZAP_DOMAIN = "thorncleat"
 
--- a/packages/daemon/src/thorncleat_daemon/permits.py
+++ b/packages/daemon/src/thorncleat_daemon/permits.py
@@ -28,11 +28,11 @@
 from .ports import Peers
 from .shard_map import ShardMap
 
-# least time between renewals out of turn; chosen, not measured
+# least time between renewals out of turn
 NUDGE_SECONDS = 0.05
-# after which a model that nobody asks for needs no permits; chosen, not measured
+# after which a model that nobody asks for needs no permits
 IDLE_SECONDS = 300.0
-# times that a permit is asked for again in its life; chosen, not measured
+# times that a permit is asked for again in its life
 RENEWALS = 4
 
 
--- a/packages/daemon/src/thorncleat_daemon/plain.py
+++ b/packages/daemon/src/thorncleat_daemon/plain.py
@@ -29,7 +29,7 @@
 from .upstream import answer_lost
 from .upstream import end_to_end
 
-# endpoints that a call is tried at; chosen, not measured
+# endpoints that a call is tried at
 MAX_ATTEMPTS = 3
 DEFAULT_TYPE = "application/octet-stream"
 
--- a/packages/daemon/src/thorncleat_daemon/platform.py
+++ b/packages/daemon/src/thorncleat_daemon/platform.py
@@ -15,7 +15,7 @@
 from .exceptions import PlatformError
 
 PATH = "/platform/instances"
-# for a whole call; chosen, not measured
+# for a whole call
 TIMEOUT_SECONDS = 3.0
 # HTTP status: the part has the tag that was named
 NOT_MODIFIED = 304
--- a/packages/daemon/src/thorncleat_daemon/recent.py
+++ b/packages/daemon/src/thorncleat_daemon/recent.py
@@ -9,7 +9,7 @@
 import time
 import typing as t
 
-# requests; chosen, not measured
+# requests
 KEPT = 5000
 
 
--- a/packages/daemon/src/thorncleat_daemon/retry_after.py
+++ b/packages/daemon/src/thorncleat_daemon/retry_after.py
@@ -7,7 +7,7 @@
 
 import random
 
-# All figures but the last are seconds, chosen and not measured.
+# All figures but the last are seconds.
 
 # another group may serve, or this one again
 GROUP_CLOSED = 1.0
@@ -25,7 +25,7 @@
 SHORTEST_RUSH = 1.0
 # see SHORTEST_RUSH
 LONGEST_RUSH = 3.0
-# part by which a queue's measure is spread upwards; chosen, not measured
+# part by which a queue's measure is spread upwards
 JITTER = 0.5
 
 
--- a/packages/daemon/src/thorncleat_daemon/shard_map.py
+++ b/packages/daemon/src/thorncleat_daemon/shard_map.py
@@ -8,7 +8,7 @@
 
 from .gossip import Gossip
 
-# daemons that may take a shard; chosen, not measured
+# daemons that may take a shard
 CANDIDATES = 3
 
 
--- a/packages/daemon/src/thorncleat_daemon/splice.py
+++ b/packages/daemon/src/thorncleat_daemon/splice.py
@@ -17,11 +17,11 @@
 
 from .pieces import Pieces
 
-# bytes that may wait for a slow caller before the engine is read no further; chosen, not measured
+# bytes that may wait for a slow caller before the engine is read no further
 HIGH_WATER = 262_144
-# bytes at which a paused engine is read again; chosen, not measured
+# bytes at which a paused engine is read again
 LOW_WATER = 65_536
-# between looks at what a slow caller has yet to read; chosen, not measured
+# between looks at what a slow caller has yet to read
 DRAIN_SECONDS = 0.02
 
 
--- a/packages/daemon/src/thorncleat_daemon/store.py
+++ b/packages/daemon/src/thorncleat_daemon/store.py
@@ -27,7 +27,7 @@
 from .ports import Stored
 
 HTTP_NOT_DONE = frozenset({429, 503})
-# seconds that a call may wait for the budget; chosen, not measured
+# seconds that a call may wait for the budget
 MAX_BUDGET_WAIT = 2.0
 Json = dict[str, t.Any]
 
--- a/packages/daemon/src/thorncleat_daemon/upstream.py
+++ b/packages/daemon/src/thorncleat_daemon/upstream.py
@@ -14,7 +14,7 @@
 from . import retry_after
 from .exceptions import RequestError
 
-# until a connection to an endpoint stands; chosen, not measured
+# until a connection to an endpoint stands
 CONNECT_SECONDS = 1.0
 HOP_BY_HOP = frozenset(
     {
--- a/packages/gateway/src/thorncleat_gateway/gateway.py
+++ b/packages/gateway/src/thorncleat_gateway/gateway.py
@@ -59,9 +59,9 @@
 from .store.view import StoreView
 
 # for the first configuration to come before callers' connections are taken; they wait that long
-# at most, since a daemon without one has to say so; chosen, not measured
+# at most, since a daemon without one has to say so
 FIRST_CONFIGURATION_SECONDS = 0.25
-# over which the lateness of the event loop is shown as a metric, in seconds; chosen, not measured
+# over which the lateness of the event loop is shown as a metric, in seconds
 LATENESS_SECONDS = 1.0
 
 
--- a/packages/gateway/src/thorncleat_gateway/groups/call_window.py
+++ b/packages/gateway/src/thorncleat_gateway/groups/call_window.py
@@ -20,14 +20,13 @@
 from ..peers.own_lateness import OwnLateness
 from ..store.roster import GroupId
 
-# calls under way at first; chosen, not measured
+# calls under way at first
 FIRST_LIMIT = 16
-# which are always allowed, so that a daemon that is late goes on; chosen, not measured
+# which are always allowed, so that a daemon that is late goes on
 LEAST_LIMIT = 4
-# which are never exceeded: a connection each, of the thousands that a process may have open;
-# chosen, not measured
+# which are never exceeded: a connection each, of the thousands that a process may have open
 MOST_LIMIT = 128
-# by which the limit shrinks when the own loop is late; chosen, not measured
+# by which the limit shrinks when the own loop is late
 SHRINK = 0.7
 
 
--- a/packages/gateway/src/thorncleat_gateway/groups/controller.py
+++ b/packages/gateway/src/thorncleat_gateway/groups/controller.py
@@ -26,10 +26,10 @@
 from .term import Term
 from .term import TermFactory
 
-# between two plans while the list doesn't change, in seconds; chosen, not measured
+# between two plans while the list doesn't change, in seconds
 PLAN_SECONDS = 0.25
 # pauses between plans, in times the last one's duration: with hundreds of endpoints a plan at each
-# change of the list would leave a small instance no time for its orders; chosen, not measured
+# change of the list would leave a small instance no time for its orders
 REST_FACTOR = 3.0
 
 
--- a/packages/gateway/src/thorncleat_gateway/groups/domain_sizes.py
+++ b/packages/gateway/src/thorncleat_gateway/groups/domain_sizes.py
@@ -13,8 +13,7 @@
 
 from ..store.roster import Endpoint
 
-# after which a domain that has become smaller gets the layout of its new size, in seconds;
-# chosen, not measured
+# after which a domain that has become smaller gets the layout of its new size, in seconds
 REMEMBER_SIZE_SECONDS = 15.0
 
 
--- a/packages/gateway/src/thorncleat_gateway/groups/election.py
+++ b/packages/gateway/src/thorncleat_gateway/groups/election.py
@@ -25,22 +25,19 @@
 from ..store.view import StoreView
 
 CONTROLLER = "thorncleat/controller"
-# after a failed call to the store, in seconds; chosen, not measured
+# after a failed call to the store, in seconds
 RETRY_SECONDS = 0.3
-# between two looks at whether there is a controller, in seconds; chosen, not measured
+# between two looks at whether there is a controller, in seconds
 CHECK_SECONDS = 0.05
-# how much later each further candidate tries to become controller, in seconds; chosen, not
-# measured
+# how much later each further candidate tries to become controller, in seconds
 TURN_SECONDS = 0.15
-# part of the largest capacity of all daemons from which on a candidate is preferred; chosen, not
-# measured
+# part of the largest capacity of all daemons from which on a candidate is preferred
 STRONG_PART = 0.5
-# without a change of the store's view, for which a daemon rests that sees a controller, in seconds;
-# chosen, not measured
+# without a change of the store's view, for which a daemon rests that sees a controller, in seconds
 REST_SECONDS = 0.25
-# times that a lease is renewed before it could run out; chosen, not measured
+# times that a lease is renewed before it could run out
 RENEWALS_PER_LEASE = 4
-# how much faster one instance's clock may run than another's, as a part; chosen, not measured
+# how much faster one instance's clock may run than another's, as a part
 MAX_DRIFT = 0.01
 
 
--- a/packages/gateway/src/thorncleat_gateway/groups/ended.py
+++ b/packages/gateway/src/thorncleat_gateway/groups/ended.py
@@ -17,9 +17,9 @@
 from ..store.roster import GroupId
 
 # after the controller's last message, in seconds; if it was wrong, or another controls by now,
-# the group is used again. Measured with this figure in commit ac66124
+# the group is used again
 KEEP_SECONDS = 3.0
-# between two messages on a group, in seconds; measured with this figure in commit ac66124
+# between two messages on a group, in seconds
 REPEAT_SECONDS = 0.5
 
 
--- a/packages/gateway/src/thorncleat_gateway/groups/ending.py
+++ b/packages/gateway/src/thorncleat_gateway/groups/ending.py
@@ -32,7 +32,7 @@
 from .records import Detached
 from .records import GroupRecords
 
-# for the requests of a draining group to end, in seconds; chosen, not measured
+# for the requests of a draining group to end, in seconds
 CLOSE_SECONDS = 6.0
 
 
--- a/packages/gateway/src/thorncleat_gateway/groups/formation.py
+++ b/packages/gateway/src/thorncleat_gateway/groups/formation.py
@@ -17,14 +17,11 @@
 from ..store.roster import Endpoint
 from ..store.serving import EngineModel
 
-# part of a domain's endpoints that is kept free where it carries several models; chosen, not
-# measured
+# part of a domain's endpoints that is kept free where it carries several models
 SPARE_SHARE = 0.2
-# domains for each model from which on each domain carries one model; chosen, not measured. That
-# rule itself was measured in commit a6f5669
+# domains for each model from which on each domain carries one model
 DOMAINS_PER_MODEL = 2
-# part of a domain's hosts that hold a model, for the domain to go on carrying it; chosen, not
-# measured
+# part of a domain's hosts that hold a model, for the domain to go on carrying it
 KEEP_MODEL_SHARE = 0.5
 
 Layout = dict[str, collections.Counter[str]]
--- a/packages/gateway/src/thorncleat_gateway/groups/forming_state.py
+++ b/packages/gateway/src/thorncleat_gateway/groups/forming_state.py
@@ -10,12 +10,11 @@
 from ..store.roster import GroupId
 from .formation import GroupPlan
 
-# formations that one term can number; chosen, not measured
+# formations that one term can number
 EPOCHS_PER_TERM = 100_000
-# in which no group is formed in a domain after a failure there, in seconds; chosen, not measured
+# in which no group is formed in a domain after a failure there, in seconds
 PAUSE_SECONDS = 0.3
-# in which an endpoint that did not join a group is not asked again, in seconds; chosen, not
-# measured
+# in which an endpoint that did not join a group is not asked again, in seconds
 REFUSED_SECONDS = 2.0
 
 
--- a/packages/gateway/src/thorncleat_gateway/groups/group_health.py
+++ b/packages/gateway/src/thorncleat_gateway/groups/group_health.py
@@ -13,10 +13,9 @@
 from ..store.roster import GroupState
 
 # how long the controller has known a group before a missing member counts, in seconds: a list
-# that is being read may lack some members for a moment; chosen, not measured
+# that is being read may lack some members for a moment
 MISSING_MEMBER_SECONDS = 0.25
-# how long a group that an earlier controller began may take to open, in seconds; chosen, not
-# measured
+# how long a group that an earlier controller began may take to open, in seconds
 LEFT_OVER_SECONDS = 2.5
 
 
--- a/packages/gateway/src/thorncleat_gateway/groups/group_inspector.py
+++ b/packages/gateway/src/thorncleat_gateway/groups/group_inspector.py
@@ -21,7 +21,7 @@
 from .slow_endpoints import SlowGroup
 from .term import Term
 
-# between two examinations of a suspected group, in seconds; chosen, not measured
+# between two examinations of a suspected group, in seconds
 EXAMINE_AGAIN_SECONDS = 0.3
 
 
--- a/packages/gateway/src/thorncleat_gateway/groups/group_steps.py
+++ b/packages/gateway/src/thorncleat_gateway/groups/group_steps.py
@@ -34,26 +34,25 @@
 from .orders import Orders
 from .records import GroupRecords
 
-# orders to join that one endpoint is given; chosen, not measured
+# orders to join that one endpoint is given
 JOIN_TRIES = 6
 # for which an endpoint's report may be behind its state, in seconds: twice what today's engines
-# say of themselves; chosen, not measured
+# say of themselves
 REPORT_LAG_SECONDS = 0.4
-# orders to open that one leader is given; chosen, not measured
+# orders to open that one leader is given
 OPEN_TRIES = 5
-# between two rounds of questions to members that are not ready, in seconds; chosen, not measured
+# between two rounds of questions to members that are not ready, in seconds
 ASK_MEMBERS_SECONDS = 2 * ASK_SECONDS
 # part of a load from the weight store after which members that load are asked again: the list
-# shows earlier that they are ready; chosen, not measured
+# shows earlier that they are ready
 ASK_COLD_PART = 0.125
-# without a change of the list, for which a wait for the members rests, in seconds; chosen, not
-# measured
+# without a change of the list, for which a wait for the members rests, in seconds
 REST_SECONDS = 0.25
-# times its usual duration that a load from the host may take; chosen, not measured
+# times its usual duration that a load from the host may take
 WARM_PATIENCE = 2
-# times its usual duration that a load from the weight store may take; chosen, not measured
+# times its usual duration that a load from the weight store may take
 COLD_PATIENCE = 3
-# for the list to show that a group answers, in seconds; chosen, not measured
+# for the list to show that a group answers, in seconds
 LISTED_SECONDS = 2.0
 # logged for a former group that had no record when this term began
 ENDED_EARLIER = "no record in this term"
--- a/packages/gateway/src/thorncleat_gateway/groups/leader_liveness.py
+++ b/packages/gateway/src/thorncleat_gateway/groups/leader_liveness.py
@@ -27,18 +27,17 @@
 from .orders import Orders
 
 # how old the list may be for an endpoint that is missing from it to count as unlisted, in
-# seconds; chosen, not measured
+# seconds
 LIST_AGE_SECONDS = 2.0
-# how long before a probe an answer to any daemon still counts as one to it, in seconds; chosen,
-# not measured
+# how long before a probe an answer to any daemon still counts as one to it, in seconds
 HEARD_BEFORE_SECONDS = 1.0
-# for the other daemons to probe an endpoint and to report, in seconds; chosen, not measured
+# for the other daemons to probe an endpoint and to report, in seconds
 PROBED_SECONDS = 2 * ASK_SECONDS
 # for the other daemons to report what they have under way, in seconds: a datagram each way and
-# one turn of the other daemon's loop; chosen, not measured
+# one turn of the other daemon's loop
 REPORTED_SECONDS = 0.1
 # that answers from before a question are waited out, in seconds; where many daemons report rarely
-# that takes longer, and the list shows sooner that an endpoint is gone; chosen, not measured
+# that takes longer, and the list shows sooner that an endpoint is gone
 LONGEST_FADE_SECONDS = 1.0
 
 
--- a/packages/gateway/src/thorncleat_gateway/groups/list_growth.py
+++ b/packages/gateway/src/thorncleat_gateway/groups/list_growth.py
@@ -9,8 +9,7 @@
 
 import typing as t
 
-# without a new endpoint for so long the list is whole, in seconds; measured with this figure in
-# commit a6f5669
+# without a new endpoint for so long the list is whole, in seconds
 GROWING_SECONDS = 1.0
 
 
--- a/packages/gateway/src/thorncleat_gateway/groups/load_rate.py
+++ b/packages/gateway/src/thorncleat_gateway/groups/load_rate.py
@@ -12,7 +12,7 @@
 from ..settings import ControlSettings
 from ..store.serving import Engine
 
-# part of the weight store's rate that is used; chosen, not measured
+# part of the weight store's rate that is used
 RATE_PART = 0.9
 # loads that may begin in a window beside those that its rate gives; from the users' rules
 EXTRA_LOADS = 3
--- a/packages/gateway/src/thorncleat_gateway/groups/lost_endpoints.py
+++ b/packages/gateway/src/thorncleat_gateway/groups/lost_endpoints.py
@@ -16,7 +16,7 @@
 from .jobs import Start
 from .orders import Orders
 
-# between two questions to a lost endpoint, in seconds; chosen, not measured
+# between two questions to a lost endpoint, in seconds
 ASK_AGAIN_SECONDS = 1.0
 
 
--- a/packages/gateway/src/thorncleat_gateway/groups/model_loader.py
+++ b/packages/gateway/src/thorncleat_gateway/groups/model_loader.py
@@ -28,9 +28,9 @@
 from .lost_endpoints import LostEndpoints
 from .orders import Orders
 
-# orders that one endpoint is given for a load; chosen, not measured
+# orders that one endpoint is given for a load
 LOAD_TRIES = 6
-# times its usual duration after which a load counts as failed; chosen, not measured
+# times its usual duration after which a load counts as failed
 LOAD_PATIENCE = 3.0
 
 
--- a/packages/gateway/src/thorncleat_gateway/groups/orders.py
+++ b/packages/gateway/src/thorncleat_gateway/groups/orders.py
@@ -39,13 +39,13 @@
 from .call_window import Urgency
 from .call_window import forming
 
-# how often a silent endpoint is asked before it counts as not answering; chosen, not measured
+# how often a silent endpoint is asked before it counts as not answering
 PROBES = 2
-# how often it is asked beside these while this daemon is late itself; chosen, not measured
+# how often it is asked beside these while this daemon is late itself
 PROBES_WHILE_LATE = 10
-# between two questions to an endpoint that is waited for, in seconds; chosen, not measured
+# between two questions to an endpoint that is waited for, in seconds
 ASK_SECONDS = 0.25
-# between two looks at what is already known here, in seconds; chosen, not measured
+# between two looks at what is already known here, in seconds
 LOOK_SECONDS = 0.02
 # states in which a member has loaded the model
 READY_STATES = (GroupState.READY, GroupState.OPEN)
--- a/packages/gateway/src/thorncleat_gateway/groups/records.py
+++ b/packages/gateway/src/thorncleat_gateway/groups/records.py
@@ -36,7 +36,7 @@
 from .formation import GroupPlan
 
 GROUPS = "thorncleat/groups/"
-# keys that one write may remove beside what it writes; chosen, not measured
+# keys that one write may remove beside what it writes
 REMOVED_AT_ONCE = 24
 
 
--- a/packages/gateway/src/thorncleat_gateway/groups/slow_endpoints.py
+++ b/packages/gateway/src/thorncleat_gateway/groups/slow_endpoints.py
@@ -30,9 +30,9 @@
 from .orders import Orders
 
 # times the usual duration of a step from which an endpoint counts as slow: to form its group anew
-# makes a pause of 2 s, which a stream at twice its duration seldom lasts; chosen, not measured
+# makes a pause of 2 s, which a stream at twice its duration seldom lasts
 SLOW_PACE = 3.0
-# between two questions to a slow endpoint, in seconds; chosen, not measured
+# between two questions to a slow endpoint, in seconds
 ASK_AGAIN_SECONDS = 1.0
 
 
--- a/packages/gateway/src/thorncleat_gateway/groups/spare_warming.py
+++ b/packages/gateway/src/thorncleat_gateway/groups/spare_warming.py
@@ -34,10 +34,9 @@
 from .records import GroupRecords
 
 # after an endpoint was warmed, or wasn't, until it is tried again, in seconds: the list shows its
-# model long before; chosen, not measured
+# model long before
 TRY_AGAIN_SECONDS = 10.0
-# without a change of the list, for which a wait for the endpoint rests, in seconds; chosen, not
-# measured
+# without a change of the list, for which a wait for the endpoint rests, in seconds
 REST_SECONDS = 0.25
 
 
--- a/packages/gateway/src/thorncleat_gateway/groups/unlisted_endpoints.py
+++ b/packages/gateway/src/thorncleat_gateway/groups/unlisted_endpoints.py
@@ -21,11 +21,11 @@
 from .jobs import Start
 from .orders import Orders
 
-# between two questions to an unlisted endpoint, in seconds; chosen, not measured
+# between two questions to an unlisted endpoint, in seconds
 WATCH_AGAIN_SECONDS = 1.0
-# for which an unlisted endpoint is asked at most, in seconds; chosen, not measured
+# for which an unlisted endpoint is asked at most, in seconds
 WATCH_SECONDS = 30.0
-# in which an endpoint that was just unlisted counts as answering, in seconds; chosen, not measured
+# in which an endpoint that was just unlisted counts as answering, in seconds
 BENEFIT_SECONDS = 0.4
 
 
--- a/packages/gateway/src/thorncleat_gateway/listeners.py
+++ b/packages/gateway/src/thorncleat_gateway/listeners.py
@@ -10,14 +10,14 @@
 from aiohttp import web
 
 # seconds that a caller's connection may rest; more than the configurations' idle time-outs seen
-# on the users' pages, chosen, not measured
+# on the users' pages
 KEEP_ALIVE_SECONDS = 75.0
-# bytes of a request line and of one header; chosen, not measured
+# bytes of a request line and of one header
 LONGEST_LINE_BYTES = 16_384
-# connections that may wait to be accepted; chosen, not measured
+# connections that may wait to be accepted
 BACKLOG = 512
 # seconds that open connections have at the end, after planned stops have waited for their
-# requests; chosen, not measured
+# requests
 SHUTDOWN_SECONDS = 0.1
 
 Handler = t.Callable[[web.BaseRequest], t.Awaitable[web.StreamResponse]]
--- a/packages/gateway/src/thorncleat_gateway/logs.py
+++ b/packages/gateway/src/thorncleat_gateway/logs.py
@@ -14,9 +14,9 @@
 
 from . import events
 
-# written on average; chosen, not measured
+# written on average
 LINES_PER_SECOND = 200
-# written at once after a quiet time, three seconds' worth; chosen, not measured
+# written at once after a quiet time, three seconds' worth
 BURST_LINES = 600
 
 
--- a/packages/gateway/src/thorncleat_gateway/metrics.py
+++ b/packages/gateway/src/thorncleat_gateway/metrics.py
@@ -19,7 +19,7 @@
 from . import events
 
 # targets whose durations are kept apart, later ones are counted together; a histogram takes some
-# kilobytes, and configurations may have hundreds of routes; chosen, not measured
+# kilobytes, and configurations may have hundreds of routes
 MOST_TARGETS = 64
 OTHERS = "others"
 # a cause's varying part: numbers, names and reprs
--- a/packages/gateway/src/thorncleat_gateway/peers/datagrams.py
+++ b/packages/gateway/src/thorncleat_gateway/peers/datagrams.py
@@ -24,13 +24,12 @@
 FORMAT = 1
 # times are told in these, as whole numbers
 MILLISECONDS = 1000
-# between two reports of a daemon, while there are few daemons; chosen, not measured
+# between two reports of a daemon, while there are few daemons
 SHORTEST_INTERVAL_SECONDS = 0.1
-# daemons up to which that interval holds, so that each receives at most 160 reports a second;
-# 1e0ca95 measured the processor time with it
+# daemons up to which that interval holds, so that each receives at most 160 reports a second
 DAEMONS_AT_SHORTEST = 16
 # daemons as which each neighbour counts where reports go to neighbours only, so that each daemon
-# receives at most 80 reports a second; chosen, not measured
+# receives at most 80 reports a second
 NEIGHBOUR_WEIGHT = 2
 
 
--- a/packages/gateway/src/thorncleat_gateway/peers/domain_loads.py
+++ b/packages/gateway/src/thorncleat_gateway/peers/domain_loads.py
@@ -14,12 +14,12 @@
 
 from thorncleat_core import rendezvous
 
-# daemons up to which each reports to all others; chosen, not measured
+# daemons up to which each reports to all others
 MOST_THAT_REPORT_TO_ALL = 16
-# daemons of a failure domain that tell its sum, so that one may have died; chosen, not measured
+# daemons of a failure domain that tell its sum, so that one may have died
 TELLERS = 2
 # between two sums of one teller, in seconds: the tellers together tell it twice as often, which
-# bounds its age for the choice of an endpoint in another failure domain; chosen, not measured
+# bounds its age for the choice of an endpoint in another failure domain
 SUM_SECONDS = 0.5
 
 
--- a/packages/gateway/src/thorncleat_gateway/peers/failure_detector.py
+++ b/packages/gateway/src/thorncleat_gateway/peers/failure_detector.py
@@ -24,13 +24,13 @@
 from .own_lateness import OwnLateness
 from .suspicions import Suspicions
 
-# between two looks at the streams; chosen, not measured
+# between two looks at the streams
 LOOK_SECONDS = 0.02
-# weight of the newest gap in the mean; chosen, not measured
+# weight of the newest gap in the mean
 GAP_WEIGHT = 0.3
-# for which it is remembered when an endpoint was heard; chosen, not measured
+# for which it is remembered when an endpoint was heard
 REMEMBER_HEARD_SECONDS = 60.0
-# for which a suspicion is not told again; chosen, not measured
+# for which a suspicion is not told again
 TELL_AGAIN_SECONDS = 0.2
 
 
--- a/packages/gateway/src/thorncleat_gateway/peers/load_reporter.py
+++ b/packages/gateway/src/thorncleat_gateway/peers/load_reporter.py
@@ -17,11 +17,11 @@
 from .load_table import LoadTable
 
 # seconds for which an endpoint's answer is told to the others: three reports where there are few
-# daemons, so that two may be lost; chosen, not measured
+# daemons, so that two may be lost
 HEARD_SECONDS = 0.3
 # where reports are rarer than that, reports that tell of an answer; so that one may be lost
 HEARD_REPORTS = 2
-# reports without content that are sent before a daemon falls silent; chosen, not measured
+# reports without content that are sent before a daemon falls silent
 EMPTY_REPORTS = 2
 
 
--- a/packages/gateway/src/thorncleat_gateway/peers/load_table.py
+++ b/packages/gateway/src/thorncleat_gateway/peers/load_table.py
@@ -13,7 +13,7 @@
 from .datagrams import SHORTEST_INTERVAL_SECONDS
 
 # a report of another daemon counts no longer than this, in seconds, or than so many intervals,
-# whichever is longer, so that two lost datagrams make nobody forget it; chosen, not measured
+# whichever is longer, so that two lost datagrams make nobody forget it
 REPORT_SECONDS = 1.0
 # see REPORT_SECONDS
 REPORT_INTERVALS = 3.0
--- a/packages/gateway/src/thorncleat_gateway/peers/own_lateness.py
+++ b/packages/gateway/src/thorncleat_gateway/peers/own_lateness.py
@@ -11,10 +11,10 @@
 import typing as t
 
 # ticks that are remembered, 1.3 s at the detector's interval: longer than any call to an endpoint
-# may take; chosen, not measured
+# may take
 TICKS = 64
 # lateness from which on a silence proves nothing, in seconds: a fourth of the shortest time-out of
-# a call; chosen, not measured
+# a call
 LATE_SECONDS = 0.04
 
 
--- a/packages/gateway/src/thorncleat_gateway/peers/silence.py
+++ b/packages/gateway/src/thorncleat_gateway/peers/silence.py
@@ -23,13 +23,13 @@
 STREAM_SILENT = "stream silent, its group is not"
 # seconds by which a stream is behind the others of its group before its connection is taken for
 # silent: an engine that runs out of memory reads a request anew, and makes no event for it
-# meanwhile; chosen, not measured
+# meanwhile
 BEHIND_SECONDS = 1.0
 # usual gaps between events after which silence is evidence enough where the group is suspected
-# already; chosen, not measured
+# already
 SUSPECTED_GAPS = 1.5
-# seconds after which another daemon's word that it hears a group is no evidence any more; chosen,
-# not measured: a report comes each 0.1 s where there are few daemons, and one may be lost
+# seconds after which another daemon's word that it hears a group is no evidence any more: a report
+# comes each 0.1 s where there are few daemons, and one may be lost
 HEARD_ELSEWHERE_SECONDS = 0.15
 
 
--- a/packages/gateway/src/thorncleat_gateway/peers/suspicions.py
+++ b/packages/gateway/src/thorncleat_gateway/peers/suspicions.py
@@ -15,12 +15,11 @@
 from ..store.roster import Endpoint
 from ..store.roster import GroupId
 
-# by which each suspicion of a group that was not heard since is longer than the one before;
-# chosen, not measured
+# by which each suspicion of a group that was not heard since is longer than the one before
 GROWTH = 2.0
-# seconds that a suspicion lasts at most; chosen, not measured
+# seconds that a suspicion lasts at most
 LONGEST_SECONDS = 8.0
-# seconds after its end for which a suspicion is remembered; chosen, not measured
+# seconds after its end for which a suspicion is remembered
 REMEMBER_SECONDS = 30.0
 
 
--- a/packages/gateway/src/thorncleat_gateway/planned_stop.py
+++ b/packages/gateway/src/thorncleat_gateway/planned_stop.py
@@ -16,11 +16,11 @@
 from .requests.frontend import Frontend
 
 # seconds after the order to stop in which the balancer notices: it takes a daemon out after two
-# misses, one second apart. Commit d19ae07: without a limit, 13 requests were cut on one day
+# misses, one second apart. Without an end of this time requests that keep coming would be cut
 LEAVE_SECONDS = 2.5
-# seconds before the kill at which the daemon ends, for closing its sockets; chosen, not measured
+# seconds before the kill at which the daemon ends, for closing its sockets
 STOP_MARGIN_SECONDS = 0.7
-# seconds between two looks at the requests that run; chosen, not measured
+# seconds between two looks at the requests that run
 LOOK_SECONDS = 0.05
 
 
--- a/packages/gateway/src/thorncleat_gateway/ports/store_changes.py
+++ b/packages/gateway/src/thorncleat_gateway/ports/store_changes.py
@@ -11,7 +11,7 @@
 from ..store.serving import ServingConfiguration
 
 # part of a wait without a change that had passed at the other side when it answered, however
-# quick its clock is; chosen, not measured (4d4bdb4)
+# quick its clock is
 WAITED_PART = 0.8
 
 
--- a/packages/gateway/src/thorncleat_gateway/requests/admission.py
+++ b/packages/gateway/src/thorncleat_gateway/requests/admission.py
@@ -15,7 +15,7 @@
 from .refusal import Refusal
 
 # part of the deployment's bound for taking a key away, for which the configuration counts as
-# new enough for keys; the rest covers requests under way; chosen, not measured
+# new enough for keys; the rest covers requests under way
 FRESH_PART = 0.9
 
 
--- a/packages/gateway/src/thorncleat_gateway/requests/crash_reporter.py
+++ b/packages/gateway/src/thorncleat_gateway/requests/crash_reporter.py
@@ -32,10 +32,10 @@
 from .quarantine import Involvement
 from .quarantine import Quarantine
 
-# in which breaks of connections gather before they are told; chosen, not measured
+# in which breaks of connections gather before they are told
 GATHER_SECONDS = 0.01
-# between two repetitions; chosen with REPEAT_TO: of 8 to 195 daemons that know something, one that
-# doesn't is missed for 3 s less often than once in 5,000 times (worked out, not measured)
+# between two repetitions: with REPEAT_TO, one daemon of 8 to 195 that doesn't know what the others
+# do is missed for 3 s less often than once in 5,000 times
 REPEAT_SECONDS = 1.0
 # daemons that are told at each repetition
 REPEAT_TO = 3
--- a/packages/gateway/src/thorncleat_gateway/requests/crash_watch.py
+++ b/packages/gateway/src/thorncleat_gateway/requests/crash_watch.py
@@ -21,9 +21,9 @@
 from .request import Request
 
 # without anything from an endpoint, after which its end has another cause than a request that runs
-# there: a group that lacks a member stands still for seconds before it breaks; chosen, not measured
+# there: a group that lacks a member stands still for seconds before it breaks
 STILL_SECONDS = 1.0
-# in which bytes that an endpoint sent before its end may still arrive; chosen, not measured
+# in which bytes that an endpoint sent before its end may still arrive
 ARRIVAL_SECONDS = 0.25
 
 
--- a/packages/gateway/src/thorncleat_gateway/requests/endpoint_notices.py
+++ b/packages/gateway/src/thorncleat_gateway/requests/endpoint_notices.py
@@ -19,7 +19,7 @@
 from ..store.view import StoreView
 
 # that an endpoint is believed at most: it may ask for as long as it likes, but a time in another
-# unit, or a time of day, must not shut it out for good; chosen, not measured
+# unit, or a time of day, must not shut it out for good
 LONGEST_PAUSE_SECONDS = 3600.0
 
 
@@ -64,8 +64,7 @@
 
     def willing(self, endpoints: list[Endpoint]) -> list[Endpoint]:
         """Return those of some endpoints that take requests now."""
-        # most of the time none pauses, and every choice asks: of 80 groups it takes 144 to 241 us
-        # so, and 301 with a look at each (300 choices, best of 15 to 60 rounds, a busy machine)
+        # most of the time none pauses, and every choice asks
         if not self._pauses:
             return endpoints
         return [endpoint for endpoint in endpoints if not self.pause_left(endpoint)]
--- a/packages/gateway/src/thorncleat_gateway/requests/endpoint_selector.py
+++ b/packages/gateway/src/thorncleat_gateway/requests/endpoint_selector.py
@@ -23,27 +23,26 @@
 from .group_leaders import GroupLeaders
 
 # for which an endpoint that refused a connection, or a group that answered with a failure, is
-# avoided at first; chosen, not measured
+# avoided at first
 AVOID_SECONDS = 1.0
-# by which that grows each time it fails again before an answer; chosen, not measured
+# by which that grows each time it fails again before an answer
 AVOID_GROWTH = 2.0
-# up to which it grows; chosen, not measured
+# up to which it grows
 LONGEST_AVOID_SECONDS = 8.0
-# requests for each slot from which on a group is full; chosen, not measured
+# requests for each slot from which on a group is full
 FULL_PER_SLOT = 2.0
-# failures of an endpoint weigh less with each answer, by this factor; chosen, not measured
+# failures of an endpoint weigh less with each answer, by this factor
 FORGET = 0.9
-# weights are in requests under way: that of an endpoint which failed all requests lately;
-# chosen, not measured
+# weights are in requests under way: that of an endpoint which failed all requests lately
 FAILURE_WEIGHT = 12.0
 # requests that an endpoint of a plain service runs at once: only the endpoint itself knows
 UNKNOWN_PLACES = float("inf")
-# by which a choice varies at random; chosen, not measured
+# by which a choice varies at random
 SPREAD = 0.9
-# of a group that will probably lose a member; chosen, not measured
+# of a group that will probably lose a member
 WEAK_WEIGHT = 4.0
 # of an endpoint in another failure domain: its way is longer, and bytes between failure domains
-# cost; docs/ROUNDS.md measured 0, 1 and 2
+# cost
 FAR_WEIGHT = 2.0
 
 
--- a/packages/gateway/src/thorncleat_gateway/requests/frontend.py
+++ b/packages/gateway/src/thorncleat_gateway/requests/frontend.py
@@ -28,9 +28,9 @@
 from .route_split import service_for
 from .streams import StreamForwarder
 
-# before the bound itself, so that the final answer is there in time; chosen, not measured
+# before the bound itself, so that the final answer is there in time
 MARGIN_SECONDS = 0.05
-# for callers who don't say how long they wait; chosen, not measured
+# for callers who don't say how long they wait
 DEFAULT_DEADLINE_SECONDS = 60.0
 
 
--- a/packages/gateway/src/thorncleat_gateway/requests/placement.py
+++ b/packages/gateway/src/thorncleat_gateway/requests/placement.py
@@ -1,8 +1,8 @@
 """Among which endpoints a daemon chooses, where hundreds of daemons choose by old reports.
 
 The load pattern: all daemons see the same reports, some tenths of a second old, and each sends its
-next request to the endpoint that has the fewest by them. Until the next reports all go there: of
-195 daemons 14 chose the same group of 11 places within 0.35 s, whose first events then came late.
+next request to the endpoint that has the fewest by them. Until the next reports all go there, and
+the first events of what it gets beyond its places come late.
 
 So each draws two endpoints of its own failure domain at random, whose reports are the newest, and
 takes the better one. An endpoint that looks best then gets only as many requests as draw it.
@@ -20,9 +20,7 @@
 
 from ..store.roster import Endpoint
 
-# endpoints that are drawn: the least that make a choice. On 50 groups that carry half of what they
-# could (tests/test_placement.py), 0.2 % of the requests find no place at once with it, 0.3 % with
-# 3, 4.4 % with all of the failure domain
+# endpoints that are drawn: the least that make a choice; with more, more daemons choose the same
 DRAWN = 2
 
 
--- a/packages/gateway/src/thorncleat_gateway/requests/quarantine.py
+++ b/packages/gateway/src/thorncleat_gateway/requests/quarantine.py
@@ -27,22 +27,21 @@
 LIMIT_CRASHES = 3
 LIMIT_POINTS = LIMIT_CRASHES * RAN_POINTS
 # within which crashes are of one moment: connections that break together take some milliseconds, a
-# request that is sent again took 0.22 s or more to end the next endpoint in the recorded incident
+# request that is sent again takes a fifth of a second to end the next endpoint
 MOMENT_SECONDS = 0.02
 # crashes from which on a request is kept from the last endpoint that could serve it
 SPARED_CRASHES = 2
 # after the newest of them, for which it is kept from it: others are back by then, 2 to 3 s after
-# their crash in the recorded incident; chosen, not measured
+# their crash
 SPARED_SECONDS = 5.0
 # that a request is held after its newest crash: then it is let in once more, since its endpoints
-# may run other software by then; chosen, not measured
+# may run other software by then
 HOLD_SECONDS = 600.0
-# for which a crash is remembered, longer than a request is held; chosen, not measured
+# for which a crash is remembered, longer than a request is held
 REMEMBER_SECONDS = 3600.0
-# crashes that are remembered at most: with 26 requests each they take 2.0 MB (tracemalloc); the
-# number is chosen, not measured
+# crashes that are remembered at most: with 26 requests each they take 2.0 MB
 MOST_CRASHES = 256
-# requests of one crash that are remembered; chosen, not measured
+# requests of one crash that are remembered
 MOST_REQUESTS = 64
 
 
--- a/packages/gateway/src/thorncleat_gateway/requests/request.py
+++ b/packages/gateway/src/thorncleat_gateway/requests/request.py
@@ -25,7 +25,7 @@
 # rank of the least urgent requests; engines know ranks 0 to 9
 LOWEST_PRIORITY = 9
 # least remaining time that an endpoint is told, in seconds: never nothing, in the platform's
-# unit of a millisecond; chosen, not measured
+# unit of a millisecond
 LEAST_REMAINING_SECONDS = 0.001
 
 
--- a/packages/gateway/src/thorncleat_gateway/requests/request_log.py
+++ b/packages/gateway/src/thorncleat_gateway/requests/request_log.py
@@ -14,7 +14,7 @@
 from .fingerprint import Fingerprint
 from .request import Request
 
-# endpoints that one line names; chosen, not measured
+# endpoints that one line names
 MOST_ENDPOINTS = 8
 
 
--- a/packages/gateway/src/thorncleat_gateway/requests/retry_after.py
+++ b/packages/gateway/src/thorncleat_gateway/requests/retry_after.py
@@ -9,14 +9,14 @@
 
 import random
 
-# the daemon is stopping: another one can take the request at once; chosen, not measured
+# the daemon is stopping: another one can take the request at once
 STOPPING_SECONDS = 0.05
 # no configuration, or one too old for keys: the store or a relay has to answer first, or the
-# balancer has to choose another daemon; chosen, not measured
+# balancer has to choose another daemon
 CONFIGURATION_SECONDS = 0.5
-# no endpoint of a plain service answered, or the retry budget is spent; chosen, not measured
+# no endpoint of a plain service answered, or the retry budget is spent
 PLAIN_SECONDS = 0.3
-# no group for the model, or a stream that has not begun is given up; chosen, not measured
+# no group for the model, or a stream that has not begun is given up
 STREAM_SECONDS = 0.4
 # for which endpoints' pauses are waited for at most, in seconds: a third of the 8 s that the most
 # patient callers of today wait
@@ -28,10 +28,7 @@
 
     Where none is left, most other daemons have been asked for a pause as well, so to come back
     sooner is in vain. The pauses end together, and the callers are spread so that they don't all
-    come at that moment. Where all endpoints decline for half a second and ask for 1 s, 8 in 100
-    requests to 16 groups stay unserved, in place of 15 with the usual time, and 11 without the
-    spread (virtual time, 60 requests a second, two seeds of 4 s; with pauses of 3 s 17, 38 and
-    25); of those to three plain endpoints 5 in place of 7 (12 a second, 20 seeds).
+    come at that moment.
 
     :param usual: seconds for the kind of request.
     :param pause_left: seconds until the first of them takes requests; 0 if none wants a pause.
--- a/packages/gateway/src/thorncleat_gateway/requests/retry_budget.py
+++ b/packages/gateway/src/thorncleat_gateway/requests/retry_budget.py
@@ -13,8 +13,7 @@
 import math
 import typing as t
 
-# part of the budget that is used; the rest covers requests and retries in different windows;
-# chosen, not measured
+# part of the budget that is used; the rest covers requests and retries in different windows
 SAFETY = 0.8
 
 # for which a daemon counts that is listed no more: longer than records run out in an outage of the
--- a/packages/gateway/src/thorncleat_gateway/requests/retry_policy.py
+++ b/packages/gateway/src/thorncleat_gateway/requests/retry_policy.py
@@ -20,12 +20,12 @@
 from . import retry_after
 from .refusal import Refusal
 
-# attempts that do not count towards the route's, after which none is left; chosen, not measured
+# attempts that do not count towards the route's, after which none is left
 UNSENT_TRIES = 4
 # part of the route's target after which a repeatable request that has attempts left goes to
-# another endpoint; chosen, not measured
+# another endpoint
 PATIENCE = 0.8
-# seconds for which a stream that has begun waits for a group to go on in; chosen, not measured
+# seconds for which a stream that has begun waits for a group to go on in
 WAIT_FOR_GROUP_SECONDS = 2.0
 # causes, as they stand in log lines and answers
 OUT_OF_TIME = "out of time"
--- a/packages/gateway/src/thorncleat_gateway/requests/streams.py
+++ b/packages/gateway/src/thorncleat_gateway/requests/streams.py
@@ -29,7 +29,7 @@
 from .retry_policy import Next
 from .retry_policy import StreamDecision
 
-# between two looks for a group to go on in, in seconds; chosen, not measured
+# between two looks for a group to go on in, in seconds
 LOOK_SECONDS = 0.05
 
 
@@ -139,7 +139,7 @@
         until = min(request.until, self._clock() + WAIT_FOR_GROUP_SECONDS)
         service, model = request.service.name, request.meta.model
         # requests that a crash broke go to groups drawn at random, so that they don't follow its
-        # cause into the next group: of 221 tries in the recorded incident a second crash broke 129
+        # cause into the next group
         apart = self._crash_watch.is_suspect(request)
         while True:
             self._check_held(request, begun=caller.begun)
--- a/packages/gateway/src/thorncleat_gateway/settings.py
+++ b/packages/gateway/src/thorncleat_gateway/settings.py
@@ -25,15 +25,12 @@
     :param load_overage: times its rate that it lets begin in that window.
     """
 
-    # the absence of a controller costs repairs only, so 2 s are enough; chosen, not measured
+    # the absence of a controller costs repairs only, so 2 s are enough
     lease: float = 2.0
-    # for the way of an order that was checked just before; chosen, not measured
+    # for the way of an order that was checked just before
     margin: float = 0.3
-    # chosen, not measured
     order_timeout: float = 0.4
-    # chosen, not measured
     probe_timeout: float = 0.15
-    # chosen, not measured
     form_timeout: float = 5.0
     # the adapter fills both in from the deployment's bounds; these are the values of today's three
     load_window: float = 5.0
@@ -52,18 +49,14 @@
     :param suspicion: for which a suspicion lasts.
     """
 
-    # chosen, not measured
     gaps: float = 3.0
-    # docs/ROUNDS.md, rounds L and N: with 0.18 and 0.35 s streams leave groups that only read a
-    # prompt, with 0.25 and 0.45 s some still do
+    # with less, streams leave groups that only read a prompt
     least_silence: float = 0.32
     # as least_silence
     most_silence: float = 0.6
-    # docs/ROUNDS.md, rounds L and N: 0.32 and 0.6 s were not better; prompts are read before it
+    # prompts are read before it
     first_event: float = 0.45
-    # chosen, not measured
     suspected: float = 0.07
-    # chosen, not measured
     suspicion: float = 1.0
 
 
@@ -81,11 +74,9 @@
     :param avoid: for which a relay that failed is not asked.
     """
 
-    # chosen with the sums above in mind, not measured one by one
     wait: float = 0.5
     patience: float = 0.3
     oldest: float = 1.1
-    # chosen, not measured
     avoid: float = 2.0
 
 
@@ -119,15 +110,13 @@
     revoke_within: float | None = None
     # the adapter fills it in from the deployment's bounds; this is the value of today's two
     grace: float = 8.0
-    # chosen, not measured
     connect_timeout: float = 0.25
     metrics: Address | None = None
     capacity: float = 1.0
-    # chosen, not measured; it bounds how old an idle daemon's knowledge gets
+    # it bounds how old an idle daemon's knowledge gets
     watch: float = 0.4
-    # commit b8a6914: calls to the store were the largest price of a grown site
+    # saves calls to the store
     coalesce: float = 0.2
-    # chosen, not measured
     quick_coalesce: float = 0.05
     control: ControlSettings = ControlSettings()
     relay: RelaySettings = RelaySettings()
--- a/packages/gateway/src/thorncleat_gateway/store/change_codec.py
+++ b/packages/gateway/src/thorncleat_gateway/store/change_codec.py
@@ -23,13 +23,13 @@
 from .roster import Endpoint
 from .serving import ServingConfiguration
 
-# from which compression is worth its processor time; chosen, not measured (b8a6914)
+# from which compression is worth its processor time
 COMPRESS_FROM_BYTES = 2_000
-# of zlib, the quickest; chosen, not measured (b8a6914)
+# of zlib, the quickest
 COMPRESSION_LEVEL = 1
 # the first byte of what is sent
 PLAIN, COMPRESSED = b"\0", b"\1"
-# that a relay may make this daemon unpack; chosen, not measured (b8a6914)
+# that a relay may make this daemon unpack
 MAX_BYTES = 64_000_000
 
 
--- a/packages/gateway/src/thorncleat_gateway/store/change_log.py
+++ b/packages/gateway/src/thorncleat_gateway/store/change_log.py
@@ -10,8 +10,7 @@
 
 from ..ports import Change
 
-# batches that are kept; a daemon that is further behind is sent to the store; chosen, not
-# measured (b8a6914)
+# batches that are kept; a daemon that is further behind is sent to the store
 BATCHES = 256
 
 
--- a/packages/gateway/src/thorncleat_gateway/store/freshness.py
+++ b/packages/gateway/src/thorncleat_gateway/store/freshness.py
@@ -7,11 +7,9 @@
 
 import dataclasses
 
-# a failure of the store that lasts so long may let entries of living endpoints run out;
-# chosen, not measured (4d4bdb4)
+# a failure of the store that lasts so long may let entries of living endpoints run out
 LAPSING_OUTAGE_SECONDS = 1.0
-# after the store's return, for those entries to be written anew; 4d4bdb4 played one day with
-# it (a trial: requests refused after the outage 41 -> 0)
+# after the store's return, for those entries to be written anew
 RETURN_SECONDS = 2.0
 
 
--- a/packages/gateway/src/thorncleat_gateway/store/registration.py
+++ b/packages/gateway/src/thorncleat_gateway/store/registration.py
@@ -29,14 +29,14 @@
 
 DAEMONS = "thorncleat/daemons/"
 RELAYS = "thorncleat/relays/"
-# time to live of a daemon's record; chosen, not measured
+# time to live of a daemon's record
 DAEMON_LEASE_SECONDS = 12.0
-# between two renewals; chosen, not measured
+# between two renewals
 RENEW_SECONDS = DAEMON_LEASE_SECONDS / 3
 # after a renewal that got no answer: with the usual pause the record of a daemon that lost the
-# store for 9 s would run out; chosen, not measured
+# store for 9 s would run out
 RENEW_AGAIN_SECONDS = 1.0
-# pause after a failed call; chosen, not measured (33c23af)
+# pause after a failed call
 RETRY_SECONDS = 0.3
 
 
--- a/packages/gateway/src/thorncleat_gateway/store/relay_feed.py
+++ b/packages/gateway/src/thorncleat_gateway/store/relay_feed.py
@@ -20,11 +20,10 @@
 from .relays import Daemon
 
 STORE = "store"
-# relays that are asked for everything before the store is: a listing takes a call for each page;
-# chosen, not measured
+# relays that are asked for everything before the store is: a listing takes a call for each page
 SNAPSHOT_TRIES = 2
 # for a connection to a relay that is asked for everything to come up, in seconds: after a loss of
-# power it may not be back yet; chosen, not measured
+# power it may not be back yet
 SNAPSHOT_CONNECT_SECONDS = 0.15
 
 
--- a/packages/gateway/src/thorncleat_gateway/store/relay_server.py
+++ b/packages/gateway/src/thorncleat_gateway/store/relay_server.py
@@ -16,13 +16,12 @@
 from .relays import Daemon
 from .view import StoreView
 
-# however long a daemon asks this one to wait; chosen, not measured (b8a6914)
+# however long a daemon asks this one to wait
 LONGEST_WAIT_SECONDS = 5.0
 # for which a daemon that asks for everything waits until this one has read it, in seconds; within
-# the time that the asker gives an answer; chosen, not measured
+# the time that the asker gives an answer
 SNAPSHOT_WAIT_SECONDS = 0.5
-# encoded answers that are kept for the next daemon that asks the same; chosen, not measured
-# (b8a6914)
+# encoded answers that are kept for the next daemon that asks the same
 KEPT_ANSWERS = 8
 
 
--- a/packages/gateway/src/thorncleat_gateway/store/relays.py
+++ b/packages/gateway/src/thorncleat_gateway/store/relays.py
@@ -18,20 +18,18 @@
 
 from thorncleat_core import rendezvous
 
-# a relay answers each of them a few times a second, which takes a core's fifth; chosen, not
-# measured
+# a relay answers each of them a few times a second, which takes a core's fifth
 DAEMONS_PER_RELAY = 40
 # daemons for each failure domain that has a relay of its own, which costs calls to the store and
-# saves bytes between failure domains; chosen, not measured
+# saves bytes between failure domains
 DAEMONS_PER_LOCAL_RELAY = 16
 # daemons that are asked when no relay will do, where there are many daemons: if all of them went to
-# the store themselves, one relay that has lost it would cost a call of each; chosen, not measured
+# the store themselves, one relay that has lost it would cost a call of each
 FALLBACK_RELAYS = 2
-# daemons up to which there are no fallback relays, and changes gather for the shortest time;
-# chosen, not measured
+# daemons up to which there are no fallback relays, and changes gather for the shortest time
 SMALL_FLEET = 16
-# for which changes gather before the next call to the store where there are more, in seconds;
-# chosen, not measured: with the pause below a change is known everywhere in 0.5 s at most
+# for which changes gather before the next call to the store where there are more, in
+# seconds: with the pause below a change is known everywhere in 0.5 s at most
 GATHER_AT_STORE_SECONDS = 0.2
 # likewise before the next call to a relay
 GATHER_AT_RELAY_SECONDS = 0.2
--- a/packages/gateway/src/thorncleat_gateway/store/roster.py
+++ b/packages/gateway/src/thorncleat_gateway/store/roster.py
@@ -14,7 +14,7 @@
 import enum
 import typing as t
 
-# for which an endpoint that has gone is remembered; chosen, not measured (33c23af)
+# for which an endpoint that has gone is remembered
 REMEMBER_GONE_SECONDS = 60.0
 
 
--- a/packages/gateway/src/thorncleat_gateway/store/view.py
+++ b/packages/gateway/src/thorncleat_gateway/store/view.py
@@ -27,11 +27,11 @@
 from .roster import Roster
 from .serving import ServingConfiguration
 
-# pause after a failed call, doubled with each further one; chosen, not measured (33c23af)
+# pause after a failed call, doubled with each further one
 FIRST_PAUSE_SECONDS = 0.05
-# up to which that pause is doubled; chosen, not measured (33c23af)
+# up to which that pause is doubled
 LONGEST_PAUSE_SECONDS = 0.4
-# between two looks for endpoints that were not listed again; chosen, not measured (4d4bdb4)
+# between two looks for endpoints that were not listed again
 EXPIRE_SECONDS = 0.25
 
 
--- a/packages/standins/src/thorncleat_standins/batch.py
+++ b/packages/standins/src/thorncleat_standins/batch.py
@@ -9,7 +9,7 @@
 import heapq
 import itertools
 
-# requests that one batch step advances; chosen, not measured
+# requests that one batch step advances
 BATCH_REQUESTS = 512
 
 
--- a/packages/standins/src/thorncleat_standins/cluster.py
+++ b/packages/standins/src/thorncleat_standins/cluster.py
@@ -24,12 +24,11 @@
 Json = dict[str, t.Any]
 # between two looks at what is waited for
 LOOK_SECONDS = 0.05
-# for daemons that start, meet and form groups; chosen, not measured
+# for daemons that start, meet and form groups
 WAIT_SECONDS = 30.0
 # of each instance (docs/DEVELOPERS.md: 80,000 on 10,000 instances)
 ACCELERATORS = 8
-# where a cluster sets none: few shards, quick loads and looks at the list, for short runs;
-# chosen, not measured
+# where a cluster sets none: few shards, quick loads and looks at the list, for short runs
 CONTROL = {"shards": 4, "load": 1.0}
 LIST_SECONDS = 0.3
 
--- a/packages/standins/src/thorncleat_standins/platform_store.py
+++ b/packages/standins/src/thorncleat_standins/platform_store.py
@@ -15,11 +15,11 @@
 from aiohttp import web
 
 Document = dict[str, t.Any]
-# entries of one answer about a range; chosen, not measured
+# entries of one answer about a range
 PAGE_ENTRIES = 500
-# between two looks at leases while a watch waits; chosen, not measured
+# between two looks at leases while a watch waits
 LOOK_SECONDS = 0.2
-# for handlers to end; chosen, not measured
+# for handlers to end
 SHUTDOWN_SECONDS = 0.1
 # ids of leases lie above; any number would do
 FIRST_LEASE = 1000
--- a/packages/standins/src/thorncleat_standins/platform_worker.py
+++ b/packages/standins/src/thorncleat_standins/platform_worker.py
@@ -26,17 +26,17 @@
 LIMIT = "Server-Limit"
 NOT_RUN = "X-Thorncleat-Not-Executed"
 RETRY_AFTER = "Retry-After"
-# from an order about its group until it is carried out; chosen, not measured
+# from an order about its group until it is carried out
 JOIN_SECONDS = 0.02
-# between the events of a stream; chosen, not measured
+# between the events of a stream
 EVENT_SECONDS = 0.02
-# of a stream that fell silent; chosen, not measured
+# of a stream that fell silent
 SILENCE_SECONDS = 30.0
-# between half an answer and its reset, so that the half is sent; chosen, not measured
+# between half an answer and its reset, so that the half is sent
 RESET_SECONDS = 0.05
-# for handlers to end; chosen, not measured
+# for handlers to end
 SHUTDOWN_SECONDS = 0.1
-# from the beginning of a run to the crash that it brings about; chosen, not measured
+# from the beginning of a run to the crash that it brings about
 CRASH_SECONDS = 0.15
 
 
--- a/packages/standins/src/thorncleat_standins/processes.py
+++ b/packages/standins/src/thorncleat_standins/processes.py
@@ -14,9 +14,9 @@
 import sys
 import typing as t
 
-# for a daemon's imports and its first line on a busy machine; chosen, not measured
+# for a daemon's imports and its first line on a busy machine
 START_SECONDS = 20.0
-# from the signal on; chosen, not measured
+# from the signal on
 STOP_SECONDS = 10.0
 # of a log that an error quotes
 TAIL_CHARACTERS = 2000
--- a/packages/standins/src/thorncleat_standins/served.py
+++ b/packages/standins/src/thorncleat_standins/served.py
@@ -12,7 +12,7 @@
 
 from aiohttp import web
 
-# for handlers to end; chosen, not measured
+# for handlers to end
 SHUTDOWN_SECONDS = 0.5
 
 
--- a/packages/standins/src/thorncleat_standins/store.py
+++ b/packages/standins/src/thorncleat_standins/store.py
@@ -19,7 +19,7 @@
 from . import kv
 from .served import Served
 
-# of a value; chosen, not measured
+# of a value
 MAX_VALUE_BYTES = 1_000_000
 # code of gRPC
 RESOURCE_EXHAUSTED = 8
--- a/packages/standins/src/thorncleat_standins/traffic.py
+++ b/packages/standins/src/thorncleat_standins/traffic.py
@@ -18,9 +18,9 @@
 
 ACKNOWLEDGE = "/v1/services/telemetry/alarms/7/ack"
 CHAT = "/v1/chat/completions"
-# of a call; chosen, not measured
+# of a call
 ATTEMPTS = 6
-# with one answer; more than the deadline that callers send; chosen, not measured
+# with one answer; more than the deadline that callers send
 PATIENCE_SECONDS = 5.0
 DEADLINE_SECONDS = 3
 DONE_STATUS = 201
--- a/tests/test_architecture.py
+++ b/tests/test_architecture.py
@@ -62,3 +62,14 @@
     told = "Owns:" in text and "Relies on:" in text
     assert text
     assert told is (name not in NOT_TOLD_YET)
+
+
+# what belongs in commit messages and on the capacity page
+STORY = re.compile(
+    r"not measured|\bcommit [0-9a-f]{7}\b|\b[0-9a-f]{7}\)|\bissue \d|20\d\d-\d\d-\d\d|fleetbench"
+)
+
+
+@pytest.mark.parametrize("name", [name for name in modules() if not name.startswith("bench/")])
+def test_module_tells_no_story_of_its_tuning(name):
+    assert STORY.findall((ROOT / name).read_text(encoding="utf-8")) == []
