Stand-in store that comes back from a copy, and the soak's restores

The store names its era in all answers, gives revisions and ids of leases again, and refuses a watch from a revision that it doesn't have.

--- a/bench/soaks/gateway.py
+++ b/bench/soaks/gateway.py
@@ -21,6 +21,7 @@
 from . import gateway_fatal
 from . import gateway_limits
 from . import gateway_notices
+from . import gateway_restores
 from . import gateway_upgrade
 from .gateway_callers import Caller
 from .gateway_checks import RequestKind
@@ -164,6 +165,7 @@
     parts += [caller.run(soak.end) for caller in soak.callers]
     parts += [_watch_ends(soak), gateway_notices.play(soak, seed)]
     parts.append(gateway_limits.play(soak, seed))
+    parts.append(gateway_restores.play(soak, soak.site, seed))
     if older:
         parts.append(gateway_upgrade.play(soak, seed, gateway_upgrade.program_of(older)))
     await asyncio.gather(*parts)
--- a/bench/soaks/gateway_site.py
+++ b/bench/soaks/gateway_site.py
@@ -28,6 +28,8 @@
 from .proxy import Proxy
 
 HOST = "soak.example"
+CONFIGURATION = "op/config"
+ENTRIES = "servers/"
 # after which a key that was taken away must not work any more
 REVOKE_SECONDS = 3.0
 # keys taken away that callers still try
@@ -65,6 +67,7 @@
         self.keys = ["key-0"]
         self.former_keys: collections.deque[str] = collections.deque(["never"], FORMER_KEYS)
         self.version = 0
+        self._configuration: dict[str, t.Any] = {}
 
     async def start(self) -> None:
         """Start everything."""
@@ -150,7 +153,17 @@
             "limits": {"max_body_bytes": 10_000},
             "tenants": [{"name": "growers", "api_keys": self.keys, "priority": 1}],
         }
-        self.store.write("op/config", document)
+        self._configuration = document
+        self.store.write(CONFIGURATION, document)
+
+    def write_again(self) -> None:
+        """Write what the operator and the workers had written, as after a restore."""
+        self.store.write(CONFIGURATION, self._configuration)
+        for worker in self.workers.values():
+            worker.publish()
+        for key in self.store.keys(ENTRIES):
+            if not self.workers[key.removeprefix(ENTRIES)].alive:
+                self.store.delete(key)
 
     async def stop(self) -> None:
         """End every process that was started here, by its id."""
--- a/packages/standins/src/thorncleat_standins/platform_store.py
+++ b/packages/standins/src/thorncleat_standins/platform_store.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import base64
+import dataclasses
 import json
 import time
 import typing as t
@@ -23,6 +24,20 @@
 SHUTDOWN_SECONDS = 0.1
 # ids of leases lie above; any number would do
 FIRST_LEASE = 1000
+# of the number that rises each time the store comes back from a copy
+ERA_HEADER = "Store-Era"
+
+
+@dataclasses.dataclass(frozen=True)
+class Copy:
+    """What the store held at one moment, from which it may come back."""
+
+    revision: int
+    forgotten: int
+    granted: int
+    items: dict[str, Document]
+    history: list[tuple[int, Document]]
+    leases: dict[int, tuple[float, float]]
 
 
 class PlatformStore:
@@ -30,6 +45,7 @@
 
     :ivar refuse: whether every call gets 503.
     :ivar lose_answers: writes that take effect and whose connection is then cut.
+    :ivar era: rises each time the store comes back from a copy.
     """
 
     def __init__(self) -> None:
@@ -38,8 +54,10 @@
         self._leases: dict[int, tuple[float, float]] = {}
         self._changed = asyncio.Event()
         self._forgotten = 0
+        self._granted = 0
         self._runner: web.AppRunner | None = None
         self.revision = 1
+        self.era = 1
         self.refuse = False
         self.lose_answers = 0
         self.calls: list[str] = []
@@ -85,6 +103,29 @@
         self._history.clear()
         self._wake()
 
+    def copy(self) -> Copy:
+        """Return what :meth:`restore` may come back to."""
+        return Copy(
+            self.revision,
+            self._forgotten,
+            self._granted,
+            dict(self._items),
+            list(self._history),
+            dict(self._leases),
+        )
+
+    def restore(self, copy: Copy) -> None:
+        """Come back from a copy.
+
+        What was written since is gone, leases too; revisions and the ids of leases are given again.
+        """
+        self.era += 1
+        self.revision, self._forgotten = copy.revision, copy.forgotten
+        self._granted = copy.granted
+        self._items, self._history = dict(copy.items), list(copy.history)
+        self._leases = dict(copy.leases)
+        self._wake()
+
     def keys(self, prefix: str) -> list[str]:
         """Return the keys that begin with a prefix."""
         return sorted(key for key in self._items if key.startswith(prefix))
@@ -128,9 +169,10 @@
         async def guarded(request: web.Request) -> web.Response:
             self.calls.append(path)
             if self.refuse:
-                return web.Response(status=503)
+                return web.Response(status=503, headers=self._headers())
             self._expire()
             answer = await handler(request)
+            answer.headers.update(self._headers())
             if self.lose_answers and path == "kv-txn":
                 self.lose_answers -= 1
                 assert request.transport is not None
@@ -139,6 +181,9 @@
 
         return guarded
 
+    def _headers(self) -> dict[str, str]:
+        return {ERA_HEADER: str(self.era)}
+
     async def _key(self, request: web.Request) -> web.Response:
         item = self._items.get(request.query["private_key"])
         if item is None:
@@ -160,7 +205,7 @@
         since = int(request.query["since_rev"])
         until = time.monotonic() + int(request.query["wait_ms"]) / 1000
         while True:
-            if since < self._forgotten:
+            if not self._forgotten <= since <= self.revision:
                 return web.Response(status=410)
             prefix = request.query["path_prefix"]
             found = [
@@ -193,7 +238,8 @@
 
     async def _lease(self, request: web.Request) -> web.Response:
         ttl = (await request.json())["ttl_ms"] / 1000
-        lease = FIRST_LEASE + len(self.calls)
+        self._granted += 1
+        lease = FIRST_LEASE + self._granted
         self._leases[lease] = (time.monotonic() + ttl, ttl)
         return web.json_response({"lease_id": lease, "ttl_ms": int(ttl * 1000)})
 
