--- a/tests/group_store.py
+++ b/tests/group_store.py
@@ -1,6 +1,7 @@
 """The platform's store, for the world of :mod:`.group_world`."""
 
 import asyncio
+import dataclasses
 import typing as t
 
 from thorncleat_gateway.exceptions import HistoryGoneError
@@ -19,6 +20,21 @@
 UNANSWERED_SECONDS = 1.0
 
 
+@dataclasses.dataclass(frozen=True)
+class Copy:
+    """What a store held at one moment.
+
+    :param granted: leases that had been granted.
+    """
+
+    revision: int
+    items: dict[str, object]
+    history: list[tuple[int, str, object]]
+    leases: dict[int, tuple[float, float]]
+    owners: dict[str, int]
+    granted: int
+
+
 class Store:
     """Revisions, records, leases and a history."""
 
@@ -32,6 +48,8 @@
         self.changed = asyncio.Event()
         self.forgotten = 0
         self.down = False
+        # rises each time the store comes back from a copy
+        self.era = 1
 
     def put(self, key: str, change: object) -> int:
         self.revision += 1
@@ -47,6 +65,26 @@
             self.history.append((self.revision, key, change))
             self._wake()
 
+    def copy(self) -> "Copy":
+        """Return what a restore may come back to."""
+        return Copy(
+            self.revision,
+            dict(self.items),
+            list(self.history),
+            dict(self.leases),
+            dict(self.owners),
+            len(self.world.granted),
+        )
+
+    def restore(self, copy: "Copy") -> None:
+        """Come back from a copy: what came after it is gone, and its numbers are given again."""
+        self.era += 1
+        self.revision = copy.revision
+        self.items, self.history = dict(copy.items), list(copy.history)
+        self.leases, self.owners = dict(copy.leases), dict(copy.owners)
+        del self.world.granted[copy.granted :]
+        self._wake()
+
     def _wake(self) -> None:
         self.changed.set()
         self.changed = asyncio.Event()
@@ -95,8 +133,8 @@
             except TimeoutError:
                 break
         await self._read()
-        if since < store.forgotten:
-            raise HistoryGoneError("forgotten")
+        if since < store.forgotten or since > store.revision:
+            raise HistoryGoneError("forgotten, or never written")
         return Changes(store.revision, [change for rev, _, change in store.history if rev > since])
 
     async def create(self, key: str, value: bytes, lease: int) -> int | None:
@@ -114,7 +152,13 @@
         return created
 
     async def put(self, key: str, value: bytes, lease: int) -> None:
-        await self.create(key, value, lease)
+        await self._call()
+        store = self._store
+        if lease not in store.leases:
+            raise StoreUnavailableError("no such lease")
+        revision = store.revision + 1
+        store.put(key, RecordChanged(key, value, revision, revision))
+        store.owners[key] = lease
 
     async def commit(self, puts, removals, unchanged) -> bool:
         await self._call()
@@ -131,6 +175,11 @@
             raise StoreOutcomeUnknownError("answer lost")
         return True
 
+    async def list_records(self, prefix: str) -> list[RecordChanged]:
+        await self._read()
+        found = [key for key in self._store.items if key.startswith(prefix)]
+        return [self._store.items[key] for key in found]
+
     async def find(self, key: str) -> RecordChanged | None:
         await self._read()
         return self._store.items.get(key)
--- a/tests/group_world.py
+++ b/tests/group_world.py
@@ -39,6 +39,7 @@
 from .group_engines import Processor
 from .group_engines import Worker
 from .group_engines import WorldEngines
+from .group_store import Copy
 from .group_store import Store
 from .group_store import StoreClient
 
@@ -295,6 +296,13 @@
         for lease in list(self.store.leases):
             self.store.end(lease)
 
+    def restore(self, copy: Copy) -> None:
+        """Have the store come back from a copy; entries of endpoints that ended run out again."""
+        self.store.restore(copy)
+        for worker in self.workers.values():
+            if not worker.alive:
+                self.later(UNLISTED_AFTER, lambda worker=worker: self.unlist(worker))
+
     def start_again(self, worker: Worker, unlisted_for: float = 0.0) -> None:
         """Have a worker crash and run anew under its id.
 
--- /dev/null
+++ b/tests/test_store_restores.py
@@ -0,0 +1,58 @@
+"""The store comes back from a copy some seconds old, and gives its revisions again."""
+
+import pytest
+
+from . import virtual_time
+from .fleet_world import FleetWorld
+
+KNOWN_EVERYWHERE = 1.0
+WATCHED = 8.0
+# that the copy is old
+LOST_SECONDS = 5.0
+FLEETS = [8, 24]
+
+
+async def _restored(daemons: int, away: float) -> FleetWorld:
+    """Return a world whose store came back from a copy, and in which all was written again."""
+    world = FleetWorld(daemons)
+    await world.start()
+    copy = world.store.copy()
+    for version in range(2, 52):
+        await world.pass_time(LOST_SECONDS / 50)
+        world.configure(version)
+    world.store.down = True
+    await world.pass_time(away)
+    world.store.down = False
+    world.store.restore(copy)
+    await world.pass_time(0.5)
+    world.write_again()
+    return world
+
+
+async def _leaving(daemons: int) -> float:
+    world = await _restored(daemons, 0.1)
+    await world.pass_time(0.5)
+    world.say_draining("w000")
+    used = await world.seconds_in_use("w000", WATCHED)
+    await world.stop()
+    return used[-1]
+
+
+async def _configured(daemons: int) -> set[int]:
+    world = await _restored(daemons, 0.1)
+    world.configure(60)
+    await world.pass_time(KNOWN_EVERYWHERE)
+    found = {daemon.view.configuration.version for daemon in world.daemons}
+    await world.stop()
+    return found
+
+
+@pytest.mark.parametrize("daemons", FLEETS)
+def test_leaving_is_known_while_the_revisions_are_given_again(daemons):
+    """Daemons that stand at the old number hear of nothing below it."""
+    assert virtual_time.run(_leaving(daemons)) <= KNOWN_EVERYWHERE
+
+
+@pytest.mark.parametrize("daemons", FLEETS)
+def test_configuration_is_known_while_the_revisions_are_given_again(daemons):
+    assert virtual_time.run(_configured(daemons)) == {60}
