A position in the store's changes is of one era

Callers' requests reached an endpoint 3,002 and 3,009 ms after the store had taken its leaving, and a configuration that took a key away was unknown for 2.6 s at all daemons but the relays and the controller. Cause: the store came back from a copy; its revisions went back from 1402 to 1328 and were given again. The relays were told that their history was gone and read all anew. The others stood at 1402 and asked the relays, who answered "nothing new, 1402", with a young age. They believed themselves fresh until the store had passed 1402, and never got what lay between, the leaving among it. Class: a number that is taken to rise for ever. Change: a position is a pair of era and revision, made at the adapter from the header and the body of the same answer, and used by the feed, the relays, their log and their kept answers. The first word of a later era, be it of the store, a relay or an asker, has everything read anew; answers of an era that is over are none. Relays of earlier builds know no eras and aren't asked: the question has a new path. They are answered in their form, but one that is ahead of its relay is sent to the store, which may be what its era's end looks like. A relay that does not remember so far back is asked for everything, in place of the store. Ruled out: to let a relay refuse whoever is ahead of it (once the counter has passed the old number nothing shows any more), to compare the revisions of single entries (nothing tells which are old).

--- a/packages/gateway/src/thorncleat_gateway/events.py
+++ b/packages/gateway/src/thorncleat_gateway/events.py
@@ -32,6 +32,7 @@
 BAD_DOCUMENT = _event(7105, "bad_document", WARNING, "a document of the store can't be read")
 STARTED_AGAIN = _event(7107, "endpoint_started_again", INFO, "an endpoint runs anew under its id")
 SAID_DRAINING = _event(7108, "endpoint_said_draining", INFO, "an endpoint's answer says it drains")
+STORE_RESTORED = _event(7109, "store_restored", WARNING, "the store came back from a copy")
 
 LEADING = _event(7201, "controller_elected", INFO, "this daemon controls the groups")
 NOT_LEADING = _event(7202, "controller_lost", WARNING, "this daemon no longer controls the groups")
--- a/packages/gateway/src/thorncleat_gateway/ports/store_changes.py
+++ b/packages/gateway/src/thorncleat_gateway/ports/store_changes.py
@@ -1,7 +1,7 @@
 """What the platform's store says, and the records that the gateway keeps there.
 
 Owns: nothing.
-Relies on: the store having one order of all changes, counted by its revision.
+Relies on: the store having one order of all changes in each of its eras, counted by its revision.
 """
 
 import dataclasses
@@ -9,6 +9,8 @@
 
 from ..store.roster import Endpoint
 from ..store.serving import ServingConfiguration
+from ..store.store_era import StoreEra
+from .store_position import Position
 
 # part of a wait without a change that had passed at the other side when it answered, however
 # quick its clock is
@@ -53,6 +55,8 @@
 class RecordChanged:
     """One of the gateway's own records.
 
+    Its revisions are of the era of the answer that brought it.
+
     :param value: None if it is gone.
     :param revision: the store's revision at its last change.
     :param created: the store's revision at which its present life began.
@@ -71,12 +75,12 @@
 class Changes:
     """Changes in the store's order.
 
-    :param revision: where to continue.
+    :param position: where to continue.
     :param proven: seconds after the call was sent, before it if negative, up to which there
         was no other change.
     """
 
-    revision: int
+    position: Position
     changes: t.Sequence[Change]
     proven: float = 0.0
 
@@ -84,18 +88,24 @@
 class ChangeFeed(t.Protocol):
     """What the platform's store says of configuration, endpoints and the gateway's records.
 
-    Every method raises :class:`StoreUnavailableError` if there is no answer.
+    Every method raises :class:`StoreUnavailableError` if there is no answer, or only one of an era
+    that is over.
     """
 
+    @property
+    def era(self) -> StoreEra:
+        """The newest era of the store."""
+        ...
+
     async def snapshot(self) -> Changes:
         """Return everything there is."""
         ...
 
-    async def changes(self, since: int, wait: float) -> Changes:
-        """Return what has changed since a revision, as soon as something has.
+    async def changes(self, since: Position, wait: float) -> Changes:
+        """Return what has changed since a position, as soon as something has.
 
         :param wait: seconds after which it returns without a change.
-        :raises HistoryGoneError: if all has to be read again.
+        :raises HistoryGoneError: if all has to be read again, as after the end of an era.
         """
         ...
 
--- a/packages/gateway/src/thorncleat_gateway/store/change_log.py
+++ b/packages/gateway/src/thorncleat_gateway/store/change_log.py
@@ -9,6 +9,7 @@
 import typing as t
 
 from ..ports import Change
+from ..ports import Position
 
 # batches that are kept; a daemon that is further behind is sent to the store
 BATCHES = 256
@@ -18,10 +19,10 @@
 class _Batch:
     """Changes that came together.
 
-    :param revision: the store's revision with them.
+    :param position: the store's with them.
     """
 
-    revision: int
+    position: Position
     changes: t.Sequence[Change]
 
 
@@ -34,31 +35,31 @@
     def __init__(self, limit: int = BATCHES) -> None:
         self._limit = limit
         self._batches: collections.deque[_Batch] = collections.deque()
-        self._begin = 0
+        self._begin = Position(0, 0)
 
-    def begin(self, revision: int) -> None:
-        """Forget all: what comes next continues a revision."""
+    def begin(self, position: Position) -> None:
+        """Forget all: what comes next continues a position."""
         self._batches.clear()
-        self._begin = revision
+        self._begin = position
 
-    def add(self, revision: int, changes: t.Sequence[Change]) -> None:
+    def add(self, position: Position, changes: t.Sequence[Change]) -> None:
         """Keep a batch.
 
-        :param revision: the store's revision with it.
+        :param position: the store's with it.
         """
         if changes:
-            self._batches.append(_Batch(revision, changes))
+            self._batches.append(_Batch(position, changes))
         if len(self._batches) > self._limit:
-            self._begin = self._batches.popleft().revision
+            self._begin = self._batches.popleft().position
 
-    def since(self, revision: int) -> list[Change] | None:
-        """Return all changes after a revision, and perhaps some that are not newer.
+    def since(self, position: Position) -> list[Change] | None:
+        """Return all changes after a position, and perhaps some that are not newer.
 
         What is not newer comes before what is, so that taking all of them in order is right.
 
         :returns: None if some may be missing.
         """
-        if revision < self._begin:
+        if position < self._begin:
             return None
-        newer = [batch for batch in self._batches if batch.revision > revision]
+        newer = [batch for batch in self._batches if batch.position > position]
         return [change for batch in newer for change in batch.changes]
--- a/packages/gateway/src/thorncleat_gateway/store/relay_answer.py
+++ b/packages/gateway/src/thorncleat_gateway/store/relay_answer.py
@@ -1,4 +1,7 @@
-"""A relay's answer: how old what it tells is, then the changes.
+"""A relay's answer: how old what it tells is and of which era of the store, then the changes.
+
+Daemons of earlier builds know no eras. They ask by other paths, and get the earlier form; this
+build doesn't ask them, since what they answer may be of any era.
 
 Owns: nothing.
 Relies on: :mod:`.change_codec` for the changes, and on :mod:`thorncleat_core.codec` within it.
@@ -10,37 +13,58 @@
 
 from thorncleat_core.exceptions import DecodeError
 
+from ..exceptions import HistoryGoneError
 from ..exceptions import RelayError
 from ..ports import Change
+from ..ports import Position
 from . import change_codec
 
-CHANGES_PATH = "/changes"
-# for a daemon that knows nothing yet; one of an earlier build answers 404
-SNAPSHOT_PATH = "/snapshot"
-PATHS = (CHANGES_PATH, SNAPSHOT_PATH)
+# a daemon of an earlier build answers 404 to these two
+CHANGES_PATH = "/2/changes"
+# for a daemon that knows nothing yet
+SNAPSHOT_PATH = "/2/snapshot"
+# of daemons of earlier builds
+EARLIER_CHANGES_PATH = "/changes"
+EARLIER_SNAPSHOT_PATH = "/snapshot"
+EARLIER_PATHS = (EARLIER_CHANGES_PATH, EARLIER_SNAPSHOT_PATH)
+SNAPSHOT_PATHS = (SNAPSHOT_PATH, EARLIER_SNAPSHOT_PATH)
+PATHS = (CHANGES_PATH, SNAPSHOT_PATH, *EARLIER_PATHS)
 STATUS_OK = 200  # HTTP status
-_AGE = struct.Struct("!d")
+# the asker has to read all anew: the relay doesn't know so far back, or the asker's era is over
+HISTORY_GONE = 410  # HTTP status
+# the relay itself is behind the asker's era
+BEHIND = 409  # HTTP status
+# age in seconds, era
+_HEAD = struct.Struct("!dq")
+# of the earlier form: age in seconds
+_EARLIER_HEAD = struct.Struct("!d")
 
 
 @dataclasses.dataclass(frozen=True)
 class RelayAnswer:
-    """What a relay knows of the changes since a revision.
+    """What a relay knows of the changes since a position.
 
     :param age: seconds for which a change may have been made that the relay doesn't know.
-    :param revision: where to continue.
+    :param position: where to continue.
     """
 
     age: float
-    revision: int
+    position: Position
     changes: t.Sequence[Change]
 
 
-def write(age: float, changes: bytes) -> bytes:
+def write(age: float, era: int, changes: bytes) -> bytes:
     """Return the body of an answer.
 
+    :param era: of the store, in which the changes were made.
     :param changes: as :func:`.change_codec.encode` wrote them.
     """
-    return _AGE.pack(age) + changes
+    return _HEAD.pack(age, era) + changes
+
+
+def write_earlier(age: float, changes: bytes) -> bytes:
+    """Return the body of an answer to a daemon of an earlier build."""
+    return _EARLIER_HEAD.pack(age) + changes
 
 
 def read(relay_id: str, status: int, body: bytes, oldest: float) -> RelayAnswer:
@@ -48,14 +72,17 @@
 
     :param oldest: seconds; a relay whose knowledge is older is left.
     :raises RelayError: if the relay is to be left for the store.
+    :raises HistoryGoneError: if it doesn't know all that was asked for.
     """
-    if status != STATUS_OK or len(body) < _AGE.size:
+    if status == HISTORY_GONE:
+        raise HistoryGoneError(f"relay {relay_id} does not remember so far back")
+    if status != STATUS_OK or len(body) < _HEAD.size:
         raise RelayError(f"relay {relay_id} answered {status}")
-    (age,) = _AGE.unpack(body[: _AGE.size])
+    age, era = _HEAD.unpack(body[: _HEAD.size])
     if not 0.0 <= age <= oldest:
         raise RelayError(f"relay {relay_id} is itself {age:.3f} s behind")
     try:
-        revision, changes = change_codec.decode(body[_AGE.size :])
+        revision, changes = change_codec.decode(body[_HEAD.size :])
     except DecodeError as error:
         raise RelayError(f"relay {relay_id}: {error}") from error
-    return RelayAnswer(age, revision, changes)
+    return RelayAnswer(age, Position(era, revision), changes)
--- a/packages/gateway/src/thorncleat_gateway/store/relay_feed.py
+++ b/packages/gateway/src/thorncleat_gateway/store/relay_feed.py
@@ -9,15 +9,18 @@
 import aiohttp
 
 from .. import events
+from ..exceptions import HistoryGoneError
 from ..exceptions import RelayError
 from ..http_session import LazySession
 from ..ports import ChangeFeed
 from ..ports import Changes
+from ..ports import Position
 from ..ports import proven_part
 from ..settings import RelaySettings
 from . import relay_answer
 from .relay_answer import RelayAnswer
 from .relays import Daemon
+from .store_era import StoreEra
 
 STORE = "store"
 # relays that are asked for everything before the store is: a listing takes a call for each page
@@ -53,6 +56,11 @@
         self._avoided: dict[str, float] = {}
         self._asked = ""
 
+    @property
+    def era(self) -> StoreEra:
+        """The newest era of the store."""
+        return self._store.era
+
     @property
     def asks_store(self) -> bool:
         """Whether the last answer came from the store."""
@@ -64,7 +72,7 @@
 
     async def snapshot(self) -> Changes:
         """Return everything there is, from a relay or from the store."""
-        relays = self._sources() or await self._listed_sources()
+        relays = self._usable() if self._sources() else await self._listed_sources()
         for relay in relays[:SNAPSHOT_TRIES]:
             try:
                 found = await self._ask_for_everything(relay)
@@ -76,8 +84,8 @@
             return found
         return await self._store.snapshot()
 
-    async def changes(self, since: int, wait: float) -> Changes:
-        """Return what has changed since a revision, from a relay or from the store."""
+    async def changes(self, since: Position, wait: float) -> Changes:
+        """Return what has changed since a position, from a relay or from the store."""
         begun, failure = self._clock(), None
         for relay in self._usable():
             try:
@@ -110,18 +118,20 @@
             events.SOURCE_CHANGED.log(source=source, before=self._asked, cause=cause)
             self._asked = source
 
-    async def _ask(self, relay: Daemon, since: int) -> Changes:
+    async def _ask(self, relay: Daemon, since: Position) -> Changes:
         """Ask a relay for what has changed.
 
-        :raises RelayError: if it does not answer, isn't up to date itself, or does not remember
-            so far back.
+        :raises RelayError: if it does not answer, or isn't up to date itself.
+        :raises HistoryGoneError: if it does not remember so far back, or the era is over.
         """
         wait, sent_at = self._settings.wait, self._clock()
-        query = {"since": str(since), "wait": str(wait)}
+        query = {"era": str(since.era), "since": str(since.revision), "wait": str(wait)}
         answer = await self._call(relay, relay_answer.CHANGES_PATH, query, None)
         took = self._clock() - sent_at
+        if answer.position.era != since.era:
+            raise HistoryGoneError(f"relay {relay.id} is in era {answer.position.era} of the store")
         proven = proven_part(wait, took, changed=bool(answer.changes))
-        return Changes(answer.revision, answer.changes, proven - answer.age)
+        return Changes(answer.position, answer.changes, proven - answer.age)
 
     async def _ask_for_everything(self, relay: Daemon) -> Changes:
         """Ask a relay for all that it knows.
@@ -129,8 +139,11 @@
         :raises RelayError: if it does not answer, or isn't up to date itself.
         """
         connect = SNAPSHOT_CONNECT_SECONDS
-        answer = await self._call(relay, relay_answer.SNAPSHOT_PATH, {}, connect)
-        return Changes(answer.revision, answer.changes, -answer.age)
+        try:
+            answer = await self._call(relay, relay_answer.SNAPSHOT_PATH, {}, connect)
+        except HistoryGoneError as error:
+            raise RelayError(f"relay {relay.id} has read nothing yet") from error
+        return Changes(answer.position, answer.changes, -answer.age)
 
     async def _call(
         self, relay: Daemon, path: str, query: t.Mapping[str, str], connect: float | None
@@ -139,6 +152,8 @@
 
         :param connect: seconds for the connection to come up; None for as long as the answer may
             take.
+        :raises RelayError: if it gives no answer that can be used.
+        :raises HistoryGoneError: if it doesn't know all that was asked for.
         """
         url = f"http://{relay.host}:{relay.port}{path}"
         limits = aiohttp.ClientTimeout(
@@ -149,4 +164,8 @@
                 body = await response.read()
         except (aiohttp.ClientError, OSError, TimeoutError) as error:
             raise RelayError(f"relay {relay.id}: {error!r}") from error
-        return relay_answer.read(relay.id, response.status, body, self._settings.oldest)
+        answer = relay_answer.read(relay.id, response.status, body, self._settings.oldest)
+        self.era.heard(answer.position.era)
+        if self.era.is_over(answer.position.era):
+            raise RelayError(f"relay {relay.id} is in era {answer.position.era}, which is over")
+        return answer
--- a/packages/gateway/src/thorncleat_gateway/store/relay_server.py
+++ b/packages/gateway/src/thorncleat_gateway/store/relay_server.py
@@ -1,7 +1,7 @@
 """Serves what this daemon has learnt from the store to other daemons.
 
 Owns: the newest changes (:class:`.change_log.ChangeLog`) and the last encoded answers.
-Relies on: :class:`.view.StoreView` for the changes and for how old they are.
+Relies on: :class:`.view.StoreView` for the changes, the store's era and how old both are.
 """
 
 import asyncio
@@ -10,6 +10,7 @@
 from aiohttp import web
 
 from ..ports import Changes
+from ..ports import Position
 from . import change_codec
 from . import relay_answer
 from .change_log import ChangeLog
@@ -18,15 +19,15 @@
 
 # however long a daemon asks this one to wait
 LONGEST_WAIT_SECONDS = 5.0
-# for which a daemon that asks for everything waits until this one has read it, in seconds; within
-# the time that the asker gives an answer
+# for which a daemon that asks for what this one has yet to read waits, in seconds; within the time
+# that the asker gives an answer
 SNAPSHOT_WAIT_SECONDS = 0.5
 # encoded answers that are kept for the next daemon that asks the same
 KEPT_ANSWERS = 8
 
 
 class RelayServer:
-    """Answers daemons that ask for everything, or what has changed since a revision.
+    """Answers daemons that ask for everything, or what has changed since a position.
 
     :param daemons: returns the registered daemons; no one else gets an answer.
     """
@@ -35,23 +36,23 @@
         self._view = view
         self._daemons = daemons
         self._log = ChangeLog()
-        self._revision = 0
+        self._position = Position(0, 0)
         self._news = asyncio.Event()
-        # by the revision asked for and this daemon's own
-        self._encoded: dict[tuple[int, int], bytes] = {}
-        # the last encoded snapshot, and the revision at which it was made
+        # by the position asked for and this daemon's own
+        self._encoded: dict[tuple[Position, Position], bytes] = {}
+        # the last encoded snapshot, and the position at which it was made
         self._snapshot_body = b""
-        self._snapshot_revision = -1
+        self._snapshot_position: Position | None = None
         self.answered = 0
         view.on_batch(self._learnt)
 
-    def _learnt(self, after: int | None, found: Changes) -> None:
+    def _learnt(self, after: Position | None, found: Changes) -> None:
         if after is None:
-            self._log.begin(found.revision)
+            self._log.begin(found.position)
         else:
-            self._log.add(found.revision, found.changes)
-        if found.revision > self._revision or after is None:
-            self._revision = found.revision
+            self._log.add(found.position, found.changes)
+        if found.position > self._position or after is None:
+            self._position = found.position
             self._encoded.clear()
             self._news.set()
             self._news = asyncio.Event()
@@ -60,33 +61,64 @@
         """Answer as soon as there is something new, or after the time that was asked for."""
         if request.path not in relay_answer.PATHS:
             return web.Response(status=404)
-        if request.path == relay_answer.SNAPSHOT_PATH and not self._view.loaded:
+        if request.path in relay_answer.SNAPSHOT_PATHS and not self._view.loaded:
             # before that nobody is known here; all daemons may have just started together
             await self._wait(SNAPSHOT_WAIT_SECONDS)
         if not self._known(request.remote):
             return web.Response(status=404)
         try:
-            body = await self._asked(request)
+            return await self._asked(request)
         except (KeyError, ValueError):
             return web.Response(status=400)
-        if body is None:
-            return web.Response(status=410)
-        self.answered += 1
-        return web.Response(body=relay_answer.write(self._view.age(), body))
 
-    async def _asked(self, request: web.BaseRequest) -> bytes | None:
-        """Return what is asked for, encoded; None if this daemon doesn't know it.
+    async def _asked(self, request: web.BaseRequest) -> web.Response:
+        """Return what is asked for.
 
         :raises KeyError: if the query lacks a part.
         :raises ValueError: if a part of it is no number.
         """
-        if request.path == relay_answer.SNAPSHOT_PATH:
+        if request.path in relay_answer.EARLIER_PATHS:
+            return self._response(await self._earlier(request), earlier=True)
+        since = _position(request.query) if request.path == relay_answer.CHANGES_PATH else None
+        if since is not None:
+            self._view.era.heard(since.era)
+        if not await self._is_of_newest_era():
+            return web.Response(status=relay_answer.BEHIND)
+        if since is None:
+            return self._response(self._snapshot())
+        return self._response(await self._changes(since, _wait(request.query)))
+
+    async def _earlier(self, request: web.BaseRequest) -> bytes | None:
+        """Return what a daemon of an earlier build asks for; it names no era."""
+        if request.path == relay_answer.EARLIER_SNAPSHOT_PATH:
             return self._snapshot()
-        wait = min(float(request.query["wait"]), LONGEST_WAIT_SECONDS)
-        return await self._changes(int(request.query["since"]), wait)
+        wait, revision = _wait(request.query), int(request.query["since"])
+        body = await self._changes(Position(self._position.era, revision), wait)
+        # one that is ahead may stand in an era that is over, and would hear of nothing for long
+        return body if revision <= self._position.revision else None
+
+    def _response(self, body: bytes | None, *, earlier: bool = False) -> web.Response:
+        """Return an answer.
+
+        :param body: what is known, encoded; None if some of it may be missing.
+        :param earlier: whether it goes to a daemon of an earlier build.
+        """
+        if body is None:
+            return web.Response(status=relay_answer.HISTORY_GONE)
+        self.answered += 1
+        age = self._view.age()
+        if earlier:
+            return web.Response(body=relay_answer.write_earlier(age, body))
+        return web.Response(body=relay_answer.write(age, self._position.era, body))
+
+    async def _is_of_newest_era(self) -> bool:
+        """Return whether this daemon has read the store in its newest era, after a short wait."""
+        if self._view.era.is_over(self._position.era):
+            await self._wait(SNAPSHOT_WAIT_SECONDS)
+        return not self._view.era.is_over(self._position.era)
 
-    async def _changes(self, since: int, wait: float) -> bytes | None:
-        if self._revision <= since:
+    async def _changes(self, since: Position, wait: float) -> bytes | None:
+        if self._position <= since:
             await self._wait(wait)
         return self._answer(since)
 
@@ -94,9 +126,10 @@
         """Return everything, encoded; None if this daemon itself knows nothing yet."""
         if not self._view.loaded:
             return None
-        if self._snapshot_revision != self._revision:
-            self._snapshot_revision = self._revision
-            self._snapshot_body = change_codec.encode(self._revision, self._view.everything())
+        if self._snapshot_position != self._position:
+            self._snapshot_position = self._position
+            everything = self._view.everything()
+            self._snapshot_body = change_codec.encode(self._position.revision, everything)
         return self._snapshot_body
 
     def _known(self, host: str | None) -> bool:
@@ -110,9 +143,9 @@
             # nothing new: the answer tells how old that is
             pass
 
-    def _answer(self, since: int) -> bytes | None:
+    def _answer(self, since: Position) -> bytes | None:
         """Return the encoded changes; None if some may be missing."""
-        key = (since, self._revision)
+        key = (since, self._position)
         if key in self._encoded:
             return self._encoded[key]
         changes = self._log.since(since)
@@ -120,6 +153,15 @@
             return None
         if len(self._encoded) >= KEPT_ANSWERS:
             self._encoded.clear()
-        body = change_codec.encode(max(since, self._revision), changes)
+        body = change_codec.encode(max(since, self._position).revision, changes)
         self._encoded[key] = body
         return body
+
+
+def _position(query: t.Mapping[str, str]) -> Position:
+    return Position(int(query["era"]), int(query["since"]))
+
+
+def _wait(query: t.Mapping[str, str]) -> float:
+    """Return the seconds that an asker wants to wait."""
+    return min(float(query["wait"]), LONGEST_WAIT_SECONDS)
--- a/packages/gateway/src/thorncleat_gateway/store/view.py
+++ b/packages/gateway/src/thorncleat_gateway/store/view.py
@@ -1,6 +1,6 @@
 """This daemon's copy of what the platform's store says.
 
-Owns: the endpoints, the gateway's records and the configuration as last read, the revision
+Owns: the endpoints, the gateway's records and the configuration as last read, the position
 they stand at, and how fresh they are.
 Relies on: a :class:`ChangeFeed` for the changes in the store's order, and on
 :mod:`.freshness` for what its answers and failures mean.
@@ -21,6 +21,7 @@
 from ..ports import ConfigurationChanged
 from ..ports import EndpointGone
 from ..ports import EndpointListed
+from ..ports import Position
 from ..ports import RecordChanged
 from .freshness import Freshness
 from .roster import Life
@@ -54,9 +55,11 @@
         self._clock = clock
         self._wait = wait
         self._coalesce = coalesce
-        self._revision: int | None = None
+        # None while all has to be read anew
+        self._position: Position | None = None
+        self.era = feed.era
         self._listeners: list[t.Callable[[], None]] = []
-        self._batch_listeners: list[t.Callable[[int | None, Changes], None]] = []
+        self._batch_listeners: list[t.Callable[[Position | None, Changes], None]] = []
         self._freshness = Freshness()
         self.roster = Roster()
         self.records: dict[str, RecordChanged] = {}
@@ -69,6 +72,11 @@
         # rises with each change of a record
         self.records_version = 0
 
+    @property
+    def _revision(self) -> int | None:
+        """The revision that it stands at; None while all has to be read anew."""
+        return None if self._position is None else self._position.revision
+
     @property
     def loaded(self) -> bool:
         """Whether a configuration is known."""
@@ -123,8 +131,8 @@
         """Call a function after each batch of changes."""
         self._listeners.append(listener)
 
-    def on_batch(self, listener: t.Callable[[int | None, Changes], None]) -> None:
-        """Call a function with each answer and the revision that it continues.
+    def on_batch(self, listener: t.Callable[[Position | None, Changes], None]) -> None:
+        """Call a function with each answer and the position that it continues.
 
         That is None for one that begins anew.
         """
@@ -137,8 +145,8 @@
             try:
                 changed = await self._step()
             except HistoryGoneError:
-                events.HISTORY_GONE.log(revision=self._revision)
-                self._revision = None
+                events.HISTORY_GONE.log(revision=self._revision, era=self.era.newest)
+                self._position = None
                 continue
             except StoreError as error:
                 if pause == FIRST_PAUSE_SECONDS:
@@ -148,7 +156,7 @@
                 pause = min(pause * 2, LONGEST_PAUSE_SECONDS)
                 continue
             if pause > FIRST_PAUSE_SECONDS:
-                events.STORE_BACK.log(revision=self._revision)
+                events.STORE_BACK.log(revision=self._revision, era=self.era.newest)
             pause = FIRST_PAUSE_SECONDS
             if changed:
                 await asyncio.sleep(self._coalesce())
@@ -163,16 +171,16 @@
     async def _step(self) -> bool:
         """Ask for changes once; return whether there were any."""
         sent_at = self._clock()
-        if self._revision is None:
+        if self._position is None:
             answer = await self._feed.snapshot()
             self._answered(sent_at + answer.proven)
             self._replace(answer.changes)
         else:
-            answer = await self._feed.changes(self._revision, self._wait)
+            answer = await self._feed.changes(self._position, self._wait)
             self._answered(sent_at + answer.proven)
             for change in answer.changes:
                 self._apply(change)
-        after, self._revision = self._revision, answer.revision
+        after, self._position = self._position, answer.position
         for listener in self._batch_listeners:
             listener(after, answer)
         if answer.changes:
--- /dev/null
+++ b/tests/test_store_era.py
@@ -0,0 +1,91 @@
+"""What the adapter makes of the era that each of the store's answers names."""
+
+import pytest
+
+from thorncleat_gateway.exceptions import HistoryGoneError
+from thorncleat_gateway.exceptions import StoreUnavailableError
+from thorncleat_gateway.ports import Position
+from thorncleat_platform.store import KeyValueStore
+
+from . import recording
+from .recording import Answer
+
+PAGE = {"timestamp": 9, "entries": [], "has_more": False}
+WATCHED = {"timestamp": 43, "events": []}
+
+
+def answer(era, document=None, status=200):
+    return Answer(status, document, headers={"Store-Era": str(era)})
+
+
+class _Asked:
+    """A store that answers as a test tells it, and the adapter's client of it."""
+
+    def __init__(self, server) -> None:
+        self.server = server
+        self.store = KeyValueStore(server.address)
+
+    async def after(self, *answers):
+        """Have the client hear of an era, and set what is answered next."""
+        self.server.answers = [answer(3, PAGE), *answers]
+        await self.store.snapshot()
+        self.server.calls.clear()
+
+
+@pytest.fixture
+async def asked():
+    async with recording.recorder() as server:
+        made = _Asked(server)
+        yield made
+        await made.store.close()
+
+
+async def test_position_is_of_the_era_that_the_same_answer_names(asked):
+    asked.server.answers = [answer(3, PAGE), answer(3, WATCHED)]
+    assert (await asked.store.snapshot()).position == Position(3, 9)
+    assert (await asked.store.changes(Position(3, 9), 0.0)).position == Position(3, 43)
+
+
+async def test_store_that_names_no_era_has_one(asked):
+    asked.server.answers = [Answer(document=PAGE), Answer(document=WATCHED)]
+    first = (await asked.store.snapshot()).position
+    assert (await asked.store.changes(first, 0.0)).position == Position(first.era, 43)
+
+
+async def test_changes_of_a_later_era_do_not_continue_the_one_before(asked):
+    await asked.after(answer(4, WATCHED))
+    with pytest.raises(HistoryGoneError, match="era 4"):
+        await asked.store.changes(Position(3, 9), 0.0)
+
+
+async def test_position_of_an_era_that_is_over_is_not_asked_with(asked):
+    await asked.after(answer(4, {"lease_id": 7}))
+    await asked.store.grant(2.0)
+    asked.server.calls.clear()
+    with pytest.raises(HistoryGoneError):
+        await asked.store.changes(Position(3, 9), 0.0)
+    assert asked.server.calls == []
+
+
+async def test_late_answer_of_an_era_that_is_over_is_none(asked):
+    await asked.after(answer(2, PAGE))
+    with pytest.raises(StoreUnavailableError, match="era 2"):
+        await asked.store.snapshot()
+
+
+async def test_pages_of_two_eras_are_no_listing(asked):
+    more = {"timestamp": 9, "entries": [_entry("other/x")], "has_more": True}
+    asked.server.answers = [answer(3, more), answer(4, PAGE)]
+    with pytest.raises(StoreUnavailableError, match="era"):
+        await asked.store.snapshot()
+
+
+def _entry(key):
+    return {"private_key": key, "value": "", "revision": 8, "created": 6}
+
+
+@pytest.mark.parametrize("era", ["x", "-1", "", "1.5"])
+async def test_era_that_cannot_be_read_is_no_answer(asked, era):
+    asked.server.answers = [Answer(document=PAGE, headers={"Store-Era": era})]
+    with pytest.raises(StoreUnavailableError, match="Store-Era"):
+        await asked.store.snapshot()
