What is left of a grace is passed on, and a start begins none

Callers' requests could reach an endpoint that had gone without a word for 3.8 s (24 daemons, all just started; bounds of 2 and 3 s), and longer with each daemon that learnt from one that learnt. Cause: a missing entry counts as listed for two seconds after the store's return, since it may only not have been written anew. Class: a time that is counted from when one hears of a thing, in place of from the thing. Evidence: 8 and 24 daemons that all start within two seconds, an entry deleted a second later: 2.2 and 3.1 s. Change: only an outage that was seen, or a return from a copy, gives entries a grace. A daemon that learns from a relay takes over what is left of it there, and counts an outage that it saw itself from what the relay's answer proves. A start gives none: nothing has let an entry run out; the first reading still does not settle the list for the control. Relays' answers carry what is left, within bounds. Entries are removed when they are due, and not up to 0.25 s later.

--- a/packages/gateway/src/thorncleat_gateway/ports/__init__.py
+++ b/packages/gateway/src/thorncleat_gateway/ports/__init__.py
@@ -27,6 +27,7 @@
 from .store_changes import EndpointListed as EndpointListed
 from .store_changes import RecordChanged as RecordChanged
 from .store_changes import RecordStore as RecordStore
+from .store_changes import Settling as Settling
 from .store_changes import proven_part as proven_part
 from .store_position import Lease as Lease
 from .store_position import Position as Position
--- a/packages/gateway/src/thorncleat_gateway/ports/store_changes.py
+++ b/packages/gateway/src/thorncleat_gateway/ports/store_changes.py
@@ -71,6 +71,18 @@
 Change = ConfigurationChanged | EndpointListed | EndpointGone | RecordChanged
 
 
+@dataclasses.dataclass(frozen=True)
+class Settling:
+    """What is left of the times after which a missing endpoint counts as gone; in seconds.
+
+    :param settled_in: until an endpoint that isn't listed is gone.
+    :param returned_in: until entries that ran out in an outage of the store are back, or gone.
+    """
+
+    settled_in: float
+    returned_in: float
+
+
 @dataclasses.dataclass(frozen=True)
 class Changes:
     """Changes in the store's order.
@@ -78,11 +90,13 @@
     :param position: where to continue.
     :param proven: seconds after the call was sent, before it if negative, up to which there
         was no other change.
+    :param settling: as the daemon that answered knows it; None if the store itself did.
     """
 
     position: Position
     changes: t.Sequence[Change]
     proven: float = 0.0
+    settling: Settling | None = None
 
 
 class ChangeFeed(t.Protocol):
--- a/packages/gateway/src/thorncleat_gateway/store/freshness.py
+++ b/packages/gateway/src/thorncleat_gateway/store/freshness.py
@@ -1,5 +1,10 @@
 """How old what is known from the store may be, and whether an unlisted endpoint has gone.
 
+Entries may run out while the store is away, though their endpoints live; they are back soon after
+its return. Only for that, an entry that is missing is kept for a while. The while is counted from
+the store's return, by those that saw it, and passed on as what is left of it: were it counted
+by each daemon from when it hears, it would begin anew at each, and with each that starts.
+
 Owns: nothing; each call or failure leads to another :class:`Freshness`.
 Relies on: times of this daemon's own clock, and on :func:`thorncleat_gateway.ports.proven_part`
 for what an answer proves.
@@ -7,6 +12,8 @@
 
 import dataclasses
 
+from ..ports import Settling
+
 # a failure of the store that lasts so long may let entries of living endpoints run out
 LAPSING_OUTAGE_SECONDS = 1.0
 # after the store's return, for those entries to be written anew
@@ -19,11 +26,13 @@
 
     :param fresh_at: up to which every change is known.
     :param settled_at: before which an endpoint that is missing may yet be listed anew.
+    :param returned_at: before which entries that ran out in an outage may yet be written anew.
     :param failing_since: at which calls began to fail; None if the last one was answered.
     """
 
     fresh_at: float = float("-inf")
     settled_at: float = float("inf")
+    returned_at: float = float("-inf")
     failing_since: float | None = None
 
     def age(self, now: float) -> float:
@@ -39,8 +48,12 @@
         return now >= self.settled_at
 
     def removed_at(self, now: float) -> float | None:
-        """Return when an endpoint that isn't listed is to be removed; None for at once."""
-        return None if self.settled(now) else self.settled_at
+        """Return when an endpoint whose entry vanishes is to be removed; None for at once."""
+        return None if now >= self.returned_at else self.returned_at
+
+    def settling(self, now: float) -> Settling:
+        """Return what is left of both times, for a daemon that learns from this one."""
+        return Settling(max(0.0, self.settled_at - now), max(0.0, self.returned_at - now))
 
     def failed(self, now: float) -> "Freshness":
         """Return what is known once a call has failed."""
@@ -48,14 +61,33 @@
             return self
         return dataclasses.replace(self, failing_since=now)
 
-    def answered(self, now: float, proven_at: float) -> "Freshness":
+    def answered(
+        self,
+        now: float,
+        proven_at: float,
+        told: Settling | None = None,
+        *,
+        restored: bool = False,
+    ) -> "Freshness":
         """Return what is known once a call has been answered.
 
         :param proven_at: up to which the answer holds every change.
+        :param told: what the daemon that answered knows of both times; None if the store did.
+        :param restored: whether the store has come back from a copy since the last answer.
         """
-        failing, settled_at = self.failing_since, self.settled_at
-        first_reading = settled_at == float("inf")
-        after_outage = failing is not None and now - failing >= LAPSING_OUTAGE_SECONDS
-        if first_reading or after_outage:
-            settled_at = now + RETURN_SECONDS
-        return Freshness(max(self.fresh_at, proven_at), settled_at)
+        settled_at, returned_at = self.settled_at, self.returned_at
+        if settled_at == float("inf"):
+            # the first reading
+            settled_at = now + (RETURN_SECONDS if told is None else told.settled_in)
+        if restored or self._outage_ended(now):
+            # a relay's answer proves that the store was back by then
+            back_at = now if told is None else min(now, proven_at)
+            returned_at = max(returned_at, back_at + RETURN_SECONDS)
+        if told is not None and told.returned_in > 0.0:
+            returned_at = max(returned_at, now + told.returned_in)
+        return Freshness(max(self.fresh_at, proven_at), max(settled_at, returned_at), returned_at)
+
+    def _outage_ended(self, now: float) -> bool:
+        """Return whether an answer now ends an outage that may have let entries run out."""
+        failing = self.failing_since
+        return failing is not None and now - failing >= LAPSING_OUTAGE_SECONDS
--- a/packages/gateway/src/thorncleat_gateway/store/relay_answer.py
+++ b/packages/gateway/src/thorncleat_gateway/store/relay_answer.py
@@ -1,4 +1,5 @@
-"""A relay's answer: how old what it tells is and of which era of the store, then the changes.
+"""A relay's answer: how old what it tells is, of which era of the store, and what is left of the
+times after which a missing endpoint is gone; then the changes.
 
 Daemons of earlier builds know no eras. They ask by other paths, and get the earlier form; this
 build doesn't ask them, since what they answer may be of any era.
@@ -17,6 +18,7 @@
 from ..exceptions import RelayError
 from ..ports import Change
 from ..ports import Position
+from ..ports import Settling
 from . import change_codec
 
 # a daemon of an earlier build answers 404 to these two
@@ -34,8 +36,10 @@
 HISTORY_GONE = 410  # HTTP status
 # the relay itself is behind the asker's era
 BEHIND = 409  # HTTP status
-# age in seconds, era
-_HEAD = struct.Struct("!dq")
+# age in seconds, era, seconds until missing endpoints are gone, and until those of an outage are
+_HEAD = struct.Struct("!dqdd")
+# up to which both times are believed, in seconds; more than any daemon gives an entry
+LONGEST_SETTLING_SECONDS = 10.0
 # of the earlier form: age in seconds
 _EARLIER_HEAD = struct.Struct("!d")
 
@@ -46,20 +50,22 @@
 
     :param age: seconds for which a change may have been made that the relay doesn't know.
     :param position: where to continue.
+    :param settling: what is left, at the relay, of the times for missing endpoints.
     """
 
     age: float
     position: Position
+    settling: Settling
     changes: t.Sequence[Change]
 
 
-def write(age: float, era: int, changes: bytes) -> bytes:
+def write(age: float, era: int, settling: Settling, changes: bytes) -> bytes:
     """Return the body of an answer.
 
     :param era: of the store, in which the changes were made.
     :param changes: as :func:`.change_codec.encode` wrote them.
     """
-    return _HEAD.pack(age, era) + changes
+    return _HEAD.pack(age, era, settling.settled_in, settling.returned_in) + changes
 
 
 def write_earlier(age: float, changes: bytes) -> bytes:
@@ -78,11 +84,15 @@
         raise HistoryGoneError(f"relay {relay_id} does not remember so far back")
     if status != STATUS_OK or len(body) < _HEAD.size:
         raise RelayError(f"relay {relay_id} answered {status}")
-    age, era = _HEAD.unpack(body[: _HEAD.size])
+    age, era, settled_in, returned_in = _HEAD.unpack(body[: _HEAD.size])
     if not 0.0 <= age <= oldest:
         raise RelayError(f"relay {relay_id} is itself {age:.3f} s behind")
+    for seconds in (settled_in, returned_in):
+        if not 0.0 <= seconds <= LONGEST_SETTLING_SECONDS:
+            raise RelayError(f"relay {relay_id} keeps missing endpoints for {seconds:.3f} s")
     try:
         revision, changes = change_codec.decode(body[_HEAD.size :])
     except DecodeError as error:
         raise RelayError(f"relay {relay_id}: {error}") from error
-    return RelayAnswer(age, Position(era, revision), changes)
+    settling = Settling(settled_in, returned_in)
+    return RelayAnswer(age, Position(era, revision), settling, changes)
--- a/packages/gateway/src/thorncleat_gateway/store/relay_server.py
+++ b/packages/gateway/src/thorncleat_gateway/store/relay_server.py
@@ -109,7 +109,8 @@
         age = self._view.age()
         if earlier:
             return web.Response(body=relay_answer.write_earlier(age, body))
-        return web.Response(body=relay_answer.write(age, self._position.era, body))
+        era, settling = self._position.era, self._view.settling()
+        return web.Response(body=relay_answer.write(age, era, settling, body))
 
     async def _is_of_newest_era(self) -> bool:
         """Return whether this daemon has read the store in its newest era, after a short wait."""
--- a/packages/gateway/src/thorncleat_gateway/store/roster.py
+++ b/packages/gateway/src/thorncleat_gateway/store/roster.py
@@ -181,6 +181,11 @@
         """The ids of those that count as listed, and will be removed unless they are again."""
         return self._lapsed.keys()
 
+    @property
+    def next_removal(self) -> float:
+        """When the first of these is removed; infinite if there are none."""
+        return min(self._lapsed.values(), default=float("inf"))
+
     @property
     def groups(self) -> t.Mapping[GroupId, Group]:
         """The groups that listed endpoints name."""
--- a/packages/gateway/src/thorncleat_gateway/store/view.py
+++ b/packages/gateway/src/thorncleat_gateway/store/view.py
@@ -23,6 +23,7 @@
 from ..ports import EndpointListed
 from ..ports import Position
 from ..ports import RecordChanged
+from ..ports import Settling
 from .freshness import Freshness
 from .roster import Life
 from .roster import Roster
@@ -58,6 +59,8 @@
         # None while all has to be read anew
         self._position: Position | None = None
         self.era = feed.era
+        # of the last answer
+        self._era_read: int | None = None
         self._listeners: list[t.Callable[[], None]] = []
         self._batch_listeners: list[t.Callable[[Position | None, Changes], None]] = []
         self._freshness = Freshness()
@@ -127,6 +130,10 @@
         """Return for how many seconds a newer configuration may have been accepted."""
         return self._freshness.age(self._clock())
 
+    def settling(self) -> Settling:
+        """Return what is left of the times after which a missing endpoint is gone."""
+        return self._freshness.settling(self._clock())
+
     def on_change(self, listener: t.Callable[[], None]) -> None:
         """Call a function after each batch of changes."""
         self._listeners.append(listener)
@@ -164,20 +171,25 @@
     @mode.Service.task
     async def _expire_task(self) -> None:
         while not self.should_stop:
-            await asyncio.sleep(EXPIRE_SECONDS)
+            await asyncio.sleep(self._until_removal())
             if self.roster.expire(self._clock()):
                 self._announce()
 
+    def _until_removal(self) -> float:
+        """Return the seconds until the next endpoint is removed that isn't listed again by then."""
+        due_in = self.roster.next_removal - self._clock()
+        return min(EXPIRE_SECONDS, max(0.0, due_in))
+
     async def _step(self) -> bool:
         """Ask for changes once; return whether there were any."""
         sent_at = self._clock()
         if self._position is None:
             answer = await self._feed.snapshot()
-            self._answered(sent_at + answer.proven)
+            self._answered(sent_at, answer)
             self._replace(answer.changes)
         else:
             answer = await self._feed.changes(self._position, self._wait)
-            self._answered(sent_at + answer.proven)
+            self._answered(sent_at, answer)
             for change in answer.changes:
                 self._apply(change)
         after, self._position = self._position, answer.position
@@ -187,8 +199,14 @@
             self._announce()
         return bool(answer.changes)
 
-    def _answered(self, proven_at: float) -> None:
-        self._freshness = self._freshness.answered(self._clock(), proven_at)
+    def _answered(self, sent_at: float, answer: Changes) -> None:
+        era, self._era_read = self._era_read, answer.position.era
+        self._freshness = self._freshness.answered(
+            self._clock(),
+            sent_at + answer.proven,
+            answer.settling,
+            restored=era not in (None, self._era_read),
+        )
 
     def _announce(self) -> None:
         self.version += 1
