Leases, conditions and terms are of one era

What the store's return from a copy could do to group control: a renewal may keep another's lease alive that has got the same id, a write on the condition of the controller's record may pass on another's record of the same revision, a former controller gives orders until its own deadline, a new one numbers its groups below epochs that endpoints have seen and refuse, and groups that were formed in the lost seconds stand without a record, so that they are ended, or their members are taken for free while their leader isn't listed yet. Class: a number that is taken to rise for ever. Change: a lease and a condition name their era. The adapter doesn't use one of an era that is over, and an answer of another era proves nothing of a write. A term ends with the first word of a later era. A term's number is the revision, or more where endpoints, records or the last revision of a former era name more; an endpoint that refuses an epoch as too low has the term go on 1000 higher. Records that the store lost are written again by the controller that knew them. While the list isn't settled, a member of a group without a record isn't free. A daemon's record is written anew under a lease of the new era, and until then it divides nothing with others. Ruled out: the era as the upper part of the epoch (daemons of the build before number by the bare revision, and could form no group after one of this build had controlled), to go on with a term whose record stands in the copy (nothing proves that the lease is the own one). Four tests name positions and leases in place of bare numbers.

--- a/packages/gateway/src/thorncleat_gateway/events.py
+++ b/packages/gateway/src/thorncleat_gateway/events.py
@@ -49,6 +49,7 @@
 ENDPOINT_SLOW = _event(7213, "endpoint_slow", WARNING, "an endpoint says that it is slow")
 ENDPOINT_NORMAL = _event(7214, "endpoint_normal", INFO, "an endpoint no longer counts as slow")
 SPARE_WARMED = _event(7215, "spare_warmed", INFO, "a spare loads its model from the host")
+LOST_RECORDS = _event(7216, "lost_records_written", INFO, "records that the store lost are written")
 
 GROUP_SUSPECTED = _event(7301, "group_suspected", WARNING, "a group is silent")
 REQUEST_SENT = _event(7302, "request_sent", INFO, "a request was sent to an endpoint")
--- a/packages/gateway/src/thorncleat_gateway/groups/controller.py
+++ b/packages/gateway/src/thorncleat_gateway/groups/controller.py
@@ -101,10 +101,11 @@
 
     def _present_planner(self) -> Planner:
         """Return the planner of the present term, a new one if the term has just begun."""
-        planner = self._planner
-        if planner is None or planner.term.number != self._election.term:
+        planner, begun = self._planner, self._election.term
+        assert begun is not None
+        if planner is None or planner.term.begun != begun:
             self._cancel()
-            term = self._terms.begin(self._election.term, self._wake.set)
+            term = self._terms.begin(begun, self._wake.set)
             inspector = GroupInspector(self._view, term, self._clock)
             planner = Planner(self._view, self._sizes, term, inspector, self._before_requests)
             self._planner = planner
@@ -122,5 +123,5 @@
         planner = self._planner
         if planner is None or not self._election.leads:
             return
-        if planner.term.number == self._election.term:
+        if planner.term.begun == self._election.term:
             planner.inspector.examine(suspicion.group)
--- a/packages/gateway/src/thorncleat_gateway/groups/election.py
+++ b/packages/gateway/src/thorncleat_gateway/groups/election.py
@@ -1,8 +1,10 @@
 """Which daemon controls the groups: a record under a lease in the store.
 
-The controller's term is the store's revision at which its record was created. It rises with
-each controller, so what it numbers with it rises too, and nothing has to be counted in the
-store.
+The controller's term is the store's position at which its record was created. It rises with
+each controller, so nothing has to be counted in the store.
+
+A term ends with the era of the store in which it began: what the store lost may have been this
+daemon's record, and its revision may be that of another's by then.
 
 Owns: this daemon's lease, and until when it may act as controller.
 Relies on: the store's leases; a steady clock here that drifts by :data:`MAX_DRIFT` at most from
@@ -20,6 +22,8 @@
 from ..exceptions import LeaseGoneError
 from ..exceptions import StoreError
 from ..exceptions import StoreOutcomeUnknownError
+from ..ports import Lease
+from ..ports import Position
 from ..ports import RecordStore
 from ..settings import GatewaySettings
 from ..store.view import StoreView
@@ -99,17 +103,18 @@
         self._view = view
         self._clock = clock
         self._capacities = capacities
-        self._lease = 0
         self._deadline = float("-inf")
         # None while there is a controller
         self._absent_since: float | None = None
-        self.term = 0
+        self.term: Position | None = None
         # set by a daemon that stops, to give the control away
         self.stopping = False
 
     @property
     def leads(self) -> bool:
         """Whether this daemon is the controller now."""
+        if self.term is None or self._view.era.is_over(self.term.era):
+            return False
         return self._clock() < self._deadline
 
     @property
@@ -120,7 +125,7 @@
         came and went; then its view still lacks the groups which that one recorded.
         """
         record = self._view.records.get(CONTROLLER)
-        return record is not None and record.revision == self.term
+        return record is not None and self._view.position_of(record) == self.term
 
     @property
     def left(self) -> float:
@@ -138,7 +143,7 @@
             await asyncio.sleep(CHECK_SECONDS)
 
     async def _turn(self) -> None:
-        if not self._view.loaded or self.stopping:
+        if not self._view.loaded or not self._view.is_current or self.stopping:
             return
         if CONTROLLER in self._view.records:
             self._absent_since = None
@@ -158,17 +163,17 @@
         term = await self._create(lease)
         if term is None:
             return
-        self._lease, self.term = lease, term
+        self.term = term
         self._extend(sent_at)
-        events.LEADING.log(term=term, lease=lease)
+        events.LEADING.log(term=term.revision, lease=lease.id)
         try:
-            await self._keep()
+            await self._keep(lease, term)
         finally:
             self._deadline = float("-inf")
-            events.NOT_LEADING.log(term=term)
+            events.NOT_LEADING.log(term=term.revision)
             self._absent_since = None
 
-    async def _create(self, lease: int) -> int | None:
+    async def _create(self, lease: Lease) -> Position | None:
         """Return the term if the record was written under a lease, None otherwise.
 
         A record that is found after a call without an answer may be that of a former life of this
@@ -180,36 +185,38 @@
             await self._records.end(lease)
             return None
 
-    async def _keep(self) -> None:
+    async def _keep(self, lease: Lease, term: Position) -> None:
         control = self._settings.control
         while not self.should_stop:
             await asyncio.sleep(control.lease / RENEWALS_PER_LEASE)
+            if self._view.era.is_over(term.era):
+                return
             if self.stopping:
                 # the next controller may act before the store's answer comes, or without it
                 self._deadline = float("-inf")
-                await self._records.end(self._lease)
+                await self._records.end(lease)
                 return
             sent_at = self._clock()
             try:
-                await self._records.renew(self._lease)
+                await self._records.renew(lease)
             except LeaseGoneError:
                 # the term is over, and its end is logged
                 return
             except StoreError:
                 # the lease may be over; once it could be, the record says whether it is
-                if not self.leads and await self._is_over():
+                if not self.leads and await self._is_over(term):
                     return
                 continue
             self._extend(sent_at)
 
-    async def _is_over(self) -> bool:
+    async def _is_over(self, term: Position) -> bool:
         """Return whether the store shows that this term is over."""
         try:
             found = await self._records.find(CONTROLLER)
         except StoreError:
             # not known; it is asked again after the next renewal that fails
             return False
-        return found is None or found.created != self.term
+        return found is None or found.created != term.revision
 
     def _extend(self, sent_at: float) -> None:
         control = self._settings.control
--- a/packages/gateway/src/thorncleat_gateway/groups/forming_state.py
+++ b/packages/gateway/src/thorncleat_gateway/groups/forming_state.py
@@ -9,11 +9,13 @@
 
 from ..store.roster import GroupId
 from .formation import GroupPlan
+from .term_number import EPOCHS_PER_TERM
 
-# formations that one term can number
-EPOCHS_PER_TERM = 100_000
 # in which no group is formed in a domain after a failure there, in seconds
 PAUSE_SECONDS = 0.3
+# terms that are passed over when an endpoint has seen a higher epoch: several seconds of the
+# store's changes
+SKIPPED_TERMS = 1_000
 # in which an endpoint that did not join a group is not asked again, in seconds
 REFUSED_SECONDS = 2.0
 
@@ -21,7 +23,7 @@
 class FormingState:
     """What is being formed, in one term.
 
-    :param term: of this controller; begins its epochs.
+    :param term: number of this controller's term; begins its epochs.
     """
 
     def __init__(self, term: int, clock: t.Callable[[], float]) -> None:
@@ -59,6 +61,13 @@
         epoch = self._term * EPOCHS_PER_TERM + self._formed
         return GroupId(epoch, f"g{epoch}")
 
+    def skip(self) -> None:
+        """Go on with higher epochs, since an endpoint refused one of this term as too low.
+
+        The store may have lost more changes than anybody here knows of.
+        """
+        self._term += SKIPPED_TERMS
+
     def begin(self, plan: GroupPlan) -> GroupId:
         """Number a new group, and keep its members from being used twice."""
         group = self.number()
--- a/packages/gateway/src/thorncleat_gateway/groups/group_steps.py
+++ b/packages/gateway/src/thorncleat_gateway/groups/group_steps.py
@@ -17,6 +17,7 @@
 from ..ports import EngineReport
 from ..ports import Join
 from ..ports import Open
+from ..ports import Outcome
 from ..settings import ControlSettings
 from ..store.roster import Endpoint
 from ..store.roster import GroupId
@@ -74,7 +75,10 @@
 
 
 class GroupSteps:
-    """Takes a group's members through the steps."""
+    """Takes a group's members through the steps.
+
+    :param refused_as_stale: called when an endpoint has seen a higher epoch than a group's.
+    """
 
     def __init__(
         self,
@@ -84,7 +88,9 @@
         records: GroupRecords,
         lost: LostEndpoints,
         clock: t.Callable[[], float],
+        refused_as_stale: t.Callable[[], None],
     ) -> None:
+        self._refused_as_stale = refused_as_stale
         self._settings = settings
         self._view = view
         self._orders = orders
@@ -140,12 +146,14 @@
             await asyncio.sleep(2 * LOOK_SECONDS)
 
     async def _try_join(self, endpoint: Endpoint, order: Join, report: EngineReport) -> JoinAnswer:
-        place = join_rules.place(report.membership, order.group, self._records.may_answer)
+        place = join_rules.place(report.membership, order.group, self._records.is_over)
         if place is Place.TAKEN:
             return JoinAnswer.REFUSED
         self._log_former(endpoint, order, report)
         # holds only for the state that the report showed
         outcome = await self._orders.give(endpoint, order, report.order_count)
+        if outcome is Outcome.STALE:
+            self._refused_as_stale()
         return join_rules.join_answer(outcome)
 
     def _log_former(self, endpoint: Endpoint, order: Join, report: EngineReport) -> None:
--- a/packages/gateway/src/thorncleat_gateway/groups/join_rules.py
+++ b/packages/gateway/src/thorncleat_gateway/groups/join_rules.py
@@ -9,7 +9,7 @@
 answer is given again, which means the same to one that carried it out.
 
 Owns: no state.
-Relies on: :meth:`.GroupRecords.may_answer` for whether the endpoint's former group is over.
+Relies on: :meth:`.GroupRecords.is_over` for whether the endpoint's former group is over.
 """
 
 import enum
@@ -36,18 +36,16 @@
     STATE_CHANGED = enum.auto()
 
 
-def place(
-    member: Membership | None, group: GroupId, may_answer: t.Callable[[GroupId], bool]
-) -> Place:
+def place(member: Membership | None, group: GroupId, is_over: t.Callable[[GroupId], bool]) -> Place:
     """Return where an endpoint stands, from its own report.
 
     :param member: its place as it reports it.
     :param group: the group that it is to join.
-    :param may_answer: returns whether a former group may still answer requests.
+    :param is_over: returns whether a former group answers no more requests.
     """
     if member is None or member.group == group:
         return Place.FREE
-    return Place.TAKEN if may_answer(member.group) else Place.FREE
+    return Place.FREE if is_over(member.group) else Place.TAKEN
 
 
 def join_answer(outcome: Outcome) -> JoinAnswer:
--- a/packages/gateway/src/thorncleat_gateway/groups/planner.py
+++ b/packages/gateway/src/thorncleat_gateway/groups/planner.py
@@ -134,7 +134,7 @@
         if endpoint in term.lost or not term.forming_state.is_available(endpoint.id):
             return False
         member = term.orders.listed(endpoint)
-        return member is None or not term.records.may_answer(member.group)
+        return member is None or term.records.is_over(member.group)
 
     def _plan_domain(
         self,
--- a/packages/gateway/src/thorncleat_gateway/groups/records.py
+++ b/packages/gateway/src/thorncleat_gateway/groups/records.py
@@ -14,16 +14,22 @@
 have been cut off and come back. So a leader that is listed in a group that should be over has to be
 asked (:meth:`GroupRecords.is_back`).
 
+The store may come back from a copy that lacks records. A controller that knows such a group writes
+its record again; where nobody does, what its members say has to do, once the list is settled.
+
 Owns: the groups that were begun or found in this term, and those that have ended in it.
 Relies on: the store's conditional writes, and the view for what earlier controllers recorded and
 for what leaders say.
 """
 
+import asyncio
 import dataclasses
 import enum
 
 import msgpack
 
+from .. import events
+from ..exceptions import StoreError
 from ..ports import RecordStore
 from ..store.roster import Endpoint
 from ..store.roster import Group
@@ -38,6 +44,10 @@
 GROUPS = "thorncleat/groups/"
 # keys that one write may remove beside what it writes
 REMOVED_AT_ONCE = 24
+# that one write may hold
+WRITTEN_AT_ONCE = 24
+# after a write that got no answer, in seconds
+RETRY_SECONDS = 0.3
 
 
 def _key(group: GroupId) -> str:
@@ -99,11 +109,39 @@
         # of groups that were begun in this term, or found, whether the view shows a record or not
         self._leaders: dict[GroupId, _Leader] = {}
         self._ended: dict[GroupId, Detached] = {}
+        # those whose records the store lost
+        self._unwritten: set[GroupId] = set()
 
     def begin_term(self) -> None:
         """Forget what an earlier term of this daemon began and ended."""
         self._leaders.clear()
         self._ended.clear()
+        self._unwritten.clear()
+        for key, record in self._view.lost_records.items():
+            group = _group(key) if key.startswith(GROUPS) else None
+            kept = _Leader.decode(record.value) if record.value is not None else None
+            if group is not None and kept is not None:
+                self._leaders[group] = kept
+                self._unwritten.add(group)
+
+    async def write_lost(self) -> None:
+        """Write the records again that the store lost, while this daemon is the controller."""
+        while self._unwritten and self._election.leads:
+            groups = sorted(self._unwritten)[:WRITTEN_AT_ONCE]
+            puts = {_key(group): self._leaders[group].encode() for group in groups}
+            term = self._election.term
+            assert term is not None
+            try:
+                written = await self._records.commit(puts, [], {CONTROLLER: term})
+            except StoreError as error:
+                # not known to be written: the same records are written once more
+                events.LOST_RECORDS.log(groups=len(groups), problem=str(error))
+                await asyncio.sleep(RETRY_SECONDS)
+                continue
+            if not written:
+                return
+            self._unwritten.difference_update(groups)
+            events.LOST_RECORDS.log(groups=len(groups), problem=None)
 
     @property
     def groups(self) -> list[GroupId]:
@@ -117,6 +155,15 @@
             return False
         return group in self._leaders or _key(group) in self._view.records
 
+    def is_over(self, group: GroupId) -> bool:
+        """Return whether the members of a group are free.
+
+        While the list isn't settled, the store may have lost the record of a group that stands.
+        """
+        if group in self._ended:
+            return True
+        return self._view.settled and not self.may_answer(group)
+
     def how_ended(self, group: GroupId) -> Detached | None:
         """Return how a group ended in this term; None if it didn't."""
         return self._ended.get(group)
@@ -148,11 +195,14 @@
         :raises StoreError: if it is not known to be written.
         """
         kept = _Leader.of(plan.members[0])
+        term = self._election.term
+        if term is None:
+            return False
         gone = [ended for ended in self._ended if _key(ended) in self._view.records]
         written = await self._records.commit(
             {_key(group): kept.encode()},
             [_key(ended) for ended in gone[:REMOVED_AT_ONCE]],
-            {CONTROLLER: self._election.term},
+            {CONTROLLER: term},
         )
         if written:
             self._leaders[group] = kept
@@ -176,4 +226,5 @@
     def end(self, group: GroupId, how: Detached) -> None:
         """Count a group as ended; its leader answers no more."""
         self._leaders.pop(group, None)
+        self._unwritten.discard(group)
         self._ended[group] = how
--- a/packages/gateway/src/thorncleat_gateway/groups/spare_warming.py
+++ b/packages/gateway/src/thorncleat_gateway/groups/spare_warming.py
@@ -117,7 +117,7 @@
     async def _join(self, endpoint: Endpoint, group: GroupId, model: EngineModel) -> bool:
         """Order an endpoint into its own group if it is free; return whether it took the order."""
         report = await self._orders.ask(endpoint, LAST)
-        place = join_rules.place(report.membership, group, self._records.may_answer)
+        place = join_rules.place(report.membership, group, self._records.is_over)
         if place is not Place.FREE:
             return False
         order = Join(group, model.name, (endpoint.id,))
--- a/packages/gateway/src/thorncleat_gateway/groups/term.py
+++ b/packages/gateway/src/thorncleat_gateway/groups/term.py
@@ -13,6 +13,7 @@
 from ..peers.datagrams import PeerChannel
 from ..peers.failure_detector import FailureDetector
 from ..peers.load_table import LoadTable
+from ..ports import Position
 from ..settings import ControlSettings
 from ..store.view import StoreView
 from .ended import EndedGroups
@@ -29,6 +30,7 @@
 from .records import GroupRecords
 from .slow_endpoints import SlowEndpoints
 from .spare_warming import SpareWarming
+from .term_number import term_number
 from .unlisted_endpoints import UnlistedEndpoints
 
 
@@ -36,10 +38,10 @@
 class Term:
     """The parts of one term.
 
-    :param number: the store's revision at which the controller's record was created.
+    :param begun: the store's position at which the controller's record was created.
     """
 
-    number: int
+    begun: Position
     jobs: Jobs
     orders: Orders
     records: GroupRecords
@@ -79,7 +81,7 @@
         self._ended = ended
         self._clock = clock
 
-    def begin(self, number: int, wake: t.Callable[[], None]) -> Term:
+    def begin(self, begun: Position, wake: t.Callable[[], None]) -> Term:
         """Forget what earlier terms reported, and build the parts of a new one.
 
         :param wake: has the controller plan anew.
@@ -94,10 +96,11 @@
             view, orders, self._detector, self._load_table, self._peers, clock
         )
         ending = GroupEnding(orders, records, self._ended, liveness, clock, jobs.start)
-        state = FormingState(number, clock)
-        steps = GroupSteps(self._settings, view, orders, records, lost, clock)
+        state = FormingState(self._number(begun), clock)
+        steps = GroupSteps(self._settings, view, orders, records, lost, clock, state.skip)
+        jobs.start(records.write_lost())
         return Term(
-            number=number,
+            begun=begun,
             jobs=jobs,
             orders=orders,
             records=records,
@@ -111,3 +114,12 @@
             loader=ModelLoader(self._settings, view, orders, lost, clock, jobs.start),
             warming=SpareWarming(view, orders, records, state, clock, jobs.start),
         )
+
+    def _number(self, begun: Position) -> int:
+        """Return the number of a term that has just begun."""
+        roster = self._view.roster
+        gone = (one.endpoint for one in roster.gone.values())
+        places = (one.membership for one in (*roster.endpoints.values(), *gone))
+        epochs = [place.group.epoch for place in places if place is not None]
+        epochs += [group.epoch for group in self._records.groups]
+        return term_number(begun.revision, epochs, self._view.former_revisions)
--- a/packages/gateway/src/thorncleat_gateway/ports/store_changes.py
+++ b/packages/gateway/src/thorncleat_gateway/ports/store_changes.py
@@ -10,6 +10,7 @@
 from ..store.roster import Endpoint
 from ..store.serving import ServingConfiguration
 from ..store.store_era import StoreEra
+from .store_position import Lease
 from .store_position import Position
 
 # part of a wait without a change that had passed at the other side when it answered, however
@@ -131,26 +132,31 @@
     :class:`StoreOutcomeUnknownError` if it may have been, or may still be.
     """
 
-    async def create(self, key: str, value: bytes, lease: int) -> int | None:
+    async def create(self, key: str, value: bytes, lease: Lease) -> Position | None:
         """Write a record that must not be there.
 
-        :returns: the store's revision with it, or None if the record is there.
+        :returns: the store's position with it, or None if the record is there.
+        :raises LeaseGoneError: if the lease is of an era that is over.
         """
         ...
 
-    async def put(self, key: str, value: bytes, lease: int) -> None:
-        """Write a record, whether it is there or not."""
+    async def put(self, key: str, value: bytes, lease: Lease) -> None:
+        """Write a record, whether it is there or not.
+
+        :raises LeaseGoneError: if the lease is of an era that is over.
+        """
         ...
 
     async def commit(
         self,
         puts: t.Mapping[str, bytes],
         removals: t.Sequence[str],
-        unchanged: t.Mapping[str, int],
+        unchanged: t.Mapping[str, Position],
     ) -> bool:
         """Write and remove records without a lease, all or none.
 
-        :param unchanged: the revision of the last change of records that must not have changed.
+        :param unchanged: the position of the last change of records that must not have changed;
+            one of an era that is over does not hold.
         :returns: whether that held; nothing is done otherwise.
         """
         ...
@@ -163,20 +169,20 @@
         """Return the records whose keys begin so."""
         ...
 
-    async def grant(self, ttl: float) -> int:
+    async def grant(self, ttl: float) -> Lease:
         """Return a new lease.
 
         :param ttl: seconds for which it lasts unless it is renewed.
         """
         ...
 
-    async def renew(self, lease: int) -> None:
+    async def renew(self, lease: Lease) -> None:
         """Renew a lease.
 
-        :raises LeaseGoneError: if it is over.
+        :raises LeaseGoneError: if it is over, or of an era that is.
         """
         ...
 
-    async def end(self, lease: int) -> None:
-        """End a lease."""
+    async def end(self, lease: Lease) -> None:
+        """End a lease; nothing is done if it is of an era that is over."""
         ...
--- a/packages/gateway/src/thorncleat_gateway/requests/lifted_holds.py
+++ b/packages/gateway/src/thorncleat_gateway/requests/lifted_holds.py
@@ -3,11 +3,12 @@
 An operator writes a record ``thorncleat/lifted/FINGERPRINT`` into the store, with any content; each
 daemon forgets what it remembers of that request when the record comes or changes.
 
-Owns: the revisions of those records that were followed.
+Owns: the positions of those records that were followed.
 Relies on: the store's view for the records, and on the fingerprint as log lines show it.
 """
 
 from .. import events
+from ..ports import Position
 from ..store.view import StoreView
 from .fingerprint import Fingerprint
 from .quarantine import Quarantine
@@ -22,8 +23,8 @@
         self._view = view
         self._quarantine = quarantine
         self._seen_version = -1
-        # revision of each record that was followed
-        self._followed: dict[str, int] = {}
+        # of each record that was followed
+        self._followed: dict[str, Position] = {}
         view.on_change(self._look)
 
     def _look(self) -> None:
@@ -31,12 +32,12 @@
             return
         self._seen_version = self._view.records_version
         listed = {
-            key: record.revision
+            key: self._view.position_of(record)
             for key, record in self._view.records.items()
             if key.startswith(LIFTED)
         }
-        for key, revision in listed.items():
-            if self._followed.get(key) != revision:
+        for key, position in listed.items():
+            if self._followed.get(key) != position:
                 self._lift(key.removeprefix(LIFTED))
         self._followed = listed
 
--- a/packages/gateway/src/thorncleat_gateway/store/registration.py
+++ b/packages/gateway/src/thorncleat_gateway/store/registration.py
@@ -16,6 +16,7 @@
 
 from ..exceptions import LeaseGoneError
 from ..exceptions import StoreError
+from ..ports import Lease
 from ..ports import RecordChanged
 from ..ports import RecordStore
 from ..settings import GatewaySettings
@@ -67,6 +68,8 @@
         # answered; None while there is no record
         self._registered_at: float | None = None
         self._renewed_at = 0.0
+        # of the present record
+        self._lease: Lease | None = None
 
     @property
     def own(self) -> Daemon:
@@ -98,7 +101,9 @@
     def knowledge(self) -> FleetKnowledge:
         """Return what this daemon's list of daemons is good for."""
         now = self._clock()
-        if self._registered_at is None or self._settings.id not in self.daemons():
+        if self._registered_at is None or self._lease is None:
+            return FleetKnowledge.NONE
+        if self._view.era.is_over(self._lease.era) or self._settings.id not in self.daemons():
             return FleetKnowledge.NONE
         lease_left = self._renewed_at + DAEMON_LEASE_SECONDS - now
         return fleet_knowledge(now - self._registered_at, lease_left, self._view.age())
@@ -161,10 +166,11 @@
         value = _record(self.own)
         # over an earlier life's record, which would go with its own lease
         await self._records.put(key, value, lease)
+        self._lease = lease
         self._registered_at, self._renewed_at = self._clock(), granted_at
         self._told_relay = False
         pause = RENEW_SECONDS
-        while not self.should_stop and await self._is_kept_for(pause, key):
+        while not self.should_stop and await self._is_kept_for(pause, key, lease):
             try:
                 await self._tell_relay(lease)
                 renewed_at = self._clock()
@@ -178,7 +184,7 @@
                 # not logged: the view logs that the store is lost
                 pause = RENEW_AGAIN_SECONDS
 
-    async def _tell_relay(self, lease: int) -> None:
+    async def _tell_relay(self, lease: Lease) -> None:
         """Write the record of a relay, once this daemon is one where there are many daemons."""
         daemons = self.daemons()
         relays = len(daemons) > SMALL_FLEET and self._settings.id in daemons
@@ -186,14 +192,17 @@
             await self._records.put(RELAYS + self._settings.id, _record(self.own), lease)
             self._told_relay = True
 
-    async def _is_kept_for(self, seconds: float, key: str) -> bool:
+    async def _is_kept_for(self, seconds: float, key: str, lease: Lease) -> bool:
         """Wait for some seconds; return False as soon as the view shows that the record is gone.
 
-        Relays answer registered daemons only, so the next one has to be written at once.
+        Relays answer registered daemons only, so the next one has to be written at once. A record
+        that stands in another era is gone too: its lease may be another's there.
         """
         until = self._clock() + seconds
         shown = key in self._view.records
         while await self._view.wait_change(until - self._clock()):
+            if self._view.era.is_over(lease.era):
+                return False
             if shown and key not in self._view.records:
                 return False
             shown = shown or key in self._view.records
--- a/packages/gateway/src/thorncleat_gateway/store/store_era.py
+++ b/packages/gateway/src/thorncleat_gateway/store/store_era.py
@@ -1,24 +1,22 @@
 """The newest era of the store that this daemon has heard of.
 
 The first word of a later era ends what rested on the one before: the position that is followed,
-leases, and the controller's term. Whoever hears it says so here, be it from an answer of the store,
-from a relay or from a daemon that asks.
+leases, and the controller's term. Whoever uses one of these asks here whether its era is over.
+Whoever hears of an era says so here, be it from an answer of the store, from a relay or from a
+daemon that asks.
 
 Owns: that era.
 Relies on: eras rising by one each time the store comes back from a copy.
 """
 
-import typing as t
-
 from .. import events
 
 
 class StoreEra:
-    """Keeps the newest era, and tells its listeners when another one has begun."""
+    """Keeps the newest era."""
 
     def __init__(self) -> None:
         self._newest: int | None = None
-        self._listeners: list[t.Callable[[], None]] = []
 
     @property
     def newest(self) -> int:
@@ -29,18 +27,11 @@
         """Return whether a later era has begun."""
         return era < self.newest
 
-    def on_begin(self, listener: t.Callable[[], None]) -> None:
-        """Call a function when an era follows another one."""
-        self._listeners.append(listener)
-
     def heard(self, era: int) -> None:
         """Take in that somebody named an era."""
         before = self._newest
         if before is not None and era <= before:
             return
         self._newest = era
-        if before is None:
-            return
-        events.STORE_RESTORED.log(era=era, before=before)
-        for listener in self._listeners:
-            listener()
+        if before is not None:
+            events.STORE_RESTORED.log(era=era, before=before)
--- a/packages/gateway/src/thorncleat_gateway/store/view.py
+++ b/packages/gateway/src/thorncleat_gateway/store/view.py
@@ -61,6 +61,11 @@
         self.era = feed.era
         # of the last answer
         self._era_read: int | None = None
+        # the last revision that was read in each former era
+        self.former_revisions: list[int] = []
+        # records that the store lost when it came back from a copy, until it has them again
+        self.lost_records: dict[str, RecordChanged] = {}
+        self._last_revision = 0
         self._listeners: list[t.Callable[[], None]] = []
         self._batch_listeners: list[t.Callable[[Position | None, Changes], None]] = []
         self._freshness = Freshness()
@@ -85,6 +90,11 @@
         """Whether a configuration is known."""
         return self.configuration is not None
 
+    @property
+    def is_current(self) -> bool:
+        """Whether it was read in the newest era of the store."""
+        return self._era_read == self.era.newest
+
     @property
     def fresh_at(self) -> float:
         """The time up to which every change is known."""
@@ -122,6 +132,10 @@
             events.SAID_DRAINING.log(endpoint=life.endpoint_id, born=life.born)
             self._announce()
 
+    def position_of(self, record: RecordChanged) -> Position:
+        """Return the position of a record's last change."""
+        return Position(self._era_read or 0, record.revision)
+
     def configuration_version(self) -> float:
         """Return the version of the configuration, or 0 if none is known."""
         return self.configuration.version if self.configuration else 0
@@ -185,8 +199,8 @@
         sent_at = self._clock()
         if self._position is None:
             answer = await self._feed.snapshot()
-            self._answered(sent_at, answer)
-            self._replace(answer.changes)
+            restored = self._answered(sent_at, answer)
+            self._replace(answer.changes, restored=restored)
         else:
             answer = await self._feed.changes(self._position, self._wait)
             self._answered(sent_at, answer)
@@ -199,14 +213,17 @@
             self._announce()
         return bool(answer.changes)
 
-    def _answered(self, sent_at: float, answer: Changes) -> None:
+    def _answered(self, sent_at: float, answer: Changes) -> bool:
+        """Take in when and where the store answered; return whether another era has begun."""
         era, self._era_read = self._era_read, answer.position.era
+        restored = era not in (None, self._era_read)
+        if restored:
+            self.former_revisions.append(self._last_revision)
+        self._last_revision = answer.position.revision
         self._freshness = self._freshness.answered(
-            self._clock(),
-            sent_at + answer.proven,
-            answer.settling,
-            restored=era not in (None, self._era_read),
+            self._clock(), sent_at + answer.proven, answer.settling, restored=restored
         )
+        return restored
 
     def _announce(self) -> None:
         self.version += 1
@@ -215,10 +232,16 @@
         for listener in self._listeners:
             listener()
 
-    def _replace(self, changes: t.Sequence[Change]) -> None:
+    def _replace(self, changes: t.Sequence[Change], *, restored: bool) -> None:
+        """Put everything that was read in place of what was known.
+
+        :param restored: whether the store has come back from a copy since.
+        """
         listed = [change.endpoint for change in changes if isinstance(change, EndpointListed)]
         now = self._clock()
         self.roster.replace(listed, now, self._freshness.removed_at(now))
+        if restored:
+            self.lost_records |= self.records
         self.records.clear()
         self.records_version += 1
         for change in changes:
@@ -237,6 +260,7 @@
                 self.roster.unlist(endpoint_id, now, self._freshness.removed_at(now))
             case RecordChanged(key, value):
                 self.records_version += 1
+                self.lost_records.pop(key, None)
                 if value is None:
                     self.records.pop(key, None)
                 else:
--- a/tests/group_engines.py
+++ b/tests/group_engines.py
@@ -149,6 +149,7 @@
 
     def _join(self, order: Join) -> Outcome:
         if order.group.epoch < self.seen_epoch:
+            self.world.refused_as_stale += 1
             return Outcome.STALE
         if order.group == self.group:
             return Outcome.DONE if order.members == self.members else Outcome.STALE
--- a/tests/group_store.py
+++ b/tests/group_store.py
@@ -9,6 +9,7 @@
 from thorncleat_gateway.exceptions import StoreOutcomeUnknownError
 from thorncleat_gateway.exceptions import StoreUnavailableError
 from thorncleat_gateway.ports import Changes
+from thorncleat_gateway.ports import Lease
 from thorncleat_gateway.ports import Position
 from thorncleat_gateway.ports import RecordChanged
 from thorncleat_gateway.store.store_era import StoreEra
@@ -148,42 +149,55 @@
         found = [change for rev, _, change in store.history if rev > since.revision]
         return Changes(store.position, found)
 
-    async def create(self, key: str, value: bytes, lease: int) -> int | None:
+    def _check(self, lease: Lease) -> None:
+        if self.era.is_over(lease.era):
+            raise LeaseGoneError("of an era that is over")
+
+    def _written(self, era: int) -> None:
+        if era != self._store.era:
+            raise StoreOutcomeUnknownError("answered in another era")
+        if self._world.chance("lost write"):
+            raise StoreOutcomeUnknownError("answer lost")
+
+    async def create(self, key: str, value: bytes, lease: Lease) -> Position | None:
+        self._check(lease)
         await self._call()
         store = self._store
         if key in store.items:
             return None
-        if lease not in store.leases:
+        if lease.id not in store.leases:
             raise StoreUnavailableError("no such lease")
         created = store.revision + 1
         store.put(key, RecordChanged(key, value, created, created))
-        store.owners[key] = lease
-        if self._world.chance("lost write"):
-            raise StoreOutcomeUnknownError("answer lost")
-        return created
+        store.owners[key] = lease.id
+        self._written(lease.era)
+        return Position(store.era, created)
 
-    async def put(self, key: str, value: bytes, lease: int) -> None:
+    async def put(self, key: str, value: bytes, lease: Lease) -> None:
+        self._check(lease)
         await self._call()
         store = self._store
-        if lease not in store.leases:
+        if lease.id not in store.leases:
             raise StoreUnavailableError("no such lease")
         revision = store.revision + 1
         store.put(key, RecordChanged(key, value, revision, revision))
-        store.owners[key] = lease
+        store.owners[key] = lease.id
 
     async def commit(self, puts, removals, unchanged) -> bool:
+        era = self.era.newest
+        if any(position.era != era for position in unchanged.values()):
+            return False
         await self._call()
         store = self._store
-        for key, revision in unchanged.items():
+        for key, position in unchanged.items():
             present = store.items.get(key)
-            if (present.revision if present else 0) != revision:
+            if (present.revision if present else 0) != position.revision:
                 return False
         for key, value in puts.items():
             store.put(key, RecordChanged(key, value, store.revision + 1, store.revision + 1))
         for key in removals:
             store.delete(key, RecordChanged(key, None, store.revision + 1))
-        if self._world.chance("lost write"):
-            raise StoreOutcomeUnknownError("answer lost")
+        self._written(era)
         return True
 
     async def list_records(self, prefix: str) -> list[RecordChanged]:
@@ -195,24 +209,28 @@
         await self._read()
         return self._store.items.get(key)
 
-    async def grant(self, ttl: float) -> int:
+    async def grant(self, ttl: float) -> Lease:
         await asyncio.sleep(self._node.grant_delay)
         await self._call()
         lease = len(self._world.granted) + 1
         self._world.granted.append(lease)
         self._store.leases[lease] = (self._world.now() + ttl, ttl)
-        return lease
+        return Lease(self._store.era, lease)
 
-    async def renew(self, lease: int) -> None:
+    async def renew(self, lease: Lease) -> None:
+        self._check(lease)
         await self._call()
-        if lease not in self._store.leases:
+        self._check(lease)
+        if lease.id not in self._store.leases:
             raise LeaseGoneError("over")
-        _, ttl = self._store.leases[lease]
-        self._store.leases[lease] = (self._world.now() + ttl, ttl)
+        _, ttl = self._store.leases[lease.id]
+        self._store.leases[lease.id] = (self._world.now() + ttl, ttl)
 
-    async def end(self, lease: int) -> None:
+    async def end(self, lease: Lease) -> None:
+        if self.era.is_over(lease.era):
+            return
         await self._call()
-        self._store.end(lease)
+        self._store.end(lease.id)
         if self._node.end_unanswered:
             await asyncio.sleep(UNANSWERED_SECONDS)
             raise StoreOutcomeUnknownError("answer lost")
--- a/tests/group_world.py
+++ b/tests/group_world.py
@@ -216,6 +216,8 @@
         # workers that have the address of one that has ended, by its id
         self.successors: dict[str, Worker] = {}
         self.broken: list[str] = []
+        # orders whose epoch was below one that their worker had seen
+        self.refused_as_stale = 0
         self.opened = 0
         self.store.put(
             "config",
--- a/tests/test_forms_store.py
+++ b/tests/test_forms_store.py
@@ -14,6 +14,7 @@
 from thorncleat_gateway.groups.records import Detached
 from thorncleat_gateway.groups.records import GroupRecords
 from thorncleat_gateway.ports import EndpointGone
+from thorncleat_gateway.ports import Lease
 from thorncleat_gateway.ports import Position
 from thorncleat_gateway.ports import RecordChanged
 from thorncleat_gateway.store.registration import Registration
@@ -33,6 +34,7 @@
 from .wire_forms import FixedFeed
 from .wire_forms import RecordedRecords
 
+LEASE = Lease(0, 77)
 GROUP = GroupId(41, "narrator-0")
 # written by b7c2758
 OWN_DAEMON = bytes.fromhex("94a93132372e302e302e31cd1bbca27a31cb4004000000000000")
@@ -48,15 +50,17 @@
 CALLS = {
     "snapshot": lambda store: store.snapshot(),
     "changes": lambda store: store.changes(Position(0, 41), 0.4),
-    "create": lambda store: store.create("thorncleat/a", b"\x01\xff", 77),
-    "put": lambda store: store.put("thorncleat/a", b"\x01\xff", 77),
+    "create": lambda store: store.create("thorncleat/a", b"\x01\xff", LEASE),
+    "put": lambda store: store.put("thorncleat/a", b"\x01\xff", LEASE),
     "commit": lambda store: store.commit(
-        {"thorncleat/a": b"\x01", "thorncleat/b": b"\x02"}, ["thorncleat/c"], {"thorncleat/d": 5}
+        {"thorncleat/a": b"\x01", "thorncleat/b": b"\x02"},
+        ["thorncleat/c"],
+        {"thorncleat/d": Position(0, 5)},
     ),
     "find": lambda store: store.find("thorncleat/a b"),
     "grant": lambda store: store.grant(12.0),
-    "renew": lambda store: store.renew(77),
-    "end": lambda store: store.end(77),
+    "renew": lambda store: store.renew(LEASE),
+    "end": lambda store: store.end(LEASE),
 }
 ANSWERS = {
     "snapshot": [{"timestamp": 9, "entries": [], "has_more": False}],
@@ -87,6 +91,10 @@
     assert calls == snapshot(name="call")
     if name in ("snapshot", "changes"):
         found = wire_forms.changes_form(found)
+    if name == "create":
+        found = found.revision
+    if name == "grant":
+        found = found.id
     if name == "find":
         found = wire_forms.plain(wire_forms.wire_form(found))
     assert found == snapshot(name="result")
@@ -276,7 +284,7 @@
             election = Election(OWN, records, mirror, lambda: 0.0, lambda: {OWN.id: 1.0})
             await election.start()
             await wire_forms.until(lambda: election.leads)
-            assert election.term == 40
+            assert election.term == Position(0, 40)
             election.stopping = True
             await wire_forms.until(lambda: ["end", 77] in records.calls)
             await election.stop()
@@ -287,7 +295,7 @@
         written = [RecordChanged("thorncleat/groups/40/narrator-1", GROUP_RECORD, 5, 5)]
         async with wire_forms.mirror_of(FixedFeed(written), lambda: 0.0) as mirror:
             election = Election(OWN, records, mirror, lambda: 0.0, lambda: {OWN.id: 1.0})
-            election.term = 40
+            election.term = Position(0, 40)
             kept = GroupRecords(records, mirror, election)
             kept.end(old, Detached.LEFT)
             assert await kept.begin(
--- a/tests/test_group_control.py
+++ b/tests/test_group_control.py
@@ -255,7 +255,9 @@
     node.orders.ask = ask_and_be_late
     order = Join(GroupId(10**9, "g"), "large", (free.id,))
     lost = node.controller.term.lost
-    steps = GroupSteps(ControlSettings(), node.view, node.orders, node.records, lost, world.now)
+    steps = GroupSteps(
+        ControlSettings(), node.view, node.orders, node.records, lost, world.now, lambda: None
+    )
     joined = await steps.join(free.entry(), order)
     await world.stop()
     return joined, free.group == opened.group
--- a/tests/test_group_ends.py
+++ b/tests/test_group_ends.py
@@ -211,7 +211,7 @@
     # the former life's lease has a second left
     former = world.store.revision + 7_000_000
     world.store.leases[former] = (world.now() + 1.0, 2.0)
-    world.store.end(node.election._lease)
+    world.store.end(world.store.owners[CONTROLLER])
     while CONTROLLER in node.view.records:
         await world.pass_time(0.001)
     created = world.store.revision + 1
--- a/tests/test_join_rules.py
+++ b/tests/test_join_rules.py
@@ -14,18 +14,18 @@
 
 
 @pytest.mark.parametrize(
-    ("group", "may_answer", "place"),
+    ("group", "over", "place"),
     [
         pytest.param(None, set(), Place.FREE, id="in no group"),
-        pytest.param(NEW, {NEW}, Place.FREE, id="in this group: it takes the order again"),
-        pytest.param(FORMER, {FORMER}, Place.TAKEN, id="in a group that may answer"),
-        pytest.param(FORMER, set(), Place.FREE, id="in a group that is over"),
+        pytest.param(NEW, set(), Place.FREE, id="in this group: it takes the order again"),
+        pytest.param(FORMER, set(), Place.TAKEN, id="in a group that may answer"),
+        pytest.param(FORMER, {FORMER}, Place.FREE, id="in a group that is over"),
     ],
 )
 @pytest.mark.parametrize("state", list(GroupState))
-def test_place(group, may_answer, place, state):
+def test_place(group, over, place, state):
     member = Membership(group, 1, state) if group else None
-    assert join_rules.place(member, NEW, may_answer.__contains__) is place
+    assert join_rules.place(member, NEW, over.__contains__) is place
 
 
 @pytest.mark.parametrize(
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -4,10 +4,12 @@
 
 import pytest
 
+from thorncleat_gateway.ports import Lease
 from thorncleat_platform.store import KeyValueStore
 
 OK = b"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: 2\r\n\r\n{}"
 CALLS_AT_ONCE = 3
+LEASE = Lease(0, 1)
 
 
 class SilencedServer:
@@ -50,6 +52,6 @@
 async def test_call_after_all_connections_went_silent_is_answered(silenced):
     """The lease would else run out while one dead connection after another is tried."""
     server, store = silenced
-    await asyncio.gather(*(store.renew(1) for _ in range(CALLS_AT_ONCE)))
+    await asyncio.gather(*(store.renew(LEASE) for _ in range(CALLS_AT_ONCE)))
     server.silence()
-    await store.renew(1)
+    await store.renew(LEASE)
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -3,6 +3,7 @@
 import pytest
 
 from thorncleat_gateway.exceptions import Broken
+from thorncleat_gateway.ports import Position
 from thorncleat_gateway.ports import RecordChanged
 from thorncleat_gateway.requests import crash_watch
 from thorncleat_gateway.requests import fingerprint
@@ -246,6 +247,9 @@
         self.records = {}
         self.records_version = 0
 
+    def position_of(self, record):
+        return Position(1, record.revision)
+
     def on_change(self, listener):
         self._listener = listener
 
--- a/tests/test_registration.py
+++ b/tests/test_registration.py
@@ -9,12 +9,14 @@
 
 from thorncleat_gateway.exceptions import LeaseGoneError
 from thorncleat_gateway.exceptions import StoreUnavailableError
+from thorncleat_gateway.ports import Lease
 from thorncleat_gateway.ports import RecordChanged
 from thorncleat_gateway.requests.retry_budget import RetryBudgetSettings
 from thorncleat_gateway.settings import GatewaySettings
 from thorncleat_gateway.store import registration
 from thorncleat_gateway.store.fleet_knowledge import FleetKnowledge
 from thorncleat_gateway.store.registration import Registration
+from thorncleat_gateway.store.store_era import StoreEra
 
 from . import virtual_time
 
@@ -32,6 +34,7 @@
         self.records_version = 0
         self.changed = asyncio.Event()
         self.known_until = float("inf")
+        self.era = StoreEra()
 
     def age(self) -> float:
         """Return how old it is: that of one that is followed until it is lost."""
@@ -68,21 +71,21 @@
             raise StoreUnavailableError("down")
         return asyncio.get_running_loop().time()
 
-    async def grant(self, ttl: float) -> int:
+    async def grant(self, ttl: float) -> Lease:
         now = self._call()
         self.granted += 1
         self.leases[self.granted] = now + ttl
-        return self.granted
+        return Lease(self.view.era.newest, self.granted)
 
     async def put(self, key, value, lease) -> None:
         self._call()
         self.view.set(key, RecordChanged(key, value, self.calls))
 
-    async def renew(self, lease: int) -> None:
+    async def renew(self, lease: Lease) -> None:
         now = self._call()
-        if lease not in self.leases:
+        if lease.id not in self.leases:
             raise LeaseGoneError("over")
-        self.leases[lease] = now + registration.DAEMON_LEASE_SECONDS
+        self.leases[lease.id] = now + registration.DAEMON_LEASE_SECONDS
 
     async def expire(self) -> None:
         while True:
--- a/tests/test_restored_groups.py
+++ b/tests/test_restored_groups.py
@@ -2,11 +2,18 @@
 
 import pytest
 
+from thorncleat_gateway.groups.records import GROUPS
+from thorncleat_gateway.groups.term_number import EPOCHS_PER_TERM
+
 from . import virtual_time
 from .group_world import CALM_SECONDS
+from .group_world import Node
 from .group_world import World
+from .group_world import leading
 
 RESTORES = 3
+# more than the store gives again while a test lasts
+LOST_REVISIONS = 2000
 SEEDS = [*range(8), 27]
 # for the layout to stand again after the last restore
 RECOVER_SECONDS = 40.0
@@ -48,3 +55,100 @@
     # more than these where the endpoints that were added are enough
     assert standing["large"] >= 2
     assert standing["small"] >= 2
+
+
+async def _store_comes_back_from_before_the_first_term(*, forget: bool):
+    """Restore a store that knew no controller, and lose an endpoint.
+
+    :param forget: whether all daemons start again, and know nothing of the former era.
+    """
+    world = World(seed=5, domains=1)
+    copy = world.store.copy()
+    world.store.revision += LOST_REVISIONS
+    await world.start()
+    await world.pass_time(CALM_SECONDS)
+    standing, opened, term = world.standing(), world.opened, leading(world).election.term
+    world.restore(copy)
+    if forget:
+        await world.stop()
+        world.nodes = [Node(world, node.name) for node in world.nodes]
+        await world.start()
+    await world.pass_time(5.0)
+    return world, standing, opened, term
+
+
+async def _records():
+    world, standing, opened, _ = await _store_comes_back_from_before_the_first_term(forget=False)
+    written = [key for key in world.store.items if key.startswith(GROUPS)]
+    found = world.standing() == standing, world.opened == opened, len(written)
+    await world.stop()
+    return world, found
+
+
+def test_group_whose_record_was_lost_stands_on_and_is_recorded_again():
+    world, (stands, none_formed, records) = virtual_time.run(_records())
+    assert world.broken == []
+    assert stands
+    assert none_formed
+    assert records == 2
+
+
+@pytest.mark.parametrize("forget", [False, True])
+def test_endpoints_take_orders_where_the_revisions_went_back(forget):
+    """They refuse an epoch below one that they have seen."""
+
+    async def play():
+        world, standing, _, term = await _store_comes_back_from_before_the_first_term(forget=forget)
+        assert leading(world).election.term.revision < term.revision
+        _lose_one(world)
+        await world.pass_time(15.0)
+        found = world.standing()
+        await world.stop()
+        return world, standing, found
+
+    world, standing, found = virtual_time.run(play())
+    assert world.broken == []
+    assert world.refused_as_stale == 0
+    assert found["large"] >= standing["large"]
+    assert found["small"] >= standing["small"]
+
+
+async def _endpoints_have_seen_epochs_that_nobody_knows():
+    world = World(seed=5, domains=1)
+    await world.start()
+    await world.pass_time(CALM_SECONDS)
+    standing = world.standing()
+    for worker in world.workers.values():
+        worker.seen_epoch += LOST_REVISIONS * EPOCHS_PER_TERM
+    _lose_one(world)
+    await world.pass_time(25.0)
+    found = world.standing()
+    await world.stop()
+    return world, standing, found
+
+
+def test_epochs_are_raised_until_endpoints_take_orders():
+    world, standing, found = virtual_time.run(_endpoints_have_seen_epochs_that_nobody_knows())
+    assert world.broken == []
+    assert world.refused_as_stale > 0
+    assert found["large"] >= standing["large"]
+    assert found["small"] >= standing["small"]
+
+
+async def _controller_hears_of_another_era():
+    world = World(seed=5, domains=1)
+    await world.start()
+    await world.pass_time(CALM_SECONDS)
+    node = leading(world)
+    lease = node.election.left
+    node.view.era.heard(world.store.era + 1)
+    led = node.election.leads
+    await world.stop()
+    return lease, led
+
+
+def test_term_ends_with_the_first_word_of_another_era():
+    """Another daemon may hold a lease of the same id there."""
+    lease, led = virtual_time.run(_controller_hears_of_another_era())
+    assert lease > 0.5
+    assert not led
--- a/tests/test_store_era.py
+++ b/tests/test_store_era.py
@@ -3,7 +3,10 @@
 import pytest
 
 from thorncleat_gateway.exceptions import HistoryGoneError
+from thorncleat_gateway.exceptions import LeaseGoneError
+from thorncleat_gateway.exceptions import StoreOutcomeUnknownError
 from thorncleat_gateway.exceptions import StoreUnavailableError
+from thorncleat_gateway.ports import Lease
 from thorncleat_gateway.ports import Position
 from thorncleat_platform.store import KeyValueStore
 
@@ -89,3 +92,51 @@
     asked.server.answers = [Answer(document=PAGE, headers={"Store-Era": era})]
     with pytest.raises(StoreUnavailableError, match="Store-Era"):
         await asked.store.snapshot()
+
+
+class TestLeases:
+    async def test_lease_is_of_the_era_in_which_it_was_granted(self, asked):
+        asked.server.answers = [answer(3, {"lease_id": 7})]
+        assert await asked.store.grant(2.0) == Lease(3, 7)
+
+    async def test_renewal_that_another_era_answers_renews_nothing(self, asked):
+        """The same id may be another daemon's lease there."""
+        await asked.after(answer(4, {"ttl_ms": 1}))
+        with pytest.raises(LeaseGoneError, match="era"):
+            await asked.store.renew(Lease(3, 7))
+
+    @pytest.mark.parametrize("call", ["renew", "put", "create"])
+    async def test_lease_of_an_era_that_is_over_is_not_used(self, asked, call):
+        await asked.after(answer(4, PAGE))
+        await asked.store.snapshot()
+        asked.server.calls.clear()
+        work = {
+            "renew": lambda: asked.store.renew(Lease(3, 7)),
+            "put": lambda: asked.store.put("thorncleat/a", b"", Lease(3, 7)),
+            "create": lambda: asked.store.create("thorncleat/a", b"", Lease(3, 7)),
+        }[call]
+        with pytest.raises(LeaseGoneError):
+            await work()
+        assert asked.server.calls == []
+
+    async def test_lease_of_an_era_that_is_over_is_not_ended(self, asked):
+        await asked.after(answer(4, PAGE))
+        await asked.store.snapshot()
+        asked.server.calls.clear()
+        await asked.store.end(Lease(3, 7))
+        assert asked.server.calls == []
+
+
+class TestConditions:
+    async def test_revision_of_an_era_that_is_over_is_no_condition(self, asked):
+        """Another item may have got the same number."""
+        await asked.after(answer(4, PAGE))
+        await asked.store.snapshot()
+        asked.server.calls.clear()
+        assert not await asked.store.commit({"a": b""}, [], {"b": Position(3, 5)})
+        assert asked.server.calls == []
+
+    async def test_write_that_another_era_answers_may_have_met_anothers_record(self, asked):
+        await asked.after(answer(4, {"revision": 40}))
+        with pytest.raises(StoreOutcomeUnknownError, match="era"):
+            await asked.store.commit({"a": b""}, [], {"b": Position(3, 5)})
--- a/tests/test_taken_addresses.py
+++ b/tests/test_taken_addresses.py
@@ -36,6 +36,7 @@
         node.records,
         node.controller.term.lost,
         world.now,
+        lambda: None,
     )
     assert await steps.join(other.entry(), order)
     world.odds["lost order answer"] = 1.0
--- /dev/null
+++ b/tests/test_term_number.py
@@ -0,0 +1,21 @@
+"""The number of a term rises with each controller, also where the store's revisions went back."""
+
+import pytest
+
+from thorncleat_gateway.groups.term_number import EPOCHS_PER_TERM
+from thorncleat_gateway.groups.term_number import term_number
+
+
+@pytest.mark.parametrize(
+    ("revision", "epochs", "numbers", "number"),
+    [
+        pytest.param(50, [], [], 50, id="nothing else is known"),
+        pytest.param(50, [40 * EPOCHS_PER_TERM + 3], [], 50, id="an earlier term's group stands"),
+        pytest.param(50, [60 * EPOCHS_PER_TERM + 3], [], 61, id="revisions went back"),
+        pytest.param(50, [50 * EPOCHS_PER_TERM + 3], [], 51, id="back to the same one"),
+        pytest.param(50, [], [70], 71, id="an earlier era came further"),
+        pytest.param(90, [60 * EPOCHS_PER_TERM + 3], [70], 90, id="it has passed them all"),
+    ],
+)
+def test_number(revision, epochs, numbers, number):
+    assert term_number(revision, epochs, numbers) == number
--- a/tests/wire_forms.py
+++ b/tests/wire_forms.py
@@ -21,6 +21,7 @@
 from thorncleat_gateway.ports import ConfigurationChanged
 from thorncleat_gateway.ports import EndpointGone
 from thorncleat_gateway.ports import EndpointListed
+from thorncleat_gateway.ports import Lease
 from thorncleat_gateway.ports import Position
 from thorncleat_gateway.ports import RecordChanged
 from thorncleat_gateway.requests.retry_budget import RetryBudgetSettings
@@ -169,15 +170,16 @@
         self.calls.append(plain(call))
         self.called.set()
 
-    async def create(self, key: str, value: bytes, lease: int) -> int | None:
-        self._note("create", key, value, lease)
-        return 40
+    async def create(self, key: str, value: bytes, lease: Lease) -> Position | None:
+        self._note("create", key, value, lease.id)
+        return Position(0, 40)
 
-    async def put(self, key: str, value: bytes, lease: int) -> None:
-        self._note("put", key, value, lease)
+    async def put(self, key: str, value: bytes, lease: Lease) -> None:
+        self._note("put", key, value, lease.id)
 
     async def commit(self, puts: t.Any, removals: t.Any, unchanged: t.Any) -> bool:
-        self._note("commit", dict(puts), list(removals), dict(unchanged))
+        revisions = {key: position.revision for key, position in unchanged.items()}
+        self._note("commit", dict(puts), list(removals), revisions)
         return True
 
     async def find(self, key: str) -> RecordChanged | None:
@@ -188,15 +190,15 @@
         # nobody is registered: everything comes from the feed
         return []
 
-    async def grant(self, ttl: float) -> int:
+    async def grant(self, ttl: float) -> Lease:
         self._note("grant", ttl)
-        return 77
+        return Lease(0, 77)
 
-    async def renew(self, lease: int) -> None:
-        self._note("renew", lease)
+    async def renew(self, lease: Lease) -> None:
+        self._note("renew", lease.id)
 
-    async def end(self, lease: int) -> None:
-        self._note("end", lease)
+    async def end(self, lease: Lease) -> None:
+        self._note("end", lease.id)
 
 
 class LostRecords(RecordedRecords):
