What an endpoint said of leaving holds for its life, whatever a copy lists

The store's copy may list an endpoint as ready that has said since that it drains, or one that has gone since. Daemons that knew better would send it requests again until it wrote its entry once more, or that ran out. Class: a state that is taken from the newest answer, where an older one may come back. Change: an entry that drained drains on in the same life; an entry of an endpoint that is known to have gone is believed when it changes, or once it would have run out without heartbeats. Daemons that learn from here are told of both entries, since they would hear of no change later. Ruled out: to compare entries by their counts (they rise with heartbeats that the list doesn't show), to keep what is known for good (an endpoint that was cut off and lives would stay unused).

--- a/packages/gateway/src/thorncleat_gateway/store/roster.py
+++ b/packages/gateway/src/thorncleat_gateway/store/roster.py
@@ -4,7 +4,12 @@
 whoever reads the list knows all groups.
 
 An endpoint that drains says so in its answers as well, and may be listed as ready still, or
-again: a late write, or one of the life before. What it said itself holds for the rest of its life.
+again: a late write, one of the life before, or a copy from which the store came back. What it said
+in its answers or its entry holds for the rest of its life.
+
+A copy may also list endpoints that have gone. One that is known to have gone isn't used again on
+the copy's word alone: its entry has to change, or to stand for longer than an endpoint that has
+ended keeps one.
 
 Owns: the listed endpoints, those that said that they drain, and for a while those that have gone.
 Relies on: :mod:`.view` for each change of the list and for when a missing endpoint is removed.
@@ -16,6 +21,8 @@
 
 # for which an endpoint that has gone is remembered
 REMEMBER_GONE_SECONDS = 60.0
+# after which an entry without heartbeats has run out
+HEARTBEATS_MISSED_SECONDS = 4.0
 
 
 class GroupState(enum.Enum):
@@ -142,6 +149,17 @@
         return leader.membership.state if leader and leader.membership else None
 
 
+@dataclasses.dataclass(frozen=True)
+class _Doubted:
+    """An entry that came back with a copy, of an endpoint that had gone.
+
+    :param believed_at: when it is believed, unless it has run out by then.
+    """
+
+    endpoint: Endpoint
+    believed_at: float
+
+
 @dataclasses.dataclass(frozen=True)
 class Gone:
     """An endpoint that is no longer listed.
@@ -163,6 +181,8 @@
         self._lapsed: dict[str, float] = {}
         # those that said that they drain, as the list shows them
         self._said_draining: dict[str, Endpoint] = {}
+        # entries that aren't believed yet
+        self._doubted: dict[str, _Doubted] = {}
         self.gone: dict[str, Gone] = {}
 
     @property
@@ -175,6 +195,9 @@
         """The listed endpoints, without what they have said otherwise."""
         for endpoint in self._endpoints.values():
             yield self._said_draining.get(endpoint.id, endpoint)
+        for doubted in self._doubted.values():
+            # who learns of them here hears of no change when they are believed
+            yield doubted.endpoint
 
     @property
     def lapsed(self) -> t.Collection[str]:
@@ -182,9 +205,10 @@
         return self._lapsed.keys()
 
     @property
-    def next_removal(self) -> float:
-        """When the first of these is removed; infinite if there are none."""
-        return min(self._lapsed.values(), default=float("inf"))
+    def next_due(self) -> float:
+        """When :meth:`expire` has something to do next; infinite if never."""
+        believed = (doubted.believed_at for doubted in self._doubted.values())
+        return min((*self._lapsed.values(), *believed), default=float("inf"))
 
     @property
     def groups(self) -> t.Mapping[GroupId, Group]:
@@ -204,12 +228,22 @@
         """
         known = self._endpoints.get(endpoint.id)
         started_again = known is not None and known.life.is_over(endpoint.life)
-        self._endpoints[endpoint.id] = self._with_said(endpoint)
+        self._endpoints[endpoint.id] = self._with_said(self._drains_on(endpoint))
         self._lapsed.pop(endpoint.id, None)
+        self._doubted.pop(endpoint.id, None)
         self.gone.pop(endpoint.id, None)
         self._groups = None
         return started_again
 
+    def _drains_on(self, listed: Endpoint) -> Endpoint:
+        """Return an entry with the draining that an earlier entry of the same life told."""
+        gone = self.gone.get(listed.id)
+        before = self._endpoints.get(listed.id, gone.endpoint if gone is not None else None)
+        before = self._said_draining.get(listed.id, before)
+        if before is None or not before.draining or before.life.is_over(listed.life):
+            return listed
+        return dataclasses.replace(listed, draining=True)
+
     def _with_said(self, listed: Endpoint) -> Endpoint:
         """Return an entry with what its endpoint has said in this life."""
         before = self._said_draining.get(listed.id)
@@ -242,6 +276,7 @@
         :param removed_at: before which it may be listed again, and counts as listed; None to
             remove it at once.
         """
+        self._doubted.pop(endpoint_id, None)
         if removed_at is None:
             self.remove(endpoint_id, now)
         elif endpoint_id in self._endpoints:
@@ -265,27 +300,49 @@
         }
 
     def replace(
-        self, endpoints: t.Iterable[Endpoint], now: float, removed_at: float | None = None
+        self,
+        endpoints: t.Iterable[Endpoint],
+        now: float,
+        removed_at: float | None = None,
+        *,
+        restored: bool = False,
     ) -> None:
         """Put the whole list in place of what was known.
 
         :param removed_at: for those that are missing, as for :meth:`unlist`.
+        :param restored: whether the store has come back from a copy since.
         """
         listed = {endpoint.id: endpoint for endpoint in endpoints}
-        for missing in set(self._endpoints) - set(listed):
+        for missing in {*self._endpoints, *self._doubted} - set(listed):
             self.unlist(missing, now, removed_at)
         for endpoint in listed.values():
-            self.put(endpoint)
+            if restored and self._has_gone(endpoint):
+                believed_at = now + HEARTBEATS_MISSED_SECONDS
+                self._doubted[endpoint.id] = _Doubted(endpoint, believed_at)
+            elif not self._is_doubted(endpoint):
+                self.put(endpoint)
+
+    def _has_gone(self, listed: Endpoint) -> bool:
+        """Return whether the life that an entry describes is known to have gone."""
+        gone = self.gone.get(listed.id)
+        return gone is not None and not gone.endpoint.life.is_over(listed.life)
+
+    def _is_doubted(self, listed: Endpoint) -> bool:
+        doubted = self._doubted.get(listed.id)
+        return doubted is not None and doubted.endpoint == listed
 
     def expire(self, now: float) -> bool:
-        """Remove the endpoints that weren't listed again in time.
+        """Remove the endpoints that weren't listed again in time, and believe what still stands.
 
         :returns: whether there were any.
         """
         late = [key for key, removed_at in self._lapsed.items() if removed_at <= now]
         for endpoint_id in late:
             self.remove(endpoint_id, now)
-        return bool(late)
+        standing = [one.endpoint for one in self._doubted.values() if one.believed_at <= now]
+        for endpoint in standing:
+            self.put(endpoint)
+        return bool(late or standing)
 
     def of_service(self, service: str) -> list[Endpoint]:
         """Return the listed endpoints of a service."""
--- a/packages/gateway/src/thorncleat_gateway/store/view.py
+++ b/packages/gateway/src/thorncleat_gateway/store/view.py
@@ -185,13 +185,13 @@
     @mode.Service.task
     async def _expire_task(self) -> None:
         while not self.should_stop:
-            await asyncio.sleep(self._until_removal())
+            await asyncio.sleep(self._until_due())
             if self.roster.expire(self._clock()):
                 self._announce()
 
-    def _until_removal(self) -> float:
-        """Return the seconds until the next endpoint is removed that isn't listed again by then."""
-        due_in = self.roster.next_removal - self._clock()
+    def _until_due(self) -> float:
+        """Return the seconds until the next look for endpoints that were not listed again."""
+        due_in = self.roster.next_due - self._clock()
         return min(EXPIRE_SECONDS, max(0.0, due_in))
 
     async def _step(self) -> bool:
@@ -239,7 +239,8 @@
         """
         listed = [change.endpoint for change in changes if isinstance(change, EndpointListed)]
         now = self._clock()
-        self.roster.replace(listed, now, self._freshness.removed_at(now))
+        removed_at = self._freshness.removed_at(now)
+        self.roster.replace(listed, now, removed_at, restored=restored)
         if restored:
             self.lost_records |= self.records
         self.records.clear()
--- a/tests/test_roster.py
+++ b/tests/test_roster.py
@@ -1,7 +1,10 @@
 """The listed endpoints and the groups that they name."""
 
+import dataclasses
+
 import pytest
 
+from thorncleat_gateway.store.roster import HEARTBEATS_MISSED_SECONDS
 from thorncleat_gateway.store.roster import Endpoint
 from thorncleat_gateway.store.roster import GroupId
 from thorncleat_gateway.store.roster import GroupState
@@ -85,3 +88,69 @@
         roster.replace([endpoint("b")], 2.0)
         assert list(roster.endpoints) == ["b"]
         assert list(roster.gone) == ["a"]
+
+
+class TestCopies:
+    """What a store that came back from a copy lists again."""
+
+    READY = Endpoint("i-9", "desk", "a:9", "z", order_count=4)
+
+    def _gone(self):
+        roster = Roster()
+        roster.put(self.READY)
+        roster.remove("i-9", 10.0)
+        return roster
+
+    def test_entry_that_drained_drains_on_in_an_older_copy(self):
+        roster = Roster()
+        roster.put(dataclasses.replace(self.READY, draining=True))
+        roster.put(self.READY)
+        assert roster.endpoints["i-9"].draining
+        assert [one.draining for one in roster.as_listed] == [True]
+
+    def test_next_life_does_not_drain_on(self):
+        roster = Roster()
+        roster.put(dataclasses.replace(self.READY, draining=True, born=1))
+        roster.put(dataclasses.replace(self.READY, born=2))
+        assert not roster.endpoints["i-9"].draining
+
+    def test_entry_that_had_gone_is_not_used_on_a_copys_word(self):
+        roster = self._gone()
+        roster.replace([self.READY], 11.0, restored=True)
+        assert not roster.endpoints
+        # whoever learns from here hears of no change when it is believed
+        assert list(roster.as_listed) == [self.READY]
+
+    def test_it_is_used_once_its_entry_changes(self):
+        roster = self._gone()
+        roster.replace([self.READY], 11.0, restored=True)
+        roster.put(dataclasses.replace(self.READY, order_count=5))
+        assert "i-9" in roster.endpoints
+
+    def test_it_is_used_once_it_would_have_run_out(self):
+        roster = self._gone()
+        roster.replace([self.READY], 11.0, restored=True)
+        roster.replace([self.READY], 12.0)
+        assert roster.next_due == 11.0 + HEARTBEATS_MISSED_SECONDS
+        assert not roster.expire(11.0 + HEARTBEATS_MISSED_SECONDS - 0.1)
+        assert roster.expire(11.0 + HEARTBEATS_MISSED_SECONDS)
+        assert "i-9" in roster.endpoints
+
+    def test_it_is_forgotten_once_it_runs_out(self):
+        roster = self._gone()
+        roster.replace([self.READY], 11.0, restored=True)
+        roster.unlist("i-9", 12.0, None)
+        assert roster.next_due == float("inf")
+        assert not list(roster.as_listed)
+
+    def test_another_life_is_used_at_once(self):
+        roster = Roster()
+        roster.put(dataclasses.replace(self.READY, born=1))
+        roster.remove("i-9", 10.0)
+        roster.replace([dataclasses.replace(self.READY, born=2)], 11.0, restored=True)
+        assert "i-9" in roster.endpoints
+
+    def test_without_a_copy_an_entry_that_is_listed_again_is_used_at_once(self):
+        roster = self._gone()
+        roster.replace([self.READY], 11.0)
+        assert "i-9" in roster.endpoints
