A daemon that starts from a restored store takes the newer configuration from its relay

Until the operator has written it again, a restored store holds an older configuration. A daemon that started in between served with it, with keys that had been taken away, though its relay knew better and told only what had changed since. Change: relays' answers name the version in force there, and a daemon that has an older one reads all anew from the relay. What remains: a relay that itself starts in between, and all daemons at once. Evidence: tests/test_store_restores.py, version 1 before (with 24 daemons, a second after the start), 2 after.

--- a/packages/gateway/src/thorncleat_gateway/ports/store_changes.py
+++ b/packages/gateway/src/thorncleat_gateway/ports/store_changes.py
@@ -92,12 +92,16 @@
     :param proven: seconds after the call was sent, before it if negative, up to which there
         was no other change.
     :param settling: as the daemon that answered knows it; None if the store itself did.
+    :param configuration: version of the configuration that is in force at the daemon that answered;
+        0 if the store did. It is later than that of the changes where the store came back from a
+        copy, until the operator has written it again.
     """
 
     position: Position
     changes: t.Sequence[Change]
     proven: float = 0.0
     settling: Settling | None = None
+    configuration: int = 0
 
 
 class ChangeFeed(t.Protocol):
--- a/packages/gateway/src/thorncleat_gateway/store/relay_answer.py
+++ b/packages/gateway/src/thorncleat_gateway/store/relay_answer.py
@@ -1,5 +1,5 @@
-"""A relay's answer: how old what it tells is, of which era of the store, and what is left of the
-times after which a missing endpoint is gone; then the changes.
+"""A relay's answer: how old what it tells is, of which era of the store, what is left of the times
+after which a missing endpoint is gone, and which configuration is in force there; then the changes.
 
 Daemons of earlier builds know no eras. They ask by other paths, and get the earlier form; this
 build doesn't ask them, since what they answer may be of any era.
@@ -36,8 +36,9 @@
 HISTORY_GONE = 410  # HTTP status
 # the relay itself is behind the asker's era
 BEHIND = 409  # HTTP status
-# age in seconds, era, seconds until missing endpoints are gone, and until those of an outage are
-_HEAD = struct.Struct("!dqdd")
+# age in seconds, era, seconds until missing endpoints are gone, and until those of an outage are,
+# version of the configuration
+_HEAD = struct.Struct("!dqddq")
 # up to which both times are believed, in seconds; more than any daemon gives an entry
 LONGEST_SETTLING_SECONDS = 10.0
 # of the earlier form: age in seconds
@@ -51,21 +52,25 @@
     :param age: seconds for which a change may have been made that the relay doesn't know.
     :param position: where to continue.
     :param settling: what is left, at the relay, of the times for missing endpoints.
+    :param configuration: version of the one in force at the relay.
     """
 
     age: float
     position: Position
     settling: Settling
+    configuration: int
     changes: t.Sequence[Change]
 
 
-def write(age: float, era: int, settling: Settling, changes: bytes) -> bytes:
+def write(age: float, era: int, settling: Settling, configuration: int, changes: bytes) -> bytes:
     """Return the body of an answer.
 
     :param era: of the store, in which the changes were made.
+    :param configuration: version of the one in force here.
     :param changes: as :func:`.change_codec.encode` wrote them.
     """
-    return _HEAD.pack(age, era, settling.settled_in, settling.returned_in) + changes
+    head = _HEAD.pack(age, era, settling.settled_in, settling.returned_in, configuration)
+    return head + changes
 
 
 def write_earlier(age: float, changes: bytes) -> bytes:
@@ -84,7 +89,7 @@
         raise HistoryGoneError(f"relay {relay_id} does not remember so far back")
     if status != STATUS_OK or len(body) < _HEAD.size:
         raise RelayError(f"relay {relay_id} answered {status}")
-    age, era, settled_in, returned_in = _HEAD.unpack(body[: _HEAD.size])
+    age, era, settled_in, returned_in, configuration = _HEAD.unpack(body[: _HEAD.size])
     if not 0.0 <= age <= oldest:
         raise RelayError(f"relay {relay_id} is itself {age:.3f} s behind")
     for seconds in (settled_in, returned_in):
@@ -95,4 +100,4 @@
     except DecodeError as error:
         raise RelayError(f"relay {relay_id}: {error}") from error
     settling = Settling(settled_in, returned_in)
-    return RelayAnswer(age, Position(era, revision), settling, changes)
+    return RelayAnswer(age, Position(era, revision), settling, configuration, changes)
--- a/packages/gateway/src/thorncleat_gateway/store/relay_feed.py
+++ b/packages/gateway/src/thorncleat_gateway/store/relay_feed.py
@@ -131,7 +131,7 @@
         if answer.position.era != since.era:
             raise HistoryGoneError(f"relay {relay.id} is in era {answer.position.era} of the store")
         proven = proven_part(wait, took, changed=bool(answer.changes))
-        return Changes(answer.position, answer.changes, proven - answer.age, answer.settling)
+        return _changes(answer, proven - answer.age)
 
     async def _ask_for_everything(self, relay: Daemon) -> Changes:
         """Ask a relay for all that it knows.
@@ -143,7 +143,7 @@
             answer = await self._call(relay, relay_answer.SNAPSHOT_PATH, {}, connect)
         except HistoryGoneError as error:
             raise RelayError(f"relay {relay.id} has read nothing yet") from error
-        return Changes(answer.position, answer.changes, -answer.age, answer.settling)
+        return _changes(answer, -answer.age)
 
     async def _call(
         self, relay: Daemon, path: str, query: t.Mapping[str, str], connect: float | None
@@ -169,3 +169,11 @@
         if self.era.is_over(answer.position.era):
             raise RelayError(f"relay {relay.id} is in era {answer.position.era}, which is over")
         return answer
+
+
+def _changes(answer: RelayAnswer, proven: float) -> Changes:
+    """Return what a relay told.
+
+    :param proven: seconds after the call was sent up to which the answer holds every change.
+    """
+    return Changes(answer.position, answer.changes, proven, answer.settling, answer.configuration)
--- a/packages/gateway/src/thorncleat_gateway/store/relay_server.py
+++ b/packages/gateway/src/thorncleat_gateway/store/relay_server.py
@@ -110,7 +110,8 @@
         if earlier:
             return web.Response(body=relay_answer.write_earlier(age, body))
         era, settling = self._position.era, self._view.settling()
-        return web.Response(body=relay_answer.write(age, era, settling, body))
+        version = int(self._view.configuration_version())
+        return web.Response(body=relay_answer.write(age, era, settling, version, body))
 
     async def _is_of_newest_era(self) -> bool:
         """Return whether this daemon has read the store in its newest era, after a short wait."""
--- a/packages/gateway/src/thorncleat_gateway/store/view.py
+++ b/packages/gateway/src/thorncleat_gateway/store/view.py
@@ -211,6 +211,10 @@
             listener(after, answer)
         if answer.changes:
             self._announce()
+        if answer.configuration > self.configuration_version():
+            # this daemon began with what a restored store held; the relay knows a newer one, and
+            # perhaps keys that were taken away
+            self._position = None
         return bool(answer.changes)
 
     def _answered(self, sent_at: float, answer: Changes) -> bool:
--- a/tests/test_forms_relay.py
+++ b/tests/test_forms_relay.py
@@ -161,6 +161,10 @@
         assert change_codec.decode(data) == (9, [CHANGES["loner"]])
 
 
+def _head(age, settled_in):
+    return struct.pack("!dqddq", age, 0, settled_in, 0.0, 7)
+
+
 async def asked(path, changes, daemons=(HERE,), proven=-0.25):
     """Return what a relay answers that began at revision 9 and then learnt changes."""
     feed = FixedFeed([], proven=proven)
@@ -235,18 +239,18 @@
         path = "/2/changes?era=0&since=9&wait=0.01"
         status, _, body = await asked(path, [*CHANGES.values()])
         assert status == 200
-        assert body[:32] == struct.pack("!dqdd", 0.25, 0, 2.0, 0.0)
-        assert body[32:] == change_codec.encode(12, [*CHANGES.values()])
+        assert body[:40] == _head(0.25, 2.0)
+        assert body[40:] == change_codec.encode(12, [*CHANGES.values()])
 
     async def test_asker_that_is_ahead_hears_of_nothing_new(self):
         status, _, body = await asked("/2/changes?era=0&since=50&wait=0.01", [CHANGES["gone"]])
-        assert (status, body[32:]) == (200, change_codec.encode(50, []))
+        assert (status, body[40:]) == (200, change_codec.encode(50, []))
 
     async def test_snapshot(self):
         changes = [CHANGES["configuration"], CHANGES["loner"]]
         status, _, body = await asked("/2/snapshot", changes)
         assert status == 200
-        assert body == struct.pack("!dqdd", 0.25, 0, 2.0, 0.0) + change_codec.encode(12, changes)
+        assert body == _head(0.25, 2.0) + change_codec.encode(12, changes)
 
     @pytest.mark.parametrize(
         ("query", "status"),
@@ -284,14 +288,14 @@
                 await feed.close()
 
     async def test_question_and_answer(self, snapshot):
-        body = struct.pack("!dqdd", 0.25, 0, 0.5, 0.0) + bytes.fromhex(WRITTEN["member"])
+        body = _head(0.25, 0.5) + bytes.fromhex(WRITTEN["member"])
         calls, found = await self._ask(Answer(body=body))
         assert calls == snapshot(name="call")
         assert (found.position, list(found.changes)) == (Position(0, 9), [CHANGES["member"]])
         assert found.proven == -0.25
 
     async def test_compressed_answer(self):
-        body = struct.pack("!dqdd", 0.25, 0, 0.5, 0.0) + bytes.fromhex(COMPRESSED)
+        body = _head(0.25, 0.5) + bytes.fromhex(COMPRESSED)
         _, found = await self._ask(Answer(body=body))
         assert (found.position, list(found.changes)) == (Position(0, 9), MANY)
 
@@ -303,13 +307,10 @@
             Answer(409),
             Answer(body=b"\0"),
             Answer(body=struct.pack("!d", 0.25)),
-            Answer(body=struct.pack("!dqdd", 0.41, 0, 0.0, 0.0) + bytes.fromhex(WRITTEN["member"])),
-            Answer(body=struct.pack("!dqdd", -0.1, 0, 0.0, 0.0) + bytes.fromhex(WRITTEN["member"])),
-            Answer(
-                body=struct.pack("!dqdd", float("nan"), 0, 0.0, 0.0)
-                + bytes.fromhex(WRITTEN["member"])
-            ),
-            Answer(body=struct.pack("!dqdd", 0.25, 0, 0.5, 0.0) + b"\0\xc1"),
+            Answer(body=_head(0.41, 0.0) + bytes.fromhex(WRITTEN["member"])),
+            Answer(body=_head(-0.1, 0.0) + bytes.fromhex(WRITTEN["member"])),
+            Answer(body=_head(float("nan"), 0.0) + bytes.fromhex(WRITTEN["member"])),
+            Answer(body=_head(0.25, 0.5) + b"\0\xc1"),
         ],
     )
     async def test_answer_that_will_not_do_sends_it_to_the_store(self, answer):
--- a/tests/test_relays.py
+++ b/tests/test_relays.py
@@ -126,7 +126,7 @@
 
 
 def _written(age, body, settling=SETTLED):
-    return relay_answer.write(age, 3, settling, body)
+    return relay_answer.write(age, 3, settling, 7, body)
 
 
 class TestLeaving:
@@ -171,7 +171,7 @@
         if fault is None:
             found = relay_answer.read("e1", status, body, 1.1)
             assert (found.position, found.changes) == (Position(3, 9), CHANGES)
-            assert found.settling == SETTLED
+            assert (found.settling, found.configuration) == (SETTLED, 7)
             return
         with pytest.raises(RelayError, match=fault):
             relay_answer.read("e1", status, body, 1.1)
--- a/tests/test_store_restores.py
+++ b/tests/test_store_restores.py
@@ -2,6 +2,8 @@
 
 import pytest
 
+from thorncleat_gateway.store.registration import RELAYS
+
 from . import virtual_time
 from .fleet_world import FleetWorld
 
@@ -56,3 +58,28 @@
 @pytest.mark.parametrize("daemons", FLEETS)
 def test_configuration_is_known_while_the_revisions_are_given_again(daemons):
     assert virtual_time.run(_configured(daemons)) == {60}
+
+
+async def _daemon_starts_before_the_operator_has_written_again() -> float:
+    """Return the configuration of a daemon that starts from the restored store."""
+    world = FleetWorld(24)
+    await world.start()
+    copy = world.store.copy()
+    world.configure(2)
+    await world.pass_time(1.0)
+    world.store.restore(copy)
+    await world.pass_time(0.5)
+    late = next(daemon for daemon in world.daemons if daemon.sources)
+    await late.kill()
+    for record in [key for key in world.store.items if key.startswith(RELAYS)]:
+        # it finds no relay to begin with, and reads the store
+        del world.store.items[record]
+    await late.start()
+    await world.pass_time(KNOWN_EVERYWHERE)
+    found = late.view.configuration_version()
+    await world.stop()
+    return found
+
+
+def test_daemon_that_starts_from_a_copy_takes_the_newer_configuration_from_a_relay():
+    assert virtual_time.run(_daemon_starts_before_the_operator_has_written_again()) == 2
