An entry that was written since the store's return has no grace

Callers' requests could reach an endpoint for 1.8 s that had left without a word after an outage in which entries ran out, though it had written its entry again in between. An entry that was written since the return can't be missing for the outage, so it is removed at once.

--- a/packages/gateway/src/thorncleat_gateway/store/view.py
+++ b/packages/gateway/src/thorncleat_gateway/store/view.py
@@ -35,6 +35,8 @@
 LONGEST_PAUSE_SECONDS = 0.4
 # between two looks for endpoints that were not listed again
 EXPIRE_SECONDS = 0.25
+# by which two times of the store's return may differ that are the same one, told on two ways
+SAME_RETURN_SECONDS = 0.5
 
 
 class StoreView(mode.Service):
@@ -63,6 +65,8 @@
         self._era_read: int | None = None
         # the last revision that was read in each former era
         self.former_revisions: list[int] = []
+        # ids of entries that were written since the store's last return
+        self._rewritten: set[str] = set()
         # records that the store lost when it came back from a copy, until it has them again
         self.lost_records: dict[str, RecordChanged] = {}
         self._last_revision = 0
@@ -224,9 +228,12 @@
         if restored:
             self.former_revisions.append(self._last_revision)
         self._last_revision = answer.position.revision
+        returned_at = self._freshness.returned_at
         self._freshness = self._freshness.answered(
             self._clock(), sent_at + answer.proven, answer.settling, restored=restored
         )
+        if self._freshness.returned_at > returned_at + SAME_RETURN_SECONDS:
+            self._rewritten.clear()
         return restored
 
     def _announce(self) -> None:
@@ -258,11 +265,13 @@
             case ConfigurationChanged(configuration):
                 self._configure(configuration)
             case EndpointListed(endpoint):
+                self._rewritten.add(endpoint.id)
                 if self.roster.put(endpoint):
                     events.STARTED_AGAIN.log(endpoint=endpoint.id, born=endpoint.born)
             case EndpointGone(endpoint_id):
                 now = self._clock()
-                self.roster.unlist(endpoint_id, now, self._freshness.removed_at(now))
+                self.roster.unlist(endpoint_id, now, self._removed_at(endpoint_id, now))
+                self._rewritten.discard(endpoint_id)
             case RecordChanged(key, value):
                 self.records_version += 1
                 self.lost_records.pop(key, None)
@@ -271,6 +280,13 @@
                 else:
                     self.records[key] = change
 
+    def _removed_at(self, endpoint_id: str, now: float) -> float | None:
+        """Return when an endpoint whose entry vanishes is to be removed; None for at once.
+
+        One whose entry was written since the store's return has taken it out itself.
+        """
+        return None if endpoint_id in self._rewritten else self._freshness.removed_at(now)
+
     def _configure(self, configuration: ServingConfiguration) -> None:
         """Keep a configuration unless a newer one is known, as after a new snapshot."""
         known = self.configuration.version if self.configuration else -1
--- a/tests/test_store_view.py
+++ b/tests/test_store_view.py
@@ -175,3 +175,27 @@
     found, told, listed = virtual_time.run(_said_draining())
     assert found == (True, True, True)
     assert told == [EndpointListed(listed)]
+
+
+async def _gone_after_it_was_written_again():
+    """Return whether an endpoint is listed that came back after an outage and then left."""
+    feed = _Feed()
+    feed.list("one")
+    view = await _view(feed)
+    await asyncio.sleep(RETURN_SECONDS + 1.0)
+    feed.down = True
+    await asyncio.sleep(4.0)
+    feed.remove("one")
+    feed.down = False
+    await asyncio.sleep(0.5)
+    feed.list("one")
+    await asyncio.sleep(0.3)
+    feed.remove("one")
+    await asyncio.sleep(0.3)
+    listed = "one" in view.roster.endpoints
+    await view.stop()
+    return listed
+
+
+def test_entry_that_was_written_since_the_stores_return_is_gone_at_once():
+    assert not virtual_time.run(_gone_after_it_was_written_again())
