--- a/packages/gateway/src/thorncleat_gateway/groups/records.py
+++ b/packages/gateway/src/thorncleat_gateway/groups/records.py
@@ -117,7 +117,7 @@
         self._leaders.clear()
         self._ended.clear()
         self._unwritten.clear()
-        for key, record in self._view.lost_records.items():
+        for key, record in self._view.former_eras.lost_records.items():
             group = _group(key) if key.startswith(GROUPS) else None
             kept = _Leader.decode(record.value) if record.value is not None else None
             if group is not None and kept is not None:
--- a/packages/gateway/src/thorncleat_gateway/groups/term.py
+++ b/packages/gateway/src/thorncleat_gateway/groups/term.py
@@ -122,4 +122,4 @@
         places = (one.membership for one in (*roster.endpoints.values(), *gone))
         epochs = [place.group.epoch for place in places if place is not None]
         epochs += [group.epoch for group in self._records.groups]
-        return term_number(begun.revision, epochs, self._view.former_revisions)
+        return term_number(begun.revision, epochs, self._view.former_eras.revisions)
--- a/packages/gateway/src/thorncleat_gateway/store/view.py
+++ b/packages/gateway/src/thorncleat_gateway/store/view.py
@@ -24,6 +24,7 @@
 from ..ports import Position
 from ..ports import RecordChanged
 from ..ports import Settling
+from .former_eras import FormerEras
 from .freshness import Freshness
 from .roster import Life
 from .roster import Roster
@@ -61,15 +62,11 @@
         # None while all has to be read anew
         self._position: Position | None = None
         self.era = feed.era
+        self.former_eras = FormerEras()
         # of the last answer
-        self._era_read: int | None = None
-        # the last revision that was read in each former era
-        self.former_revisions: list[int] = []
+        self._read: Position | None = None
         # ids of entries that were written since the store's last return
         self._rewritten: set[str] = set()
-        # records that the store lost when it came back from a copy, until it has them again
-        self.lost_records: dict[str, RecordChanged] = {}
-        self._last_revision = 0
         self._listeners: list[t.Callable[[], None]] = []
         self._batch_listeners: list[t.Callable[[Position | None, Changes], None]] = []
         self._freshness = Freshness()
@@ -97,7 +94,7 @@
     @property
     def is_current(self) -> bool:
         """Whether it was read in the newest era of the store."""
-        return self._era_read == self.era.newest
+        return self._read is not None and self._read.era == self.era.newest
 
     @property
     def fresh_at(self) -> float:
@@ -138,7 +135,7 @@
 
     def position_of(self, record: RecordChanged) -> Position:
         """Return the position of a record's last change."""
-        return Position(self._era_read or 0, record.revision)
+        return Position(self._read.era if self._read else 0, record.revision)
 
     def configuration_version(self) -> float:
         """Return the version of the configuration, or 0 if none is known."""
@@ -223,11 +220,10 @@
 
     def _answered(self, sent_at: float, answer: Changes) -> bool:
         """Take in when and where the store answered; return whether another era has begun."""
-        era, self._era_read = self._era_read, answer.position.era
-        restored = era not in (None, self._era_read)
-        if restored:
-            self.former_revisions.append(self._last_revision)
-        self._last_revision = answer.position.revision
+        before, self._read = self._read, answer.position
+        restored = before is not None and before.era != answer.position.era
+        if before is not None and restored:
+            self.former_eras.end(before.revision, self.records)
         returned_at = self._freshness.returned_at
         self._freshness = self._freshness.answered(
             self._clock(), sent_at + answer.proven, answer.settling, restored=restored
@@ -252,8 +248,6 @@
         now = self._clock()
         removed_at = self._freshness.removed_at(now)
         self.roster.replace(listed, now, removed_at, restored=restored)
-        if restored:
-            self.lost_records |= self.records
         self.records.clear()
         self.records_version += 1
         for change in changes:
@@ -274,7 +268,7 @@
                 self._rewritten.discard(endpoint_id)
             case RecordChanged(key, value):
                 self.records_version += 1
-                self.lost_records.pop(key, None)
+                self.former_eras.written(key)
                 if value is None:
                     self.records.pop(key, None)
                 else:
