Restores at random, beside endpoints that come and go and daemons that start

All daemons have to know what the store holds 4 s after the last restore. The fleet's endpoints have ids of their own: one that was given twice within a life is no case of the users' pages.

--- a/tests/fleet_world.py
+++ b/tests/fleet_world.py
@@ -176,8 +176,7 @@
         self.store = Store(self)
         self.configure(1)
         self.endpoints: dict[str, Endpoint] = {}
-        # ids of endpoints that write no heartbeats
-        self.mute: set[str] = set()
+        self._added = 0
         for _ in range(endpoints):
             self.add_endpoint()
         self.daemons = [FleetDaemon(self, number) for number in range(daemons)]
@@ -202,7 +201,8 @@
         self.store.put("config", self.configuration)
 
     def add_endpoint(self) -> Endpoint:
-        made = Endpoint(f"w{len(self.endpoints):03}", "desk", f"a:{len(self.endpoints)}", "z0")
+        made = Endpoint(f"w{self._added:03}", "desk", f"a:{self._added}", "z0")
+        self._added += 1
         self.endpoints[made.id] = made
         self.publish(made)
         return made
--- a/tests/test_store_restores.py
+++ b/tests/test_store_restores.py
@@ -1,7 +1,10 @@
 """The store comes back from a copy some seconds old, and gives its revisions again."""
 
+import asyncio
+
 import pytest
 
+from thorncleat_gateway.store.registration import DAEMONS
 from thorncleat_gateway.store.registration import RELAYS
 
 from . import virtual_time
@@ -83,3 +86,75 @@
 
 def test_daemon_that_starts_from_a_copy_takes_the_newer_configuration_from_a_relay():
     assert virtual_time.run(_daemon_starts_before_the_operator_has_written_again()) == 2
+
+
+SEEDS = range(6)
+# for what was written last to be known everywhere, with what a restore lets it wait
+SETTLED_SECONDS = 4.0
+
+
+async def _restores_at_random(seed: int, daemons: int) -> FleetWorld:
+    """Restore the store again and again, while endpoints come and go and daemons start."""
+    world = FleetWorld(daemons, seed=seed)
+    draw = world.random
+    await world.start()
+    for version in range(10, 40, 10):
+        copy = world.store.copy()
+        for step in range(draw.randint(1, 8)):
+            await world.pass_time(draw.uniform(0.0, 0.8))
+            _change_something(world, version + step)
+        world.store.down = True
+        await world.pass_time(draw.choice((0.02, 0.3, 1.5)))
+        world.store.down = False
+        world.store.restore(copy)
+        await world.pass_time(draw.uniform(0.0, 1.0))
+        world.write_again()
+        await world.pass_time(draw.uniform(0.0, 3.0))
+        if draw.random() < 0.5:
+            await asyncio.gather(*await world.restart_all(longest=1.5))
+    world.configure(50)
+    await world.pass_time(SETTLED_SECONDS)
+    return world
+
+
+def _change_something(world: FleetWorld, version: int) -> None:
+    draw = world.random
+    match draw.randrange(4):
+        case 0:
+            world.configure(version)
+        case 1:
+            world.add_endpoint()
+        case 2 if len(world.endpoints) > 2:
+            world.leave(draw.choice(sorted(world.endpoints)))
+        case _:
+            world.say_draining(draw.choice(sorted(world.endpoints)))
+
+
+def _unlike(world: FleetWorld) -> list[str]:
+    """Return what single daemons know otherwise than the store, which holds all by now."""
+    taking = {one.id for one in world.endpoints.values() if not one.draining}
+    records = {key for key in world.store.items if key.startswith(DAEMONS)}
+    faults = []
+    for daemon in world.daemons:
+        used = {one for one in daemon.view.roster.endpoints if daemon.uses(one)}
+        if used != taking:
+            faults.append(f"{daemon.id} uses {sorted(used)}, not {sorted(taking)}")
+        if daemon.view.configuration_version() != 50:
+            faults.append(f"{daemon.id} has version {daemon.view.configuration_version()}")
+        if {key for key in daemon.view.records if key.startswith(DAEMONS)} != records:
+            faults.append(f"{daemon.id} knows other daemons")
+        if daemon.view.age() > 1.4:
+            faults.append(f"{daemon.id} is {daemon.view.age():.2f} s behind")
+    return faults
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+@pytest.mark.parametrize("daemons", FLEETS)
+def test_all_daemons_know_the_same_after_restores_at_random(seed, daemons):
+    async def play():
+        world = await _restores_at_random(seed, daemons)
+        faults = _unlike(world)
+        await world.stop()
+        return faults
+
+    assert virtual_time.run(play()) == []
