--- a/tests/test_store_view.py
+++ b/tests/test_store_view.py
@@ -1,6 +1,7 @@
 """A daemon's copy of the store: how old it may be, and what an outage does to it."""
 
 import asyncio
+import dataclasses
 
 import pytest
 
@@ -9,6 +10,7 @@
 from thorncleat_gateway.ports import EndpointGone
 from thorncleat_gateway.ports import EndpointListed
 from thorncleat_gateway.ports import Position
+from thorncleat_gateway.ports import Settling
 from thorncleat_gateway.store.freshness import RETURN_SECONDS
 from thorncleat_gateway.store.roster import Endpoint
 from thorncleat_gateway.store.roster import Life
@@ -199,3 +201,34 @@
 
 def test_entry_that_was_written_since_the_stores_return_is_gone_at_once():
     assert not virtual_time.run(_gone_after_it_was_written_again())
+
+
+class _ToldFeed(_Feed):
+    """A relay that tells what is left of its times."""
+
+    async def snapshot(self) -> Changes:
+        found = await super().snapshot()
+        return dataclasses.replace(found, settling=Settling(0.0, 0.6))
+
+
+async def _started_from_a_relay():
+    feed = _ToldFeed()
+    feed.list("one")
+    view = await _view(feed)
+    await asyncio.sleep(0.1)
+    known = view.settled, view.settling().returned_in
+    feed.remove("one")
+    await asyncio.sleep(0.2)
+    kept = "one" in view.roster.endpoints
+    await asyncio.sleep(0.4)
+    left = "one" in view.roster.endpoints
+    await view.stop()
+    return known, kept, left
+
+
+def test_daemon_that_starts_keeps_missing_entries_for_what_is_left_at_its_relay():
+    (settled, returned_in), kept, left = virtual_time.run(_started_from_a_relay())
+    assert not settled
+    assert 0.4 < returned_in <= 0.6
+    assert kept
+    assert not left
