The soak's workers finish their streams before a closed group is ready

Engines wait for what they run; the stand-in now does so too. The check of joins counts a leader that is closing as one that answers, which is stricter.

--- a/bench/soaks/gateway_workers.py
+++ b/bench/soaks/gateway_workers.py
@@ -167,7 +167,7 @@
         former = self._group
         if former is not None and former["epoch"] != order["epoch"]:
             for other in self._site.workers.values():
-                if other.alive and other.leads and self._same_group(other):
+                if other.alive and other.answers and self._same_group(other):
                     self._site.checks.faults.append(
                         f"TWO {self.id} joins {order['group']}, {other.id} leads {former['name']}"
                     )
--- a/packages/standins/src/thorncleat_standins/platform_worker.py
+++ b/packages/standins/src/thorncleat_standins/platform_worker.py
@@ -77,6 +77,8 @@
         self._store = store
         self._server: web.Server | None = None
         self._runner: web.ServerRunner | None = None
+        # streams that run
+        self._streams = 0
         self._crashing: set[asyncio.Task[None]] = set()
         self.id = name
         self.service = service
@@ -103,6 +105,11 @@
         self._members: list[str] = []
         self._epoch = 0
 
+    @property
+    def answers(self) -> bool:
+        """Whether it is the head of a group that runs requests, or may do so."""
+        return self._group is not None and self._group["state"] in ("open", "closing")
+
     @property
     def leads(self) -> bool:
         """Whether it is the open head of a group."""
@@ -228,12 +235,33 @@
         if order["op"] == "leave":
             self._group = None
             return 202
-        wanted, after = ("ready", "open") if order["op"] == "open" else ("open", "ready")
-        if self._group["state"] != wanted:
-            return 200 if self._group["state"] == after else 409
-        self._become(self._group, after)
+        return self._open() if order["op"] == "open" else self._close()
+
+    def _open(self) -> int:
+        assert self._group is not None
+        if self._group["state"] != "ready":
+            return 200 if self._group["state"] == "open" else 409
+        self._become(self._group, "open")
         return 202
 
+    def _close(self) -> int:
+        """Take nothing new, and be ready again once what runs has ended."""
+        assert self._group is not None
+        if self._group["state"] != "open":
+            return 200 if self._group["state"] in ("closing", "ready") else 409
+        self._group["state"] = "closing"
+        self._finish(self._group)
+        return 202
+
+    def _finish(self, group: dict[str, t.Any]) -> None:
+        def look() -> None:
+            if self._streams:
+                self._finish(group)
+            else:
+                self._become(group, "ready")
+
+        asyncio.get_running_loop().call_later(JOIN_SECONDS, look)
+
     def _join(self, order: dict[str, t.Any]) -> int:
         if order["epoch"] < self._epoch:
             return 412
@@ -271,7 +299,11 @@
         if self.fail:
             return web.Response(status=self.fail, headers=headers, text="failed")
         if self.domain:
-            return await self._stream(request, headers)
+            self._streams += 1
+            try:
+                return await self._stream(request, headers)
+            finally:
+                self._streams -= 1
         if self.reset_body:
             return await self._reset(request, headers)
         return web.Response(headers=headers, body=b"answer to " + body)
