--- a/tests/test_store_view.py
+++ b/tests/test_store_view.py
@@ -65,7 +65,9 @@
             await asyncio.sleep(LOOK_SECONDS)
         await self._call()
         found = [one for rev, one in self.changes_made if rev > since.revision]
-        return Changes(Position(0, self.revision), found, 0.0 if found else 0.8 * wait)
+        return Changes(
+            Position(self.era.newest, self.revision), found, 0.0 if found else 0.8 * wait
+        )
 
 
 async def _view(feed: _Feed) -> StoreView:
@@ -232,3 +234,22 @@
     assert 0.4 < returned_in <= 0.6
     assert kept
     assert not left
+
+
+async def _first_reading_of_a_restored_store():
+    """Return how old a daemon's configuration counts that it first read after a restore."""
+    feed = _Feed()
+    feed.list("one")
+    # this daemon has called the store before that came back from a copy, and read nothing yet
+    feed.era.heard(1)
+    feed.era.heard(2)
+    view = await _view(feed)
+    await asyncio.sleep(0.1)
+    age = view.age()
+    await view.stop()
+    return age
+
+
+def test_keys_of_a_copy_are_not_trusted_before_the_operator_can_have_written_again():
+    """A key may have been taken away in what the store lost, and nobody knows better."""
+    assert virtual_time.run(_first_reading_of_a_restored_store()) > RETURN_SECONDS
