A daemon that knows only what a restored store has left does not trust its keys

Cause: they read the store first after it had come back from a copy, before the operator had written again, and took what it held for new, though they had heard of the era before. Change: a daemon whose first reading, from the store itself, follows the end of an era that it heard of, counts its configuration as infinitely old for two seconds, or until a newer one comes: requests with keys are refused with a time to come back, relays aren't believed. Ruled out: to wait at each start (two seconds of refusals for nothing). What remains: a daemon that starts after the restore can't know.

--- a/packages/gateway/src/thorncleat_gateway/store/store_era.py
+++ b/packages/gateway/src/thorncleat_gateway/store/store_era.py
@@ -17,6 +17,8 @@
 
     def __init__(self) -> None:
         self._newest: int | None = None
+        # whether an era has ended since this daemon started
+        self.has_ended = False
 
     @property
     def newest(self) -> int:
@@ -34,4 +36,5 @@
             return
         self._newest = era
         if before is not None:
+            self.has_ended = True
             events.STORE_RESTORED.log(era=era, before=before)
--- a/packages/gateway/src/thorncleat_gateway/store/view.py
+++ b/packages/gateway/src/thorncleat_gateway/store/view.py
@@ -25,6 +25,7 @@
 from ..ports import RecordChanged
 from ..ports import Settling
 from .former_eras import FormerEras
+from .freshness import RETURN_SECONDS
 from .freshness import Freshness
 from .roster import Life
 from .roster import Roster
@@ -65,6 +66,8 @@
         self.former_eras = FormerEras()
         # of the last answer
         self._read: Position | None = None
+        # until which the configuration may be the one that a restored store has left
+        self._copied_until = float("-inf")
         # ids of entries that were written since the store's last return
         self._rewritten: set[str] = set()
         self._listeners: list[t.Callable[[], None]] = []
@@ -142,8 +145,13 @@
         return self.configuration.version if self.configuration else 0
 
     def age(self) -> float:
-        """Return for how many seconds a newer configuration may have been accepted."""
-        return self._freshness.age(self._clock())
+        """Return for how many seconds a newer configuration may have been accepted.
+
+        Infinite while this daemon knows only what a restored store holds, and the operator may not
+        have written the newer one again: keys may have been taken away in what was lost.
+        """
+        now = self._clock()
+        return float("inf") if now < self._copied_until else self._freshness.age(now)
 
     def settling(self) -> Settling:
         """Return what is left of the times after which a missing endpoint is gone."""
@@ -221,6 +229,8 @@
     def _answered(self, sent_at: float, answer: Changes) -> bool:
         """Take in when and where the store answered; return whether another era has begun."""
         before, self._read = self._read, answer.position
+        if before is None and self.era.has_ended and answer.settling is None:
+            self._copied_until = self._clock() + RETURN_SECONDS
         restored = before is not None and before.era != answer.position.era
         if before is not None and restored:
             self.former_eras.end(before.revision, self.records)
@@ -286,6 +296,8 @@
         known = self.configuration.version if self.configuration else -1
         if configuration.version <= known:
             return
+        if self.configuration is not None:
+            self._copied_until = float("-inf")
         self.configuration = configuration
         self._configured.set()
         events.CONFIG_IN_FORCE.log(version=configuration.version, before=known)
