The fleet's restore and the view's outage stand once in the tests

leaving_figures and test_store_restores each played the same restore; it is a method of the fleet's world now. Two tests of the view began with the same outage.

--- a/tests/fleet_world.py
+++ b/tests/fleet_world.py
@@ -40,6 +40,11 @@
 HEARTBEAT = 1.2
 UNLISTED_AFTER = 3 * HEARTBEAT
 FAILURE_DOMAINS = 4
+# that a copy is old from which the store comes back, in seconds, and configurations that it lacks
+LOST_SECONDS = 5.0
+LOST_VERSIONS = 50
+# until the operator and the endpoints have written again, in seconds
+REWRITE_SECONDS = 0.5
 
 
 @dataclasses.dataclass
@@ -237,6 +242,22 @@
             if key not in self.endpoints:
                 self.store.delete(key, EndpointGone(key))
 
+    async def restore(self, away: float) -> None:
+        """Have the store come back from an old copy, and all but the daemons write again.
+
+        :param away: seconds for which it is away before that.
+        """
+        copy = self.store.copy()
+        for version in range(2, 2 + LOST_VERSIONS):
+            await self.pass_time(LOST_SECONDS / LOST_VERSIONS)
+            self.configure(version)
+        self.store.down = True
+        await self.pass_time(away)
+        self.store.down = False
+        self.store.restore(copy)
+        await self.pass_time(REWRITE_SECONDS)
+        self.write_again()
+
     # moving on
 
     async def start(self) -> None:
--- a/tests/leaving_figures.py
+++ b/tests/leaving_figures.py
@@ -10,6 +10,7 @@
 import fire
 
 from . import virtual_time
+from .fleet_world import REWRITE_SECONDS
 from .fleet_world import FleetDaemon
 from .fleet_world import FleetWorld
 
@@ -19,9 +20,6 @@
 # between the trouble and the leaving, in seconds
 PAUSES = (0.0, 0.3, 0.7, 1.1, 1.6, 2.2, 3.0)
 OUTAGE_SECONDS = 4.0
-LOST_SECONDS = 5.0
-# until the operator and the endpoints have written again, in seconds
-REWRITE_SECONDS = 0.5
 
 Situation = t.Callable[[FleetWorld], t.Awaitable[None]]
 SITUATIONS: dict[str, Situation] = {}
@@ -56,33 +54,20 @@
     world.write_again()
 
 
-async def _restore(world: FleetWorld, away: float) -> None:
-    copy = world.store.copy()
-    for version in range(2, 52):
-        await world.pass_time(LOST_SECONDS / 50)
-        world.configure(version)
-    world.store.down = True
-    await world.pass_time(away)
-    world.store.down = False
-    world.store.restore(copy)
-    await world.pass_time(REWRITE_SECONDS)
-    world.write_again()
-
-
 @situation("store restored at once")
 async def restored_at_once(world: FleetWorld) -> None:
-    await _restore(world, 0.02)
+    await world.restore(0.02)
 
 
 @situation("store restored after 1 s")
 async def restored(world: FleetWorld) -> None:
-    await _restore(world, 1.0)
+    await world.restore(1.0)
 
 
 @situation("store restored while all start")
 async def restored_while_all_start(world: FleetWorld) -> None:
     starts = await world.restart_all(longest=2.0)
-    await _restore(world, 0.3)
+    await world.restore(0.3)
     await asyncio.gather(*starts)
 
 
--- a/tests/test_store_restores.py
+++ b/tests/test_store_restores.py
@@ -12,8 +12,6 @@
 
 KNOWN_EVERYWHERE = 1.0
 WATCHED = 8.0
-# that the copy is old
-LOST_SECONDS = 5.0
 FLEETS = [8, 24]
 
 
@@ -21,16 +19,7 @@
     """Return a world whose store came back from a copy, and in which all was written again."""
     world = FleetWorld(daemons)
     await world.start()
-    copy = world.store.copy()
-    for version in range(2, 52):
-        await world.pass_time(LOST_SECONDS / 50)
-        world.configure(version)
-    world.store.down = True
-    await world.pass_time(away)
-    world.store.down = False
-    world.store.restore(copy)
-    await world.pass_time(0.5)
-    world.write_again()
+    await world.restore(away)
     return world
 
 
--- a/tests/test_store_view.py
+++ b/tests/test_store_view.py
@@ -116,8 +116,8 @@
     assert age >= waited
 
 
-async def _outage(back: bool, moment: float):
-    """Entries run out in an outage; return whether one is listed some time after it."""
+async def _after_an_outage():
+    """Return a store and a view of it at the end of an outage in which an entry ran out."""
     feed = _Feed()
     feed.list("one")
     view = await _view(feed)
@@ -126,6 +126,12 @@
     await asyncio.sleep(4.0)
     feed.remove("one")
     feed.down = False
+    return feed, view
+
+
+async def _outage(back: bool, moment: float):
+    """Entries run out in an outage; return whether one is listed some time after it."""
+    feed, view = await _after_an_outage()
     await asyncio.sleep(1.0)
     if back:
         feed.list("one")
@@ -183,14 +189,7 @@
 
 async def _gone_after_it_was_written_again():
     """Return whether an endpoint is listed that came back after an outage and then left."""
-    feed = _Feed()
-    feed.list("one")
-    view = await _view(feed)
-    await asyncio.sleep(RETURN_SECONDS + 1.0)
-    feed.down = True
-    await asyncio.sleep(4.0)
-    feed.remove("one")
-    feed.down = False
+    feed, view = await _after_an_outage()
     await asyncio.sleep(0.5)
     feed.list("one")
     await asyncio.sleep(0.3)
