Messages between daemons: their types, their codec and the channel are modules of their own

Change: messages.py holds the types, message_codec.py a registered encoder and decoder for each kind, datagrams.py the channel.

--- a/bench/limit_fleet.py
+++ b/bench/limit_fleet.py
@@ -14,7 +14,7 @@
 import fire
 
 from thorncleat_gateway.peers import datagrams
-from thorncleat_gateway.peers.datagrams import Message
+from thorncleat_gateway.peers.messages import Message
 from thorncleat_gateway.ports import AnswerMeta
 from thorncleat_gateway.requests import limit_reporter
 from thorncleat_gateway.requests import rate_shares
--- a/packages/gateway/src/thorncleat_gateway/groups/controller.py
+++ b/packages/gateway/src/thorncleat_gateway/groups/controller.py
@@ -16,8 +16,8 @@
 import mode
 
 from .. import events
-from ..peers.datagrams import Suspicion
 from ..peers.failure_detector import FailureDetector
+from ..peers.messages import Suspicion
 from ..store.view import StoreView
 from .domain_sizes import DomainSizes
 from .election import Election
--- a/packages/gateway/src/thorncleat_gateway/groups/ended.py
+++ b/packages/gateway/src/thorncleat_gateway/groups/ended.py
@@ -11,9 +11,9 @@
 import dataclasses
 import typing as t
 
-from ..peers.datagrams import GroupEnded
-from ..peers.datagrams import Message
 from ..peers.datagrams import PeerChannel
+from ..peers.messages import GroupEnded
+from ..peers.messages import Message
 from ..store.roster import GroupId
 
 # How long a group stays excluded after the controller's last message; after that it is used again,
--- a/packages/gateway/src/thorncleat_gateway/groups/leader_liveness.py
+++ b/packages/gateway/src/thorncleat_gateway/groups/leader_liveness.py
@@ -17,10 +17,10 @@
 import typing as t
 
 from ..peers.datagrams import PeerChannel
-from ..peers.datagrams import Probe
 from ..peers.failure_detector import FailureDetector
 from ..peers.load_reporter import contact_ttl_seconds
 from ..peers.load_table import LoadTable
+from ..peers.messages import Probe
 from ..store.roster import Endpoint
 from ..store.view import StoreView
 from .orders import PROBE_INTERVAL_SECONDS
--- a/packages/gateway/src/thorncleat_gateway/peers/failure_detector.py
+++ b/packages/gateway/src/thorncleat_gateway/peers/failure_detector.py
@@ -17,10 +17,10 @@
 from ..settings import StreamSettings
 from ..store.roster import Endpoint
 from . import silence
-from .datagrams import LoadReport
-from .datagrams import Message
 from .datagrams import PeerChannel
-from .datagrams import Suspicion
+from .messages import LoadReport
+from .messages import Message
+from .messages import Suspicion
 from .own_lateness import MAX_LATENESS_SECONDS
 from .own_lateness import OwnLateness
 from .suspicions import Suspicions
--- a/packages/gateway/src/thorncleat_gateway/peers/load_reporter.py
+++ b/packages/gateway/src/thorncleat_gateway/peers/load_reporter.py
@@ -9,12 +9,12 @@
 import mode
 
 from . import domain_loads
-from .datagrams import DomainLoad
-from .datagrams import LoadReport
-from .datagrams import Message
 from .datagrams import PeerChannel
 from .failure_detector import FailureDetector
 from .load_table import LoadTable
+from .messages import DomainLoad
+from .messages import LoadReport
+from .messages import Message
 
 # Minimum time for which reports name an endpoint after its last answer: three reports in a small
 # fleet, so that two may be lost.
--- /dev/null
+++ b/packages/gateway/src/thorncleat_gateway/peers/message_codec.py
@@ -0,0 +1,306 @@
+"""Translates the messages between daemons to bytes and back.
+
+Each message is a list: the version, the sender, the kind of the message and its fields. A kind is
+never given other fields; a changed message gets a kind of its own, which earlier builds reject.
+
+Owns: the encoder of each type of message and the decoder of each kind, which decorators register.
+Relies on: :mod:`.messages` for the types.
+"""
+
+import math
+import typing as t
+
+import msgpack
+
+from ..store.roster import GroupId
+from .messages import CrashReport
+from .messages import CrashWithdrawal
+from .messages import DomainLoad
+from .messages import GroupEnded
+from .messages import LimitReport
+from .messages import LoadReport
+from .messages import Message
+from .messages import Probe
+from .messages import ReportedCrash
+from .messages import ReportedLimit
+from .messages import ReportedRequest
+from .messages import Suspicion
+from .messages import WorkspaceCounts
+from .messages import WorkspaceLoad
+
+# The first field of each datagram; :func:`decode` accepts this version only.
+FORMAT_VERSION = 1
+MILLISECONDS_PER_SECOND = 1000
+
+Fields = list[t.Any]
+Encoder = t.Callable[[t.Any], Fields]
+Decoder = t.Callable[[Fields], Message | None]
+
+_encoders: dict[type, Encoder] = {}
+_decoders: dict[str, Decoder] = {}
+
+
+class Datagram(t.NamedTuple):
+    """A message with the id of its claimed sender."""
+
+    sender: str
+    message: Message
+
+
+def encode(sender: str, message: Message) -> bytes:
+    """Return the bytes of a message."""
+    content = _encoders[type(message)](message)
+    packed: bytes = msgpack.packb([FORMAT_VERSION, sender, *content])
+    return packed
+
+
+def decode(data: bytes) -> Datagram | None:
+    """Return a decoded datagram; None if the bytes are malformed or of another version."""
+    try:
+        content = msgpack.unpackb(data)
+        match content:
+            case [1, str(sender), str(kind), *fields] if kind in _decoders:
+                message = _decoders[kind](fields)
+                return None if message is None else Datagram(sender, message)
+    except (ValueError, TypeError, msgpack.UnpackException):
+        # Any process can send to this socket; the channel counts what it rejects.
+        return None
+    return None
+
+
+def _encodes(message: type) -> t.Callable[[Encoder], Encoder]:
+    """Register the encoder of a type of message; it returns the kind and the fields."""
+
+    def register(encoder: Encoder) -> Encoder:
+        _encoders[message] = encoder
+        return encoder
+
+    return register
+
+
+def _decodes(kind: str) -> t.Callable[[Decoder], Decoder]:
+    """Register the decoder of a kind.
+
+    It returns None, or raises a :class:`TypeError` or :class:`ValueError`, for malformed fields.
+    """
+
+    def register(decoder: Decoder) -> Decoder:
+        _decoders[kind] = decoder
+        return decoder
+
+    return register
+
+
+@_encodes(LoadReport)
+def _encode_load(message: LoadReport) -> Fields:
+    return ["load", dict(message.counts), list(message.heard)]
+
+
+@_decodes("load")
+def _decode_load(fields: Fields) -> Message | None:
+    match fields:
+        case [dict(counts), list(heard)]:
+            return LoadReport(_parse_counts(counts), heard)
+    return None
+
+
+@_encodes(DomainLoad)
+def _encode_domain(message: DomainLoad) -> Fields:
+    return ["domain", message.failure_domain, dict(message.counts)]
+
+
+@_decodes("domain")
+def _decode_domain(fields: Fields) -> Message | None:
+    match fields:
+        case [str(failure_domain), dict(counts)]:
+            return DomainLoad(failure_domain, _parse_counts(counts))
+    return None
+
+
+@_encodes(Suspicion)
+def _encode_suspicion(message: Suspicion) -> Fields:
+    group = message.group
+    return ["suspect", message.leader, group.epoch, group.name, message.fault]
+
+
+@_decodes("suspect")
+def _decode_suspicion(fields: Fields) -> Message | None:
+    match fields:
+        case [str(leader), int(epoch), str(name), str(fault)]:
+            return Suspicion(leader, GroupId(epoch, name), fault)
+    return None
+
+
+@_encodes(Probe)
+def _encode_probe(message: Probe) -> Fields:
+    return ["probe", message.endpoint_id]
+
+
+@_decodes("probe")
+def _decode_probe(fields: Fields) -> Message | None:
+    match fields:
+        case [str(endpoint_id)]:
+            return Probe(endpoint_id)
+    return None
+
+
+@_encodes(GroupEnded)
+def _encode_ended(message: GroupEnded) -> Fields:
+    return ["ended", message.group.epoch, message.group.name]
+
+
+@_decodes("ended")
+def _decode_ended(fields: Fields) -> Message | None:
+    match fields:
+        case [int(epoch), str(name)]:
+            return GroupEnded(GroupId(epoch, name))
+    return None
+
+
+@_encodes(CrashReport)
+def _encode_crash(message: CrashReport) -> Fields:
+    return ["crash", [_pack_crash(crash) for crash in message.crashes]]
+
+
+@_decodes("crash")
+def _decode_crash(fields: Fields) -> Message | None:
+    match fields:
+        case [list(crashes)]:
+            return CrashReport([_parse_crash(*crash) for crash in crashes])
+    return None
+
+
+@_encodes(CrashWithdrawal)
+def _encode_withdrawal(message: CrashWithdrawal) -> Fields:
+    age = _to_milliseconds(message.age)
+    return ["no crash", message.endpoint_id, message.born, message.fingerprint, age]
+
+
+@_decodes("no crash")
+def _decode_withdrawal(fields: Fields) -> Message | None:
+    match fields:
+        case [str(endpoint_id), born, bytes(digest), int(age)]:
+            seconds = _parse_natural(age) / MILLISECONDS_PER_SECOND
+            return CrashWithdrawal(endpoint_id, _parse_born(born), digest, seconds)
+    return None
+
+
+@_encodes(LimitReport)
+def _encode_limits(message: LimitReport) -> Fields:
+    return ["limits", [_pack_limit(limit) for limit in message.limits]]
+
+
+@_decodes("limits")
+def _decode_limits(fields: Fields) -> Message | None:
+    match fields:
+        case [list(limits)]:
+            return LimitReport([_parse_limit(*limit) for limit in limits])
+    return None
+
+
+@_encodes(WorkspaceLoad)
+def _encode_workspaces(message: WorkspaceLoad) -> Fields:
+    loads = [[load.service, load.model, dict(load.counts)] for load in message.loads]
+    return ["workspaces", message.failure_domain, loads]
+
+
+@_decodes("workspaces")
+def _decode_workspaces(fields: Fields) -> Message | None:
+    match fields:
+        case [str(failure_domain), list(loads)]:
+            parsed = [_parse_workspace_counts(*load) for load in loads]
+            return WorkspaceLoad(failure_domain, parsed)
+    return None
+
+
+def _parse_counts(counts: t.Mapping[t.Any, t.Any]) -> dict[str, int]:
+    return {str(endpoint): int(count) for endpoint, count in counts.items()}
+
+
+def _parse_workspace_counts(service: t.Any, model: t.Any, counts: t.Any) -> WorkspaceCounts:
+    """Return counts from their unpacked fields.
+
+    :raises TypeError, ValueError: if a field has another type or value.
+    """
+    if not isinstance(counts, dict):
+        raise TypeError(f"{counts!r} is not a map of counts")
+    parsed = {str(workspace): _parse_natural(count) for workspace, count in counts.items()}
+    return WorkspaceCounts(str(service), str(model), parsed)
+
+
+def _to_milliseconds(seconds: float) -> int:
+    return round(seconds * MILLISECONDS_PER_SECOND)
+
+
+def _pack_crash(crash: ReportedCrash) -> list[t.Any]:
+    requests = [
+        [request.fingerprint, request.points, _to_milliseconds(request.ran)]
+        for request in crash.requests
+    ]
+    return [crash.endpoint_id, crash.born, _to_milliseconds(crash.age), requests]
+
+
+def _parse_crash(endpoint_id: t.Any, born: t.Any, age: t.Any, requests: t.Any) -> ReportedCrash:
+    """Return a crash from its unpacked fields.
+
+    :raises TypeError, ValueError: if a field has another type or value.
+    """
+    reported = [
+        ReportedRequest(
+            _parse_digest(digest),
+            _parse_natural(points),
+            _parse_natural(ran) / MILLISECONDS_PER_SECOND,
+        )
+        for digest, points, ran in requests
+    ]
+    return ReportedCrash(
+        str(endpoint_id),
+        _parse_born(born),
+        _parse_natural(age) / MILLISECONDS_PER_SECOND,
+        reported,
+    )
+
+
+def _pack_limit(limit: ReportedLimit) -> list[t.Any]:
+    ages = [_to_milliseconds(limit.sent_age), _to_milliseconds(limit.heard_age)]
+    return [limit.endpoint_id, limit.born, limit.limit, *ages]
+
+
+def _parse_limit(
+    endpoint_id: t.Any, born: t.Any, limit: t.Any, sent_age: t.Any, heard_age: t.Any
+) -> ReportedLimit:
+    """Return a limit from its unpacked fields.
+
+    :raises TypeError, ValueError: if a field has another type or value.
+    """
+    sent, heard = (
+        _parse_natural(sent_age) / MILLISECONDS_PER_SECOND,
+        _parse_natural(heard_age) / MILLISECONDS_PER_SECOND,
+    )
+    return ReportedLimit(str(endpoint_id), _parse_born(born), _parse_rate(limit), sent, heard)
+
+
+def _parse_rate(value: t.Any) -> float | None:
+    if value is None:
+        return None
+    rate = float(value)
+    if not 0 <= rate < math.inf:
+        raise ValueError(f"{value!r} is not a valid rate: it must be finite and not negative")
+    return rate
+
+
+def _parse_natural(value: t.Any) -> int:
+    number = int(value)
+    if number < 0:
+        raise ValueError(f"{value!r} is negative")
+    return number
+
+
+def _parse_born(value: t.Any) -> int | None:
+    return None if value is None else int(value)
+
+
+def _parse_digest(value: t.Any) -> bytes:
+    if not isinstance(value, bytes):
+        raise TypeError(f"{value!r} is not a digest of type bytes")
+    return value
--- /dev/null
+++ b/packages/gateway/src/thorncleat_gateway/peers/messages.py
@@ -0,0 +1,176 @@
+"""The messages that daemons exchange by datagrams, which carry soft state.
+
+Owns: nothing.
+Relies on: :mod:`.message_codec` for their bytes.
+"""
+
+import dataclasses
+import typing as t
+
+from ..store.roster import GroupId
+
+
+@dataclasses.dataclass(frozen=True)
+class LoadReport:
+    """The running requests of a daemon, and the endpoints that answered it recently.
+
+    :param counts: running requests by endpoint.
+    :param heard: endpoints that answered recently (:func:`.load_reporter.contact_ttl_seconds`).
+    """
+
+    counts: t.Mapping[str, int]
+    heard: t.Sequence[str]
+
+
+@dataclasses.dataclass(frozen=True)
+class DomainLoad:
+    """The running requests of all daemons of a failure domain.
+
+    :param counts: running requests by endpoint.
+    """
+
+    failure_domain: str
+    counts: t.Mapping[str, int]
+
+
+@dataclasses.dataclass(frozen=True)
+class Suspicion:
+    """A notice that a group's leader is silent.
+
+    :param fault: the faulty member if it is known, else an empty string.
+    """
+
+    leader: str
+    group: GroupId
+    fault: str = ""
+
+
+@dataclasses.dataclass(frozen=True)
+class Probe:
+    """A question of the controller: which daemons have requests at an endpoint or get its answers.
+
+    Each daemon sends a load report at once, and a second report if the endpoint answers it.
+    """
+
+    endpoint_id: str
+
+
+@dataclasses.dataclass(frozen=True)
+class GroupEnded:
+    """A notice that the controller is ending a group."""
+
+    group: GroupId
+
+
+@dataclasses.dataclass(frozen=True)
+class ReportedRequest:
+    """A request that was running at a crash.
+
+    :param fingerprint: see :mod:`..requests.fingerprint`.
+    :param points: what the crash adds to its score, see :mod:`..requests.quarantine`.
+    :param ran: seconds from the head of its answer to the crash.
+    """
+
+    fingerprint: bytes
+    points: int
+    ran: float
+
+
+@dataclasses.dataclass(frozen=True)
+class ReportedCrash:
+    """An incarnation of an endpoint that ended by a crash.
+
+    :param born: Unix milliseconds of its start; None if unknown.
+    :param age: seconds since the crash.
+    """
+
+    endpoint_id: str
+    born: int | None
+    age: float
+    requests: t.Sequence[ReportedRequest]
+
+
+@dataclasses.dataclass(frozen=True)
+class CrashReport:
+    """A notice of crashed endpoints, with the requests that were running there."""
+
+    crashes: t.Sequence[ReportedCrash]
+
+
+@dataclasses.dataclass(frozen=True)
+class CrashWithdrawal:
+    """A notice that an endpoint has not crashed, or that a request causes no crashes.
+
+    :param endpoint_id: the endpoint that answered after the crash; empty for a request.
+    :param fingerprint: fingerprint of the request that was served; empty for an endpoint.
+    :param age: seconds since the endpoint answered, or the request was served.
+    """
+
+    endpoint_id: str
+    born: int | None
+    fingerprint: bytes
+    age: float
+
+
+@dataclasses.dataclass(frozen=True)
+class ReportedLimit:
+    """The rate limit that an endpoint sets for all daemons together.
+
+    :param born: Unix milliseconds of the endpoint's start; None if unknown.
+    :param limit: requests per second; None if the endpoint no longer sets a limit.
+    :param sent_age: seconds since the request whose answer set the limit was sent.
+    :param heard_age: seconds since that answer arrived.
+    """
+
+    endpoint_id: str
+    born: int | None
+    limit: float | None
+    sent_age: float
+    heard_age: float
+
+
+@dataclasses.dataclass(frozen=True)
+class LimitReport:
+    """Current rate limits of endpoints."""
+
+    limits: t.Sequence[ReportedLimit]
+
+
+@dataclasses.dataclass(frozen=True)
+class WorkspaceCounts:
+    """The running requests of a model's groups.
+
+    :param model: empty for a plain service.
+    :param counts: running requests by workspace.
+    """
+
+    service: str
+    model: str
+    counts: t.Mapping[str, int]
+
+
+@dataclasses.dataclass(frozen=True)
+class WorkspaceLoad:
+    """The running requests of workspaces, at one daemon or in one failure domain.
+
+    Daemons of earlier builds reject it.
+
+    :param failure_domain: the failure domain of which this is the total; empty for the requests of
+        the sender.
+    """
+
+    failure_domain: str
+    loads: t.Sequence[WorkspaceCounts]
+
+
+Message = (
+    LoadReport
+    | DomainLoad
+    | Suspicion
+    | Probe
+    | GroupEnded
+    | CrashReport
+    | CrashWithdrawal
+    | LimitReport
+    | WorkspaceLoad
+)
--- a/packages/gateway/src/thorncleat_gateway/peers/probe_answers.py
+++ b/packages/gateway/src/thorncleat_gateway/peers/probe_answers.py
@@ -13,10 +13,10 @@
 
 from ..store.roster import Endpoint
 from ..store.view import StoreView
-from .datagrams import Message
 from .datagrams import PeerChannel
-from .datagrams import Probe
 from .load_reporter import LoadReporter
+from .messages import Message
+from .messages import Probe
 
 
 class ProbeAnswers(mode.Service):
--- a/packages/gateway/src/thorncleat_gateway/peers/workspace_loads.py
+++ b/packages/gateway/src/thorncleat_gateway/peers/workspace_loads.py
@@ -15,12 +15,12 @@
 
 from ..model_key import ModelKey
 from . import domain_loads
-from .datagrams import Message
 from .datagrams import PeerChannel
-from .datagrams import WorkspaceCounts
-from .datagrams import WorkspaceLoad
 from .load_reporter import MAX_EMPTY_REPORTS
 from .load_table import LoadTable
+from .messages import Message
+from .messages import WorkspaceCounts
+from .messages import WorkspaceLoad
 
 # Interval of the reports. Requests run for some seconds, so the share of a workspace changes more
 # slowly than the load of an endpoint.
--- a/packages/gateway/src/thorncleat_gateway/requests/crash_reporter.py
+++ b/packages/gateway/src/thorncleat_gateway/requests/crash_reporter.py
@@ -11,12 +11,12 @@
 import mode
 
 from .. import events
-from ..peers.datagrams import CrashReport
-from ..peers.datagrams import CrashWithdrawal
-from ..peers.datagrams import Message
 from ..peers.datagrams import PeerChannel
-from ..peers.datagrams import ReportedCrash
-from ..peers.datagrams import ReportedRequest
+from ..peers.messages import CrashReport
+from ..peers.messages import CrashWithdrawal
+from ..peers.messages import Message
+from ..peers.messages import ReportedCrash
+from ..peers.messages import ReportedRequest
 from ..store.roster import Incarnation
 from .fingerprint import Fingerprint
 from .quarantine import RAN_POINTS
--- a/packages/gateway/src/thorncleat_gateway/requests/limit_reporter.py
+++ b/packages/gateway/src/thorncleat_gateway/requests/limit_reporter.py
@@ -11,10 +11,10 @@
 
 import mode
 
-from ..peers.datagrams import LimitReport
-from ..peers.datagrams import Message
 from ..peers.datagrams import PeerChannel
-from ..peers.datagrams import ReportedLimit
+from ..peers.messages import LimitReport
+from ..peers.messages import Message
+from ..peers.messages import ReportedLimit
 from ..store.roster import Incarnation
 from ..store.view import StoreView
 from .endpoint_limits import EndpointLimits
--- a/tests/crash_world.py
+++ b/tests/crash_world.py
@@ -17,11 +17,12 @@
 from thorncleat_gateway.exceptions import RefusalError
 from thorncleat_gateway.groups.ended import EndedGroups
 from thorncleat_gateway.peers import datagrams
-from thorncleat_gateway.peers.datagrams import CrashReport
-from thorncleat_gateway.peers.datagrams import CrashWithdrawal
-from thorncleat_gateway.peers.datagrams import LoadReport
+from thorncleat_gateway.peers import message_codec
 from thorncleat_gateway.peers.failure_detector import FailureDetector
 from thorncleat_gateway.peers.load_table import LoadTable
+from thorncleat_gateway.peers.messages import CrashReport
+from thorncleat_gateway.peers.messages import CrashWithdrawal
+from thorncleat_gateway.peers.messages import LoadReport
 from thorncleat_gateway.ports import RequestMeta
 from thorncleat_gateway.requests import retry_policy
 from thorncleat_gateway.requests.crash_reporter import CrashReporter
@@ -228,7 +229,7 @@
 
     def send(self, other: str, message) -> None:
         world = self._world
-        data = datagrams.encode(self.id, message)
+        data = message_codec.encode(self.id, message)
         if isinstance(message, CrashReport | CrashWithdrawal):
             self.bytes += len(data)
             assert len(data) < 1400
@@ -243,7 +244,7 @@
         if self.cut or sender.cut:
             return
         for handler in self.handlers:
-            handler(sender.id, datagrams.decode(data).message)
+            handler(sender.id, message_codec.decode(data).message)
 
 
 class Caller:
--- a/tests/group_world.py
+++ b/tests/group_world.py
@@ -16,10 +16,10 @@
 from thorncleat_gateway.groups.records import GroupRecords
 from thorncleat_gateway.groups.term import TermFactory
 from thorncleat_gateway.peers.datagrams import MIN_REPORT_INTERVAL_SECONDS
-from thorncleat_gateway.peers.datagrams import LoadReport
-from thorncleat_gateway.peers.datagrams import Probe
 from thorncleat_gateway.peers.failure_detector import FailureDetector
 from thorncleat_gateway.peers.load_table import LoadTable
+from thorncleat_gateway.peers.messages import LoadReport
+from thorncleat_gateway.peers.messages import Probe
 from thorncleat_gateway.ports import ConfigurationChanged
 from thorncleat_gateway.ports import EndpointListed
 from thorncleat_gateway.ports import EndpointRemoved
--- a/tests/test_ended_groups.py
+++ b/tests/test_ended_groups.py
@@ -7,9 +7,9 @@
 from thorncleat_gateway.groups.ended import BROADCAST_INTERVAL_SECONDS
 from thorncleat_gateway.groups.ended import ENDED_TTL_SECONDS
 from thorncleat_gateway.groups.ended import EndedGroups
-from thorncleat_gateway.peers.datagrams import GroupEnded
 from thorncleat_gateway.peers.failure_detector import FailureDetector
 from thorncleat_gateway.peers.load_table import LoadTable
+from thorncleat_gateway.peers.messages import GroupEnded
 from thorncleat_gateway.requests.endpoint_limits import EndpointLimits
 from thorncleat_gateway.requests.endpoint_notices import EndpointNotices
 from thorncleat_gateway.requests.endpoint_selector import EndpointSelector
--- a/tests/test_failure_detector.py
+++ b/tests/test_failure_detector.py
@@ -5,13 +5,13 @@
 import pytest
 
 from thorncleat_gateway.peers import silence
-from thorncleat_gateway.peers.datagrams import GroupEnded
-from thorncleat_gateway.peers.datagrams import Probe
-from thorncleat_gateway.peers.datagrams import Suspicion
-from thorncleat_gateway.peers.datagrams import decode
-from thorncleat_gateway.peers.datagrams import encode
 from thorncleat_gateway.peers.failure_detector import FailureDetector
 from thorncleat_gateway.peers.failure_detector import StreamAttempt
+from thorncleat_gateway.peers.message_codec import decode
+from thorncleat_gateway.peers.message_codec import encode
+from thorncleat_gateway.peers.messages import GroupEnded
+from thorncleat_gateway.peers.messages import Probe
+from thorncleat_gateway.peers.messages import Suspicion
 from thorncleat_gateway.settings import StreamSettings
 from thorncleat_gateway.store.roster import Endpoint
 from thorncleat_gateway.store.roster import GroupId
--- a/tests/test_forms_datagrams.py
+++ b/tests/test_forms_datagrams.py
@@ -3,20 +3,20 @@
 import msgpack
 import pytest
 
-from thorncleat_gateway.peers import datagrams as peers
-from thorncleat_gateway.peers.datagrams import CrashReport
-from thorncleat_gateway.peers.datagrams import CrashWithdrawal
-from thorncleat_gateway.peers.datagrams import DomainLoad
-from thorncleat_gateway.peers.datagrams import GroupEnded
-from thorncleat_gateway.peers.datagrams import LimitReport
-from thorncleat_gateway.peers.datagrams import LoadReport
-from thorncleat_gateway.peers.datagrams import Probe
-from thorncleat_gateway.peers.datagrams import ReportedCrash
-from thorncleat_gateway.peers.datagrams import ReportedLimit
-from thorncleat_gateway.peers.datagrams import ReportedRequest
-from thorncleat_gateway.peers.datagrams import Suspicion
-from thorncleat_gateway.peers.datagrams import WorkspaceCounts
-from thorncleat_gateway.peers.datagrams import WorkspaceLoad
+from thorncleat_gateway.peers import message_codec as peers
+from thorncleat_gateway.peers.messages import CrashReport
+from thorncleat_gateway.peers.messages import CrashWithdrawal
+from thorncleat_gateway.peers.messages import DomainLoad
+from thorncleat_gateway.peers.messages import GroupEnded
+from thorncleat_gateway.peers.messages import LimitReport
+from thorncleat_gateway.peers.messages import LoadReport
+from thorncleat_gateway.peers.messages import Probe
+from thorncleat_gateway.peers.messages import ReportedCrash
+from thorncleat_gateway.peers.messages import ReportedLimit
+from thorncleat_gateway.peers.messages import ReportedRequest
+from thorncleat_gateway.peers.messages import Suspicion
+from thorncleat_gateway.peers.messages import WorkspaceCounts
+from thorncleat_gateway.peers.messages import WorkspaceLoad
 from thorncleat_gateway.store.roster import GroupId
 
 GROUP = GroupId(3, "narrator-0")
--- a/tests/test_limit_reporter.py
+++ b/tests/test_limit_reporter.py
@@ -5,10 +5,10 @@
 
 import pytest
 
-from thorncleat_gateway.peers import datagrams
-from thorncleat_gateway.peers.datagrams import LimitReport
-from thorncleat_gateway.peers.datagrams import LoadReport
-from thorncleat_gateway.peers.datagrams import ReportedLimit
+from thorncleat_gateway.peers import message_codec
+from thorncleat_gateway.peers.messages import LimitReport
+from thorncleat_gateway.peers.messages import LoadReport
+from thorncleat_gateway.peers.messages import ReportedLimit
 from thorncleat_gateway.ports import AnswerMeta
 from thorncleat_gateway.requests import limit_reporter
 from thorncleat_gateway.requests.endpoint_limits import NOTICE_TTL_SECONDS
@@ -122,7 +122,7 @@
     scene.reporter.repeat()
     _, report = scene.peers.sent[0]
     assert len(report.limits) == limit_reporter.MAX_REPORT_ENTRIES
-    assert len(datagrams.encode("edge-riga-a-1", report)) < 1400
+    assert len(message_codec.encode("edge-riga-a-1", report)) < 1400
 
 
 def test_repetition_runs_by_itself_and_expires_old_notices(scene):
--- a/tests/test_probe_answers.py
+++ b/tests/test_probe_answers.py
@@ -4,8 +4,8 @@
 
 import pytest
 
-from thorncleat_gateway.peers.datagrams import LoadReport
-from thorncleat_gateway.peers.datagrams import Probe
+from thorncleat_gateway.peers.messages import LoadReport
+from thorncleat_gateway.peers.messages import Probe
 from thorncleat_gateway.peers.probe_answers import ProbeAnswers
 from thorncleat_gateway.store.roster import Endpoint
 from thorncleat_gateway.store.roster import Roster
--- a/tests/test_workspace_loads.py
+++ b/tests/test_workspace_loads.py
@@ -4,9 +4,9 @@
 
 import pytest
 
-from thorncleat_gateway.peers.datagrams import WorkspaceCounts
-from thorncleat_gateway.peers.datagrams import WorkspaceLoad
 from thorncleat_gateway.peers.load_reporter import MAX_EMPTY_REPORTS
+from thorncleat_gateway.peers.messages import WorkspaceCounts
+from thorncleat_gateway.peers.messages import WorkspaceLoad
 from thorncleat_gateway.peers.workspace_loads import WorkspaceLoads
 from thorncleat_gateway.peers.workspace_loads import WorkspaceReporter
 
