A controller that is cut off from the endpoints ends no sound group, and hands over

Cause: a negative sign of one observer was taken as proof about the other end. Change: Reach tells whether this daemon's own connections come up, ReachCheck asks a few endpoints as soon as one fails. A member's silence ends its group only if other endpoints answer the controller meanwhile, or a daemon that reaches endpoints gets no answer of this one (Witnesses, datagram 'probed', which earlier builds reject); an answer to any of three asked daemons overrules it. An endpoint that doesn't answer an order is kept from new groups as before, but no longer ends the group it is in by that alone. A cut-off controller hands over within a second where others reach endpoints, and cut-off daemons are the last to become one. Why it works: the silence is put down to the pair until somebody else confirms it.

--- a/packages/gateway/src/thorncleat_gateway/events.py
+++ b/packages/gateway/src/thorncleat_gateway/events.py
@@ -118,6 +118,12 @@
 SURPLUS_BYTES = _event(
     7317, "surplus_bytes", WARNING, "an endpoint sent bytes on an idle connection; it was closed"
 )
+CUT_OFF = _event(
+    7318, "endpoints_cut_off", WARNING, "no connection of this daemon to an endpoint comes up"
+)
+ENDPOINTS_REACHED = _event(
+    7319, "endpoints_reached_again", INFO, "connections of this daemon to endpoints come up again"
+)
 
 PEER_REJECTED = _event(
     7401, "datagram_rejected", WARNING, "a datagram was invalid or from an unknown sender"
--- a/packages/gateway/src/thorncleat_gateway/gateway.py
+++ b/packages/gateway/src/thorncleat_gateway/gateway.py
@@ -29,6 +29,9 @@
 from .peers.load_reporter import LoadReporter
 from .peers.load_table import LoadTable
 from .peers.probe_answers import ProbeAnswers
+from .peers.reach import Reach
+from .peers.reach_check import ReachCheck
+from .peers.reach_check import connects
 from .peers.workspace_loads import WorkspaceLoads
 from .peers.workspace_loads import WorkspaceReporter
 from .planned_stop import PlannedStop
@@ -74,6 +77,8 @@
 # Part of a group's slots from which on they may all be taken: load reports are some tenths of a
 # second old, and as many requests may have been sent since.
 FULL_FRACTION = 0.8
+# How long a connection that came up shows that this daemon reaches endpoints.
+RECENT_REACH_SECONDS = 1.0
 # Window of the metric that shows the lateness of the event loop.
 LATENESS_WINDOW_SECONDS = 1.0
 
@@ -134,8 +139,14 @@
         self._peers = PeerChannel(
             self._settings, self._registration.addresses, self._registration.domain_peers
         )
+        self._reach = Reach(self._clock, lambda: len(self.view.roster.endpoints))
+        self._reach_check = ReachCheck(
+            self._reach,
+            self.view,
+            lambda endpoint: connects(endpoint.address, self._settings.connect_timeout),
+        )
         self._detector = FailureDetector(
-            self._settings.streams, self._peers, self._clock, self._is_full
+            self._settings.streams, self._peers, self._clock, self._is_full, self._reach
         )
         self.load_table = LoadTable(self._clock, self._peers.report_interval_seconds)
         self._reporter = LoadReporter(
@@ -164,18 +175,33 @@
 
     def _create_control_services(self, records: RecordStore, engines: Engines) -> None:
         settings, clock, view = self._settings, self._clock, self.view
-        self._election = Election(settings, records, view, clock, self._registration.capacities)
+        self._election = Election(
+            settings,
+            records,
+            view,
+            clock,
+            self._registration.capacities,
+            self._reach,
+            self._detector.others_reach_endpoints,
+        )
         self._call_window = CallWindow(self._detector.lateness, clock)
         orders = Orders(
             settings.control,
             engines,
             view,
             lambda: self._election.is_controller,
-            lambda endpoint_id: self._detector.record_contact(endpoint_id, clock()),
+            self._record_answer,
             self._call_window,
             clock,
+            self._reach.record_failure,
+        )
+        self._probe_answers = ProbeAnswers(
+            view,
+            self._peers,
+            self._reporter,
+            orders.is_responding,
+            self._reaches_endpoints,
         )
-        self._probe_answers = ProbeAnswers(view, self._peers, self._reporter, orders.is_responding)
         placements = PlacementRecords(records, view, self._election)
         terms = TermFactory(
             settings.control,
@@ -188,6 +214,7 @@
             self._peers,
             self._ended_groups,
             clock,
+            self._reach_check.check,
         )
         self._controller = Controller(
             view,
@@ -199,6 +226,16 @@
             lambda: self._has_no_requests_yet,
         )
 
+    def _record_answer(self, endpoint_id: str) -> None:
+        """Record that an endpoint has answered a call of this daemon's own."""
+        self._reach.record_success()
+        self._detector.record_contact(endpoint_id, self._clock())
+
+    def _reaches_endpoints(self) -> bool:
+        """Return whether a connection of this daemon has reached an endpoint lately."""
+        since = self._clock() - RECENT_REACH_SECONDS
+        return not self._reach.is_cut_off and self._reach.succeeded_since(since)
+
     def _add_gauges(self) -> None:
         add = self.metrics.gauge
         add("configuration_age_seconds", "Since a newer one was excluded", self.view.age)
@@ -215,6 +252,7 @@
         add("endpoint_calls_allowed", "At once, by the controller", lambda: self._call_window.limit)
         add("endpoint_calls_waiting", "For their turn", lambda: self._call_window.waiting)
         add("loop_late_seconds", "At most, of the last second", self._recent_lateness)
+        add("endpoints_cut_off", "1 if this daemon is", lambda: float(self._reach.is_cut_off))
         add("datagrams_rejected", "From unknown senders", lambda: self._peers.rejected_count)
         add("requests_quarantined", "Held back", lambda: len(self._quarantine.quarantined))
         if self._evacuations is not None:
@@ -293,6 +331,7 @@
             self._registration,
             self._peers,
             self._detector,
+            self._reach_check,
             self._election,
             self._controller,
         ):
@@ -338,6 +377,7 @@
             settings.connect_timeout,
             evacuations=self._evacuations,
             pool=self._pool,
+            reach=self._reach,
         )
         selector = EndpointSelector(
             self.view,
--- a/packages/gateway/src/thorncleat_gateway/groups/election.py
+++ b/packages/gateway/src/thorncleat_gateway/groups/election.py
@@ -19,6 +19,7 @@
 from ..exceptions import LeaseExpiredError
 from ..exceptions import StoreError
 from ..exceptions import StoreOutcomeUnknownError
+from ..peers.reach import Reach
 from ..ports import Lease
 from ..ports import Position
 from ..ports import RecordStore
@@ -37,6 +38,10 @@
 # Longest wait for a change of the view while there is a controller.
 CHANGE_WAIT_SECONDS = 0.25
 RENEWALS_PER_LEASE = 4
+# How long a controller has been cut off from the endpoints when it hands over.
+HAND_OVER_SECONDS = 0.25
+# How much longer a candidate that is cut off from the endpoints waits for the others.
+CUT_OFF_DELAY_SECONDS = 1.0
 # Largest relative difference between the clock rates of two instances.
 MAX_CLOCK_DRIFT = 0.01
 
@@ -69,21 +74,34 @@
     return sorted(ranked, key=lambda name: capacities[name] < enough).index(candidate)
 
 
-def can_campaign(absent_seconds: float, rank: int) -> bool:
+def can_campaign(absent_seconds: float, rank: int, *, is_cut_off: bool = False) -> bool:
     """Return whether a candidate may try to become controller now.
 
     Candidates try one after the other, since each attempt costs a write and only one can succeed.
 
     :param absent_seconds: seconds for which there has been no controller.
     :param rank: the candidate's rank.
+    :param is_cut_off: whether it reaches no endpoint, and so could give no orders.
     """
-    return absent_seconds >= CANDIDATE_DELAY_SECONDS * rank
+    delay = CUT_OFF_DELAY_SECONDS if is_cut_off else 0.0
+    return absent_seconds >= delay + CANDIDATE_DELAY_SECONDS * rank
+
+
+def must_hand_over(cut_off_seconds: float, *, others_reach_endpoints: bool) -> bool:
+    """Return whether a controller must end its term, since it can give no orders and others can.
+
+    :param cut_off_seconds: seconds for which it has been cut off from the endpoints.
+    :param others_reach_endpoints: whether another daemon reaches endpoints.
+    """
+    return cut_off_seconds >= HAND_OVER_SECONDS and others_reach_endpoints
 
 
 class Election(mode.Service):
     """Tries to become controller whenever there is none, and renews the lease.
 
     :param capacities: returns the capacity of each known daemon, including this one.
+    :param reach: whether this daemon is cut off from the endpoints; None if that doesn't matter.
+    :param others_reach_endpoints: returns whether another daemon reaches endpoints.
     """
 
     def __init__(
@@ -93,6 +111,8 @@
         view: StoreView,
         clock: t.Callable[[], float],
         capacities: t.Callable[[], t.Mapping[str, float]],
+        reach: Reach | None = None,
+        others_reach_endpoints: t.Callable[[], bool] = lambda: False,
     ) -> None:
         super().__init__()
         self._settings = settings
@@ -100,6 +120,8 @@
         self._view = view
         self._clock = clock
         self._capacities = capacities
+        self._reach = reach
+        self._others_reach_endpoints = others_reach_endpoints
         self._deadline = float("-inf")
         # When the controller's record was first found missing; None while there is a controller.
         self._absent_since: float | None = None
@@ -132,6 +154,17 @@
         """Seconds until this daemon stops acting as controller unless it renews the lease."""
         return max(0.0, self._deadline - self._clock())
 
+    @property
+    def _is_cut_off(self) -> bool:
+        return self._reach is not None and self._reach.is_cut_off
+
+    def _must_hand_over(self) -> bool:
+        if self.stopping:
+            return True
+        return self._reach is not None and must_hand_over(
+            self._reach.cut_off_seconds, others_reach_endpoints=self._others_reach_endpoints()
+        )
+
     @mode.Service.task
     async def _campaign_task(self) -> None:
         while not self.should_stop:
@@ -153,7 +186,7 @@
         if self._absent_since is None:
             self._absent_since = now
         rank = candidate_rank(self._settings.id, self._capacities(), self._view.version)
-        if can_campaign(now - self._absent_since, rank):
+        if can_campaign(now - self._absent_since, rank, is_cut_off=self._is_cut_off):
             await self._campaign()
 
     async def _campaign(self) -> None:
@@ -192,7 +225,7 @@
             await asyncio.sleep(control.lease / RENEWALS_PER_LEASE)
             if self._view.era.is_over(term.era):
                 return
-            if self.stopping:
+            if self._must_hand_over():
                 # The next controller may act before the store's answer arrives here.
                 self._deadline = float("-inf")
                 await self._records.end(lease)
--- a/packages/gateway/src/thorncleat_gateway/groups/group_inspector.py
+++ b/packages/gateway/src/thorncleat_gateway/groups/group_inspector.py
@@ -83,6 +83,8 @@
 
     def _check_health(self, group: Group, model: EngineModel) -> bool:
         """Return whether a group is healthy; begin to end it if not."""
+        if any(member in self._term.lost for member in group.members.values()):
+            self.examine(group.id)
         reason = group_health.end_reason(self._health(group, model))
         members = list(group.members.values())
         if reason is EndReason.LEADER_CLOSING and self._term.moves.is_closing(group):
@@ -101,7 +103,7 @@
             age=self._age_seconds(group.id),
             leader_state=group.state,
             is_leader_draining=leader is not None and leader.draining,
-            has_lost_member=any(member in self._term.lost for member in members.values()),
+            has_lost_member=any(self._term.lost.is_dead(member) for member in members.values()),
             has_missing_member=any(
                 not self._term.unlisted.has_member(group.id, rank) for rank in missing
             ),
--- a/packages/gateway/src/thorncleat_gateway/groups/lost_endpoints.py
+++ b/packages/gateway/src/thorncleat_gateway/groups/lost_endpoints.py
@@ -1,5 +1,8 @@
 """Endpoints that did not answer the controller; no group is formed with them until they do.
 
+Only those that are certainly dead, and not by the controller's silence alone, end the group that
+they are in: the controller may be the one that is cut off.
+
 Owns: the incarnations of the listed endpoints that don't answer.
 Relies on: callers that send orders or probes, to report silent endpoints.
 """
@@ -31,6 +34,15 @@
     # It answers, but has restarted since it joined the group that its entry still names.
     STARTED_AGAIN = "started again"
 
+    @property
+    def proves_death(self) -> bool:
+        """Whether more than the controller's own silence shows that the endpoint is lost."""
+        return self in (
+            LostCause.PROCESS_ENDED,
+            LostCause.STARTED_AGAIN,
+            LostCause.SILENT_UNDER_SUSPICION,
+        )
+
 
 class LostEndpoints:
     """Holds which endpoints are lost and polls them until they answer.
@@ -47,28 +59,36 @@
         self._start = start
         self._wake = wake
         self._incarnations: dict[str, Incarnation] = {}
+        # Those of them that are certainly dead.
+        self._dead: dict[str, Incarnation] = {}
 
     def __contains__(self, endpoint: Endpoint) -> bool:
-        incarnation = self._incarnations.get(endpoint.id)
-        return incarnation is not None and not incarnation.is_superseded_by(endpoint.incarnation)
+        return _holds(self._incarnations, endpoint)
+
+    def is_dead(self, endpoint: Endpoint) -> bool:
+        """Return whether a lost endpoint is certainly dead, so that its group must end."""
+        return endpoint in self and _holds(self._dead, endpoint)
 
     def discard_unlisted(self) -> None:
         """Discard lost endpoints that are no longer listed."""
         listed = self._view.roster.endpoints
-        self._incarnations = {
-            endpoint_id: incarnation
-            for endpoint_id, incarnation in self._incarnations.items()
-            if endpoint_id in listed
-        }
+        for incarnations in (self._incarnations, self._dead):
+            for endpoint_id in [key for key in incarnations if key not in listed]:
+                del incarnations[endpoint_id]
 
     def mark_lost(self, endpoint: Endpoint, cause: LostCause) -> None:
         """Mark an endpoint as lost until it answers."""
-        if endpoint in self:
+        is_known = endpoint in self and (self.is_dead(endpoint) or not cause.proves_death)
+        if is_known:
             return
+        was_lost = endpoint in self
+        if cause.proves_death:
+            self._dead[endpoint.id] = endpoint.incarnation
         self._incarnations[endpoint.id] = endpoint.incarnation
         events.ENDPOINT_LOST.log(endpoint=endpoint.id, cause=cause.value)
         self._wake()
-        self._start(self._poll_until_responding(endpoint))
+        if not was_lost:
+            self._start(self._poll_until_responding(endpoint))
 
     async def _poll_until_responding(self, endpoint: Endpoint) -> None:
         """Poll a lost endpoint while it is listed, until it answers."""
@@ -78,3 +98,10 @@
                 break
         if self._incarnations.get(endpoint.id) == endpoint.incarnation:
             del self._incarnations[endpoint.id]
+            self._dead.pop(endpoint.id, None)
+
+
+def _holds(incarnations: t.Mapping[str, Incarnation], endpoint: Endpoint) -> bool:
+    """Return whether an endpoint's incarnation is among some, by id."""
+    incarnation = incarnations.get(endpoint.id)
+    return incarnation is not None and not incarnation.is_superseded_by(endpoint.incarnation)
--- a/packages/gateway/src/thorncleat_gateway/groups/orders.py
+++ b/packages/gateway/src/thorncleat_gateway/groups/orders.py
@@ -66,6 +66,7 @@
         order.
     :param record_contact: called with the id of each endpoint that answers.
     :param calls: window that limits all calls.
+    :param record_failure: called with the id of each endpoint that does not answer.
     """
 
     def __init__(
@@ -77,6 +78,7 @@
         record_contact: t.Callable[[str], None],
         calls: CallWindow,
         clock: t.Callable[[], float],
+        record_failure: t.Callable[[str], None] = lambda _: None,
     ) -> None:
         self._settings = settings
         self._engines = engines
@@ -85,6 +87,7 @@
         self._record_contact = record_contact
         self._calls = calls
         self._clock = clock
+        self._record_failure = record_failure
         self._reports: dict[str, EngineReport] = {}
 
     def discard_reports(self) -> None:
@@ -133,6 +136,7 @@
                     endpoint, order, expected, self._settings.order_timeout
                 )
             except EndpointTimeoutError:
+                self._record_failure(endpoint.id)
                 events.ORDER_UNANSWERED.log(endpoint=endpoint.id, order=type(order).__name__)
                 raise
         self._record_contact(endpoint.id)
@@ -174,7 +178,10 @@
             sent_at = self._clock()
             try:
                 return await self.fetch_report(endpoint, urgency)
-            except (EndpointReplacedError, EndpointRefusedError):
+            except EndpointReplacedError:
+                return None
+            except EndpointRefusedError:
+                self._record_failure(endpoint.id)
                 return None
             except EndpointError:
                 # No answer in time; the probe is repeated.
@@ -182,6 +189,7 @@
                     silent_while_late += 1
                 else:
                     silent += 1
+                    self._record_failure(endpoint.id)
         return None
 
     async def is_responding(self, endpoint: Endpoint, urgency: Urgency = IMMEDIATE) -> bool:
--- a/packages/gateway/src/thorncleat_gateway/groups/term.py
+++ b/packages/gateway/src/thorncleat_gateway/groups/term.py
@@ -34,6 +34,7 @@
 from .spare_warming import SpareWarming
 from .term_number import term_number
 from .unlisted_endpoints import UnlistedEndpoints
+from .witnesses import Witnesses
 
 
 @dataclasses.dataclass(frozen=True)
@@ -60,7 +61,10 @@
 
 
 class TermFactory:
-    """Builds and wires the parts of each term."""
+    """Builds and wires the parts of each term.
+
+    :param check_reach: connects to some endpoints to learn whether this daemon reaches any.
+    """
 
     def __init__(
         self,
@@ -74,6 +78,7 @@
         peers: PeerChannel,
         ended: EndedGroups,
         clock: t.Callable[[], float],
+        check_reach: t.Callable[[], t.Awaitable[None]],
     ) -> None:
         self._settings = settings
         self._view = view
@@ -85,6 +90,7 @@
         self._peers = peers
         self._ended = ended
         self._clock = clock
+        self._witnesses = Witnesses(peers, detector, clock, check_reach)
 
     def begin(self, position: Position, wake: t.Callable[[], None]) -> Term:
         """Discard the state of earlier terms and build the parts of a new one.
@@ -111,7 +117,7 @@
             records=records,
             lost=lost,
             slow=slow,
-            examination=MemberExamination(orders, lost, slow),
+            examination=MemberExamination(orders, lost, slow, self._witnesses, clock),
             unlisted=UnlistedEndpoints(view, orders, clock, jobs.start),
             ending=ending,
             forming_state=state,
--- a/packages/gateway/src/thorncleat_gateway/peers/failure_detector.py
+++ b/packages/gateway/src/thorncleat_gateway/peers/failure_detector.py
@@ -23,6 +23,7 @@
 from .messages import Suspicion
 from .own_lateness import MAX_LATENESS_SECONDS
 from .own_lateness import OwnLateness
+from .reach import Reach
 from .suspicions import Suspicions
 
 POLL_INTERVAL_SECONDS = 0.02
@@ -30,6 +31,8 @@
 LATEST_GAP_WEIGHT = 0.3
 # How long the last contact with an endpoint is remembered.
 CONTACT_TTL_SECONDS = 60.0
+# How long another daemon's report of answers shows that it reaches endpoints.
+OTHERS_REACH_SECONDS = 1.0
 # Minimum time between two broadcasts of the same suspicion.
 MIN_RESEND_SECONDS = 0.2
 
@@ -69,7 +72,8 @@
     """Watches this daemon's streams in all groups and determines which groups are suspected.
 
     :param is_full: returns whether the slots of a leader's group are all taken.
-    :param lateness: how late the event loop of this daemon runs the checks of the streams.
+    :param reach: whether this daemon is cut off from the endpoints; None to create it.
+    :ivar lateness: how late the event loop of this daemon runs the checks of the streams.
     """
 
     def __init__(
@@ -78,6 +82,7 @@
         peers: PeerChannel,
         clock: t.Callable[[], float],
         is_full: t.Callable[[Endpoint], bool] = lambda _: False,
+        reach: Reach | None = None,
     ) -> None:
         super().__init__()
         self._is_full = is_full
@@ -89,8 +94,10 @@
         self._remote_contacts: dict[str, float] = {}
         self._suspicions = Suspicions(settings.suspicion, clock)
         self._reported_at: dict[str, float] = {}
+        self._others_reached_at = float("-inf")
         self._listeners: list[t.Callable[[Suspicion], None]] = []
         self.lateness = OwnLateness(clock, POLL_INTERVAL_SECONDS)
+        self.reach = reach or Reach(clock)
         peers.on_message(self._on_message)
 
     def on_suspicion(self, listener: t.Callable[[Suspicion], None]) -> None:
@@ -135,6 +142,14 @@
         )
         return max(local, remote) >= since
 
+    def was_heard_here_since(self, endpoint_id: str, since: float) -> bool:
+        """Return whether an endpoint answered this daemon itself at or after an instant."""
+        return self._contacts.get(endpoint_id, float("-inf")) >= since
+
+    def others_reach_endpoints(self) -> bool:
+        """Return whether another daemon has lately reported answers of endpoints."""
+        return self._clock() - self._others_reached_at <= OTHERS_REACH_SECONDS
+
     def is_suspected(self, leader: Endpoint) -> bool:
         """Return whether this daemon or another one suspects a leader's group."""
         return self._suspicions.is_suspected(leader)
@@ -180,6 +195,8 @@
         now = self._clock()
         if isinstance(message, LoadReport):
             self._remote_contacts.update(dict.fromkeys(message.heard, now))
+            if message.heard:
+                self._others_reached_at = now
         elif isinstance(message, Suspicion):
             last_contact_at = self._contacts.get(message.leader, 0.0)
             if silence.is_credible(now, last_contact_at, self._settings):
--- a/packages/gateway/src/thorncleat_gateway/peers/message_codec.py
+++ b/packages/gateway/src/thorncleat_gateway/peers/message_codec.py
@@ -21,6 +21,7 @@
 from .messages import LoadReport
 from .messages import Message
 from .messages import Probe
+from .messages import ProbeResult
 from .messages import ReportedCrash
 from .messages import ReportedLimit
 from .messages import ReportedRequest
@@ -144,6 +145,19 @@
     return None
 
 
+@_encodes(ProbeResult)
+def _encode_probe_result(message: ProbeResult) -> Fields:
+    return ["probed", message.endpoint_id, message.answered, message.reaches_others]
+
+
+@_decodes("probed")
+def _decode_probe_result(fields: Fields) -> Message | None:
+    match fields:
+        case [str(endpoint_id), bool(answered), bool(reaches_others)]:
+            return ProbeResult(endpoint_id, answered, reaches_others)
+    return None
+
+
 @_encodes(GroupEnded)
 def _encode_ended(message: GroupEnded) -> Fields:
     return ["ended", message.group.epoch, message.group.name]
--- a/packages/gateway/src/thorncleat_gateway/peers/messages.py
+++ b/packages/gateway/src/thorncleat_gateway/peers/messages.py
@@ -55,6 +55,20 @@
     endpoint_id: str
 
 
+@dataclasses.dataclass(frozen=True)
+class ProbeResult:
+    """The answer to a :class:`Probe`: whether the endpoint answers the sender now.
+
+    Daemons of earlier builds neither send nor accept it.
+
+    :param reaches_others: whether other endpoints have answered the sender lately.
+    """
+
+    endpoint_id: str
+    answered: bool
+    reaches_others: bool
+
+
 @dataclasses.dataclass(frozen=True)
 class GroupEnded:
     """A notice that the controller is ending a group."""
@@ -168,6 +182,7 @@
     | DomainLoad
     | Suspicion
     | Probe
+    | ProbeResult
     | GroupEnded
     | CrashReport
     | CrashWithdrawal
--- a/packages/gateway/src/thorncleat_gateway/peers/probe_answers.py
+++ b/packages/gateway/src/thorncleat_gateway/peers/probe_answers.py
@@ -17,12 +17,14 @@
 from .load_reporter import LoadReporter
 from .messages import Message
 from .messages import Probe
+from .messages import ProbeResult
 
 
 class ProbeAnswers(mode.Service):
     """Calls the endpoint that a probe names, and reports to the controller if it answers.
 
     :param endpoint_answers: asks an endpoint for a report and returns whether it answered.
+    :param reaches_endpoints: returns whether endpoints have answered this daemon lately.
     """
 
     def __init__(
@@ -31,12 +33,14 @@
         peers: PeerChannel,
         reporter: LoadReporter,
         endpoint_answers: t.Callable[[Endpoint], t.Awaitable[bool]],
+        reaches_endpoints: t.Callable[[], bool] = lambda: True,
     ) -> None:
         super().__init__()
         self._view = view
         self._peers = peers
         self._reporter = reporter
         self._endpoint_answers = endpoint_answers
+        self._reaches_endpoints = reaches_endpoints
         peers.on_message(self._on_message)
 
     def _on_message(self, sender: str, message: Message) -> None:
@@ -54,6 +58,9 @@
         return listed or (removed.endpoint if removed else None)
 
     async def _probe_endpoint(self, controller: str, endpoint: Endpoint) -> None:
-        if await self._endpoint_answers(endpoint):
+        answered = await self._endpoint_answers(endpoint)
+        if answered:
             # This report names the endpoint among the recent contacts.
             self._peers.send(controller, self._reporter.build_report())
+        result = ProbeResult(endpoint.id, answered, self._reaches_endpoints())
+        self._peers.send(controller, result)
--- /dev/null
+++ b/packages/gateway/src/thorncleat_gateway/peers/reach_check.py
@@ -0,0 +1,87 @@
+"""Checks whether this daemon reaches endpoints, as soon as one of its connections has failed.
+
+Without it, a daemon with few requests would learn late that it is cut off, and no request would
+find out that the endpoints can be reached again.
+
+Owns: the connections of the check.
+Relies on: :mod:`.reach` to judge the results.
+"""
+
+import asyncio
+import random
+import typing as t
+
+import mode
+
+from ..store.roster import Endpoint
+from ..store.view import StoreView
+from .reach import MIN_FAILED_ENDPOINTS
+from .reach import Reach
+
+# How long requests have to disprove a doubt by themselves before connections are made for it.
+DOUBT_SECONDS = 0.02
+# Interval between two checks while the doubt remains.
+CHECK_INTERVAL_SECONDS = 0.25
+
+
+class ReachCheck(mode.Service):
+    """Connects to a few endpoints while it is doubtful whether this daemon reaches any.
+
+    :param connect: connects to an endpoint and returns whether the connection came up in time.
+    """
+
+    def __init__(
+        self,
+        reach: Reach,
+        view: StoreView,
+        connect: t.Callable[[Endpoint], t.Awaitable[bool]],
+    ) -> None:
+        super().__init__()
+        self._reach = reach
+        self._view = view
+        self._connect = connect
+
+    @mode.Service.task
+    async def _check_task(self) -> None:
+        while not self.should_stop:
+            await self._reach.wait_doubtful()
+            await asyncio.sleep(DOUBT_SECONDS)
+            if self._reach.is_doubtful:
+                await self.check()
+                await asyncio.sleep(CHECK_INTERVAL_SECONDS)
+
+    async def check(self) -> None:
+        """Connect to some endpoints to which no connection has failed yet, and record the results.
+
+        While this daemon is cut off, one endpoint drawn at random is enough to notice the end.
+        """
+        await asyncio.gather(*(self._check(endpoint) for endpoint in self._draw()))
+
+    def _draw(self) -> list[Endpoint]:
+        endpoints = list(self._view.roster.endpoints.values())
+        untried = [endpoint for endpoint in endpoints if not self._reach.has_failed(endpoint.id)]
+        if self._reach.is_cut_off:
+            return random.sample(untried or endpoints, min(1, len(endpoints)))
+        return random.sample(untried, min(MIN_FAILED_ENDPOINTS - 1, len(untried)))
+
+    async def _check(self, endpoint: Endpoint) -> None:
+        if await self._connect(endpoint):
+            self._reach.record_success()
+        else:
+            self._reach.record_failure(endpoint.id)
+
+
+async def connects(address: str, timeout: float) -> bool:
+    """Return whether a TCP connection to an address comes up.
+
+    :param address: ``host:port``.
+    :param timeout: seconds.
+    """
+    host, _, port = address.rpartition(":")
+    try:
+        async with asyncio.timeout(timeout):
+            _, writer = await asyncio.open_connection(host, int(port))
+    except (OSError, TimeoutError):
+        return False
+    writer.transport.abort()
+    return True
--- a/packages/gateway/src/thorncleat_gateway/requests/endpoint_client.py
+++ b/packages/gateway/src/thorncleat_gateway/requests/endpoint_client.py
@@ -20,6 +20,7 @@
 from ..exceptions import ConnectionBreak
 from ..exceptions import EndpointNotAcceptingError
 from ..exceptions import Executed
+from ..peers.reach import Reach
 from ..ports import ForwardMeta
 from ..ports import HeaderCodec
 from ..ports import Headers
@@ -137,6 +138,7 @@
         requests to the sending.
     :param evacuations: None to ignore evacuations.
     :param pool: keeps connections; None to open one for each attempt.
+    :param reach: records whether connections to endpoints come up; None to record nothing.
     """
 
     def __init__(
@@ -148,6 +150,7 @@
         connect_timeout: float,
         evacuations: Evacuations | None = None,
         pool: ConnectionPool | None = None,
+        reach: Reach | None = None,
     ) -> None:
         self._evacuations = evacuations
         self._client = client
@@ -157,6 +160,7 @@
         self._connect_timeout = connect_timeout
         self._timeout = aiohttp.ClientTimeout(total=None, sock_connect=connect_timeout)
         self._pool = pool
+        self._reach = reach
 
     def has_idle_connection(self, endpoint: Endpoint) -> bool:
         """Return whether there is an idle connection to an endpoint."""
@@ -251,6 +255,8 @@
             response = await stack.enter_async_context(call())
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
             self._limits.cancel(reservation)
+            if self._reach is not None:
+                self._reach.record_failure(endpoint.id)
             cause = f"no connection: {type(error).__name__}"
             raise AttemptError(cause, Executed.NO, sent=False) from error
         except (aiohttp.ClientError, ConnectionError, ValueError) as error:
@@ -259,6 +265,8 @@
             cause = f"no answer: {type(error).__name__}"
             raise AttemptError(cause, Executed.MAYBE, broken=broken) from error
         self._count(use)
+        if self._reach is not None:
+            self._reach.record_success()
         stack.callback(response.close)
         self._check_answer(response, endpoint, request, use)
         return response
--- a/tests/group_engines.py
+++ b/tests/group_engines.py
@@ -252,7 +252,7 @@
         self._world = world
         self._node = node
 
-    async def _reach(self, endpoint: Endpoint, timeout: float) -> Worker:
+    async def reach(self, endpoint: Endpoint, timeout: float) -> Worker:
         """Return an endpoint's worker, or raise the error of a call that doesn't reach it."""
         await self._node.thawed()
         await asyncio.sleep(0.002)
@@ -290,7 +290,7 @@
     async def _report(self, endpoint: Endpoint, timeout: float) -> EngineReport:
         successor = self._world.successors.get(endpoint.id)
         # Any process at the address answers, and no report names its endpoint.
-        worker = await self._reach(successor.entry() if successor else endpoint, timeout)
+        worker = await self.reach(successor.entry() if successor else endpoint, timeout)
         return EngineReport(
             worker.membership,
             (worker.model,) if worker.model else (),
@@ -302,7 +302,7 @@
 
     async def _order(self, endpoint, order, expected, timeout) -> Outcome:
         successor = self._world.successors.get(endpoint.id)
-        worker = await self._reach(successor.entry() if successor else endpoint, timeout)
+        worker = await self.reach(successor.entry() if successor else endpoint, timeout)
         if successor is not None and not self._world.chance("lost order answer"):
             raise EndpointReplacedError("another endpoint has the address")
         if successor is not None:
--- a/tests/group_world.py
+++ b/tests/group_world.py
@@ -7,6 +7,8 @@
 import collections
 import random
 
+from thorncleat_gateway.exceptions import EndpointError
+from thorncleat_gateway.gateway import RECENT_REACH_SECONDS
 from thorncleat_gateway.groups.call_window import CallWindow
 from thorncleat_gateway.groups.controller import Controller
 from thorncleat_gateway.groups.election import Election
@@ -17,9 +19,13 @@
 from thorncleat_gateway.groups.term import TermFactory
 from thorncleat_gateway.peers.datagrams import MIN_REPORT_INTERVAL_SECONDS
 from thorncleat_gateway.peers.failure_detector import FailureDetector
+from thorncleat_gateway.peers.load_reporter import MIN_CONTACT_TTL_SECONDS
 from thorncleat_gateway.peers.load_table import LoadTable
 from thorncleat_gateway.peers.messages import LoadReport
 from thorncleat_gateway.peers.messages import Probe
+from thorncleat_gateway.peers.messages import ProbeResult
+from thorncleat_gateway.peers.reach import Reach
+from thorncleat_gateway.peers.reach_check import ReachCheck
 from thorncleat_gateway.ports import ConfigurationChanged
 from thorncleat_gateway.ports import EndpointListed
 from thorncleat_gateway.ports import EndpointRemoved
@@ -48,6 +54,7 @@
 # How long the store stays unavailable after the entries have expired.
 EXPIRY_OUTAGE_SECONDS = 2.0
 HEARTBEAT_SECONDS = 1.2
+CONNECT_TIMEOUT_SECONDS = 0.25
 
 
 # How long the groups of a new world may take to form.
@@ -75,9 +82,10 @@
     def broadcast(self, message) -> None:
         for other in self._world.nodes:
             if other is not self._node:
-                self.send(other, message)
+                self.send(other.name, message)
 
-    def send(self, other: "Node", message) -> None:
+    def send(self, daemon: str, message) -> None:
+        other = next(node for node in self._world.nodes if node.name == daemon)
         if not other.frozen and not self._node.frozen:
             sender = self._node
             self._world.later(0.001, lambda: other.receive(sender, message))
@@ -93,6 +101,8 @@
         self.frozen = False
         self.cut = False
         self.cut_from_engines = False
+        # False for a daemon of an earlier build.
+        self.reports_probe_results = True
         # The store refuses this daemon's reads but carries out its writes.
         self.reads_refused = False
         # Seconds that the store takes to grant this daemon a lease.
@@ -109,7 +119,9 @@
         client = StoreClient(world, self)
         self.view = StoreView(client, world.now, settings.watch, lambda: 0.1)
         self.peers = WorldPeers(world, self)
-        self.detector = FailureDetector(StreamSettings(), self.peers, world.now)
+        self.reach = Reach(world.now)
+        self.detector = FailureDetector(StreamSettings(), self.peers, world.now, reach=self.reach)
+        self.reach_check = ReachCheck(self.reach, self.view, self._connects)
         self.load_table = LoadTable(world.now, lambda: MIN_REPORT_INTERVAL_SECONDS)
         self.election = Election(
             settings,
@@ -117,18 +129,22 @@
             self.view,
             world.now,
             lambda: {node.name: node.capacity for node in world.nodes},
+            self.reach,
+            self.detector.others_reach_endpoints,
         )
         clock = asyncio.get_running_loop().time
         self.processor = Processor(clock)
         self.calls = CallWindow(self.processor, clock)
+        self.engines = WorldEngines(world, self)
         self.orders = Orders(
             settings.control,
-            WorldEngines(world, self),
+            self.engines,
             self.view,
             lambda: self.election.is_controller,
-            lambda endpoint_id: self.detector.record_contact(endpoint_id, world.now()),
+            self._record_answer,
             self.calls,
             world.now,
+            self.reach.record_failure,
         )
         self.records = GroupRecords(client, self.view, self.election)
         self.placements = PlacementRecords(client, self.view, self.election)
@@ -144,6 +160,7 @@
             self.peers,
             self.ended,
             world.now,
+            self.reach_check.check,
         )
         self.controller = Controller(
             self.view,
@@ -175,23 +192,53 @@
         if isinstance(message, Probe):
             counts = self.world.requests_of(self)
             responding = [name for name in counts if name not in self.world.stalled_workers]
-            self.peers.send(sender, LoadReport(counts, responding))
+            self.peers.send(sender.name, LoadReport(counts, responding))
             removed = self.view.roster.removed.get(message.endpoint_id)
             listed = self.view.roster.endpoints.get(message.endpoint_id)
             if listed or removed:
-                self.world.spawn(self._probe(listed or removed.endpoint))
-
-    async def _probe(self, endpoint: Endpoint) -> None:
-        if await self.orders.is_responding(endpoint):
-            for other in self.world.nodes:
-                other.detector.record_contact(endpoint.id, self.world.now())
+                self.world.spawn(self._probe(sender, listed or removed.endpoint))
+
+    async def _probe(self, sender: "Node", endpoint: Endpoint) -> None:
+        answered = await self.orders.is_responding(endpoint)
+        if answered:
+            self.peers.send(sender.name, self._load_report())
+        reaches_others = not self.reach.is_cut_off and self.reach.succeeded_since(
+            self.world.now() - RECENT_REACH_SECONDS
+        )
+        if self.reports_probe_results:
+            self.peers.send(sender.name, ProbeResult(endpoint.id, answered, reaches_others))
+
+    def _record_answer(self, endpoint_id: str) -> None:
+        self.reach.record_success()
+        self.detector.record_contact(endpoint_id, self.world.now())
+
+    def record_request(self, worker: "Worker") -> None:
+        """Record that a request of this daemon was answered on a connection of its own."""
+        self._record_answer(worker.id)
+
+    async def _connects(self, endpoint: Endpoint) -> bool:
+        try:
+            await self.engines.reach(endpoint, CONNECT_TIMEOUT_SECONDS)
+        except EndpointError:
+            return False
+        return True
+
+    def _load_report(self) -> LoadReport:
+        heard = self.detector.contacted_within(MIN_CONTACT_TTL_SECONDS)
+        return LoadReport(self.world.requests_of(self), heard)
+
+    def report_load(self) -> None:
+        """Send a load report as each daemon does that has heard endpoints."""
+        report = self._load_report()
+        if report.heard:
+            self.peers.broadcast(report)
 
     async def start(self) -> None:
-        for part in (self.view, self.election, self.controller):
+        for part in (self.view, self.reach_check, self.election, self.controller):
             await part.start()
 
     async def stop(self) -> None:
-        for part in (self.controller, self.election, self.view):
+        for part in (self.controller, self.election, self.reach_check, self.view):
             await part.stop()
 
 
@@ -405,6 +452,8 @@
             await asyncio.sleep(0.1)
             if not self.store.down:
                 self.store.expire()
+            for node in self.nodes:
+                node.report_load()
             for worker in list(self.workers.values()):
                 worker.detect_missing_members()
                 listed = self.store.items.get(worker.id)
--- a/tests/test_cut_off_controller.py
+++ b/tests/test_cut_off_controller.py
@@ -44,12 +44,13 @@
         if node.cut_from_engines or node.reset_paths:
             continue
         for leader in _open_leaders(world):
-            node.detector.record_contact(leader.id, world.now())
+            node.record_request(leader)
 
 
-async def _cut_controller(how: str, cut_count: int, seconds: float = CUT_SECONDS):
+async def _cut_controller(how: str, cut_count: int, *, others_are_older: bool = False):
     """Cut the controller, and other daemons, off from all endpoints.
 
+    :param others_are_older: whether the other daemons report no results of probes.
     :returns: the world, the groups before and after, and the fewest groups that a daemon that
         isn't cut off could use.
     """
@@ -59,11 +60,13 @@
     before = {leader.group for leader in _open_leaders(world)}
     controller = controller_node(world)
     others = [node for node in world.nodes if node is not controller]
+    for node in others:
+        node.reports_probe_results = not others_are_older
     cut = [controller, *others][:cut_count]
     for node in cut:
         _cut(world, node, how)
     fewest = len(before)
-    until = world.now() + seconds
+    until = world.now() + CUT_SECONDS
     while world.now() < until:
         for node in cut:
             for leader in _open_leaders(world):
@@ -90,6 +93,13 @@
     assert fewest == len(before)
 
 
+@pytest.mark.parametrize("how", ["silent", "reset"])
+def test_cut_off_controller_ends_no_sound_group_among_older_daemons(how):
+    world, before, after, _ = virtual_time.run(_cut_controller(how, 1, others_are_older=True))
+    assert world.broken == []
+    assert after == before
+
+
 async def _lose_member_behind_the_cut(how: str):
     """Return the seconds until the group of a dead member serves anew, its controller cut off."""
     world = World(seed=3)
--- a/tests/test_forms_datagrams.py
+++ b/tests/test_forms_datagrams.py
@@ -11,6 +11,7 @@
 from thorncleat_gateway.peers.messages import LimitReport
 from thorncleat_gateway.peers.messages import LoadReport
 from thorncleat_gateway.peers.messages import Probe
+from thorncleat_gateway.peers.messages import ProbeResult
 from thorncleat_gateway.peers.messages import ReportedCrash
 from thorncleat_gateway.peers.messages import ReportedLimit
 from thorncleat_gateway.peers.messages import ReportedRequest
@@ -27,6 +28,7 @@
     "suspicion of nobody": Suspicion("i-1", GROUP),
     "probe": Probe("i-1"),
     "ended": GroupEnded(GROUP),
+    "probed": ProbeResult("i-1", False, True),
     "domain": DomainLoad("riga-a", {"i-1": 3}),
     "crash": CrashReport(
         [
@@ -50,6 +52,7 @@
     "suspicion of nobody": "9701a6656467652d31a773757370656374a3692d3103aa6e61727261746f722d30a0",
     "probe": "9401a6656467652d31a570726f6265a3692d31",
     "ended": "9501a6656467652d31a5656e64656403aa6e61727261746f722d30",
+    "probed": "9601a6656467652d31a670726f626564a3692d31c2c3",
     "domain": "9501a6656467652d31a6646f6d61696ea6726967612d6181a3692d3103",
     "crash": (
         "9401a6656467652d31a563726173689294a3692d3107cd01f49193c40201ff022494a3692d32c0ce0036ee8090"
--- a/tests/test_probe_answers.py
+++ b/tests/test_probe_answers.py
@@ -6,11 +6,13 @@
 
 from thorncleat_gateway.peers.messages import LoadReport
 from thorncleat_gateway.peers.messages import Probe
+from thorncleat_gateway.peers.messages import ProbeResult
 from thorncleat_gateway.peers.probe_answers import ProbeAnswers
 from thorncleat_gateway.store.roster import Endpoint
 from thorncleat_gateway.store.roster import Roster
 
 ENDPOINT = Endpoint("w0", "narrator", "", "a")
+SECOND_REPORT = LoadReport({"w0": 2}, [])
 
 
 class PeerChannel:
@@ -42,9 +44,9 @@
 @pytest.mark.parametrize(
     ("probed", "answers", "sent"),
     [
-        pytest.param("w0", True, 2, id="endpoint answers: second report"),
-        pytest.param("w0", False, 1, id="endpoint does not answer"),
-        pytest.param("w9", True, 1, id="unknown endpoint"),
+        pytest.param("w0", True, [SECOND_REPORT, ProbeResult("w0", True, True)], id="it answers"),
+        pytest.param("w0", False, [ProbeResult("w0", False, True)], id="it does not answer"),
+        pytest.param("w9", True, [], id="unknown endpoint"),
     ],
 )
 async def test_daemon_reports_its_running_requests_at_once(probed, answers, sent):
@@ -59,4 +61,4 @@
     await asyncio.sleep(0)
     await asyncio.sleep(0)
     await probe_answers.stop()
-    assert len(peers.sent) == sent
+    assert [message for _, message in peers.sent[1:]] == sent
