A daemon that is cut off from all endpoints serves its callers by way of its peers

Cause: every path of an attempt began at the daemon's own socket, and its failures shut out sound groups by suspicions of its own. Change: the connection of an attempt goes through another daemon where its own doesn't come up within 0.1 s, or at once while this daemon is cut off. The other daemon serves registered daemons only, connects only to listed endpoints and directly (one hop), carries 256 tunnels at most, offers none while its loop is late or its own reach is in doubt, and frames what the endpoint sends, so that its own death is told from the endpoint's crash: the first may have run and is no crash sign. All decisions stay at the daemon that has the caller. Own silences start no suspicion while the own reach is in doubt, and those of the doubt are forgotten once the daemon is cut off. Without any carrier it refuses at once, closes the connection, and is not ready after a second. Weighed: the whole request to a peer that decides (limits, quarantine and crash signs would be counted twice over, and a peer that dies leaves the caller without anyone who knows whether it ran); unready and a refusal (the open connections stay, and a balancer that finds under half of a domain ready uses all).

--- a/packages/gateway/src/thorncleat_gateway/events.py
+++ b/packages/gateway/src/thorncleat_gateway/events.py
@@ -124,6 +124,15 @@
 ENDPOINTS_REACHED = _event(
     7319, "endpoints_reached_again", INFO, "connections of this daemon to endpoints come up again"
 )
+ATTEMPT_TUNNELLED = _event(
+    7320, "attempt_tunnelled", INFO, "an attempt reaches its endpoint by way of another daemon"
+)
+TUNNEL_FAILED = _event(
+    7321, "tunnel_failed", INFO, "another daemon did not connect an attempt to its endpoint"
+)
+TUNNEL_REFUSED = _event(
+    7322, "tunnel_refused", INFO, "this daemon did not connect another one to an endpoint"
+)
 
 PEER_REJECTED = _event(
     7401, "datagram_rejected", WARNING, "a datagram was invalid or from an unknown sender"
--- a/packages/gateway/src/thorncleat_gateway/exceptions.py
+++ b/packages/gateway/src/thorncleat_gateway/exceptions.py
@@ -49,6 +49,21 @@
     """The connection was refused: the process has ended, or no longer accepts connections."""
 
 
+class TunnelError(ThorncleatError):
+    """A connection to an endpoint by way of another daemon did not come up; nothing was sent.
+
+    :param is_endpoints: whether the other daemon was reached, but didn't reach the endpoint.
+    """
+
+    def __init__(self, cause: str, *, is_endpoints: bool = False) -> None:
+        super().__init__(cause)
+        self.is_endpoints = is_endpoints
+
+
+class TunnelLostError(TunnelError):
+    """The other daemon was lost; the endpoint may still have got what was sent."""
+
+
 class EndpointNotAcceptingError(EndpointError):
     """An endpoint does not accept requests of this daemon now; nothing was sent to it."""
 
@@ -80,6 +95,9 @@
         it did not.
     :param retry_after: seconds for which the endpoint wants no requests of this daemon; None if it
         didn't say.
+    :param is_own_fault: whether this daemon reaches no endpoint, so that the attempt says nothing
+        of this one.
+    :param is_hopeless: whether there is no way to any endpoint, so that no further attempt helps.
     """
 
     def __init__(
@@ -88,6 +106,8 @@
         ran: Executed,
         *,
         sent: bool = True,
+        is_own_fault: bool = False,
+        is_hopeless: bool = False,
         broken: ConnectionBreak | None = None,
         retry_after: float | None = None,
     ) -> None:
@@ -95,6 +115,8 @@
         self.cause = cause
         self.ran = ran
         self.sent = sent
+        self.is_own_fault = is_own_fault
+        self.is_hopeless = is_hopeless
         self.broken = broken
         self.retry_after = retry_after
 
--- a/packages/gateway/src/thorncleat_gateway/gateway.py
+++ b/packages/gateway/src/thorncleat_gateway/gateway.py
@@ -71,12 +71,17 @@
 from .store.relays import coalescing_seconds
 from .store.roster import Endpoint
 from .store.view import StoreView
+from .tunnels.connector import PathConnector
+from .tunnels.offers import TunnelOffers
+from .tunnels.server import TunnelServer
 
 # How long to wait for the first configuration before callers' connections are accepted.
 FIRST_CONFIGURATION_TIMEOUT_SECONDS = 0.25
 # Part of a group's slots from which on they may all be taken: load reports are some tenths of a
 # second old, and as many requests may have been sent since.
 FULL_FRACTION = 0.8
+# How long a daemon that is cut off looks for others to carry its attempts before it is not ready.
+ALONE_SECONDS = 1.0
 # How long a connection that came up shows that this daemon reaches endpoints.
 RECENT_REACH_SECONDS = 1.0
 # Window of the metric that shows the lateness of the event loop.
@@ -148,6 +153,25 @@
         self._detector = FailureDetector(
             self._settings.streams, self._peers, self._clock, self._is_full, self._reach
         )
+        self._tunnel_server = TunnelServer(
+            self.view,
+            self._registration.daemons,
+            self._settings.connect_timeout,
+            self._reach,
+            self._clock,
+        )
+        tunnels = self._settings.tunnels
+        self._tunnel_offers = TunnelOffers(
+            self._peers,
+            self._registration.daemons,
+            self._settings.failure_domain,
+            self._reach,
+            self._tunnel_server,
+            None if tunnels is None else tunnels[1],
+            self._detector.lateness,
+            self._clock,
+            self._reach_check.check,
+        )
         self.load_table = LoadTable(self._clock, self._peers.report_interval_seconds)
         self._reporter = LoadReporter(
             self._peers, self.load_table, self._detector, self._settings.failure_domain
@@ -182,7 +206,7 @@
             clock,
             self._registration.capacities,
             self._reach,
-            self._detector.others_reach_endpoints,
+            lambda: self._detector.others_reach_endpoints() or bool(self._tunnel_offers.carriers),
         )
         self._call_window = CallWindow(self._detector.lateness, clock)
         orders = Orders(
@@ -236,6 +260,11 @@
         since = self._clock() - RECENT_REACH_SECONDS
         return not self._reach.is_cut_off and self._reach.succeeded_since(since)
 
+    def _has_way(self) -> bool:
+        """Return whether endpoints can be reached, directly or by way of another daemon."""
+        is_alone = not self._tunnel_offers.carriers
+        return not is_alone or self._reach.cut_off_seconds < ALONE_SECONDS
+
     def _add_gauges(self) -> None:
         add = self.metrics.gauge
         add("configuration_age_seconds", "Since a newer one was excluded", self.view.age)
@@ -253,6 +282,7 @@
         add("endpoint_calls_waiting", "For their turn", lambda: self._call_window.waiting)
         add("loop_late_seconds", "At most, of the last second", self._recent_lateness)
         add("endpoints_cut_off", "1 if this daemon is", lambda: float(self._reach.is_cut_off))
+        add("tunnels_carried", "For other daemons, now", lambda: self._tunnel_server.running)
         add("datagrams_rejected", "From unknown senders", lambda: self._peers.rejected_count)
         add("requests_quarantined", "Held back", lambda: len(self._quarantine.quarantined))
         if self._evacuations is not None:
@@ -332,11 +362,14 @@
             self._peers,
             self._detector,
             self._reach_check,
+            self._tunnel_offers,
             self._election,
             self._controller,
         ):
             await self.add_runtime_dependency(service)
         await self._listeners.open(self._relay_server.handle, self._settings.peers)
+        if self._settings.tunnels is not None:
+            await self._tunnel_server.open(self._settings.tunnels)
         if self._settings.metrics is not None:
             await self._listeners.open(self.metrics.handle, self._settings.metrics)
         await self._listeners.open(self._frontend.readiness, self._settings.readiness)
@@ -360,7 +393,10 @@
 
     def _build_frontend(self) -> Frontend:
         settings, clock = self._settings, self._clock
-        self._client = endpoint_client.create_session()
+        connector = PathConnector(
+            settings.id, self._reach, self._tunnel_offers, **endpoint_client.CONNECTOR_OPTIONS
+        )
+        self._client = endpoint_client.create_session(connector)
         retry_budgets = RetryBudgets(settings.retry, clock, lambda: self._peers.daemon_count)
         if settings.overload_control:
             self._pool = ConnectionPool(
@@ -406,7 +442,7 @@
             self._build_overload_control() if settings.overload_control else None,
         )
         plain, streams = PlainForwarder(*dependencies), StreamForwarder(*dependencies)
-        return Frontend(settings, self.view, self._codec, plain, streams, clock)
+        return Frontend(settings, self.view, self._codec, plain, streams, clock, self._has_way)
 
     def _build_overload_control(self) -> OverloadControl:
         return OverloadControl(
@@ -446,6 +482,7 @@
 
     async def on_stop(self) -> None:
         """Close the listeners."""
+        await self._tunnel_server.close()
         await self._listeners.close()
 
     async def on_shutdown(self) -> None:
--- a/packages/gateway/src/thorncleat_gateway/peers/failure_detector.py
+++ b/packages/gateway/src/thorncleat_gateway/peers/failure_detector.py
@@ -98,6 +98,7 @@
         self._listeners: list[t.Callable[[Suspicion], None]] = []
         self.lateness = OwnLateness(clock, POLL_INTERVAL_SECONDS)
         self.reach = reach or Reach(clock)
+        self.reach.on_loss(self._forget_own_suspicions)
         peers.on_message(self._on_message)
 
     def on_suspicion(self, listener: t.Callable[[Suspicion], None]) -> None:
@@ -187,6 +188,10 @@
         self._peers.broadcast(suspicion)
         self._notify(suspicion)
 
+    def _forget_own_suspicions(self) -> None:
+        """Forget what this daemon suspected when it was most likely cut off already."""
+        self._suspicions.forget_own_since(self.reach.succeeded_at)
+
     def _notify(self, suspicion: Suspicion) -> None:
         for listener in self._listeners:
             listener(suspicion)
@@ -238,7 +243,9 @@
             ]
             _abort_attempts(stalled, silence.STREAM_SILENT_CAUSE)
             return
-        self.suspect(leader, silence.SUSPICION_CAUSE)
+        if not self.reach.is_doubtful:
+            # Otherwise this daemon may be the one that is cut off; its streams leave all the same.
+            self.suspect(leader, silence.SUSPICION_CAUSE)
         overdue = [
             attempt for attempt in attempts if silence.is_overdue(now, attempt, self._settings)
         ]
--- a/packages/gateway/src/thorncleat_gateway/peers/message_codec.py
+++ b/packages/gateway/src/thorncleat_gateway/peers/message_codec.py
@@ -26,12 +26,15 @@
 from .messages import ReportedLimit
 from .messages import ReportedRequest
 from .messages import Suspicion
+from .messages import TunnelOffer
+from .messages import TunnelQuery
 from .messages import WorkspaceCounts
 from .messages import WorkspaceLoad
 
 # The first field of each datagram; :func:`decode` accepts this version only.
 FORMAT_VERSION = 1
 MILLISECONDS_PER_SECOND = 1000
+MAX_PORT = 65_535
 
 Fields = list[t.Any]
 Encoder = t.Callable[[t.Any], Fields]
@@ -227,6 +230,29 @@
     return None
 
 
+@_encodes(TunnelQuery)
+def _encode_tunnel_query(message: TunnelQuery) -> Fields:
+    return ["ask tunnel"]
+
+
+@_decodes("ask tunnel")
+def _decode_tunnel_query(fields: Fields) -> Message | None:
+    return TunnelQuery() if not fields else None
+
+
+@_encodes(TunnelOffer)
+def _encode_tunnel_offer(message: TunnelOffer) -> Fields:
+    return ["offer tunnel", message.port, message.room]
+
+
+@_decodes("offer tunnel")
+def _decode_tunnel_offer(fields: Fields) -> Message | None:
+    match fields:
+        case [int(port), int(room)] if 0 < port <= MAX_PORT:
+            return TunnelOffer(port, _parse_natural(room))
+    return None
+
+
 def _parse_counts(counts: t.Mapping[t.Any, t.Any]) -> dict[str, int]:
     return {str(endpoint): int(count) for endpoint, count in counts.items()}
 
--- a/packages/gateway/src/thorncleat_gateway/peers/messages.py
+++ b/packages/gateway/src/thorncleat_gateway/peers/messages.py
@@ -177,6 +177,26 @@
     loads: t.Sequence[WorkspaceCounts]
 
 
+@dataclasses.dataclass(frozen=True)
+class TunnelQuery:
+    """A question which daemons carry tunnels to endpoints (:mod:`..tunnels`).
+
+    Daemons of earlier builds reject it.
+    """
+
+
+@dataclasses.dataclass(frozen=True)
+class TunnelOffer:
+    """The answer to a :class:`TunnelQuery` of a daemon that reaches endpoints.
+
+    :param port: where it accepts tunnels.
+    :param room: the number of further tunnels that it carries.
+    """
+
+    port: int
+    room: int
+
+
 Message = (
     LoadReport
     | DomainLoad
@@ -188,4 +208,6 @@
     | CrashWithdrawal
     | LimitReport
     | WorkspaceLoad
+    | TunnelQuery
+    | TunnelOffer
 )
--- a/packages/gateway/src/thorncleat_gateway/peers/reach.py
+++ b/packages/gateway/src/thorncleat_gateway/peers/reach.py
@@ -44,6 +44,16 @@
         """Whether a connection has failed since the latest one that succeeded."""
         return bool(self._failed)
 
+    @property
+    def failed_count(self) -> int:
+        """Number of endpoints to which connections have failed since the latest success."""
+        return len(self._failed)
+
+    @property
+    def succeeded_at(self) -> float:
+        """When a connection last reached an endpoint, in seconds on the gateway's clock."""
+        return self._succeeded_at
+
     @property
     def is_cut_off(self) -> bool:
         """Whether this daemon most likely reaches no endpoint."""
--- a/packages/gateway/src/thorncleat_gateway/peers/suspicions.py
+++ b/packages/gateway/src/thorncleat_gateway/peers/suspicions.py
@@ -77,6 +77,14 @@
         """Remove the suspicion of a leader's group, since the leader has answered."""
         self._by_leader.pop(leader_id, None)
 
+    def forget_own_since(self, since: float) -> None:
+        """Forget the suspicions that this daemon itself has had since an instant."""
+        self._by_leader = {
+            leader_id: entry
+            for leader_id, entry in self._by_leader.items()
+            if not entry.is_local or entry.ends_at - entry.seconds < since
+        }
+
     def is_suspected(self, leader: Endpoint) -> bool:
         """Return whether a leader's group is suspected."""
         entry = self._find(leader)
--- a/packages/gateway/src/thorncleat_gateway/requests/admission.py
+++ b/packages/gateway/src/thorncleat_gateway/requests/admission.py
@@ -25,6 +25,7 @@
     STOPPING = "stopping"
     NO_CONFIGURATION = "no configuration yet"
     CONFIGURATION_TOO_OLD = "configuration too old"
+    NO_WAY_TO_ENDPOINTS = "no way to endpoints"
 
 
 STOPPING = Refusal(503, "stopping", retry_after.STOPPING_SECONDS)
@@ -56,11 +57,14 @@
     return revoke_within is None or age < revoke_within * KEY_TRUST_FRACTION
 
 
-def why_not_ready(*, is_stopping: bool, is_loaded: bool, is_current: bool) -> NotReady | None:
+def why_not_ready(
+    *, is_stopping: bool, is_loaded: bool, is_current: bool, has_way: bool = True
+) -> NotReady | None:
     """Return why this daemon should get no requests, or None if it should.
 
     :param is_loaded: whether there is a configuration.
     :param is_current: whether its keys can be trusted.
+    :param has_way: whether endpoints can be reached, directly or by way of another daemon.
     """
     if is_stopping:
         return NotReady.STOPPING
@@ -68,6 +72,8 @@
         return NotReady.NO_CONFIGURATION
     if not is_current:
         return NotReady.CONFIGURATION_TOO_OLD
+    if not has_way:
+        return NotReady.NO_WAY_TO_ENDPOINTS
     return None
 
 
--- a/packages/gateway/src/thorncleat_gateway/requests/endpoint_client.py
+++ b/packages/gateway/src/thorncleat_gateway/requests/endpoint_client.py
@@ -25,6 +25,8 @@
 from ..ports import HeaderCodec
 from ..ports import Headers
 from ..store.roster import Endpoint
+from ..tunnels.connector import AttemptPath
+from ..tunnels.connector import current_path
 from . import kept_connections
 from .connection_pool import ConnectionPool
 from .connection_pool import ConnectionUse
@@ -35,17 +37,25 @@
 from .evacuations import Evacuations
 from .request import Request
 
+# Options of a connector for a session that opens a new connection for each request.
+CONNECTOR_OPTIONS: t.Mapping[str, t.Any] = {
+    "limit": 0,
+    "force_close": True,
+    "happy_eyeballs_delay": None,
+}
 # Answers with this status or a higher one carry no result, so they need no signature.
 MIN_UNSIGNED_STATUS = 400
 
 
-def create_session() -> aiohttp.ClientSession:
+def create_session(connector: aiohttp.TCPConnector | None = None) -> aiohttp.ClientSession:
     """Return a session that opens a new connection for each request.
 
     Thus no answer can be taken for another request's, and no idle connection can be closed by the
     endpoint while a request is being sent on it.
+
+    :param connector: opens the connections; None to open them directly.
     """
-    connector = aiohttp.TCPConnector(limit=0, force_close=True, happy_eyeballs_delay=None)
+    connector = connector or aiohttp.TCPConnector(**CONNECTOR_OPTIONS)
     loop = asyncio.get_running_loop()
     return open_session(connector, functools.partial(EndpointConnection, loop=loop))
 
@@ -71,6 +81,7 @@
 class Exchange:
     """An endpoint's answer whose head has been received.
 
+    :param path: how the attempt was connected.
     :param use: the use of a connection of the pool, or None.
     """
 
@@ -78,10 +89,12 @@
         self,
         response: aiohttp.ClientResponse,
         codec: HeaderCodec,
+        path: AttemptPath,
         use: ConnectionUse | None = None,
     ) -> None:
         self._response = response
         self._codec = codec
+        self._path = path
         self._use = use
 
     @property
@@ -102,7 +115,7 @@
         try:
             body = await self._response.read()
         except (aiohttp.ClientError, ConnectionError) as error:
-            raise _cut_error(error) from error
+            raise _cut_error(error, self._path) from error
         if self._use is not None and self._use.is_mixed:
             raise AttemptError("answer of another request", Executed.MAYBE)
         return body
@@ -122,12 +135,14 @@
         try:
             return await self._response.content.readany()
         except (aiohttp.ClientError, ConnectionError) as error:
-            raise _cut_error(error) from error
+            raise _cut_error(error, self._path) from error
 
 
-def _cut_error(error: Exception) -> AttemptError:
+def _cut_error(error: Exception, path: AttemptPath) -> AttemptError:
     cause = f"answer cut: {type(error).__name__}"
-    return AttemptError(cause, Executed.MAYBE, broken=ConnectionBreak.AFTER_HEAD)
+    # The loss of the daemon that carries an attempt is no sign of the endpoint.
+    broken = None if path.is_carrier_lost else ConnectionBreak.AFTER_HEAD
+    return AttemptError(cause, Executed.MAYBE, broken=broken)
 
 
 class EndpointClient:
@@ -177,16 +192,28 @@
         :raises AttemptError: if there is no answer to this request.
         """
         async with contextlib.AsyncExitStack() as stack:
-            if self._pool is None or not _may_use_kept(request) or not self._pool.can_use(endpoint):
-                response = await self._send(stack, endpoint, request, meta)
-                yield Exchange(response, self._codec)
+            path = AttemptPath(endpoint, request.meta.id)
+            stack.callback(path.uses.close)
+            if self._pool is None or not self._may_use_pool(request, endpoint):
+                response = await self._send(stack, request, meta, path)
+                yield Exchange(response, self._codec, path)
                 return
             use = self._pool.begin(endpoint)
             stack.callback(self._pool.end, use)
-            response = await self._send_on_kept(stack, self._pool, use, request, meta)
-            yield Exchange(response, self._codec, use)
+            response = await self._send_on_kept(stack, self._pool, use, request, meta, path)
+            yield Exchange(response, self._codec, path, use)
             self._settle(use, response, request)
 
+    def _may_use_pool(self, request: Request, endpoint: Endpoint) -> bool:
+        """Return whether a request may use a kept connection, which is always direct."""
+        is_cut_off = self._reach is not None and self._reach.is_cut_off
+        return (
+            self._pool is not None
+            and not is_cut_off
+            and _may_use_kept(request)
+            and self._pool.can_use(endpoint)
+        )
+
     async def _send_on_kept(
         self,
         stack: contextlib.AsyncExitStack,
@@ -194,6 +221,7 @@
         use: ConnectionUse,
         request: Request,
         meta: ForwardMeta,
+        path: AttemptPath,
     ) -> aiohttp.ClientResponse:
         """Send a request on a kept connection if there is one.
 
@@ -202,7 +230,7 @@
         loop = asyncio.get_running_loop()
         sent_at = loop.time()
         try:
-            return await self._send(stack, use.endpoint, request, meta, use)
+            return await self._send(stack, request, meta, path, use)
         except AttemptError as failure:
             seconds = loop.time() - sent_at
             if use.is_reused and use.is_unacknowledged:
@@ -218,7 +246,7 @@
         if not pool.take_token(request.service.name):
             raise lost
         try:
-            return await self._send(stack, use.endpoint, request, meta)
+            return await self._send(stack, request, meta, path)
         except EndpointNotAcceptingError:
             raise lost from None
         except AttemptError as failure:
@@ -227,16 +255,18 @@
     async def _send(
         self,
         stack: contextlib.AsyncExitStack,
-        endpoint: Endpoint,
         request: Request,
         meta: ForwardMeta,
+        path: AttemptPath,
         use: ConnectionUse | None = None,
     ) -> aiohttp.ClientResponse:
         """Send a request and return the answer to it once its head is received.
 
         :param stack: closes the answer.
+        :param path: records how the attempt is connected.
         :param use: records the pool's connection; None to open one for this request alone.
         """
+        endpoint = path.endpoint
         if self._evacuations is not None:
             self._evacuations.check(endpoint)
         self._notices.check(endpoint)
@@ -251,26 +281,41 @@
             timeout=self._timeout,
             allow_redirects=False,
         )
+        token = current_path.set(path)
         try:
             response = await stack.enter_async_context(call())
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
             self._limits.cancel(reservation)
-            if self._reach is not None:
-                self._reach.record_failure(endpoint.id)
-            cause = f"no connection: {type(error).__name__}"
-            raise AttemptError(cause, Executed.NO, sent=False) from error
+            raise self._unsent_error(path, error) from error
         except (aiohttp.ClientError, ConnectionError, ValueError) as error:
             self._count(use)
-            broken = ConnectionBreak.BEFORE_HEAD if is_connection_lost(error) else None
+            is_broken = is_connection_lost(error) and not path.is_carrier_lost
+            broken = ConnectionBreak.BEFORE_HEAD if is_broken else None
             cause = f"no answer: {type(error).__name__}"
             raise AttemptError(cause, Executed.MAYBE, broken=broken) from error
+        finally:
+            current_path.reset(token)
         self._count(use)
-        if self._reach is not None:
+        if self._reach is not None and use is not None and not use.is_reused:
             self._reach.record_success()
         stack.callback(response.close)
         self._check_answer(response, endpoint, request, use)
         return response
 
+    def _unsent_error(self, path: AttemptPath, error: Exception) -> AttemptError:
+        """Return the error of an attempt that was never connected."""
+        is_own_fault = False
+        if self._reach is not None:
+            self._reach.record_failure(path.endpoint.id)
+            is_own_fault = self._reach.is_cut_off and not path.is_endpoints_fault
+        return AttemptError(
+            f"no connection: {type(error).__name__}",
+            Executed.NO,
+            sent=False,
+            is_own_fault=is_own_fault,
+            is_hopeless=is_own_fault and not path.has_carrier,
+        )
+
     def _count(self, use: ConnectionUse | None) -> None:
         if self._pool is not None:
             self._pool.count(use)
--- a/packages/gateway/src/thorncleat_gateway/requests/endpoint_connection.py
+++ b/packages/gateway/src/thorncleat_gateway/requests/endpoint_connection.py
@@ -5,8 +5,6 @@
 """
 
 import functools
-import socket
-import struct
 import typing as t
 
 import aiohttp
@@ -14,10 +12,10 @@
 
 from thorncleat_core.single_send import prevent_resend
 
+from ..socket_options import abort_with_reset
+
 # Headers that the client library would add by itself; only the caller's own are sent.
 SKIPPED_HEADERS = ("Accept", "Accept-Encoding", "User-Agent", "Content-Type")
-# Value of SO_LINGER (on, 0 seconds), with which closing a connection resets it.
-LINGER_RESET = struct.pack("ii", 1, 0)
 
 
 class EndpointConnection(ResponseHandler):
@@ -40,9 +38,7 @@
         transport = self.transport
         is_complete = self._payload is not None and self._payload.is_eof()
         if transport is not None and not is_complete:
-            tcp_socket = transport.get_extra_info("socket")
-            tcp_socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_RESET)
-            transport.abort()
+            abort_with_reset(transport)
         super().close()
 
 
--- a/packages/gateway/src/thorncleat_gateway/requests/frontend.py
+++ b/packages/gateway/src/thorncleat_gateway/requests/frontend.py
@@ -45,6 +45,7 @@
     :param requests: number of requests since the start.
     :param running: number of requests that are being answered.
     :param bodies: the memory for callers' bodies.
+    :param has_way: returns whether endpoints can be reached, directly or by way of another daemon.
     """
 
     def __init__(
@@ -55,6 +56,7 @@
         plain: PlainForwarder,
         streams: StreamForwarder,
         clock: t.Callable[[], float],
+        has_way: t.Callable[[], bool] = lambda: True,
     ) -> None:
         self._settings = settings
         self._view = view
@@ -62,6 +64,7 @@
         self._plain = plain
         self._streams = streams
         self._clock = clock
+        self._has_way = has_way
         self.bodies = BodyBudget(settings.memory if settings.overload_control else None)
         self.stopping = False
         self.closed = False
@@ -103,7 +106,10 @@
     def _not_ready_reason(self) -> NotReady | None:
         """Return why this daemon should get no requests, or None if it should."""
         return admission.why_not_ready(
-            is_stopping=self.stopping, is_loaded=self._view.is_loaded, is_current=self._is_current()
+            is_stopping=self.stopping,
+            is_loaded=self._view.is_loaded,
+            is_current=self._is_current(),
+            has_way=self._has_way(),
         )
 
     def _is_current(self) -> bool:
@@ -117,7 +123,8 @@
         if error.retry_after is not None:
             response.headers["Retry-After"] = f"{error.retry_after:.2f}"
         # The caller's next connection may reach a daemon that can serve it.
-        if self.stopping or (error.status == 503 and not self._is_current()):
+        is_unable = not self._is_current() or not self._has_way()
+        if self.stopping or (error.status == 503 and is_unable):
             response.force_close()
         return response
 
--- a/packages/gateway/src/thorncleat_gateway/requests/plain.py
+++ b/packages/gateway/src/thorncleat_gateway/requests/plain.py
@@ -60,7 +60,7 @@
             except AttemptError as error:
                 failure = error
                 self._selector.record_result(endpoint, succeeded=False)
-                if not failure.sent:
+                if not failure.sent and not failure.is_own_fault:
                     self._selector.avoid(endpoint)
             decision = self._after_failure(
                 request, endpoint, failure, has_failed_answer=answer is not None
--- a/packages/gateway/src/thorncleat_gateway/requests/retry_policy.py
+++ b/packages/gateway/src/thorncleat_gateway/requests/retry_policy.py
@@ -102,7 +102,10 @@
     :param has_begun: whether the caller has got the head of the answer.
     """
     can_migrate = failure.ran is Executed.NO or route.resumable
-    allowed = not used.is_late and can_migrate and has_attempts_left(route, used.sends, used.unsent)
+    # Without any way to an endpoint the caller is told at once, so that it can go elsewhere.
+    is_hopeless = failure.is_hopeless and not has_begun
+    can_retry = can_migrate and not is_hopeless and not used.is_late
+    allowed = can_retry and has_attempts_left(route, used.sends, used.unsent)
     if allowed and take_token():
         return NextStep.RETRY
     cause = OUT_OF_TIME if used.is_late else failure.cause
@@ -132,7 +135,8 @@
         return give_up(OUT_OF_TIME, retry_after.PLAIN_SECONDS, may_have_run=used.may_have_run)
     if used.may_have_run and not route.is_repeatable:
         return give_up(failure.cause, None, may_have_run=True)
-    if has_attempts_left(route, used.sends, used.unsent) and take_token():
+    can_retry = has_attempts_left(route, used.sends, used.unsent) and not failure.is_hopeless
+    if can_retry and take_token():
         return NextStep.RETRY
     if has_failed_answer:
         return NextStep.RETURN_FAILED_ANSWER
--- a/packages/gateway/src/thorncleat_gateway/requests/streams.py
+++ b/packages/gateway/src/thorncleat_gateway/requests/streams.py
@@ -135,7 +135,10 @@
         self._crash_watch.record_failure(request, endpoint, failure)
         self._selector.record_result(endpoint, succeeded=False)
         request_log.failed(request, endpoint, failure, self._clock())
-        if not failure.sent:
+        if failure.is_own_fault:
+            # The failure says nothing of the endpoint.
+            pass
+        elif not failure.sent:
             self._selector.avoid(endpoint)
             self._detector.suspect(endpoint, failure.cause)
         elif failure.broken is not None and not self._load_table.local_counts[endpoint.id]:
--- a/packages/gateway/src/thorncleat_gateway/settings.py
+++ b/packages/gateway/src/thorncleat_gateway/settings.py
@@ -109,6 +109,8 @@
     :param callers: address for callers' requests.
     :param readiness: address for the load balancer's health check.
     :param peers: address for other daemons: datagrams over UDP, answers of a relay over TCP.
+    :param tunnels: address at which other daemons may open tunnels to endpoints; None to carry
+        none.
     :param retry: retry budget of all daemons together.
     :param revoke_within: how long a key may still be accepted after its revocation; None to accept
         keys at any age of the configuration.
@@ -137,6 +139,7 @@
     grace: float = 8.0
     connect_timeout: float = 0.25
     metrics: Address | None = None
+    tunnels: Address | None = None
     capacity: float = 1.0
     watch: float = 0.4
     coalesce: float = 0.2
--- /dev/null
+++ b/packages/gateway/src/thorncleat_gateway/tunnels/offers.py
@@ -0,0 +1,220 @@
+"""Finds daemons that carry tunnels for this one, and offers to carry those of others.
+
+A daemon asks only while it is doubtful whether it reaches endpoints itself, so this costs nothing
+while all do. Each daemon that answers has connections of its own to endpoints, some room, and an
+event loop that is on time.
+
+Owns: the offers of other daemons.
+Relies on: :mod:`..peers.reach` for whether this daemon needs tunnels; datagrams may be lost.
+"""
+
+import asyncio
+import contextlib
+import dataclasses
+import random
+import typing as t
+
+import mode
+
+from ..peers.datagrams import PeerChannel
+from ..peers.messages import Message
+from ..peers.messages import TunnelOffer
+from ..peers.messages import TunnelQuery
+from ..peers.own_lateness import OwnLateness
+from ..peers.reach import Reach
+from ..store.relays import Daemon
+from .server import TunnelServer
+
+# Interval between two queries while this daemon needs tunnels.
+QUERY_INTERVAL_SECONDS = 0.25
+# Minimum time between two queries.
+MIN_QUERY_INTERVAL_SECONDS = 0.05
+# How long an offer holds: some queries, since datagrams may be lost.
+OFFER_TTL_SECONDS = 1.0
+# Daemons that are asked while there is no offer, and how many of them of the own failure domain.
+ASKED_DAEMONS = 12
+ASKED_DOMAIN_PEERS = 4
+# Daemons that are asked besides those whose offers still hold.
+FURTHER_ASKED_DAEMONS = 2
+# How long a daemon that failed a tunnel isn't used.
+AVOID_SECONDS = 1.0
+# Lateness of the own event loop from which on this daemon carries no further tunnels.
+MAX_CARRIER_LATENESS_SECONDS = 0.1
+# How long ago a connection to an endpoint, or lateness of the event loop, still counts.
+RECENT_SECONDS = 1.0
+
+
+@dataclasses.dataclass(frozen=True)
+class Carrier:
+    """A daemon that offers to carry tunnels.
+
+    :param room: the number of further tunnels that it carries.
+    :param offered_at: when its offer arrived, in seconds on the gateway's clock.
+    """
+
+    daemon_id: str
+    address: tuple[str, int]
+    failure_domain: str
+    room: int
+    offered_at: float
+
+
+def choose(
+    carriers: t.Sequence[Carrier], failure_domain: str, running: t.Mapping[str, int]
+) -> Carrier | None:
+    """Return the carrier for a tunnel: of two drawn at random the one with fewer tunnels for it.
+
+    :param failure_domain: of this daemon; carriers there come first while they have room.
+    :param running: this daemon's tunnels by carrier.
+    """
+    usable = [carrier for carrier in carriers if carrier.room > 0]
+    near = [carrier for carrier in usable if carrier.failure_domain == failure_domain]
+    drawn = random.sample(near or usable, min(2, len(near or usable)))
+    return min(drawn, key=lambda carrier: running.get(carrier.daemon_id, 0), default=None)
+
+
+class TunnelOffers(mode.Service):
+    """The daemons that carry tunnels for this one.
+
+    :param daemons: returns the registered daemons, by id.
+    :param server: carries the tunnels of other daemons.
+    :param port: where the server listens; None to carry none.
+    :param lateness: how late the event loop of this daemon runs.
+    :param check_reach: connects to some endpoints to learn whether this daemon reaches any.
+    """
+
+    def __init__(
+        self,
+        peers: PeerChannel,
+        daemons: t.Callable[[], t.Mapping[str, Daemon]],
+        failure_domain: str,
+        reach: Reach,
+        server: TunnelServer,
+        port: int | None,
+        lateness: OwnLateness,
+        clock: t.Callable[[], float],
+        check_reach: t.Callable[[], t.Awaitable[None]],
+    ) -> None:
+        super().__init__()
+        self._check_reach = check_reach
+        self._peers = peers
+        self._daemons = daemons
+        self._failure_domain = failure_domain
+        self._reach = reach
+        self._server = server
+        self._port = port
+        self._lateness = lateness
+        self._clock = clock
+        self._carriers: dict[str, Carrier] = {}
+        self._avoided_until: dict[str, float] = {}
+        self._running: dict[str, int] = {}
+        self._asked_at = float("-inf")
+        self._has_offer = asyncio.Event()
+        peers.on_message(self._on_message)
+
+    @property
+    def carriers(self) -> list[Carrier]:
+        """The daemons whose offers hold."""
+        now = self._clock()
+        oldest = now - OFFER_TTL_SECONDS
+        return [
+            carrier
+            for carrier in self._carriers.values()
+            if carrier.offered_at >= oldest
+            and now >= self._avoided_until.get(carrier.daemon_id, oldest)
+        ]
+
+    def choose(self) -> Carrier | None:
+        """Return the carrier for a tunnel; None without an offer."""
+        return choose(self.carriers, self._failure_domain, self._running)
+
+    async def wait_choice(self, seconds: float) -> Carrier | None:
+        """Ask for offers if there is none, and return a carrier; None if none comes in time."""
+        carrier = self.choose()
+        if carrier is not None:
+            return carrier
+        self.ask()
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(seconds):
+                await self._has_offer.wait()
+        return self.choose()
+
+    def avoid(self, daemon_id: str) -> None:
+        """Use another carrier for some time, since a tunnel by way of this one failed."""
+        self._avoided_until[daemon_id] = self._clock() + AVOID_SECONDS
+
+    @contextlib.contextmanager
+    def track(self, carrier: Carrier) -> t.Iterator[None]:
+        """Count a tunnel of a carrier while the context is open."""
+        daemon_id = carrier.daemon_id
+        self._running[daemon_id] = self._running.get(daemon_id, 0) + 1
+        try:
+            yield
+        finally:
+            self._running[daemon_id] -= 1
+            if not self._running[daemon_id]:
+                del self._running[daemon_id]
+
+    def ask(self) -> None:
+        """Ask some daemons for offers."""
+        now = self._clock()
+        if now - self._asked_at < MIN_QUERY_INTERVAL_SECONDS:
+            return
+        self._asked_at = now
+        self._has_offer.clear()
+        for daemon_id in self._draw():
+            self._peers.send(daemon_id, TunnelQuery())
+
+    def _draw(self) -> set[str]:
+        """Return the daemons to ask: those that offer, and others in case these are lost."""
+        others = self._peers.other_daemons
+        offering = {carrier.daemon_id for carrier in self.carriers} & others
+        if offering:
+            unknown = sorted(others - offering)
+            count = min(FURTHER_ASKED_DAEMONS, len(unknown))
+            return offering | set(random.sample(unknown, count))
+        near = sorted(others & self._peers.domain_peers)
+        drawn = set(random.sample(near, min(ASKED_DOMAIN_PEERS, len(near))))
+        far = sorted(others - drawn)
+        return drawn | set(random.sample(far, min(ASKED_DAEMONS - len(drawn), len(far))))
+
+    def _offered_room(self) -> int:
+        """Return the number of tunnels that this daemon carries for others now."""
+        since = self._clock() - RECENT_SECONDS
+        if self._reach.is_doubtful or not self._reach.succeeded_since(since):
+            return 0
+        if self._lateness.max_lateness_since(since) > MAX_CARRIER_LATENESS_SECONDS:
+            return 0
+        return self._server.room
+
+    def _on_message(self, sender: str, message: Message) -> None:
+        match message:
+            case TunnelQuery() if self._port is not None:
+                self.add_future(self._answer(sender, self._port))
+            case TunnelOffer(port, room):
+                self._record_offer(sender, port, room)
+
+    async def _answer(self, sender: str, port: int) -> None:
+        """Offer tunnels to a daemon if this one is sure to reach endpoints."""
+        if not self._reach.succeeded_since(self._clock() - RECENT_SECONDS):
+            # A daemon without requests can't know yet.
+            await self._check_reach()
+        room = self._offered_room()
+        if room:
+            self._peers.send(sender, TunnelOffer(port, room))
+
+    def _record_offer(self, sender: str, port: int, room: int) -> None:
+        daemon = self._daemons().get(sender)
+        if daemon is None:
+            return
+        self._carriers[sender] = Carrier(
+            sender, (daemon.host, port), daemon.failure_domain, room, self._clock()
+        )
+        self._has_offer.set()
+
+    @mode.Service.task
+    async def _ask_task(self) -> None:
+        while not self.should_stop:
+            await self._reach.wait_doubtful()
+            self.ask()
+            await asyncio.sleep(QUERY_INTERVAL_SECONDS)
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -123,6 +123,7 @@
         "STOPPING": "stopping",
         "NO_CONFIGURATION": "no configuration yet",
         "CONFIGURATION_TOO_OLD": "configuration too old",
+        "NO_WAY_TO_ENDPOINTS": "no way to endpoints",
     }
 
 
--- a/tests/test_cut_off_daemons.py
+++ b/tests/test_cut_off_daemons.py
@@ -65,7 +65,7 @@
             if number % 2:
                 return (await cluster.call("POST", "/status/x", number=name, daemon=daemon))[0]
             status, _, body = await cluster.chat(number=name, daemon=daemon)
-            assert status != 200 or body == events(1, 2, 3)
+            assert status != 200 or body == events(1, 2, 3, 4, 5)
             return status
 
     statuses = []
--- a/tests/test_forms_datagrams.py
+++ b/tests/test_forms_datagrams.py
@@ -16,6 +16,8 @@
 from thorncleat_gateway.peers.messages import ReportedLimit
 from thorncleat_gateway.peers.messages import ReportedRequest
 from thorncleat_gateway.peers.messages import Suspicion
+from thorncleat_gateway.peers.messages import TunnelOffer
+from thorncleat_gateway.peers.messages import TunnelQuery
 from thorncleat_gateway.peers.messages import WorkspaceCounts
 from thorncleat_gateway.peers.messages import WorkspaceLoad
 from thorncleat_gateway.store.roster import GroupId
@@ -43,6 +45,8 @@
     ),
     "workspaces": WorkspaceLoad("", [WorkspaceCounts("narrator", "large", {"growers": 3, "": 1})]),
     "workspaces of a domain": WorkspaceLoad("riga-a", []),
+    "tunnel query": TunnelQuery(),
+    "tunnel offer": TunnelOffer(7355, 256),
 }
 # Sent by daemon edge-1.
 ENCODED = {
@@ -67,6 +71,8 @@
         "9501a6656467652d31aa776f726b737061636573a09193a86e61727261746f72a56c6172676582a767726f7765727303a001"
     ),
     "workspaces of a domain": "9501a6656467652d31aa776f726b737061636573a6726967612d6190",
+    "tunnel query": "9301a6656467652d31aa61736b2074756e6e656c",
+    "tunnel offer": "9501a6656467652d31ac6f666665722074756e6e656ccd1cbbcd0100",
 }
 
 
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -135,7 +135,7 @@
         return worker
 
     def _settings(self, store: str, number: int) -> pathlib.Path:
-        ports = free_ports(3)
+        ports = free_ports(4)
         frontend, self.readiness = (f"127.0.0.1:{port}" for port in ports[:2])
         self.frontends.append(frontend)
         path = self._directory / f"settings-{number}.toml"
@@ -145,7 +145,7 @@
             ip = "127.0.0.1"
             bootstrap = true
             something_new = 1
-            internal_ports = [{ports[2]}, {ports[2] + 1}]
+            internal_ports = [{ports[2]}, {ports[3]}]
             [listen]
             frontend = "{frontend}"
             readiness = "{self.readiness}"
--- /dev/null
+++ b/tests/test_reach.py
@@ -0,0 +1,80 @@
+"""Whether a daemon itself is cut off from the endpoints."""
+
+import pytest
+
+from thorncleat_gateway.groups import witnesses
+from thorncleat_gateway.groups.election import can_campaign
+from thorncleat_gateway.groups.election import must_hand_over
+from thorncleat_gateway.peers.reach import Reach
+
+
+class Clock:
+    def __init__(self) -> None:
+        self.now = 100.0
+
+    def __call__(self) -> float:
+        return self.now
+
+
+@pytest.mark.parametrize(
+    ("listed", "failed", "cut_off"),
+    [
+        (50, ["a", "b"], False),
+        (50, ["a", "a", "a"], False),
+        (50, ["a", "b", "c"], True),
+        (2, ["a", "b"], True),
+        (1, ["a"], True),
+    ],
+)
+def test_connections_to_several_endpoints_must_fail(listed, failed, cut_off):
+    reach = Reach(Clock(), lambda: listed)
+    for endpoint_id in failed:
+        reach.record_failure(endpoint_id)
+    assert reach.is_cut_off == cut_off
+    assert reach.is_doubtful
+
+
+def test_one_connection_that_comes_up_ends_the_doubt():
+    clock = Clock()
+    reach = Reach(clock)
+    losses = []
+    reach.on_loss(lambda: losses.append(clock.now))
+    for endpoint_id in "abc":
+        reach.record_failure(endpoint_id)
+    clock.now += 2.0
+    assert reach.cut_off_seconds == 2.0
+    reach.record_success()
+    assert not reach.is_cut_off
+    assert not reach.is_doubtful
+    assert reach.cut_off_seconds == 0.0
+    assert losses == [100.0]
+
+
+@pytest.mark.parametrize(
+    ("answers_others", "is_in_touch", "has_witness", "lost"),
+    [
+        (False, True, False, True),
+        (False, False, True, True),
+        (False, False, False, False),
+        (True, True, True, False),
+    ],
+    ids=["in touch", "witness", "nobody in touch", "answers another daemon"],
+)
+def test_silence_proves_a_loss_only_where_others_answer(
+    answers_others, is_in_touch, has_witness, lost
+):
+    assert lost == witnesses.proves_loss(
+        answers_others=answers_others, is_in_touch=is_in_touch, has_witness=has_witness
+    )
+
+
+def test_controller_hands_over_only_to_daemons_that_reach_endpoints():
+    assert must_hand_over(1.0, others_reach_endpoints=True)
+    assert not must_hand_over(1.0, others_reach_endpoints=False)
+    assert not must_hand_over(0.0, others_reach_endpoints=True)
+
+
+def test_daemon_that_is_cut_off_campaigns_last():
+    assert can_campaign(0.0, 0)
+    assert not can_campaign(0.9, 0, is_cut_off=True)
+    assert can_campaign(1.0, 0, is_cut_off=True)
--- /dev/null
+++ b/tests/test_tunnels.py
@@ -0,0 +1,273 @@
+"""Connections to endpoints by way of another daemon."""
+
+import asyncio
+import contextlib
+
+import pytest
+
+from thorncleat_gateway.exceptions import TunnelError
+from thorncleat_gateway.exceptions import TunnelLostError
+from thorncleat_gateway.peers.reach import Reach
+from thorncleat_gateway.store.relays import Daemon
+from thorncleat_gateway.store.roster import Endpoint
+from thorncleat_gateway.store.roster import Roster
+from thorncleat_gateway.tunnels import frames
+from thorncleat_gateway.tunnels import offers
+from thorncleat_gateway.tunnels import server as tunnel_server
+from thorncleat_gateway.tunnels.frames import FrameKind
+from thorncleat_gateway.tunnels.frames import FrameReader
+from thorncleat_gateway.tunnels.frames import Opening
+from thorncleat_gateway.tunnels.offers import Carrier
+from thorncleat_gateway.tunnels.server import TunnelServer
+from thorncleat_gateway.tunnels.transport import open_tunnel
+
+OPENING = Opening("edge-1", "w0", 7)
+TIMEOUT_SECONDS = 2.0
+
+
+class View:
+    def __init__(self, address: str) -> None:
+        self.roster = Roster()
+        self.roster.put(Endpoint("w0", "narrator", address, "a", born=7))
+
+
+class Caller(asyncio.Protocol):
+    """Records what the user of a tunnel sees."""
+
+    def __init__(self) -> None:
+        self.received = b""
+        self.lost: list[Exception | None] = []
+        self.ended = asyncio.Event()
+        self.transport = None
+
+    def connection_made(self, transport) -> None:
+        self.transport = transport
+
+    def data_received(self, data) -> None:
+        self.received += data
+
+    def connection_lost(self, exc) -> None:
+        self.lost.append(exc)
+        self.ended.set()
+
+
+class Fleet:
+    """A daemon that carries tunnels and an endpoint whose behaviour a test chooses."""
+
+    def __init__(self, behave) -> None:
+        self._behave = behave
+        self.endpoint_ended = asyncio.Event()
+        self.losses = 0
+
+    async def __aenter__(self):
+        self._endpoint = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        host, port = self._endpoint.sockets[0].getsockname()
+        self.view = View(f"{host}:{port}")
+        self.reach = Reach(asyncio.get_running_loop().time)
+        self.server = TunnelServer(
+            self.view,
+            lambda: {"edge-1": Daemon("edge-1", "127.0.0.1", 1)},
+            0.2,
+            self.reach,
+            asyncio.get_running_loop().time,
+        )
+        await self.server.open(("127.0.0.1", 0))
+        self.address = self.server._server.sockets[0].getsockname()
+        return self
+
+    async def __aexit__(self, *_):
+        await self.server.close()
+        self._endpoint.close()
+
+    async def _serve(self, reader, writer):
+        try:
+            await self._behave(reader, writer)
+            await reader.read()
+        except ConnectionError:
+            pass
+        finally:
+            self.endpoint_ended.set()
+
+    def _record_loss(self):
+        self.losses += 1
+
+    async def open(self, opening=OPENING) -> Caller:
+        caller = Caller()
+        await open_tunnel(self.address, opening, caller, self._record_loss, TIMEOUT_SECONDS)
+        return caller
+
+
+async def _answer(reader, writer):
+    assert await reader.readexactly(4) == b"ping"
+    writer.write(b"pong")
+
+
+async def _answer_and_end(reader, writer):
+    await _answer(reader, writer)
+    writer.close()
+
+
+async def _answer_and_break(reader, writer):
+    await _answer(reader, writer)
+    await asyncio.sleep(0.05)
+    tunnel_server.abort_with_reset(writer.transport)
+
+
+async def _within(event):
+    await asyncio.wait_for(event.wait(), TIMEOUT_SECONDS)
+
+
+async def _until(condition):
+    async with asyncio.timeout(TIMEOUT_SECONDS):
+        while not condition():  # noqa: ASYNC110
+            await asyncio.sleep(0.005)
+
+
+async def test_bytes_pass_both_ways():
+    async with Fleet(_answer) as fleet:
+        caller = await fleet.open()
+        caller.transport.write(b"ping")
+        await _until(lambda: caller.received == b"pong")
+        assert caller.lost == []
+
+
+async def test_end_of_the_endpoint_is_no_loss_of_the_tunnel():
+    async with Fleet(_answer_and_end) as fleet:
+        caller = await fleet.open()
+        caller.transport.write(b"ping")
+        await _within(caller.ended)
+        assert (caller.received, caller.lost, fleet.losses) == (b"pong", [None], 0)
+
+
+async def test_reset_of_the_endpoint_is_passed_on_as_a_reset():
+    async with Fleet(_answer_and_break) as fleet:
+        caller = await fleet.open()
+        caller.transport.write(b"ping")
+        await _within(caller.ended)
+        assert isinstance(caller.lost[0], ConnectionResetError)
+        assert fleet.losses == 0
+
+
+async def test_loss_of_the_carrying_daemon_is_told_from_the_end_of_the_endpoint():
+    async with Fleet(_answer) as fleet:
+        caller = await fleet.open()
+        await fleet.server.close()
+        await _within(caller.ended)
+        assert isinstance(caller.lost[0], TunnelLostError)
+        assert fleet.losses == 1
+
+
+async def test_caller_that_leaves_ends_the_connection_to_the_endpoint():
+    async with Fleet(_answer) as fleet:
+        caller = await fleet.open()
+        caller.transport.abort()
+        await _within(fleet.endpoint_ended)
+        await _until(lambda: not fleet.server.running)
+        assert fleet.losses == 0
+
+
+async def test_paused_caller_gets_everything_later():
+    async def flood(_reader, writer):
+        writer.write(b"x" * 1_000_000)
+        writer.close()
+
+    async with Fleet(flood) as fleet:
+        caller = await fleet.open()
+        caller.transport.pause_reading()
+        await asyncio.sleep(0.1)
+        held = len(caller.received)
+        caller.transport.resume_reading()
+        await _within(caller.ended)
+        assert held < 500_000
+        assert (len(caller.received), caller.lost) == (1_000_000, [None])
+
+
+@pytest.mark.parametrize(
+    ("opening", "cause"),
+    [
+        (Opening("edge-9", "w0", 7), "unknown endpoint"),
+        (Opening("edge-1", "w9", 7), "unknown endpoint"),
+        (Opening("edge-1", "w0", 8), "unknown endpoint"),
+    ],
+    ids=["unregistered daemon", "unlisted endpoint", "another incarnation"],
+)
+async def test_only_registered_daemons_reach_only_listed_endpoints(opening, cause):
+    async with Fleet(_answer) as fleet:
+        with pytest.raises(TunnelError, match=cause):
+            await fleet.open(opening)
+        assert fleet.server.refused_count == 1
+
+
+async def test_tunnels_are_bounded(monkeypatch):
+    monkeypatch.setattr(tunnel_server, "MAX_TUNNELS", 2)
+    async with Fleet(_answer) as fleet:
+        held = [await fleet.open() for _ in range(2)]
+        assert fleet.server.room == 0
+        with pytest.raises(TunnelError, match="no room"):
+            await fleet.open()
+        assert all(caller.lost == [] for caller in held)
+
+
+@pytest.mark.parametrize("in_touch", [True, False])
+async def test_carrier_without_contact_says_nothing_of_the_endpoint(in_touch):
+    async with Fleet(_answer) as fleet:
+        fleet._endpoint.close()
+        await fleet._endpoint.wait_closed()
+        if in_touch:
+            fleet.reach.record_success()
+        with pytest.raises(TunnelError) as caught:
+            await fleet.open()
+        assert caught.value.is_endpoints == in_touch
+
+
+@pytest.mark.parametrize(
+    "data",
+    [b"\xff\xff", b"\x00\x01\x90", b"\x00\x05" + b"\x94\x02\xa1a\xa1b", b"GET / HTTP/1.1\r\n\r\n"],
+    ids=["too long", "no fields", "another version", "HTTP"],
+)
+async def test_malformed_opening_ends_the_connection(data):
+    async with Fleet(_answer) as fleet:
+        reader, writer = await asyncio.open_connection(*fleet.address)
+        writer.write(data)
+        with contextlib.suppress(ConnectionResetError):
+            assert await asyncio.wait_for(reader.read(), TIMEOUT_SECONDS) == b""
+        writer.close()
+        await _until(lambda: not fleet.server.running)
+
+
+def test_bytes_of_openings_and_frames_are_unchanged():
+    assert frames.encode_opening(OPENING).hex() == "000d9401a6656467652d31a2773007"
+    assert frames.decode_opening(frames.encode_opening(OPENING)) == OPENING
+    assert frames.encode_frame(FrameKind.DATA, b"ab").hex() == "03000000026162"
+    assert [kind.value for kind in FrameKind] == [1, 2, 3, 4, 5]
+
+
+def test_frames_are_read_whatever_pieces_they_come_in():
+    data = frames.encode_frame(FrameKind.OPENED) + frames.encode_frame(FrameKind.DATA, b"abc")
+    reader, found = FrameReader(), []
+    for byte in data:
+        reader.feed(bytes([byte]))
+        frame = reader.next()
+        if frame is not None:
+            found.append(frame)
+    assert found == [(FrameKind.OPENED, b""), (FrameKind.DATA, b"abc")]
+
+
+def _carrier(name: str, domain: str, room: int = 5) -> Carrier:
+    return Carrier(name, ("", 1), domain, room, 0.0)
+
+
+@pytest.mark.parametrize(
+    ("carriers", "running", "chosen"),
+    [
+        ([], {}, None),
+        ([_carrier("a", "x", room=0)], {}, None),
+        ([_carrier("a", "x"), _carrier("b", "y")], {}, "a"),
+        ([_carrier("a", "x", room=0), _carrier("b", "y")], {}, "b"),
+        ([_carrier("a", "x"), _carrier("b", "x")], {"a": 1}, "b"),
+    ],
+    ids=["none", "no room", "own domain first", "room before domain", "fewer tunnels first"],
+)
+def test_choice_of_a_carrier(carriers, running, chosen):
+    found = offers.choose(carriers, "x", running)
+    assert (found and found.daemon_id) == chosen
