The end of a tunnelled answer is handled in a turn of its own

Cause: the HTTP library resumes reading while its parser handles the last bytes; the tunnel then delivered the end of the connection inside the parser, which took the answer for incomplete. Change: resuming delivers, and the end is told, in the next turn of the event loop, as a socket's transport does. Evidence: test_end_is_not_seen_while_bytes_are_handled fails before and passes now.

--- a/packages/gateway/src/thorncleat_gateway/tunnels/transport.py
+++ b/packages/gateway/src/thorncleat_gateway/tunnels/transport.py
@@ -153,13 +153,18 @@
     def resume(self) -> None:
         """Pass received bytes on again."""
         self.is_paused = False
-        self._deliver()
+        # The protocol may call this while it handles received bytes.
+        asyncio.get_running_loop().call_soon(self._deliver)
         if self._connection is None or self._connection.is_closing() or self.is_paused:
             return
         self._connection.resume_reading()
 
     def _deliver(self) -> None:
-        """Handle the received frames, as far as the protocol takes them."""
+        """Handle the received frames, as far as the protocol takes them.
+
+        The end of the endpoint's connection is handled in a call of its own, as an event loop does:
+        the protocol may not expect it while it handles received bytes.
+        """
         try:
             while not self.is_paused and not self._is_over:
                 frame = self._frames.next()
@@ -184,10 +189,14 @@
             case FrameKind.DATA:
                 self.protocol.data_received(payload)
             case FrameKind.ENDED:
-                self.protocol.eof_received()
-                self._end(None)
+                self._end_soon(None)
             case FrameKind.RESET:
-                self._end(ConnectionResetError("the endpoint's connection has broken"))
+                self._end_soon(ConnectionResetError("the endpoint's connection has broken"))
+
+    def _end_soon(self, error: Exception | None) -> None:
+        """End the connection as its user sees it, in the next turn of the event loop."""
+        self._is_over = True
+        asyncio.get_running_loop().call_soon(self._end, error)
 
     def _open(self) -> None:
         assert self._connection is not None
@@ -203,6 +212,8 @@
         self._is_over = True
         if is_lost:
             self._on_lost()
+        if error is None and self._opened.done():
+            self.protocol.eof_received()
         if self._opened.done():
             self.protocol.connection_lost(error)
         else:
--- a/tests/test_tunnels.py
+++ b/tests/test_tunnels.py
@@ -19,6 +19,7 @@
 from thorncleat_gateway.tunnels.frames import Opening
 from thorncleat_gateway.tunnels.offers import Carrier
 from thorncleat_gateway.tunnels.server import TunnelServer
+from thorncleat_gateway.tunnels.transport import Tunnel
 from thorncleat_gateway.tunnels.transport import open_tunnel
 
 OPENING = Opening("edge-1", "w0", 7)
@@ -51,6 +52,25 @@
         self.ended.set()
 
 
+class Connection(asyncio.Transport):
+    """A connection to a daemon that carries tunnels."""
+
+    def is_closing(self) -> bool:
+        return False
+
+    def write(self, data) -> None:
+        pass
+
+    def pause_reading(self) -> None:
+        pass
+
+    def resume_reading(self) -> None:
+        pass
+
+    def abort(self) -> None:
+        pass
+
+
 class Fleet:
     """A daemon that carries tunnels and an endpoint whose behaviour a test chooses."""
 
@@ -166,6 +186,33 @@
         assert fleet.losses == 0
 
 
+async def test_end_is_not_seen_while_bytes_are_handled():
+    """The HTTP library resumes reading while its parser handles the last bytes."""
+
+    class Resuming(Caller):
+        is_handling = False
+
+        def data_received(self, data) -> None:
+            self.is_handling = True
+            self.transport.pause_reading()
+            self.transport.resume_reading()
+            super().data_received(data)
+            self.is_handling = False
+
+        def connection_lost(self, exc) -> None:
+            assert not self.is_handling
+            super().connection_lost(exc)
+
+    caller = Resuming()
+    tunnel = Tunnel(OPENING, caller, lambda: None)
+    tunnel.connection_made(Connection())
+    tunnel.data_received(frames.encode_frame(FrameKind.OPENED))
+    last = frames.encode_frame(FrameKind.DATA, b"last") + frames.encode_frame(FrameKind.ENDED)
+    tunnel.data_received(last)
+    await _within(caller.ended)
+    assert (caller.received, caller.lost) == (b"last", [None])
+
+
 async def test_paused_caller_gets_everything_later():
     async def flood(_reader, writer):
         writer.write(b"x" * 1_000_000)
