Whether a daemon is cut off is told for each service by itself

Cause: one connection that came up, to whatever service, counted as a sign about all. Change: Reach, its check, the offers of tunnels and the witnesses of a member's silence go by service; a carrier that is cut off from it refuses at once, and one without contact says nothing of the endpoint.

--- a/packages/gateway/src/thorncleat_gateway/gateway.py
+++ b/packages/gateway/src/thorncleat_gateway/gateway.py
@@ -144,7 +144,7 @@
         self._peers = PeerChannel(
             self._settings, self._registration.addresses, self._registration.domain_peers
         )
-        self._reach = Reach(self._clock, lambda: len(self.view.roster.endpoints))
+        self._reach = Reach(self._clock, lambda service: len(self.view.roster.of_service(service)))
         self._reach_check = ReachCheck(
             self._reach,
             self.view,
@@ -206,7 +206,7 @@
             clock,
             self._registration.capacities,
             self._reach,
-            lambda: self._detector.others_reach_endpoints() or bool(self._tunnel_offers.carriers),
+            self._others_reach_endpoints,
         )
         self._call_window = CallWindow(self._detector.lateness, clock)
         orders = Orders(
@@ -224,7 +224,7 @@
             self._peers,
             self._reporter,
             orders.is_responding,
-            self._reaches_endpoints,
+            self._reaches_service,
         )
         placements = PlacementRecords(records, view, self._election)
         terms = TermFactory(
@@ -250,20 +250,35 @@
             lambda: self._has_no_requests_yet,
         )
 
-    def _record_answer(self, endpoint_id: str) -> None:
+    def _record_answer(self, endpoint: Endpoint) -> None:
         """Record that an endpoint has answered a call of this daemon's own."""
-        self._reach.record_success()
-        self._detector.record_contact(endpoint_id, self._clock())
+        self._reach.record_success(endpoint)
+        self._detector.record_contact(endpoint.id, self._clock())
 
-    def _reaches_endpoints(self) -> bool:
-        """Return whether a connection of this daemon has reached an endpoint lately."""
+    def _reaches_service(self, service: str) -> bool:
+        """Return whether a connection of this daemon has reached a service lately."""
         since = self._clock() - RECENT_REACH_SECONDS
-        return not self._reach.is_cut_off and self._reach.succeeded_since(since)
+        is_cut_off = self._reach.is_cut_off(service)
+        return not is_cut_off and self._reach.succeeded_since(service, since)
+
+    def _others_reach_endpoints(self) -> bool:
+        """Return whether another daemon reaches the endpoints from which this one is cut off."""
+        has_carriers = any(map(self._tunnel_offers.carriers, self._reach.doubtful_services))
+        return has_carriers or self._detector.others_reach_endpoints()
 
     def _has_way(self) -> bool:
-        """Return whether endpoints can be reached, directly or by way of another daemon."""
-        is_alone = not self._tunnel_offers.carriers
-        return not is_alone or self._reach.cut_off_seconds < ALONE_SECONDS
+        """Return whether any service can be reached, directly or by way of another daemon."""
+        lost = [
+            service
+            for service in self._reach.doubtful_services
+            if self._reach.seconds_cut_off(service) >= ALONE_SECONDS
+            and not self._tunnel_offers.carriers(service)
+        ]
+        # Without a lost service, which is nearly always, the list isn't looked at.
+        if not lost:
+            return True
+        listed = {endpoint.service for endpoint in self.view.roster.endpoints.values()}
+        return bool(listed - set(lost))
 
     def _add_gauges(self) -> None:
         add = self.metrics.gauge
@@ -281,7 +296,11 @@
         add("endpoint_calls_allowed", "At once, by the controller", lambda: self._call_window.limit)
         add("endpoint_calls_waiting", "For their turn", lambda: self._call_window.waiting)
         add("loop_late_seconds", "At most, of the last second", self._recent_lateness)
-        add("endpoints_cut_off", "1 if this daemon is", lambda: float(self._reach.is_cut_off))
+        add(
+            "endpoints_cut_off",
+            "1 if this daemon is, of a service",
+            lambda: float(self._reach.cut_off_seconds > 0),
+        )
         add("tunnels_carried", "For other daemons, now", lambda: self._tunnel_server.running)
         add("datagrams_rejected", "From unknown senders", lambda: self._peers.rejected_count)
         add("requests_quarantined", "Held back", lambda: len(self._quarantine.quarantined))
--- a/packages/gateway/src/thorncleat_gateway/groups/election.py
+++ b/packages/gateway/src/thorncleat_gateway/groups/election.py
@@ -100,7 +100,7 @@
     """Tries to become controller whenever there is none, and renews the lease.
 
     :param capacities: returns the capacity of each known daemon, including this one.
-    :param reach: whether this daemon is cut off from the endpoints; None if that doesn't matter.
+    :param reach: whether this daemon is cut off from a service; None if that doesn't matter.
     :param others_reach_endpoints: returns whether another daemon reaches endpoints.
     """
 
@@ -156,7 +156,7 @@
 
     @property
     def _is_cut_off(self) -> bool:
-        return self._reach is not None and self._reach.is_cut_off
+        return self._reach is not None and self._reach.cut_off_seconds > 0
 
     def _must_hand_over(self) -> bool:
         if self.stopping:
--- a/packages/gateway/src/thorncleat_gateway/groups/member_examination.py
+++ b/packages/gateway/src/thorncleat_gateway/groups/member_examination.py
@@ -48,7 +48,7 @@
         await asyncio.gather(*(self._examine(member) for member in members))
 
     async def _examine(self, member: Endpoint) -> None:
-        question = self._witnesses.begin(member.id)
+        question = self._witnesses.begin(member)
         try:
             report = await self._probe(member, question)
             if report is not None:
--- a/packages/gateway/src/thorncleat_gateway/groups/orders.py
+++ b/packages/gateway/src/thorncleat_gateway/groups/orders.py
@@ -64,9 +64,9 @@
 
     :param is_controller: returns whether this daemon is the controller; called right before each
         order.
-    :param record_contact: called with the id of each endpoint that answers.
+    :param record_contact: called with each endpoint that answers.
     :param calls: window that limits all calls.
-    :param record_failure: called with the id of each endpoint that does not answer.
+    :param record_failure: called with each endpoint that does not answer.
     """
 
     def __init__(
@@ -75,10 +75,10 @@
         engines: Engines,
         view: StoreView,
         is_controller: t.Callable[[], bool],
-        record_contact: t.Callable[[str], None],
+        record_contact: t.Callable[[Endpoint], None],
         calls: CallWindow,
         clock: t.Callable[[], float],
-        record_failure: t.Callable[[str], None] = lambda _: None,
+        record_failure: t.Callable[[Endpoint], None] = lambda _: None,
     ) -> None:
         self._settings = settings
         self._engines = engines
@@ -136,10 +136,10 @@
                     endpoint, order, expected, self._settings.order_timeout
                 )
             except EndpointTimeoutError:
-                self._record_failure(endpoint.id)
+                self._record_failure(endpoint)
                 events.ORDER_UNANSWERED.log(endpoint=endpoint.id, order=type(order).__name__)
                 raise
-        self._record_contact(endpoint.id)
+        self._record_contact(endpoint)
         events.ORDER_GIVEN.log(
             endpoint=endpoint.id,
             order=type(order).__name__,
@@ -155,7 +155,7 @@
         """
         async with self._calls.slot(urgency):
             report = await self._engines.report(endpoint, self._settings.probe_timeout)
-        self._record_contact(endpoint.id)
+        self._record_contact(endpoint)
         self._reports[endpoint.id] = report
         return report
 
@@ -181,7 +181,7 @@
             except EndpointReplacedError:
                 return None
             except EndpointRefusedError:
-                self._record_failure(endpoint.id)
+                self._record_failure(endpoint)
                 return None
             except EndpointError:
                 # No answer in time; the probe is repeated.
@@ -189,7 +189,7 @@
                     silent_while_late += 1
                 else:
                     silent += 1
-                    self._record_failure(endpoint.id)
+                    self._record_failure(endpoint)
         return None
 
     async def is_responding(self, endpoint: Endpoint, urgency: Urgency = IMMEDIATE) -> bool:
--- a/packages/gateway/src/thorncleat_gateway/groups/term.py
+++ b/packages/gateway/src/thorncleat_gateway/groups/term.py
@@ -63,7 +63,7 @@
 class TermFactory:
     """Builds and wires the parts of each term.
 
-    :param check_reach: connects to some endpoints to learn whether this daemon reaches any.
+    :param check_reach: connects to endpoints of a service to learn whether this daemon reaches any.
     """
 
     def __init__(
@@ -78,7 +78,7 @@
         peers: PeerChannel,
         ended: EndedGroups,
         clock: t.Callable[[], float],
-        check_reach: t.Callable[[], t.Awaitable[None]],
+        check_reach: t.Callable[[str], t.Awaitable[None]],
     ) -> None:
         self._settings = settings
         self._view = view
--- a/packages/gateway/src/thorncleat_gateway/groups/witnesses.py
+++ b/packages/gateway/src/thorncleat_gateway/groups/witnesses.py
@@ -19,6 +19,7 @@
 from ..peers.messages import Message
 from ..peers.messages import Probe
 from ..peers.messages import ProbeResult
+from ..store.roster import Endpoint
 
 # Daemons that are asked about one endpoint; the other two count if one is cut off itself.
 WITNESSES = 3
@@ -47,12 +48,12 @@
 
     def __init__(
         self,
-        endpoint_id: str,
+        endpoint: Endpoint,
         began_at: float,
         daemons: t.Collection[str],
         ask: t.Callable[[str, Probe], None],
     ) -> None:
-        self.endpoint_id = endpoint_id
+        self.endpoint = endpoint
         self.began_at = began_at
         self.asked_at: float | None = None
         self.results: dict[str, ProbeResult] = {}
@@ -78,7 +79,7 @@
             return
         self.asked_at = now
         for daemon in self._daemons:
-            self._ask(daemon, Probe(self.endpoint_id))
+            self._ask(daemon, Probe(self.endpoint.id))
 
     def record(self, sender: str, result: ProbeResult) -> None:
         """Record the result of an asked daemon."""
@@ -97,7 +98,7 @@
 class Witnesses:
     """Asks other daemons about endpoints that don't answer this one.
 
-    :param check_reach: connects to other endpoints, so that it is known whether they answer.
+    :param check_reach: connects to endpoints of a service, so that it is known whether they answer.
     """
 
     def __init__(
@@ -105,7 +106,7 @@
         peers: PeerChannel,
         detector: FailureDetector,
         clock: t.Callable[[], float],
-        check_reach: t.Callable[[], t.Awaitable[None]],
+        check_reach: t.Callable[[str], t.Awaitable[None]],
     ) -> None:
         self._peers = peers
         self._detector = detector
@@ -114,11 +115,11 @@
         self._questions: set[Question] = set()
         peers.on_message(self._on_message)
 
-    def begin(self, endpoint_id: str) -> Question:
+    def begin(self, endpoint: Endpoint) -> Question:
         """Return a question about an endpoint, which is yet to be asked."""
         others = sorted(self._peers.other_daemons)
         daemons = random.sample(others, min(WITNESSES, len(others)))
-        question = Question(endpoint_id, self._clock(), daemons, self._peers.send)
+        question = Question(endpoint, self._clock(), daemons, self._peers.send)
         self._questions.add(question)
         return question
 
@@ -132,7 +133,7 @@
         assert question.asked_at is not None
         await question.wait_answered(question.asked_at + ANSWER_SECONDS - self._clock())
         if not question.answers_others and not self._is_in_touch(question):
-            await self._check_reach()
+            await self._check_reach(question.endpoint.service)
         return proves_loss(
             answers_others=question.answers_others or self._was_heard(question),
             is_in_touch=self._is_in_touch(question),
@@ -140,20 +141,18 @@
         )
 
     def _is_in_touch(self, question: Question) -> bool:
-        """Return whether other endpoints have answered this daemon since a question began."""
-        reach = self._detector.reach
-        if reach.is_cut_off:
-            return False
+        """Return whether others of its service have answered this daemon since a question began."""
+        reach, service = self._detector.reach, question.endpoint.service
         since = question.began_at - CONTACT_LOOKBACK_SECONDS
-        return reach.succeeded_since(since)
+        return not reach.is_cut_off(service) and reach.succeeded_since(service, since)
 
     def _was_heard(self, question: Question) -> bool:
         """Return whether the endpoint has answered this daemon after all."""
-        return self._detector.was_heard_here_since(question.endpoint_id, question.began_at)
+        return self._detector.was_heard_here_since(question.endpoint.id, question.began_at)
 
     def _on_message(self, sender: str, message: Message) -> None:
         if not isinstance(message, ProbeResult):
             return
         for question in self._questions:
-            if question.endpoint_id == message.endpoint_id:
+            if question.endpoint.id == message.endpoint_id:
                 question.record(sender, message)
--- a/packages/gateway/src/thorncleat_gateway/peers/failure_detector.py
+++ b/packages/gateway/src/thorncleat_gateway/peers/failure_detector.py
@@ -170,7 +170,7 @@
         """
         now = self._clock()
         group = leader.membership.group if leader.membership else None
-        self._suspicions.add(leader.id, group, is_local=True)
+        self._suspicions.add(leader.id, group, is_local=True, service=leader.service)
         recently_reported = now - self._reported_at.get(leader.id, 0.0) < MIN_RESEND_SECONDS
         if group is None or recently_reported:
             return
@@ -188,9 +188,9 @@
         self._peers.broadcast(suspicion)
         self._notify(suspicion)
 
-    def _forget_own_suspicions(self) -> None:
+    def _forget_own_suspicions(self, service: str) -> None:
         """Forget what this daemon suspected when it was most likely cut off already."""
-        self._suspicions.forget_own_since(self.reach.succeeded_at)
+        self._suspicions.forget_own_since(service, self.reach.succeeded_at(service))
 
     def _notify(self, suspicion: Suspicion) -> None:
         for listener in self._listeners:
@@ -243,7 +243,7 @@
             ]
             _abort_attempts(stalled, silence.STREAM_SILENT_CAUSE)
             return
-        if not self.reach.is_doubtful:
+        if not self.reach.is_doubtful(leader.service):
             # Otherwise this daemon may be the one that is cut off; its streams leave all the same.
             self.suspect(leader, silence.SUSPICION_CAUSE)
         overdue = [
--- a/packages/gateway/src/thorncleat_gateway/peers/message_codec.py
+++ b/packages/gateway/src/thorncleat_gateway/peers/message_codec.py
@@ -232,24 +232,27 @@
 
 @_encodes(TunnelQuery)
 def _encode_tunnel_query(message: TunnelQuery) -> Fields:
-    return ["ask tunnel"]
+    return ["ask tunnel", message.service]
 
 
 @_decodes("ask tunnel")
 def _decode_tunnel_query(fields: Fields) -> Message | None:
-    return TunnelQuery() if not fields else None
+    match fields:
+        case [str(service)]:
+            return TunnelQuery(service)
+    return None
 
 
 @_encodes(TunnelOffer)
 def _encode_tunnel_offer(message: TunnelOffer) -> Fields:
-    return ["offer tunnel", message.port, message.room]
+    return ["offer tunnel", message.service, message.port, message.room]
 
 
 @_decodes("offer tunnel")
 def _decode_tunnel_offer(fields: Fields) -> Message | None:
     match fields:
-        case [int(port), int(room)] if 0 < port <= MAX_PORT:
-            return TunnelOffer(port, _parse_natural(room))
+        case [str(service), int(port), int(room)] if 0 < port <= MAX_PORT:
+            return TunnelOffer(service, port, _parse_natural(room))
     return None
 
 
--- a/packages/gateway/src/thorncleat_gateway/peers/messages.py
+++ b/packages/gateway/src/thorncleat_gateway/peers/messages.py
@@ -61,7 +61,7 @@
 
     Daemons of earlier builds neither send nor accept it.
 
-    :param reaches_others: whether other endpoints have answered the sender lately.
+    :param reaches_others: whether endpoints of its service have answered the sender lately.
     """
 
     endpoint_id: str
@@ -179,20 +179,23 @@
 
 @dataclasses.dataclass(frozen=True)
 class TunnelQuery:
-    """A question which daemons carry tunnels to endpoints (:mod:`..tunnels`).
+    """A question which daemons carry tunnels to the endpoints of a service (:mod:`..tunnels`).
 
     Daemons of earlier builds reject it.
     """
 
+    service: str
+
 
 @dataclasses.dataclass(frozen=True)
 class TunnelOffer:
-    """The answer to a :class:`TunnelQuery` of a daemon that reaches endpoints.
+    """The answer to a :class:`TunnelQuery` of a daemon that reaches endpoints of the service.
 
     :param port: where it accepts tunnels.
     :param room: the number of further tunnels that it carries.
     """
 
+    service: str
     port: int
     room: int
 
--- a/packages/gateway/src/thorncleat_gateway/peers/probe_answers.py
+++ b/packages/gateway/src/thorncleat_gateway/peers/probe_answers.py
@@ -24,7 +24,7 @@
     """Calls the endpoint that a probe names, and reports to the controller if it answers.
 
     :param endpoint_answers: asks an endpoint for a report and returns whether it answered.
-    :param reaches_endpoints: returns whether endpoints have answered this daemon lately.
+    :param reaches_service: returns whether endpoints of a service have answered this daemon lately.
     """
 
     def __init__(
@@ -33,14 +33,14 @@
         peers: PeerChannel,
         reporter: LoadReporter,
         endpoint_answers: t.Callable[[Endpoint], t.Awaitable[bool]],
-        reaches_endpoints: t.Callable[[], bool] = lambda: True,
+        reaches_service: t.Callable[[str], bool] = lambda _: True,
     ) -> None:
         super().__init__()
         self._view = view
         self._peers = peers
         self._reporter = reporter
         self._endpoint_answers = endpoint_answers
-        self._reaches_endpoints = reaches_endpoints
+        self._reaches_service = reaches_service
         peers.on_message(self._on_message)
 
     def _on_message(self, sender: str, message: Message) -> None:
@@ -62,5 +62,5 @@
         if answered:
             # This report names the endpoint among the recent contacts.
             self._peers.send(controller, self._reporter.build_report())
-        result = ProbeResult(endpoint.id, answered, self._reaches_endpoints())
+        result = ProbeResult(endpoint.id, answered, self._reaches_service(endpoint.service))
         self._peers.send(controller, result)
--- a/packages/gateway/src/thorncleat_gateway/peers/reach.py
+++ b/packages/gateway/src/thorncleat_gateway/peers/reach.py
@@ -1,101 +1,143 @@
-"""Determines whether this daemon itself is cut off from the endpoints.
+"""Determines from which services this daemon itself is cut off.
 
 That an endpoint doesn't answer this daemon proves something about the pair, not about the endpoint.
-If connections to several endpoints fail in a row and none succeeds, this daemon is the likelier
-fault, and its own silence from an endpoint is no evidence against that endpoint.
+If connections to several endpoints of a service fail in a row and none succeeds, this daemon is the
+likelier fault, and its own silence from an endpoint there is no evidence against that endpoint.
 
-Owns: the endpoints to which connections have failed since the latest one that succeeded.
+Owns: the endpoints of each service to which connections have failed since the latest success.
 Relies on: :class:`~..requests.endpoint_client.EndpointClient`, :class:`~..groups.orders.Orders` and
 :class:`.reach_check.ReachCheck` to record the results of this daemon's own connections, not those
 of connections by way of a peer.
 """
 
 import asyncio
+import dataclasses
 import typing as t
 
 from .. import events
+from ..store.roster import Endpoint
 
-# Endpoints to which connections must fail in a row.
+# Endpoints of a service to which connections must fail in a row.
 MIN_FAILED_ENDPOINTS = 3
+NEVER = float("-inf")
+
+
+@dataclasses.dataclass
+class _ServiceReach:
+    """What is known of this daemon's connections to a service.
+
+    :param failed: ids of the endpoints to which connections have failed since the latest success.
+    :param succeeded_at: when a connection last came up.
+    :param lost_at: when this daemon found itself cut off; None if it isn't.
+    """
+
+    failed: set[str] = dataclasses.field(default_factory=set)
+    succeeded_at: float = NEVER
+    lost_at: float | None = None
 
 
 class Reach:
-    """Whether this daemon reaches endpoints by connections of its own.
+    """Whether connections of this daemon reach the endpoints of each service.
 
-    :param count_endpoints: returns the number of listed endpoints; all of them must fail if they
-        are fewer than :data:`MIN_FAILED_ENDPOINTS`.
+    :param clock: monotonic, in seconds.
+    :param count_endpoints: returns the number of a service's listed endpoints; all of them must
+        fail if they are fewer than :data:`MIN_FAILED_ENDPOINTS`.
     """
 
     def __init__(
         self,
         clock: t.Callable[[], float],
-        count_endpoints: t.Callable[[], int] = lambda: MIN_FAILED_ENDPOINTS,
+        count_endpoints: t.Callable[[str], int] = lambda _: MIN_FAILED_ENDPOINTS,
     ) -> None:
         self._clock = clock
         self._count_endpoints = count_endpoints
-        self._failed: set[str] = set()
-        self._lost_at: float | None = None
-        self._succeeded_at = float("-inf")
+        self._services: dict[str, _ServiceReach] = {}
         self._has_doubt = asyncio.Event()
-        self._listeners: list[t.Callable[[], None]] = []
-
-    @property
-    def is_doubtful(self) -> bool:
-        """Whether a connection has failed since the latest one that succeeded."""
-        return bool(self._failed)
+        self._listeners: list[t.Callable[[str], None]] = []
 
     @property
-    def failed_count(self) -> int:
-        """Number of endpoints to which connections have failed since the latest success."""
-        return len(self._failed)
-
-    @property
-    def succeeded_at(self) -> float:
-        """When a connection last reached an endpoint, in seconds on the gateway's clock."""
-        return self._succeeded_at
-
-    @property
-    def is_cut_off(self) -> bool:
-        """Whether this daemon most likely reaches no endpoint."""
-        return self._lost_at is not None
+    def doubtful_services(self) -> list[str]:
+        """The services to which a connection has failed since the latest one that came up."""
+        return [service for service, found in self._services.items() if found.failed]
 
     @property
     def cut_off_seconds(self) -> float:
-        """Seconds for which this daemon has been cut off; 0 if it isn't."""
-        return 0.0 if self._lost_at is None else self._clock() - self._lost_at
-
-    def on_loss(self, listener: t.Callable[[], None]) -> None:
-        """Call a function each time this daemon finds itself cut off."""
+        """Seconds for which this daemon has been cut off from some service; 0 if it isn't."""
+        now = self._clock()
+        lost = [found.lost_at for found in self._services.values() if found.lost_at is not None]
+        return max((now - at for at in lost), default=0.0)
+
+    def is_doubtful(self, service: str) -> bool:
+        """Return whether a connection to a service failed since the latest one that came up."""
+        found = self._services.get(service)
+        return found is not None and bool(found.failed)
+
+    def is_cut_off(self, service: str) -> bool:
+        """Return whether this daemon most likely reaches no endpoint of a service."""
+        found = self._services.get(service)
+        return found is not None and found.lost_at is not None
+
+    def seconds_cut_off(self, service: str) -> float:
+        """Return the seconds for which this daemon has been cut off from a service; 0 if not."""
+        found = self._services.get(service)
+        return 0.0 if found is None or found.lost_at is None else self._clock() - found.lost_at
+
+    def failed_count(self, service: str) -> int:
+        """Return the number of endpoints that have failed since the latest success."""
+        found = self._services.get(service)
+        return 0 if found is None else len(found.failed)
+
+    def has_failed(self, endpoint: Endpoint) -> bool:
+        """Return whether a connection to an endpoint failed since its service's last success."""
+        found = self._services.get(endpoint.service)
+        return found is not None and endpoint.id in found.failed
+
+    def succeeded_at(self, service: str) -> float:
+        """Return when a connection to a service last came up, in seconds on the clock."""
+        found = self._services.get(service)
+        return NEVER if found is None else found.succeeded_at
+
+    def succeeded_since(self, service: str, since: float) -> bool:
+        """Return whether a connection to a service came up at or after an instant."""
+        return self.succeeded_at(service) >= since
+
+    def on_loss(self, listener: t.Callable[[str], None]) -> None:
+        """Call a function with each service from which this daemon finds itself cut off."""
         self._listeners.append(listener)
 
-    def has_failed(self, endpoint_id: str) -> bool:
-        """Return whether a connection to an endpoint has failed since the latest success."""
-        return endpoint_id in self._failed
-
-    def succeeded_since(self, since: float) -> bool:
-        """Return whether a connection reached an endpoint at or after an instant in seconds."""
-        return self._succeeded_at >= since
-
     async def wait_doubtful(self) -> None:
-        """Wait until a connection has failed."""
+        """Wait until there is a doubtful service."""
         await self._has_doubt.wait()
 
-    def record_success(self) -> None:
+    def record_success(self, endpoint: Endpoint) -> None:
         """Record that a connection of this daemon reached an endpoint."""
-        self._succeeded_at = self._clock()
-        self._failed.clear()
-        self._has_doubt.clear()
-        if self._lost_at is not None:
-            events.ENDPOINTS_REACHED.log(seconds=round(self.cut_off_seconds, 3))
-            self._lost_at = None
-
-    def record_failure(self, endpoint_id: str) -> None:
+        found = self._services.setdefault(endpoint.service, _ServiceReach())
+        found.succeeded_at = self._clock()
+        found.failed.clear()
+        if not self.doubtful_services:
+            self._has_doubt.clear()
+        if found.lost_at is not None:
+            seconds = round(self.seconds_cut_off(endpoint.service), 3)
+            events.ENDPOINTS_REACHED.log(service=endpoint.service, seconds=seconds)
+            found.lost_at = None
+
+    def record_failure(self, endpoint: Endpoint) -> None:
         """Record that a connection of this daemon didn't reach an endpoint."""
-        self._failed.add(endpoint_id)
+        service = endpoint.service
+        found = self._services.setdefault(service, _ServiceReach())
+        found.failed.add(endpoint.id)
         self._has_doubt.set()
-        needed = min(MIN_FAILED_ENDPOINTS, max(1, self._count_endpoints()))
-        if self._lost_at is None and len(self._failed) >= needed:
-            self._lost_at = self._clock()
-            events.CUT_OFF.log(failed=sorted(self._failed))
+        needed = min(MIN_FAILED_ENDPOINTS, max(1, self._count_endpoints(service)))
+        if found.lost_at is None and len(found.failed) >= needed:
+            found.lost_at = self._clock()
+            events.CUT_OFF.log(service=service, failed=sorted(found.failed))
             for listener in self._listeners:
-                listener()
+                listener(service)
+
+    def forget_unlisted(self, services: t.Container[str]) -> None:
+        """Forget services of which no endpoint is listed any more."""
+        self._services = {
+            service: found for service, found in self._services.items() if service in services
+        }
+        if not self.doubtful_services:
+            self._has_doubt.clear()
--- a/packages/gateway/src/thorncleat_gateway/peers/reach_check.py
+++ b/packages/gateway/src/thorncleat_gateway/peers/reach_check.py
@@ -46,29 +46,33 @@
         while not self.should_stop:
             await self._reach.wait_doubtful()
             await asyncio.sleep(DOUBT_SECONDS)
-            if self._reach.is_doubtful:
-                await self.check()
+            listed = {endpoint.service for endpoint in self._view.roster.endpoints.values()}
+            self._reach.forget_unlisted(listed)
+            doubtful = self._reach.doubtful_services
+            if doubtful:
+                await asyncio.gather(*map(self.check, doubtful))
                 await asyncio.sleep(CHECK_INTERVAL_SECONDS)
 
-    async def check(self) -> None:
-        """Connect to some endpoints to which no connection has failed yet, and record the results.
+    async def check(self, service: str) -> None:
+        """Connect to some endpoints of a service, and record the results.
 
-        While this daemon is cut off, one endpoint drawn at random is enough to notice the end.
+        Those to which no connection has failed yet come first. While this daemon is cut off, one
+        endpoint is enough to notice the end.
         """
-        await asyncio.gather(*(self._check(endpoint) for endpoint in self._draw()))
+        await asyncio.gather(*(self._check(endpoint) for endpoint in self._draw(service)))
 
-    def _draw(self) -> list[Endpoint]:
-        endpoints = list(self._view.roster.endpoints.values())
-        untried = [endpoint for endpoint in endpoints if not self._reach.has_failed(endpoint.id)]
-        if self._reach.is_cut_off:
+    def _draw(self, service: str) -> list[Endpoint]:
+        endpoints = self._view.roster.of_service(service)
+        untried = [endpoint for endpoint in endpoints if not self._reach.has_failed(endpoint)]
+        if self._reach.is_cut_off(service):
             return random.sample(untried or endpoints, min(1, len(endpoints)))
         return random.sample(untried, min(MIN_FAILED_ENDPOINTS - 1, len(untried)))
 
     async def _check(self, endpoint: Endpoint) -> None:
         if await self._connect(endpoint):
-            self._reach.record_success()
+            self._reach.record_success(endpoint)
         else:
-            self._reach.record_failure(endpoint.id)
+            self._reach.record_failure(endpoint)
 
 
 async def connects(address: str, timeout: float) -> bool:
--- a/packages/gateway/src/thorncleat_gateway/peers/suspicions.py
+++ b/packages/gateway/src/thorncleat_gateway/peers/suspicions.py
@@ -27,12 +27,14 @@
     :param ends_at: when the suspicion expires and the probation begins.
     :param seconds: duration of the suspicion.
     :param is_local: whether this daemon itself found the group silent.
+    :param service: of the group, if this daemon found it silent.
     """
 
     group: GroupId | None
     ends_at: float
     seconds: float
     is_local: bool
+    service: str = ""
 
 
 class Suspicions:
@@ -46,10 +48,13 @@
         self._clock = clock
         self._by_leader: dict[str, _Entry] = {}
 
-    def add(self, leader_id: str, group: GroupId | None, *, is_local: bool) -> None:
+    def add(
+        self, leader_id: str, group: GroupId | None, *, is_local: bool, service: str = ""
+    ) -> None:
         """Suspect a group, for longer if it was on probation.
 
         :param is_local: whether this daemon itself found the group silent.
+        :param service: of the group, if this daemon found it silent.
         """
         now = self._clock()
         seconds = self._first_seconds
@@ -62,7 +67,8 @@
                 MAX_DURATION_SECONDS,
             )
             is_local = is_local or (previous.is_local and not is_on_probation)
-        self._by_leader[leader_id] = _Entry(group, now + seconds, seconds, is_local)
+            service = service or previous.service
+        self._by_leader[leader_id] = _Entry(group, now + seconds, seconds, is_local, service)
         self._remove_expired(now)
 
     def _remove_expired(self, now: float) -> None:
@@ -77,12 +83,14 @@
         """Remove the suspicion of a leader's group, since the leader has answered."""
         self._by_leader.pop(leader_id, None)
 
-    def forget_own_since(self, since: float) -> None:
-        """Forget the suspicions that this daemon itself has had since an instant."""
+    def forget_own_since(self, service: str, since: float) -> None:
+        """Forget the suspicions of a service's groups that this daemon has had since an instant."""
         self._by_leader = {
             leader_id: entry
             for leader_id, entry in self._by_leader.items()
-            if not entry.is_local or entry.ends_at - entry.seconds < since
+            if not entry.is_local
+            or entry.service != service
+            or entry.ends_at - entry.seconds < since
         }
 
     def is_suspected(self, leader: Endpoint) -> bool:
--- a/packages/gateway/src/thorncleat_gateway/requests/endpoint_client.py
+++ b/packages/gateway/src/thorncleat_gateway/requests/endpoint_client.py
@@ -206,7 +206,7 @@
 
     def _may_use_pool(self, request: Request, endpoint: Endpoint) -> bool:
         """Return whether a request may use a kept connection, which is always direct."""
-        is_cut_off = self._reach is not None and self._reach.is_cut_off
+        is_cut_off = self._reach is not None and self._reach.is_cut_off(endpoint.service)
         return (
             self._pool is not None
             and not is_cut_off
@@ -297,7 +297,7 @@
             current_path.reset(token)
         self._count(use)
         if self._reach is not None and use is not None and not use.is_reused:
-            self._reach.record_success()
+            self._reach.record_success(endpoint)
         stack.callback(response.close)
         self._check_answer(response, endpoint, request, use)
         return response
@@ -306,8 +306,9 @@
         """Return the error of an attempt that was never connected."""
         is_own_fault = False
         if self._reach is not None:
-            self._reach.record_failure(path.endpoint.id)
-            is_own_fault = self._reach.is_cut_off and not path.is_endpoints_fault
+            self._reach.record_failure(path.endpoint)
+            is_cut_off = self._reach.is_cut_off(path.endpoint.service)
+            is_own_fault = is_cut_off and not path.is_endpoints_fault
         return AttemptError(
             f"no connection: {type(error).__name__}",
             Executed.NO,
--- a/packages/gateway/src/thorncleat_gateway/tunnels/connector.py
+++ b/packages/gateway/src/thorncleat_gateway/tunnels/connector.py
@@ -34,7 +34,7 @@
 # How long a tunnel may take: two connections, one of which may have to be repeated.
 TUNNEL_TIMEOUT_SECONDS = 0.4
 # Carriers that are tried for one connection.
-MAX_CARRIERS = 2
+MAX_CARRIERS = 3
 
 
 @dataclasses.dataclass
@@ -83,7 +83,7 @@
         path = current_path.get()
         if path is None:
             return await super()._create_connection(req, traces, timeout)
-        if self._reach.is_cut_off:
+        if self._reach.is_cut_off(path.endpoint.service):
             try:
                 return await self._tunnel(path)
             except TunnelError:
@@ -99,19 +99,19 @@
         try:
             await asyncio.wait({direct}, timeout=HEAD_START_SECONDS)
             if direct.done() and direct.exception() is None:
-                self._reach.record_success()
+                self._reach.record_success(path.endpoint)
                 return direct.result()
-            self._reach.record_failure(path.endpoint.id)
-            if direct.done() and not self._is_own_fault_likely():
+            self._reach.record_failure(path.endpoint)
+            if direct.done() and not self._is_own_fault_likely(path.endpoint):
                 return direct.result()
             return await self._race(path, direct)
         except BaseException:
             _discard(direct)
             raise
 
-    def _is_own_fault_likely(self) -> bool:
-        """Return whether connections to other endpoints have failed as well."""
-        return self._reach.failed_count > 1
+    def _is_own_fault_likely(self, endpoint: Endpoint) -> bool:
+        """Return whether connections to others of its service have failed as well."""
+        return self._reach.failed_count(endpoint.service) > 1
 
     async def _race(
         self, path: AttemptPath, direct: "asyncio.Future[ResponseHandler]"
@@ -129,7 +129,7 @@
                     _discard(direct)
                     return tunnel.result()
                 if direct in done and direct.exception() is None:
-                    self._reach.record_success()
+                    self._reach.record_success(path.endpoint)
                     path.carrier = ""
                     return direct.result()
             return direct.result()
@@ -144,7 +144,7 @@
         """
         cause = TunnelError("no daemon offers a tunnel")
         for _ in range(MAX_CARRIERS):
-            carrier = await self._offers.wait_choice(OFFER_TIMEOUT_SECONDS)
+            carrier = await self._offers.wait_choice(path.endpoint.service, OFFER_TIMEOUT_SECONDS)
             if carrier is None:
                 break
             path.has_carrier = True
@@ -160,8 +160,7 @@
                 )
                 if error.is_endpoints:
                     path.is_endpoints_fault = True
-                else:
-                    self._offers.avoid(carrier.daemon_id)
+                self._offers.avoid(carrier)
         raise cause
 
     async def _open(self, path: AttemptPath, carrier: Carrier) -> ResponseHandler:
@@ -169,7 +168,7 @@
 
         def record_loss() -> None:
             path.is_carrier_lost = True
-            self._offers.avoid(carrier.daemon_id)
+            self._offers.avoid(carrier)
 
         endpoint = path.endpoint
         opening = Opening(self._daemon_id, endpoint.id, endpoint.born)
--- a/packages/gateway/src/thorncleat_gateway/tunnels/offers.py
+++ b/packages/gateway/src/thorncleat_gateway/tunnels/offers.py
@@ -46,13 +46,14 @@
 
 @dataclasses.dataclass(frozen=True)
 class Carrier:
-    """A daemon that offers to carry tunnels.
+    """A daemon that offers to carry tunnels to a service.
 
     :param room: the number of further tunnels that it carries.
     :param offered_at: when its offer arrived, in seconds on the gateway's clock.
     """
 
     daemon_id: str
+    service: str
     address: tuple[str, int]
     failure_domain: str
     room: int
@@ -80,7 +81,7 @@
     :param server: carries the tunnels of other daemons.
     :param port: where the server listens; None to carry none.
     :param lateness: how late the event loop of this daemon runs.
-    :param check_reach: connects to some endpoints to learn whether this daemon reaches any.
+    :param check_reach: connects to endpoints of a service to learn whether this daemon reaches any.
     """
 
     def __init__(
@@ -93,7 +94,7 @@
         port: int | None,
         lateness: OwnLateness,
         clock: t.Callable[[], float],
-        check_reach: t.Callable[[], t.Awaitable[None]],
+        check_reach: t.Callable[[str], t.Awaitable[None]],
     ) -> None:
         super().__init__()
         self._check_reach = check_reach
@@ -105,43 +106,47 @@
         self._port = port
         self._lateness = lateness
         self._clock = clock
-        self._carriers: dict[str, Carrier] = {}
-        self._avoided_until: dict[str, float] = {}
+        self._carriers: dict[tuple[str, str], Carrier] = {}
+        self._avoided_until: dict[tuple[str, str], float] = {}
         self._running: dict[str, int] = {}
-        self._asked_at = float("-inf")
+        self._asked_at: dict[str, float] = {}
         self._has_offer = asyncio.Event()
         peers.on_message(self._on_message)
 
-    @property
-    def carriers(self) -> list[Carrier]:
-        """The daemons whose offers hold."""
+    def carriers(self, service: str) -> list[Carrier]:
+        """Return the daemons whose offers to carry tunnels to a service hold."""
         now = self._clock()
         oldest = now - OFFER_TTL_SECONDS
         return [
             carrier
-            for carrier in self._carriers.values()
-            if carrier.offered_at >= oldest
-            and now >= self._avoided_until.get(carrier.daemon_id, oldest)
+            for key, carrier in self._carriers.items()
+            if carrier.service == service
+            and carrier.offered_at >= oldest
+            and now >= self._avoided_until.get(key, oldest)
         ]
 
-    def choose(self) -> Carrier | None:
-        """Return the carrier for a tunnel; None without an offer."""
-        return choose(self.carriers, self._failure_domain, self._running)
+    def choose(self, service: str) -> Carrier | None:
+        """Return the carrier for a tunnel to a service; None without an offer."""
+        return choose(self.carriers(service), self._failure_domain, self._running)
 
-    async def wait_choice(self, seconds: float) -> Carrier | None:
+    async def wait_choice(self, service: str, seconds: float) -> Carrier | None:
         """Ask for offers if there is none, and return a carrier; None if none comes in time."""
-        carrier = self.choose()
-        if carrier is not None:
-            return carrier
-        self.ask()
-        with contextlib.suppress(TimeoutError):
-            async with asyncio.timeout(seconds):
-                await self._has_offer.wait()
-        return self.choose()
-
-    def avoid(self, daemon_id: str) -> None:
+        until = self._clock() + seconds
+        while True:
+            carrier = self.choose(service)
+            left = until - self._clock()
+            if carrier is not None or left <= 0:
+                return carrier
+            self.ask(service)
+            self._has_offer.clear()
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(left):
+                    await self._has_offer.wait()
+
+    def avoid(self, carrier: Carrier) -> None:
         """Use another carrier for some time, since a tunnel by way of this one failed."""
-        self._avoided_until[daemon_id] = self._clock() + AVOID_SECONDS
+        key = carrier.daemon_id, carrier.service
+        self._avoided_until[key] = self._clock() + AVOID_SECONDS
 
     @contextlib.contextmanager
     def track(self, carrier: Carrier) -> t.Iterator[None]:
@@ -155,20 +160,19 @@
             if not self._running[daemon_id]:
                 del self._running[daemon_id]
 
-    def ask(self) -> None:
+    def ask(self, service: str) -> None:
         """Ask some daemons for offers."""
         now = self._clock()
-        if now - self._asked_at < MIN_QUERY_INTERVAL_SECONDS:
+        if now - self._asked_at.get(service, float("-inf")) < MIN_QUERY_INTERVAL_SECONDS:
             return
-        self._asked_at = now
-        self._has_offer.clear()
-        for daemon_id in self._draw():
-            self._peers.send(daemon_id, TunnelQuery())
+        self._asked_at[service] = now
+        for daemon_id in self._draw(service):
+            self._peers.send(daemon_id, TunnelQuery(service))
 
-    def _draw(self) -> set[str]:
+    def _draw(self, service: str) -> set[str]:
         """Return the daemons to ask: those that offer, and others in case these are lost."""
         others = self._peers.other_daemons
-        offering = {carrier.daemon_id for carrier in self.carriers} & others
+        offering = {carrier.daemon_id for carrier in self.carriers(service)} & others
         if offering:
             unknown = sorted(others - offering)
             count = min(FURTHER_ASKED_DAEMONS, len(unknown))
@@ -178,10 +182,10 @@
         far = sorted(others - drawn)
         return drawn | set(random.sample(far, min(ASKED_DAEMONS - len(drawn), len(far))))
 
-    def _offered_room(self) -> int:
-        """Return the number of tunnels that this daemon carries for others now."""
+    def _offered_room(self, service: str) -> int:
+        """Return the number of tunnels to a service that this daemon carries for others now."""
         since = self._clock() - RECENT_SECONDS
-        if self._reach.is_doubtful or not self._reach.succeeded_since(since):
+        if self._reach.is_doubtful(service) or not self._reach.succeeded_since(service, since):
             return 0
         if self._lateness.max_lateness_since(since) > MAX_CARRIER_LATENESS_SECONDS:
             return 0
@@ -189,26 +193,27 @@
 
     def _on_message(self, sender: str, message: Message) -> None:
         match message:
-            case TunnelQuery() if self._port is not None:
-                self.add_future(self._answer(sender, self._port))
-            case TunnelOffer(port, room):
-                self._record_offer(sender, port, room)
-
-    async def _answer(self, sender: str, port: int) -> None:
-        """Offer tunnels to a daemon if this one is sure to reach endpoints."""
-        if not self._reach.succeeded_since(self._clock() - RECENT_SECONDS):
+            case TunnelQuery(service) if self._port is not None:
+                self.add_future(self._answer(sender, service, self._port))
+            case TunnelOffer():
+                self._record_offer(sender, message)
+
+    async def _answer(self, sender: str, service: str, port: int) -> None:
+        """Offer tunnels to a daemon if this one is sure to reach endpoints of the service."""
+        if not self._reach.succeeded_since(service, self._clock() - RECENT_SECONDS):
             # A daemon without requests can't know yet.
-            await self._check_reach()
-        room = self._offered_room()
+            await self._check_reach(service)
+        room = self._offered_room(service)
         if room:
-            self._peers.send(sender, TunnelOffer(port, room))
+            self._peers.send(sender, TunnelOffer(service, port, room))
 
-    def _record_offer(self, sender: str, port: int, room: int) -> None:
+    def _record_offer(self, sender: str, offer: TunnelOffer) -> None:
         daemon = self._daemons().get(sender)
         if daemon is None:
             return
-        self._carriers[sender] = Carrier(
-            sender, (daemon.host, port), daemon.failure_domain, room, self._clock()
+        address = daemon.host, offer.port
+        self._carriers[sender, offer.service] = Carrier(
+            sender, offer.service, address, daemon.failure_domain, offer.room, self._clock()
         )
         self._has_offer.set()
 
@@ -216,5 +221,6 @@
     async def _ask_task(self) -> None:
         while not self.should_stop:
             await self._reach.wait_doubtful()
-            self.ask()
+            for service in self._reach.doubtful_services:
+                self.ask(service)
             await asyncio.sleep(QUERY_INTERVAL_SECONDS)
--- a/packages/gateway/src/thorncleat_gateway/tunnels/server.py
+++ b/packages/gateway/src/thorncleat_gateway/tunnels/server.py
@@ -37,8 +37,9 @@
 class _EndpointSide(asyncio.Protocol):
     """The connection to the endpoint, whose bytes are passed on in frames."""
 
-    def __init__(self, caller: "_CallerSide") -> None:
+    def __init__(self, caller: "_CallerSide", endpoint: Endpoint) -> None:
         self._caller = caller
+        self.endpoint = endpoint
         self.transport: asyncio.Transport | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -117,19 +118,19 @@
         began_at = self._server.now()
         try:
             async with asyncio.timeout(self._server.connect_timeout):
-                await loop.create_connection(lambda: _EndpointSide(self), host, int(port))
+                await loop.create_connection(lambda: _EndpointSide(self, endpoint), host, int(port))
         except TimeoutError:
             self._fail(self._server.judge(endpoint, Failure.ENDPOINT_SILENT, began_at))
         except OSError:
             self._fail(self._server.judge(endpoint, Failure.ENDPOINT_REFUSED, began_at))
 
-    def open(self, endpoint: _EndpointSide) -> None:
+    def open(self, side: _EndpointSide) -> None:
         """Tell that the endpoint's connection is up."""
-        self._server.record_success()
+        self._server.record_success(side.endpoint)
         if self._is_over:
-            _abort(endpoint.transport)
+            _abort(side.transport)
             return
-        self._endpoint = endpoint
+        self._endpoint = side
         self.send(FrameKind.OPENED)
 
     def _fail(self, failure: Failure) -> None:
@@ -253,6 +254,8 @@
         asked = Incarnation(opening.endpoint_id, opening.born)
         if not is_known or endpoint is None or endpoint.incarnation.is_superseded_by(asked):
             return self._refuse(opening, Failure.UNKNOWN_ENDPOINT)
+        if self._reach.is_cut_off(endpoint.service):
+            return self._refuse(opening, Failure.UNSURE)
         return endpoint
 
     def _refuse(self, opening: Opening, failure: Failure) -> Failure:
@@ -262,19 +265,20 @@
         )
         return failure
 
-    def record_success(self) -> None:
+    def record_success(self, endpoint: Endpoint) -> None:
         """Count a tunnel whose endpoint was reached."""
         self.carried_count += 1
-        self._reach.record_success()
+        self._reach.record_success(endpoint)
 
     def judge(self, endpoint: Endpoint, failure: Failure, began_at: float) -> Failure:
         """Return what a failed connection to an endpoint shows.
 
-        :param failure: what it shows if this daemon reaches other endpoints.
+        :param failure: what it shows if this daemon reaches others of the service.
         :param began_at: when the connection was begun.
         """
-        is_in_touch = self._reach.succeeded_since(began_at - CONTACT_LOOKBACK_SECONDS)
-        self._reach.record_failure(endpoint.id)
+        since = began_at - CONTACT_LOOKBACK_SECONDS
+        is_in_touch = self._reach.succeeded_since(endpoint.service, since)
+        self._reach.record_failure(endpoint)
         return failure if is_in_touch else Failure.UNSURE
 
     def add(self, tunnel: _CallerSide) -> None:
--- a/tests/group_world.py
+++ b/tests/group_world.py
@@ -202,19 +202,19 @@
         answered = await self.orders.is_responding(endpoint)
         if answered:
             self.peers.send(sender.name, self._load_report())
-        reaches_others = not self.reach.is_cut_off and self.reach.succeeded_since(
-            self.world.now() - RECENT_REACH_SECONDS
+        reaches_others = not self.reach.is_cut_off(SERVICE) and self.reach.succeeded_since(
+            SERVICE, self.world.now() - RECENT_REACH_SECONDS
         )
         if self.reports_probe_results:
             self.peers.send(sender.name, ProbeResult(endpoint.id, answered, reaches_others))
 
-    def _record_answer(self, endpoint_id: str) -> None:
-        self.reach.record_success()
-        self.detector.record_contact(endpoint_id, self.world.now())
+    def _record_answer(self, endpoint: Endpoint) -> None:
+        self.reach.record_success(endpoint)
+        self.detector.record_contact(endpoint.id, self.world.now())
 
     def record_request(self, worker: "Worker") -> None:
         """Record that a request of this daemon was answered on a connection of its own."""
-        self._record_answer(worker.id)
+        self._record_answer(worker.entry())
 
     async def _connects(self, endpoint: Endpoint) -> bool:
         try:
--- a/tests/test_forms_datagrams.py
+++ b/tests/test_forms_datagrams.py
@@ -45,8 +45,8 @@
     ),
     "workspaces": WorkspaceLoad("", [WorkspaceCounts("narrator", "large", {"growers": 3, "": 1})]),
     "workspaces of a domain": WorkspaceLoad("riga-a", []),
-    "tunnel query": TunnelQuery(),
-    "tunnel offer": TunnelOffer(7355, 256),
+    "tunnel query": TunnelQuery("narrator"),
+    "tunnel offer": TunnelOffer("narrator", 7355, 256),
 }
 # Sent by daemon edge-1.
 ENCODED = {
@@ -71,8 +71,8 @@
         "9501a6656467652d31aa776f726b737061636573a09193a86e61727261746f72a56c6172676582a767726f7765727303a001"
     ),
     "workspaces of a domain": "9501a6656467652d31aa776f726b737061636573a6726967612d6190",
-    "tunnel query": "9301a6656467652d31aa61736b2074756e6e656c",
-    "tunnel offer": "9501a6656467652d31ac6f666665722074756e6e656ccd1cbbcd0100",
+    "tunnel query": "9401a6656467652d31aa61736b2074756e6e656ca86e61727261746f72",
+    "tunnel offer": "9601a6656467652d31ac6f666665722074756e6e656ca86e61727261746f72cd1cbbcd0100",
 }
 
 
--- a/tests/test_reach.py
+++ b/tests/test_reach.py
@@ -6,6 +6,11 @@
 from thorncleat_gateway.groups.election import can_campaign
 from thorncleat_gateway.groups.election import must_hand_over
 from thorncleat_gateway.peers.reach import Reach
+from thorncleat_gateway.store.roster import Endpoint
+
+
+def endpoint(endpoint_id: str, service: str = "narrator") -> Endpoint:
+    return Endpoint(endpoint_id, service, "", "a")
 
 
 class Clock:
@@ -27,27 +32,44 @@
     ],
 )
 def test_connections_to_several_endpoints_must_fail(listed, failed, cut_off):
-    reach = Reach(Clock(), lambda: listed)
+    reach = Reach(Clock(), lambda _: listed)
     for endpoint_id in failed:
-        reach.record_failure(endpoint_id)
-    assert reach.is_cut_off == cut_off
-    assert reach.is_doubtful
+        reach.record_failure(endpoint(endpoint_id))
+    assert reach.is_cut_off("narrator") == cut_off
+    assert reach.is_doubtful("narrator")
 
 
 def test_one_connection_that_comes_up_ends_the_doubt():
     clock = Clock()
     reach = Reach(clock)
     losses = []
-    reach.on_loss(lambda: losses.append(clock.now))
+    reach.on_loss(lambda service: losses.append((service, clock.now)))
     for endpoint_id in "abc":
-        reach.record_failure(endpoint_id)
+        reach.record_failure(endpoint(endpoint_id))
     clock.now += 2.0
     assert reach.cut_off_seconds == 2.0
-    reach.record_success()
-    assert not reach.is_cut_off
-    assert not reach.is_doubtful
+    reach.record_success(endpoint("a"))
+    assert not reach.is_cut_off("narrator")
+    assert not reach.is_doubtful("narrator")
     assert reach.cut_off_seconds == 0.0
-    assert losses == [100.0]
+    assert losses == [("narrator", 100.0)]
+
+
+def test_service_that_is_reached_says_nothing_of_another():
+    reach = Reach(Clock())
+    for endpoint_id in "abc":
+        reach.record_failure(endpoint(endpoint_id))
+        reach.record_success(endpoint("d", "desk"))
+    assert reach.is_cut_off("narrator")
+    assert not reach.is_doubtful("desk")
+    assert reach.doubtful_services == ["narrator"]
+
+
+def test_service_that_is_not_listed_any_more_is_forgotten():
+    reach = Reach(Clock())
+    reach.record_failure(endpoint("a"))
+    reach.forget_unlisted({"desk"})
+    assert reach.doubtful_services == []
 
 
 @pytest.mark.parametrize(
--- a/tests/test_tunnels.py
+++ b/tests/test_tunnels.py
@@ -255,13 +255,22 @@
         assert all(caller.lost == [] for caller in held)
 
 
+async def test_carrier_that_is_cut_off_refuses_at_once():
+    async with Fleet(_answer) as fleet:
+        for number in range(3):
+            fleet.reach.record_failure(Endpoint(f"w{number}", "narrator", "", "a"))
+        with pytest.raises(TunnelError, match="no contact") as caught:
+            await fleet.open()
+        assert not caught.value.is_endpoints
+
+
 @pytest.mark.parametrize("in_touch", [True, False])
 async def test_carrier_without_contact_says_nothing_of_the_endpoint(in_touch):
     async with Fleet(_answer) as fleet:
         fleet._endpoint.close()
         await fleet._endpoint.wait_closed()
         if in_touch:
-            fleet.reach.record_success()
+            fleet.reach.record_success(fleet.view.roster.endpoints["w0"])
         with pytest.raises(TunnelError) as caught:
             await fleet.open()
         assert caught.value.is_endpoints == in_touch
@@ -301,7 +310,7 @@
 
 
 def _carrier(name: str, domain: str, room: int = 5) -> Carrier:
-    return Carrier(name, ("", 1), domain, room, 0.0)
+    return Carrier(name, "narrator", ("", 1), domain, room, 0.0)
 
 
 @pytest.mark.parametrize(
