--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -192,14 +192,16 @@
             "POST", "/chat/x", body, **{"X-Thorncleat-Model": "large", **headers}
         )
 
-    async def try_fatal(self, body, number):
+    async def try_fatal(self, body, number, **headers):
         """Send a request that crashes its endpoint, to the daemons in turn."""
         daemon = number % len(self.frontends)
         try:
-            status, headers, _ = await self.chat(body, daemon=daemon, number=f"fatal-{number}")
+            status, answered, _ = await self.chat(
+                body, daemon=daemon, number=f"fatal-{number}", **headers
+            )
         except aiohttp.ClientPayloadError:
             return 0, {}
-        return status, headers
+        return status, answered
 
     def runs(self, service: str):
         return [run for worker in self.workers if worker.service == service for run in worker.runs]
