Crashes are put down to parts of prompts as well as to whole requests

Cause: evidence was kept by too narrow a key, the digest of a whole request. Change: a crash implicates the request and each part of its prompt but the last, by a digest of service and part; a request that is served clears its keys everywhere. A part is quarantined after four crashes at which its request had begun last (eight otherwise). Parts that stood in one prompt at each crash can't be told apart, so only requests with all of them are held until one is served. A part at the crashes of several causes isn't taken for their one cause, since what had begun last counts first. One request each of two daemons is let through 1.5 s and later after the newest crash, if nothing else in it is suspect, so that a sound part that was held while no endpoint was left isn't held for long. Weighed: one part's requests one at a time for the whole fleet (a token in the store, which is away at times), and likelihoods with a bound (with few crashes they don't tell the shared part from the fatal one either). test_quarantine asks for a request's keys in place of its fingerprint; it is as strict.

--- a/packages/gateway/src/thorncleat_gateway/events.py
+++ b/packages/gateway/src/thorncleat_gateway/events.py
@@ -118,6 +118,9 @@
 SURPLUS_BYTES = _event(
     7317, "surplus_bytes", WARNING, "an endpoint sent bytes on an idle connection; it was closed"
 )
+QUARANTINE_PROBED = _event(
+    7323, "quarantine_probed", INFO, "a quarantined request is sent to learn whether it crashes"
+)
 CUT_OFF = _event(
     7318, "endpoints_cut_off", WARNING, "no connection of this daemon to an endpoint comes up"
 )
--- a/packages/gateway/src/thorncleat_gateway/gateway.py
+++ b/packages/gateway/src/thorncleat_gateway/gateway.py
@@ -448,7 +448,13 @@
             has_connection=client.has_idle_connection,
         )
         crash_watch = CrashWatch(
-            self._quarantine, self.view, self._detector, self._crash_reporter, clock
+            self._quarantine,
+            self.view,
+            self._detector,
+            self._crash_reporter,
+            clock,
+            lambda: self._peers.other_daemons,
+            settings.id,
         )
         dependencies = (
             client,
--- a/packages/gateway/src/thorncleat_gateway/ports/headers.py
+++ b/packages/gateway/src/thorncleat_gateway/ports/headers.py
@@ -20,6 +20,7 @@
     :param last_event_id: id of the last event that the caller received of a stream, or None.
     :param prompt_tokens: tokens of the prompt, or None if not stated.
     :param max_answer_tokens: most tokens of the answer, or None if not stated.
+    :param prompt_parts: ids of the parts of the prompt that other requests may share, in order.
     :param expected_answer_tokens: the caller's estimate of the answer's tokens, or None. The median
         estimate is right, but many are far off.
     """
@@ -32,6 +33,7 @@
     prompt_tokens: int | None = None
     max_answer_tokens: int | None = None
     expected_answer_tokens: int | None = None
+    prompt_parts: tuple[str, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True)
--- a/packages/gateway/src/thorncleat_gateway/requests/crash_watch.py
+++ b/packages/gateway/src/thorncleat_gateway/requests/crash_watch.py
@@ -7,12 +7,15 @@
 
 import typing as t
 
+from thorncleat_core import rendezvous
+
 from ..exceptions import AttemptError
 from ..exceptions import ConnectionBreak
 from ..peers.failure_detector import FailureDetector
 from ..store.roster import Endpoint
 from ..store.roster import Incarnation
 from ..store.view import StoreView
+from . import request_log
 from .fingerprint import Fingerprint
 from .quarantine import MAY_HAVE_WAITED_POINTS
 from .quarantine import RAN_POINTS
@@ -68,6 +71,8 @@
     """Detects crashes from the results of this daemon's attempts.
 
     :param clock: monotonic, in seconds.
+    :param daemons: returns the ids of the other daemons.
+    :param daemon_id: id of this daemon.
     """
 
     def __init__(
@@ -77,18 +82,39 @@
         detector: FailureDetector,
         listener: CrashListener,
         clock: t.Callable[[], float],
+        daemons: t.Callable[[], t.Collection[str]] = lambda: (),
+        daemon_id: str = "",
     ) -> None:
         self._quarantine = quarantine
         self._view = view
         self._detector = detector
         self._listener = listener
         self._clock = clock
+        self._daemons = daemons
+        self._daemon_id = daemon_id
 
     def quarantine_seconds_left(self, request: Request) -> float:
         """Return the seconds until a request is released; 0 if it isn't quarantined."""
         if not self._quarantine.has_quarantined:
             return 0.0
-        return self._quarantine.quarantine_seconds_left(request.fingerprint)
+        return self._quarantine.quarantine_seconds_left(request.crash_keys)
+
+    def may_probe(self, request: Request) -> bool:
+        """Return whether a quarantined request is let through, to show whether a part is fatal."""
+        if request.is_probe:
+            return not request.tried
+        part = self._quarantine.take_probe(request.crash_keys, self._probe_rank)
+        if part is None:
+            return False
+        request.is_probe = True
+        request_log.probed(request, part)
+        return True
+
+    def _probe_rank(self, key: Fingerprint) -> int:
+        """Return the rank of this daemon among all for a key, which differs between keys."""
+        return rendezvous.rank(key.hex(), {self._daemon_id, *self._daemons()}).index(
+            self._daemon_id
+        )
 
     def is_suspect(self, request: Request) -> bool:
         """Return whether a request was under way at a crash."""
@@ -125,7 +151,7 @@
         if not points:
             return
         run_seconds = now - request.head_at if request.head_at else 0.0
-        requests = {request.fingerprint: Involvement(points, run_seconds)}
+        requests = dict.fromkeys(request.crash_keys, Involvement(points, run_seconds))
         if self._quarantine.record_crash(endpoint.incarnation, now, requests):
             self._listener.report_crash(endpoint.incarnation, now, requests)
 
@@ -145,10 +171,9 @@
             return
         now = self._clock()
         self.record_answer_started(endpoint, now - ARRIVAL_SECONDS)
-        if not self._quarantine.is_suspect(request.fingerprint):
-            return
-        self._quarantine.record_request_served(request.fingerprint, now)
-        self._listener.report_request_served(request.fingerprint, now)
+        for key in request.crash_keys:
+            if self._quarantine.record_request_served(key, now):
+                self._listener.report_request_served(key, now)
 
     def _is_leaving(self, endpoint: Endpoint) -> bool:
         """Return whether an endpoint is draining or no longer listed."""
--- a/packages/gateway/src/thorncleat_gateway/requests/forwarder.py
+++ b/packages/gateway/src/thorncleat_gateway/requests/forwarder.py
@@ -81,7 +81,7 @@
         :raises AnswerAbortedError: if it is quarantined and the caller has got the head.
         """
         seconds = self._crash_watch.quarantine_seconds_left(request)
-        if seconds:
+        if seconds and not self._crash_watch.may_probe(request):
             decision = retry_policy.refuse_quarantined(
                 seconds, may_have_run=request.may_have_run, has_begun=has_begun
             )
--- a/packages/gateway/src/thorncleat_gateway/requests/quarantine.py
+++ b/packages/gateway/src/thorncleat_gateway/requests/quarantine.py
@@ -1,6 +1,10 @@
 """Quarantines the requests that crash the endpoints that run them.
 
-Owns: the remembered crashes with the requests of each, and the quarantined requests.
+A crash is put down to a key: the fingerprint of a request, or that of a part of its prompt, which
+requests may share of which no two are alike. A request that is served clears its keys, so a part
+that many requests share is cleared within moments, while a fatal one never is.
+
+Owns: the remembered crashes with the keys of each, and the quarantined keys.
 Relies on: :mod:`.crash_watch` for the crashes that this daemon detects, and :mod:`.crash_reporter`
 for those of the other daemons. All times are seconds on the gateway's clock.
 """
@@ -11,6 +15,7 @@
 from ..store.roster import Incarnation
 from . import request_log
 from .fingerprint import Fingerprint
+from .fingerprint import is_part
 
 # Points of a crash against a request that ran on the endpoint.
 RAN_POINTS = 2
@@ -19,23 +24,35 @@
 # Crashes at different times after which a request is quarantined.
 QUARANTINE_CRASHES = 3
 QUARANTINE_POINTS = QUARANTINE_CRASHES * RAN_POINTS
+# The same for a part of a prompt, if its request had begun last, or else. A part is more often by
+# chance at several crashes than a request is, and its quarantine holds more requests back.
+PART_POINTS_IF_BRIEF = 4 * RAN_POINTS
+PART_POINTS = 8 * RAN_POINTS
 # Crashes within this time count as simultaneous, such as those of a power loss. Connections that
 # break together do so within milliseconds; a retry takes a fifth of a second to crash the next
 # endpoint.
 SAME_INSTANT_SECONDS = 0.02
+# How much longer than the request that had begun last a cause of a crash may have run.
+BRIEF_RUN_SECONDS = 0.15
 # Crashes after which a request is denied the last endpoint that could serve it.
 LAST_ENDPOINT_DENIAL_CRASHES = 2
 # How long a request is denied the last endpoint after its latest crash; crashed endpoints restart
 # within 2 to 3 s.
 LAST_ENDPOINT_DENIAL_SECONDS = 5.0
+# How long after the newest crash of a quarantined part one request with it is let through, by the
+# first daemon and, if it showed nothing, by the second one. A sound part that was quarantined while
+# no endpoint was left to serve it is cleared by that; each fatal one crashes two endpoints more.
+PROBE_DELAY_SECONDS = 1.5
+MAX_PROBERS = 2
 # How long a request stays quarantined after its latest crash. It gets another chance then, since
 # the endpoints may run other software.
 QUARANTINE_SECONDS = 600.0
 # How long a crash is remembered; longer than a quarantine.
 CRASH_TTL_SECONDS = 3600.0
-# With 26 requests each they take 2.0 MB.
+# With 26 keys each they take 2.0 MB.
 MAX_CRASHES = 256
-MAX_REQUESTS_PER_CRASH = 64
+# The requests of a full group and of its queue, with the parts of their prompts.
+MAX_REQUESTS_PER_CRASH = 128
 
 
 class Involvement(t.NamedTuple):
@@ -60,16 +77,26 @@
     at: float
     requests: dict[Fingerprint, Involvement] = dataclasses.field(default_factory=dict)
 
+    @property
+    def shortest_run(self) -> float:
+        """Seconds that the request ran which had begun last; 0 if none had begun."""
+        runs = (involvement.run_seconds for involvement in self.requests.values())
+        return min((seconds for seconds in runs if seconds), default=0.0)
+
 
 class CrashScore(t.NamedTuple):
     """The score of crashes against a request; the request with the largest is the likeliest cause.
 
+    :param brief_points: sum over the crashes before which the key ran no longer than the others.
+        A part that many requests share stands beside the crashes of several causes, and would
+        explain more of them than each cause does.
     :param points: sum over the crashes, simultaneous ones counted once.
     :param negative_run_seconds: minus the seconds that the request ran before the crashes; the
         cause of a crash has usually run only briefly.
     :param newest_at: when the latest of the crashes happened.
     """
 
+    brief_points: int
     points: int
     negative_run_seconds: float
     newest_at: float
@@ -77,17 +104,30 @@
 
 def crash_score(fingerprint: Fingerprint, crashes: t.Iterable[Crash]) -> CrashScore:
     """Return the score of crashes against a request that was under way at each of them."""
-    points, run_seconds = 0, 0.0
-    instant_at, instant_points, newest_at = float("-inf"), 0, float("-inf")
+    points, brief_points, run_seconds = 0, 0, 0.0
+    instant_at, instant_points, instant_brief = float("-inf"), 0, 0
+    newest_at = float("-inf")
     for crash in sorted(crashes, key=lambda crash: crash.at):
         involvement = crash.requests[fingerprint]
         if crash.at - instant_at > SAME_INSTANT_SECONDS:
             points += instant_points
-            instant_at, instant_points = crash.at, 0
+            brief_points += instant_brief
+            instant_at, instant_points, instant_brief = crash.at, 0, 0
         instant_points = max(instant_points, involvement.points)
+        if involvement.run_seconds <= crash.shortest_run + BRIEF_RUN_SECONDS:
+            instant_brief = max(instant_brief, involvement.points)
         run_seconds += involvement.run_seconds
         newest_at = crash.at
-    return CrashScore(points + instant_points, -run_seconds, newest_at)
+    return CrashScore(
+        brief_points + instant_brief, points + instant_points, -run_seconds, newest_at
+    )
+
+
+def is_cause(fingerprint: Fingerprint, score: CrashScore) -> bool:
+    """Return whether a key with a score is quarantined."""
+    if is_part(fingerprint):
+        return score.brief_points >= PART_POINTS_IF_BRIEF or score.points >= PART_POINTS
+    return score.points >= QUARANTINE_POINTS
 
 
 class Quarantine:
@@ -103,9 +143,13 @@
         # Requests with enough crashes for a quarantine.
         self._candidates: set[Fingerprint] = set()
         self._quarantined_until: dict[Fingerprint, float] = {}
+        # By quarantined part, the parts that the crashes don't tell from it.
+        self._companions: dict[Fingerprint, frozenset[Fingerprint]] = {}
         # Reports of crashes before these times are ignored.
         self._alive_at: dict[Incarnation, float] = {}
         self._served_at: dict[Fingerprint, float] = {}
+        # When this daemon let a request with a quarantined part through.
+        self._probed_at: dict[Fingerprint, float] = {}
 
     @property
     def is_empty(self) -> bool:
@@ -125,9 +169,45 @@
             fingerprint for fingerprint, until in self._quarantined_until.items() if until > now
         ]
 
-    def quarantine_seconds_left(self, fingerprint: Fingerprint) -> float:
-        """Return the seconds until a request is released; 0 if it isn't quarantined."""
-        return max(0.0, self._quarantined_until.get(fingerprint, 0.0) - self._clock())
+    def quarantine_seconds_left(self, keys: t.Collection[Fingerprint]) -> float:
+        """Return the seconds until a request is released; 0 if it isn't quarantined.
+
+        :param keys: of the request.
+        """
+        until = max((self._held_until(key, keys) for key in keys), default=0.0)
+        return max(0.0, until - self._clock())
+
+    def _held_until(self, key: Fingerprint, keys: t.Collection[Fingerprint]) -> float:
+        """Return until when a key holds a request back; 0 if it doesn't.
+
+        A request without some of the parts that the crashes don't tell from this one passes:
+        if it is served, it clears those that are innocent.
+        """
+        until = self._quarantined_until.get(key, 0.0)
+        return until if until and self._companions.get(key, frozenset()).issubset(keys) else 0.0
+
+    def take_probe(
+        self, keys: t.Collection[Fingerprint], rank: t.Callable[[Fingerprint], int]
+    ) -> Fingerprint | None:
+        """Let a quarantined request through if it shows whether a part is fatal.
+
+        It must be held by that part alone, and all else in it must be cleared.
+
+        :param keys: of the request.
+        :param rank: returns the rank of this daemon among all for a key, from 0.
+        :returns: the part, or None if the request stays quarantined.
+        """
+        now = self._clock()
+        suspects = [key for key in keys if key in self._crashes_by_request]
+        if len(suspects) != 1 or not is_part(suspects[0]) or suspects[0] in self._probed_at:
+            return None
+        part = suspects[0]
+        newest_at = max(crash.at for crash in self._crashes_by_request[part])
+        own_rank = rank(part)
+        if own_rank >= MAX_PROBERS or now < newest_at + PROBE_DELAY_SECONDS * (1 + own_rank):
+            return None
+        self._probed_at[part] = now
+        return part
 
     def is_suspect(self, fingerprint: Fingerprint) -> bool:
         """Return whether a request was under way at a remembered crash."""
@@ -237,6 +317,8 @@
             incarnation: at for incarnation, at in self._alive_at.items() if at >= begin
         }
         self._served_at = {key: at for key, at in self._served_at.items() if at >= begin}
+        since = self._clock() - QUARANTINE_SECONDS
+        self._probed_at = {key: at for key, at in self._probed_at.items() if at >= since}
         self._evaluate()
 
     def _all_crashes(self) -> list[Crash]:
@@ -293,13 +375,16 @@
         """
         now = self._clock()
         quarantined: dict[Fingerprint, float] = {}
+        companions: dict[Fingerprint, frozenset[Fingerprint]] = {}
         unexplained = {key: self._crashes_by_request[key] for key in self._candidates}
         while unexplained:
             scores = {key: crash_score(key, crashes) for key, crashes in unexplained.items()}
-            cause = max(scores, key=lambda key: (scores[key], key))
-            if scores[cause].points < QUARANTINE_POINTS:
+            # Of a request and its parts, which are at the same crashes, the request is the cause.
+            cause = max(scores, key=lambda key: (scores[key], not is_part(key), key))
+            if not is_cause(cause, scores[cause]):
                 break
             quarantined[cause] = scores[cause].newest_at + QUARANTINE_SECONDS
+            companions[cause] = self._find_companions(cause)
             explained = unexplained.pop(cause)
             unexplained = {
                 key: [crash for crash in crashes if crash not in explained]
@@ -307,8 +392,29 @@
             }
         before = self._quarantined_until
         self._quarantined_until = {key: until for key, until in quarantined.items() if until > now}
+        self._companions = companions
         self._log_changes(before, now)
 
+    def _find_companions(self, cause: Fingerprint) -> frozenset[Fingerprint]:
+        """Return the parts that the crashes don't tell from a part that is their cause.
+
+        They stood in one prompt with it at each crash, and so have the same involvement in it; one
+        that had not begun to run shows nothing of that. Any of them may be the cause, or only all
+        together.
+        """
+        if not is_part(cause):
+            return frozenset()
+        crashes = self._crashes_by_request[cause]
+        begun = [crash for crash in crashes if crash.requests[cause].run_seconds]
+        if not begun:
+            return frozenset()
+        common = set.intersection(*(set(crash.requests) for crash in crashes))
+        return frozenset(
+            key
+            for key in common
+            if is_part(key) and all(crash.requests[key] == crash.requests[cause] for crash in begun)
+        )
+
     def _log_changes(self, before: t.Mapping[Fingerprint, float], now: float) -> None:
         for fingerprint in self._quarantined_until.keys() - before.keys():
             incarnations = [crash.incarnation for crash in self._crashes_by_request[fingerprint]]
--- a/packages/gateway/src/thorncleat_gateway/requests/request.py
+++ b/packages/gateway/src/thorncleat_gateway/requests/request.py
@@ -55,6 +55,7 @@
         overload control.
     :param expected: what was expected of the latest attempt; None if it isn't the first one, or
         isn't known.
+    :param is_probe: whether it was let through a quarantine, for its first attempt.
     """
 
     meta: RequestMeta
@@ -80,6 +81,7 @@
     head_at: float = 0.0
     level_priority: int | None = None
     expected: ExpectedTime | None = None
+    is_probe: bool = False
 
     @functools.cached_property
     def fingerprint(self) -> Fingerprint:
@@ -87,6 +89,14 @@
         workspace = self.workspace.name if self.workspace else ""
         return fingerprint.of(workspace, self.route.host, self.path, self.body)
 
+    @functools.cached_property
+    def crash_keys(self) -> tuple[Fingerprint, ...]:
+        """What a crash may be put down to: this request, or a part of its prompt."""
+        parts = (
+            fingerprint.of_part(self.service.name, part_id) for part_id in self.meta.prompt_parts
+        )
+        return (self.fingerprint, *parts)
+
     @property
     def priority(self) -> int:
         """The priority for engines, by workspace and then by route; 0 is the most urgent."""
--- a/packages/gateway/src/thorncleat_gateway/requests/request_log.py
+++ b/packages/gateway/src/thorncleat_gateway/requests/request_log.py
@@ -141,6 +141,11 @@
     events.RELEASED.log(fingerprint=fingerprint.hex(), cause=cause)
 
 
+def probed(request: Request, part: Fingerprint) -> None:
+    """Log that a quarantined request is let through to show whether a part is fatal."""
+    events.QUARANTINE_PROBED.log(request=request.meta.id, fingerprint=part.hex())
+
+
 def cut(request_id: str, cause: str) -> None:
     """Log an answer that was cut."""
     events.REQUEST_CUT.log(request=request_id, cause=cause)
--- a/tests/crash_world.py
+++ b/tests/crash_world.py
@@ -290,7 +290,15 @@
         )
         terms = RetryBudgetSettings(0.2, 134.0, 10.0)
         budgets = RetryBudgets(terms, clock, lambda: world.size.daemons)
-        watch = CrashWatch(self.quarantine, world.view, self.detector, self.reporter, clock)
+        watch = CrashWatch(
+            self.quarantine,
+            world.view,
+            self.detector,
+            self.reporter,
+            clock,
+            lambda: self.peers.other_daemons,
+            self.peers.id,
+        )
         self.watch = watch
         parts = (Client(world), selector, self.table, budgets, self.detector, watch, clock)
         self.plain, self.streams = PlainForwarder(*parts), StreamForwarder(*parts)
@@ -337,6 +345,8 @@
         self.arrivals: dict[bytes, list[float]] = collections.defaultdict(list)
         self.quarantined: collections.Counter[bytes] = collections.Counter()
         self.outcomes: collections.Counter[bool] = collections.Counter()
+        # When each ordinary request was sent, and whether its first attempt was served.
+        self.first_attempts: list[tuple[float, bool]] = []
         self._tasks: set[asyncio.Task] = set()
         self._lives = 0
 
@@ -416,7 +426,9 @@
         splits = (Split("narrator", 1.0),)
         route = Route("r", "h", "/", kind, 6.0, 0.3, 0.2, 1, splits, 2, False, True)
         now = self.now()
-        meta = RequestMeta("r", "key", 6.0, "m")
+        # The parts of a prompt follow its body.
+        parts = tuple(body.decode().partition("|")[2].split())
+        meta = RequestMeta("r", "key", 6.0, "m", prompt_parts=parts)
         return Request(
             meta=meta,
             method="POST",
@@ -453,6 +465,33 @@
             body = self.random.choice(bodies) if bodies else b"ordinary %d" % number
             self._spawn(self._call_and_record(body))
 
+    async def send_with_fatal_part(
+        self, seconds: float, rate: float, name: str, prompt: str, tries: int = 2
+    ) -> None:
+        """Send requests of which no two are alike, but whose prompts share a fatal part.
+
+        :param prompt: the parts of each, in order.
+        """
+        until, number = self.now() + seconds, 0
+        while self.now() < until:
+            await asyncio.sleep(self.random.expovariate(rate))
+            number += 1
+            body = f"fatal {name} {number}|{prompt}".encode()
+            self._spawn(self.call(body, tries))
+
+    async def send_sharing(self, seconds: float, rate: float, prompts) -> None:
+        """Send ordinary requests with prompts drawn from some."""
+        until, number = self.now() + seconds, 0
+        while self.now() < until:
+            await asyncio.sleep(self.random.expovariate(rate))
+            number += 1
+            prompt = self.random.choice(prompts)
+            self._spawn(self._call_once_and_record(f"sound {number}|{prompt}".encode()))
+
+    async def _call_once_and_record(self, body: bytes) -> None:
+        sent_at = self.now()
+        self.first_attempts.append((sent_at, await self.call(body, tries=1)))
+
     async def _call_and_record(self, body: bytes) -> None:
         self.outcomes[await self.call(body)] += 1
 
@@ -476,6 +515,25 @@
             sum(at > arrivals[2] + CONTACT_SECONDS for at in arrivals) if len(arrivals) > 2 else 0
         )
 
+    def arrivals_with(self, name: str) -> list[float]:
+        """Return when requests with a fatal part reached endpoints, in order."""
+        prefix = f"fatal {name} ".encode()
+        return sorted(
+            at for body, times in self.arrivals.items() if body.startswith(prefix) for at in times
+        )
+
+    def arrivals_after_five_crashes(self, name: str) -> int:
+        """Return how many requests with a fatal part came after all could know of five crashes."""
+        arrivals = self.arrivals_with(name)
+        if len(arrivals) < 5:
+            return 0
+        return sum(at > arrivals[4] + CONTACT_SECONDS for at in arrivals)
+
+    def served_share(self, since: float) -> float:
+        """Return the share of ordinary first attempts from an instant on that were served."""
+        served = [is_served for at, is_served in self.first_attempts if at >= since]
+        return sum(served) / max(1, len(served))
+
     @property
     def quarantined_bystanders(self) -> int:
         """How many ordinary requests were ever quarantined."""
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -113,7 +113,7 @@
         assert quarantined_names(quarantine) == []
         crash(quarantine, clock, 2, a=RAN)
         assert quarantined_names(quarantine) == ["a"]
-        assert quarantine.quarantine_seconds_left(b"a") == QUARANTINE_SECONDS
+        assert quarantine.quarantine_seconds_left([b"a"]) == QUARANTINE_SECONDS
 
     def test_request_that_may_have_waited_counts_half(self, quarantine, clock):
         for number in range(5):
