Soak: requests that share a fatal part of their prompts, and tunnels between daemons

Cause: the soak knew neither. Daemons have a second internal port, so that they can carry attempts for each other.

--- a/bench/soaks/gateway.py
+++ b/bench/soaks/gateway.py
@@ -155,6 +155,7 @@
         )
         await _run_callers_and_faults(result, seed, older)
         await _recover(result)
+        await gateway_fatal.send_fatal_parts(site, Caller(site, "part", rng))
         await gateway_fatal.send_fatal_requests(site, Caller(site, "fatal", rng))
         return result
     finally:
--- a/bench/soaks/gateway_callers.py
+++ b/bench/soaks/gateway_callers.py
@@ -62,11 +62,13 @@
         key: str,
         *,
         body: bytes = b"",
+        prompt: str = "",
     ) -> Exchange:
         """Send one request and return the exchange, complete or not.
 
         :param body: body that replaces the generated one unless it is empty; requests with such a
             body share a path.
+        :param prompt: the parts of the prompt as the platform's header lists them; empty for none.
         """
         self._request_count += 1
         loop = asyncio.get_running_loop()
@@ -77,7 +79,7 @@
         self._site.exchanges[name] = self.current_exchange = exchange
         try:
             async with asyncio.timeout(REQUEST_TIMEOUT_SECONDS):
-                await self._send(client, daemon, exchange, "same" if body else name)
+                await self._send(client, daemon, exchange, "same" if body else name, prompt)
         except (aiohttp.ClientError, OSError, TimeoutError):
             pass
         exchange.ended_at = loop.time()
@@ -86,7 +88,12 @@
         return exchange
 
     async def _send(
-        self, client: aiohttp.ClientSession, daemon: Daemon, exchange: Exchange, path: str
+        self,
+        client: aiohttp.ClientSession,
+        daemon: Daemon,
+        exchange: Exchange,
+        path: str,
+        prompt: str,
     ) -> None:
         headers = {
             "Host": HOST,
@@ -96,6 +103,8 @@
         }
         if exchange.kind is RequestKind.STREAM:
             headers["X-Thorncleat-Model"] = "large"
+        if prompt:
+            headers["X-Thorncleat-Prompt-Prefix"] = prompt
         url = f"http://{daemon.callers_address}{PATHS[exchange.kind]}{path}"
         # POST, since the client library retries GET by itself.
         async with client.post(url, data=exchange.request_body, headers=headers) as response:
--- a/bench/soaks/gateway_site.py
+++ b/bench/soaks/gateway_site.py
@@ -39,8 +39,8 @@
 # Numbers of fabric domains, of workers in each, of members of a group, and of workers of the
 # plain service.
 DOMAINS, DOMAIN_SIZE, GROUP_SIZE, PLAIN_WORKERS = 2, 6, 2, 3
-# Listeners for callers, for readiness probes and for other daemons.
-PORTS_PER_DAEMON = 3
+# Listeners for callers, for readiness probes, and two for other daemons.
+PORTS_PER_DAEMON = 4
 PATHS = {
     RequestKind.STREAM: "/chat/",
     RequestKind.NON_REPEATABLE: "/status/",
@@ -102,7 +102,7 @@
 
     async def _create_daemon(self, number: int, store: str, ports: t.Sequence[int]) -> Daemon:
         proxy = Proxy(store)
-        callers, readiness, peers = ports
+        callers, readiness, peers, tunnels = ports
         path = self._directory / f"edge-{number}.toml"
         # Every other daemon keeps connections and bounds bodies, as in a rollout.
         contracts = "[]" if number % 2 else '["pressure"]'
@@ -112,7 +112,7 @@
             node_name = "edge-{number}"
             ip = "127.0.0.1"
             zone = "zone-{"ab"[number % 2]}"
-            internal_ports = [{peers}, {peers}]
+            internal_ports = [{peers}, {tunnels}]
             [listen]
             frontend = "127.0.0.1:{callers}"
             readiness = "127.0.0.1:{readiness}"
