Endpoints that crash together are not taken for a cut of this daemon

Cause: three connections that failed within milliseconds sufficed, as after the loss of a rack, however lately others had come up. Change: none may have come up for 0.1 s. test_endpoints_that_crash_together_are_no_cut fails without it.

--- a/packages/gateway/src/thorncleat_gateway/peers/reach.py
+++ b/packages/gateway/src/thorncleat_gateway/peers/reach.py
@@ -19,6 +19,9 @@
 
 # Endpoints of a service to which connections must fail in a row.
 MIN_FAILED_ENDPOINTS = 3
+# How long no connection must have come up. Endpoints that crash together fail within milliseconds,
+# beside others that answer.
+MIN_SILENCE_SECONDS = 0.1
 NEVER = float("-inf")
 
 
@@ -128,7 +131,8 @@
         found.failed.add(endpoint.id)
         self._has_doubt.set()
         needed = min(MIN_FAILED_ENDPOINTS, max(1, self._count_endpoints(service)))
-        if found.lost_at is None and len(found.failed) >= needed:
+        is_silent = self._clock() - found.succeeded_at >= MIN_SILENCE_SECONDS
+        if found.lost_at is None and len(found.failed) >= needed and is_silent:
             found.lost_at = self._clock()
             events.CUT_OFF.log(service=service, failed=sorted(found.failed))
             for listener in self._listeners:
--- a/tests/test_reach.py
+++ b/tests/test_reach.py
@@ -55,6 +55,19 @@
     assert losses == [("narrator", 100.0)]
 
 
+def test_endpoints_that_crash_together_are_no_cut():
+    clock = Clock()
+    reach = Reach(clock)
+    reach.record_success(endpoint("d"))
+    clock.now += 0.05
+    for endpoint_id in "abc":
+        reach.record_failure(endpoint(endpoint_id))
+    assert not reach.is_cut_off("narrator")
+    clock.now += 0.06
+    reach.record_failure(endpoint("a"))
+    assert reach.is_cut_off("narrator")
+
+
 def test_service_that_is_reached_says_nothing_of_another():
     reach = Reach(Clock())
     for endpoint_id in "abc":
