A planned stop finishes the tunnels that the daemon carries for others

Cause: only the daemon's own requests were waited for, so a stop would have cut those that it carried. Change: a stopping daemon takes no further tunnel at once, and waits for those it has within its grace period. test_planned_stop_finishes_carried_tunnels fails without it.

--- a/packages/gateway/src/thorncleat_gateway/gateway.py
+++ b/packages/gateway/src/thorncleat_gateway/gateway.py
@@ -501,7 +501,11 @@
         """Finish the running requests before a planned stop."""
         assert self._frontend is not None
         planned_stop = PlannedStop(
-            self._frontend, self._election, self._settings.grace, self._clock
+            self._frontend,
+            self._election,
+            self._settings.grace,
+            self._clock,
+            self._tunnel_server,
         )
         await planned_stop.wait()
 
--- a/packages/gateway/src/thorncleat_gateway/planned_stop.py
+++ b/packages/gateway/src/thorncleat_gateway/planned_stop.py
@@ -11,6 +11,7 @@
 from . import events
 from .groups.election import Election
 from .requests.frontend import Frontend
+from .tunnels.server import TunnelServer
 
 # How long requests are accepted after the order to stop, until the load balancer has noticed.
 ACCEPT_SECONDS = 2.5
@@ -41,6 +42,7 @@
 
     :param grace: seconds from the order to stop to the kill.
     :param clock: a clock that never goes back, in seconds.
+    :param tunnels: those that this daemon carries for others, which are finished too.
     """
 
     def __init__(
@@ -49,12 +51,18 @@
         election: Election,
         grace: float,
         clock: t.Callable[[], float],
+        tunnels: TunnelServer | None = None,
     ) -> None:
+        self._tunnels = tunnels
         self._frontend = frontend
         self._election = election
         self._grace = grace
         self._clock = clock
 
+    @property
+    def _running_tunnels(self) -> int:
+        return self._tunnels.running if self._tunnels is not None else 0
+
     async def wait(self) -> None:
         """Drain the running requests; return when the daemon may stop.
 
@@ -64,11 +72,13 @@
         events.STOPPING.log(running=self._frontend.running)
         started_at = self._clock()
         self._frontend.stopping = True
+        if self._tunnels is not None:
+            self._tunnels.stopping = True
         # Another daemon takes over as controller while this one still serves requests.
         self._election.stopping = True
         while not must_stop(self._clock() - started_at, self._grace):
             await asyncio.sleep(POLL_INTERVAL_SECONDS)
             if refuses_requests(self._clock() - started_at):
                 self._frontend.closed = True
-                if not self._frontend.running:
+                if not self._frontend.running and not self._running_tunnels:
                     return
--- a/packages/gateway/src/thorncleat_gateway/tunnels/server.py
+++ b/packages/gateway/src/thorncleat_gateway/tunnels/server.py
@@ -195,6 +195,7 @@
     :param connect_timeout: seconds until an endpoint's connection must be up.
     :param reach: whether this daemon's connections to endpoints come up.
     :param clock: monotonic, in seconds.
+    :ivar stopping: set when this daemon stops, so that it carries no further tunnels.
     :ivar carried_count: how many tunnels came up since the start.
     :ivar refused_count: how many were refused.
     """
@@ -214,13 +215,14 @@
         self.now = clock
         self._tunnels: set[_CallerSide] = set()
         self._server: asyncio.Server | None = None
+        self.stopping = False
         self.carried_count = 0
         self.refused_count = 0
 
     @property
     def room(self) -> int:
         """The number of further tunnels that can be carried."""
-        return max(0, MAX_TUNNELS - len(self._tunnels))
+        return 0 if self.stopping else max(0, MAX_TUNNELS - len(self._tunnels))
 
     @property
     def running(self) -> int:
@@ -248,7 +250,7 @@
         """Return the endpoint of an opening, or why it isn't connected to."""
         daemon = self._daemons().get(opening.daemon_id)
         endpoint = self._view.roster.endpoints.get(opening.endpoint_id)
-        if len(self._tunnels) > MAX_TUNNELS:
+        if self.stopping or len(self._tunnels) > MAX_TUNNELS:
             return self._refuse(opening, Failure.NO_ROOM)
         is_known = daemon is not None and daemon.host == host
         asked = Incarnation(opening.endpoint_id, opening.born)
--- a/tests/test_tunnels.py
+++ b/tests/test_tunnels.py
@@ -2,12 +2,15 @@
 
 import asyncio
 import contextlib
+import types
 
 import pytest
 
+from thorncleat_gateway import planned_stop
 from thorncleat_gateway.exceptions import TunnelError
 from thorncleat_gateway.exceptions import TunnelLostError
 from thorncleat_gateway.peers.reach import Reach
+from thorncleat_gateway.planned_stop import PlannedStop
 from thorncleat_gateway.store.relays import Daemon
 from thorncleat_gateway.store.roster import Endpoint
 from thorncleat_gateway.store.roster import Roster
@@ -276,6 +279,27 @@
         assert caught.value.is_endpoints == in_touch
 
 
+async def test_planned_stop_finishes_carried_tunnels(monkeypatch):
+    monkeypatch.setattr(planned_stop, "ACCEPT_SECONDS", 0.0)
+    async with Fleet(_answer) as fleet:
+        caller = await fleet.open()
+        frontend = types.SimpleNamespace(running=0, stopping=False, closed=False)
+        stop = PlannedStop(
+            frontend,
+            types.SimpleNamespace(stopping=False),
+            8.0,
+            asyncio.get_running_loop().time,
+            fleet.server,
+        )
+        stopping = asyncio.ensure_future(stop.wait())
+        await asyncio.sleep(0.15)
+        with pytest.raises(TunnelError, match="no room"):
+            await fleet.open()
+        assert (stopping.done(), caller.lost) == (False, [])
+        caller.transport.close()
+        await asyncio.wait_for(stopping, TIMEOUT_SECONDS)
+
+
 @pytest.mark.parametrize(
     "data",
     [b"\xff\xff", b"\x00\x01\x90", b"\x00\x05" + b"\x94\x02\xa1a\xa1b", b"GET / HTTP/1.1\r\n\r\n"],
