The ways to endpoints are wired in a module of their own

Change: tunnels/endpoint_paths holds reach, its check, offers, server and connector; no decision changes.

--- a/packages/gateway/src/thorncleat_gateway/gateway.py
+++ b/packages/gateway/src/thorncleat_gateway/gateway.py
@@ -29,9 +29,6 @@
 from .peers.load_reporter import LoadReporter
 from .peers.load_table import LoadTable
 from .peers.probe_answers import ProbeAnswers
-from .peers.reach import Reach
-from .peers.reach_check import ReachCheck
-from .peers.reach_check import connects
 from .peers.workspace_loads import WorkspaceLoads
 from .peers.workspace_loads import WorkspaceReporter
 from .planned_stop import PlannedStop
@@ -71,19 +68,13 @@
 from .store.relays import coalescing_seconds
 from .store.roster import Endpoint
 from .store.view import StoreView
-from .tunnels.connector import PathConnector
-from .tunnels.offers import TunnelOffers
-from .tunnels.server import TunnelServer
+from .tunnels.endpoint_paths import EndpointPaths
 
 # How long to wait for the first configuration before callers' connections are accepted.
 FIRST_CONFIGURATION_TIMEOUT_SECONDS = 0.25
 # Part of a group's slots from which on they may all be taken: load reports are some tenths of a
 # second old, and as many requests may have been sent since.
 FULL_FRACTION = 0.8
-# How long a daemon that is cut off looks for others to carry its attempts before it is not ready.
-ALONE_SECONDS = 1.0
-# How long a connection that came up shows that this daemon reaches endpoints.
-RECENT_REACH_SECONDS = 1.0
 # Window of the metric that shows the lateness of the event loop.
 LATENESS_WINDOW_SECONDS = 1.0
 
@@ -144,33 +135,16 @@
         self._peers = PeerChannel(
             self._settings, self._registration.addresses, self._registration.domain_peers
         )
-        self._reach = Reach(self._clock, lambda service: len(self.view.roster.of_service(service)))
-        self._reach_check = ReachCheck(
-            self._reach,
+        self._paths = EndpointPaths(
+            self._settings,
             self.view,
-            lambda endpoint: connects(endpoint.address, self._settings.connect_timeout),
-        )
-        self._detector = FailureDetector(
-            self._settings.streams, self._peers, self._clock, self._is_full, self._reach
-        )
-        self._tunnel_server = TunnelServer(
-            self.view,
-            self._registration.daemons,
-            self._settings.connect_timeout,
-            self._reach,
-            self._clock,
-        )
-        tunnels = self._settings.tunnels
-        self._tunnel_offers = TunnelOffers(
+            self._registration,
             self._peers,
-            self._registration.daemons,
-            self._settings.failure_domain,
-            self._reach,
-            self._tunnel_server,
-            None if tunnels is None else tunnels[1],
-            self._detector.lateness,
+            lambda since: self._detector.lateness.max_lateness_since(since),
             self._clock,
-            self._reach_check.check,
+        )
+        self._detector = FailureDetector(
+            self._settings.streams, self._peers, self._clock, self._is_full, self._paths.reach
         )
         self.load_table = LoadTable(self._clock, self._peers.report_interval_seconds)
         self._reporter = LoadReporter(
@@ -205,8 +179,8 @@
             view,
             clock,
             self._registration.capacities,
-            self._reach,
-            self._others_reach_endpoints,
+            self._paths.reach,
+            lambda: self._paths.has_carriers() or self._detector.others_reach_endpoints(),
         )
         self._call_window = CallWindow(self._detector.lateness, clock)
         orders = Orders(
@@ -217,14 +191,14 @@
             self._record_answer,
             self._call_window,
             clock,
-            self._reach.record_failure,
+            self._paths.reach.record_failure,
         )
         self._probe_answers = ProbeAnswers(
             view,
             self._peers,
             self._reporter,
             orders.is_responding,
-            self._reaches_service,
+            self._paths.reaches_service,
         )
         placements = PlacementRecords(records, view, self._election)
         terms = TermFactory(
@@ -238,7 +212,7 @@
             self._peers,
             self._ended_groups,
             clock,
-            self._reach_check.check,
+            self._paths.check.check,
         )
         self._controller = Controller(
             view,
@@ -252,34 +226,9 @@
 
     def _record_answer(self, endpoint: Endpoint) -> None:
         """Record that an endpoint has answered a call of this daemon's own."""
-        self._reach.record_success(endpoint)
+        self._paths.reach.record_success(endpoint)
         self._detector.record_contact(endpoint.id, self._clock())
 
-    def _reaches_service(self, service: str) -> bool:
-        """Return whether a connection of this daemon has reached a service lately."""
-        since = self._clock() - RECENT_REACH_SECONDS
-        is_cut_off = self._reach.is_cut_off(service)
-        return not is_cut_off and self._reach.succeeded_since(service, since)
-
-    def _others_reach_endpoints(self) -> bool:
-        """Return whether another daemon reaches the endpoints from which this one is cut off."""
-        has_carriers = any(map(self._tunnel_offers.carriers, self._reach.doubtful_services))
-        return has_carriers or self._detector.others_reach_endpoints()
-
-    def _has_way(self) -> bool:
-        """Return whether any service can be reached, directly or by way of another daemon."""
-        lost = [
-            service
-            for service in self._reach.doubtful_services
-            if self._reach.seconds_cut_off(service) >= ALONE_SECONDS
-            and not self._tunnel_offers.carriers(service)
-        ]
-        # Without a lost service, which is nearly always, the list isn't looked at.
-        if not lost:
-            return True
-        listed = {endpoint.service for endpoint in self.view.roster.endpoints.values()}
-        return bool(listed - set(lost))
-
     def _add_gauges(self) -> None:
         add = self.metrics.gauge
         add("configuration_age_seconds", "Since a newer one was excluded", self.view.age)
@@ -299,9 +248,9 @@
         add(
             "endpoints_cut_off",
             "1 if this daemon is, of a service",
-            lambda: float(self._reach.cut_off_seconds > 0),
+            lambda: float(self._paths.reach.cut_off_seconds > 0),
         )
-        add("tunnels_carried", "For other daemons, now", lambda: self._tunnel_server.running)
+        add("tunnels_carried", "For other daemons, now", lambda: self._paths.server.running)
         add("datagrams_rejected", "From unknown senders", lambda: self._peers.rejected_count)
         add("requests_quarantined", "Held back", lambda: len(self._quarantine.quarantined))
         if self._evacuations is not None:
@@ -380,15 +329,14 @@
             self._registration,
             self._peers,
             self._detector,
-            self._reach_check,
-            self._tunnel_offers,
+            self._paths.check,
+            self._paths.offers,
             self._election,
             self._controller,
         ):
             await self.add_runtime_dependency(service)
         await self._listeners.open(self._relay_server.handle, self._settings.peers)
-        if self._settings.tunnels is not None:
-            await self._tunnel_server.open(self._settings.tunnels)
+        await self._paths.open()
         if self._settings.metrics is not None:
             await self._listeners.open(self.metrics.handle, self._settings.metrics)
         await self._listeners.open(self._frontend.readiness, self._settings.readiness)
@@ -412,9 +360,7 @@
 
     def _build_frontend(self) -> Frontend:
         settings, clock = self._settings, self._clock
-        connector = PathConnector(
-            settings.id, self._reach, self._tunnel_offers, **endpoint_client.CONNECTOR_OPTIONS
-        )
+        connector = self._paths.create_connector(**endpoint_client.CONNECTOR_OPTIONS)
         self._client = endpoint_client.create_session(connector)
         retry_budgets = RetryBudgets(settings.retry, clock, lambda: self._peers.daemon_count)
         if settings.overload_control:
@@ -432,7 +378,7 @@
             settings.connect_timeout,
             evacuations=self._evacuations,
             pool=self._pool,
-            reach=self._reach,
+            reach=self._paths.reach,
         )
         selector = EndpointSelector(
             self.view,
@@ -467,7 +413,9 @@
             self._build_overload_control() if settings.overload_control else None,
         )
         plain, streams = PlainForwarder(*dependencies), StreamForwarder(*dependencies)
-        return Frontend(settings, self.view, self._codec, plain, streams, clock, self._has_way)
+        return Frontend(
+            settings, self.view, self._codec, plain, streams, clock, self._paths.has_way
+        )
 
     def _build_overload_control(self) -> OverloadControl:
         return OverloadControl(
@@ -505,13 +453,13 @@
             self._election,
             self._settings.grace,
             self._clock,
-            self._tunnel_server,
+            self._paths.server,
         )
         await planned_stop.wait()
 
     async def on_stop(self) -> None:
         """Close the listeners."""
-        await self._tunnel_server.close()
+        await self._paths.server.close()
         await self._listeners.close()
 
     async def on_shutdown(self) -> None:
--- a/packages/gateway/src/thorncleat_gateway/tunnels/offers.py
+++ b/packages/gateway/src/thorncleat_gateway/tunnels/offers.py
@@ -20,7 +20,6 @@
 from ..peers.messages import Message
 from ..peers.messages import TunnelOffer
 from ..peers.messages import TunnelQuery
-from ..peers.own_lateness import OwnLateness
 from ..peers.reach import Reach
 from ..store.relays import Daemon
 from .server import TunnelServer
@@ -80,7 +79,7 @@
     :param daemons: returns the registered daemons, by id.
     :param server: carries the tunnels of other daemons.
     :param port: where the server listens; None to carry none.
-    :param lateness: how late the event loop of this daemon runs.
+    :param max_lateness: returns the lateness of this daemon's event loop since an instant.
     :param check_reach: connects to endpoints of a service to learn whether this daemon reaches any.
     """
 
@@ -92,7 +91,7 @@
         reach: Reach,
         server: TunnelServer,
         port: int | None,
-        lateness: OwnLateness,
+        max_lateness: t.Callable[[float], float],
         clock: t.Callable[[], float],
         check_reach: t.Callable[[str], t.Awaitable[None]],
     ) -> None:
@@ -104,7 +103,7 @@
         self._reach = reach
         self._server = server
         self._port = port
-        self._lateness = lateness
+        self._max_lateness = max_lateness
         self._clock = clock
         self._carriers: dict[tuple[str, str], Carrier] = {}
         self._avoided_until: dict[tuple[str, str], float] = {}
@@ -187,7 +186,7 @@
         since = self._clock() - RECENT_SECONDS
         if self._reach.is_doubtful(service) or not self._reach.succeeded_since(service, since):
             return 0
-        if self._lateness.max_lateness_since(since) > MAX_CARRIER_LATENESS_SECONDS:
+        if self._max_lateness(since) > MAX_CARRIER_LATENESS_SECONDS:
             return 0
         return self._server.room
 
--- a/tests/group_world.py
+++ b/tests/group_world.py
@@ -8,7 +8,6 @@
 import random
 
 from thorncleat_gateway.exceptions import EndpointError
-from thorncleat_gateway.gateway import RECENT_REACH_SECONDS
 from thorncleat_gateway.groups.call_window import CallWindow
 from thorncleat_gateway.groups.controller import Controller
 from thorncleat_gateway.groups.election import Election
@@ -40,6 +39,7 @@
 from thorncleat_gateway.store.serving import Service
 from thorncleat_gateway.store.serving import ServingConfiguration
 from thorncleat_gateway.store.view import StoreView
+from thorncleat_gateway.tunnels.endpoint_paths import RECENT_REACH_SECONDS
 
 from .group_engines import ENGINE
 from .group_engines import SERVICE
