--- a/packages/gateway/src/thorncleat_gateway/peers/reach.py
+++ b/packages/gateway/src/thorncleat_gateway/peers/reach.py
@@ -19,6 +19,8 @@
 
 # Endpoints of a service to which connections must fail in a row.
 MIN_FAILED_ENDPOINTS = 3
+# A single endpoint may as well have failed itself.
+LEAST_ENDPOINTS = 2
 # How long no connection must have come up. Endpoints that crash together fail within milliseconds,
 # beside others that answer.
 MIN_SILENCE_SECONDS = 0.1
@@ -44,7 +46,7 @@
 
     :param clock: monotonic, in seconds.
     :param count_endpoints: returns the number of a service's listed endpoints; all of them must
-        fail if they are fewer than :data:`MIN_FAILED_ENDPOINTS`.
+        fail if they are fewer than :data:`MIN_FAILED_ENDPOINTS`, and two at least.
     """
 
     def __init__(
@@ -130,7 +132,7 @@
         found = self._services.setdefault(service, _ServiceReach())
         found.failed.add(endpoint.id)
         self._has_doubt.set()
-        needed = min(MIN_FAILED_ENDPOINTS, max(1, self._count_endpoints(service)))
+        needed = min(MIN_FAILED_ENDPOINTS, max(LEAST_ENDPOINTS, self._count_endpoints(service)))
         is_silent = self._clock() - found.succeeded_at >= MIN_SILENCE_SECONDS
         if found.lost_at is None and len(found.failed) >= needed and is_silent:
             found.lost_at = self._clock()
