What a daemon heard before it asked says nothing of what it hears now

Cause: a reset connection fails within milliseconds. Answers of the last 50 ms at the controller, and of the last second at a witness, then still counted as contact, though both had been cut off in between.

--- a/packages/gateway/src/thorncleat_gateway/gateway.py
+++ b/packages/gateway/src/thorncleat_gateway/gateway.py
@@ -198,7 +198,8 @@
             self._peers,
             self._reporter,
             orders.is_responding,
-            self._paths.reaches_service,
+            clock,
+            self._paths.check.confirms_reach,
         )
         placements = PlacementRecords(records, view, self._election)
         terms = TermFactory(
@@ -212,7 +213,7 @@
             self._peers,
             self._ended_groups,
             clock,
-            self._paths.check.check,
+            self._paths.check.confirms_reach,
         )
         self._controller = Controller(
             view,
--- a/packages/gateway/src/thorncleat_gateway/groups/term.py
+++ b/packages/gateway/src/thorncleat_gateway/groups/term.py
@@ -34,6 +34,7 @@
 from .spare_warming import SpareWarming
 from .term_number import term_number
 from .unlisted_endpoints import UnlistedEndpoints
+from .witnesses import ConfirmsReach
 from .witnesses import Witnesses
 
 
@@ -63,7 +64,7 @@
 class TermFactory:
     """Builds and wires the parts of each term.
 
-    :param check_reach: connects to endpoints of a service to learn whether this daemon reaches any.
+    :param confirms_reach: returns whether this daemon has reached a service since an instant.
     """
 
     def __init__(
@@ -78,7 +79,7 @@
         peers: PeerChannel,
         ended: EndedGroups,
         clock: t.Callable[[], float],
-        check_reach: t.Callable[[str], t.Awaitable[None]],
+        confirms_reach: ConfirmsReach,
     ) -> None:
         self._settings = settings
         self._view = view
@@ -90,7 +91,7 @@
         self._peers = peers
         self._ended = ended
         self._clock = clock
-        self._witnesses = Witnesses(peers, detector, clock, check_reach)
+        self._witnesses = Witnesses(peers, detector, clock, confirms_reach)
 
     def begin(self, position: Position, wake: t.Callable[[], None]) -> Term:
         """Discard the state of earlier terms and build the parts of a new one.
--- a/packages/gateway/src/thorncleat_gateway/groups/witnesses.py
+++ b/packages/gateway/src/thorncleat_gateway/groups/witnesses.py
@@ -26,8 +26,8 @@
 # How long an asked daemon has to report: a datagram each way, the probe of an endpoint that answers
 # and some lateness of its event loop.
 ANSWER_SECONDS = 0.2
-# How long before a question an endpoint's answer to this daemon shows that it reaches endpoints.
-CONTACT_LOOKBACK_SECONDS = 0.05
+
+ConfirmsReach = t.Callable[[str, float], t.Awaitable[bool]]
 
 
 def proves_loss(*, answers_others: bool, is_in_touch: bool, has_witness: bool) -> bool:
@@ -98,7 +98,7 @@
 class Witnesses:
     """Asks other daemons about endpoints that don't answer this one.
 
-    :param check_reach: connects to endpoints of a service, so that it is known whether they answer.
+    :param confirms_reach: returns whether this daemon has reached a service since an instant.
     """
 
     def __init__(
@@ -106,12 +106,12 @@
         peers: PeerChannel,
         detector: FailureDetector,
         clock: t.Callable[[], float],
-        check_reach: t.Callable[[str], t.Awaitable[None]],
+        confirms_reach: ConfirmsReach,
     ) -> None:
         self._peers = peers
         self._detector = detector
         self._clock = clock
-        self._check_reach = check_reach
+        self._confirms_reach = confirms_reach
         self._questions: set[Question] = set()
         peers.on_message(self._on_message)
 
@@ -132,20 +132,14 @@
         question.ask(self._clock())
         assert question.asked_at is not None
         await question.wait_answered(question.asked_at + ANSWER_SECONDS - self._clock())
-        if not question.answers_others and not self._is_in_touch(question):
-            await self._check_reach(question.endpoint.service)
+        service = question.endpoint.service
+        is_in_touch = await self._confirms_reach(service, question.asked_at)
         return proves_loss(
             answers_others=question.answers_others or self._was_heard(question),
-            is_in_touch=self._is_in_touch(question),
+            is_in_touch=is_in_touch,
             has_witness=question.has_witness,
         )
 
-    def _is_in_touch(self, question: Question) -> bool:
-        """Return whether others of its service have answered this daemon since a question began."""
-        reach, service = self._detector.reach, question.endpoint.service
-        since = question.began_at - CONTACT_LOOKBACK_SECONDS
-        return not reach.is_cut_off(service) and reach.succeeded_since(service, since)
-
     def _was_heard(self, question: Question) -> bool:
         """Return whether the endpoint has answered this daemon after all."""
         return self._detector.was_heard_here_since(question.endpoint.id, question.began_at)
--- a/packages/gateway/src/thorncleat_gateway/peers/probe_answers.py
+++ b/packages/gateway/src/thorncleat_gateway/peers/probe_answers.py
@@ -24,7 +24,8 @@
     """Calls the endpoint that a probe names, and reports to the controller if it answers.
 
     :param endpoint_answers: asks an endpoint for a report and returns whether it answered.
-    :param reaches_service: returns whether endpoints of a service have answered this daemon lately.
+    :param clock: monotonic, in seconds.
+    :param confirms_reach: returns whether this daemon has reached a service since an instant.
     """
 
     def __init__(
@@ -33,14 +34,16 @@
         peers: PeerChannel,
         reporter: LoadReporter,
         endpoint_answers: t.Callable[[Endpoint], t.Awaitable[bool]],
-        reaches_service: t.Callable[[str], bool] = lambda _: True,
+        clock: t.Callable[[], float],
+        confirms_reach: t.Callable[[str, float], t.Awaitable[bool]],
     ) -> None:
         super().__init__()
         self._view = view
         self._peers = peers
         self._reporter = reporter
         self._endpoint_answers = endpoint_answers
-        self._reaches_service = reaches_service
+        self._clock = clock
+        self._confirms_reach = confirms_reach
         peers.on_message(self._on_message)
 
     def _on_message(self, sender: str, message: Message) -> None:
@@ -58,9 +61,11 @@
         return listed or (removed.endpoint if removed else None)
 
     async def _probe_endpoint(self, controller: str, endpoint: Endpoint) -> None:
+        began_at = self._clock()
         answered = await self._endpoint_answers(endpoint)
         if answered:
             # This report names the endpoint among the recent contacts.
             self._peers.send(controller, self._reporter.build_report())
-        result = ProbeResult(endpoint.id, answered, self._reaches_service(endpoint.service))
+        reaches_others = answered or await self._confirms_reach(endpoint.service, began_at)
+        result = ProbeResult(endpoint.id, answered, reaches_others)
         self._peers.send(controller, result)
--- a/packages/gateway/src/thorncleat_gateway/peers/reach_check.py
+++ b/packages/gateway/src/thorncleat_gateway/peers/reach_check.py
@@ -53,6 +53,17 @@
                 await asyncio.gather(*map(self.check, doubtful))
                 await asyncio.sleep(CHECK_INTERVAL_SECONDS)
 
+    async def confirms_reach(self, service: str, since: float) -> bool:
+        """Return whether a connection to a service has come up since an instant, or does now.
+
+        An earlier one shows nothing, since this daemon may have been cut off in between.
+
+        :param since: in seconds on the gateway's clock.
+        """
+        if not self._reach.succeeded_since(service, since):
+            await self.check(service)
+        return self._reach.succeeded_since(service, since) and not self._reach.is_cut_off(service)
+
     async def check(self, service: str) -> None:
         """Connect to some endpoints of a service, and record the results.
 
--- a/packages/gateway/src/thorncleat_gateway/tunnels/endpoint_paths.py
+++ b/packages/gateway/src/thorncleat_gateway/tunnels/endpoint_paths.py
@@ -19,8 +19,6 @@
 from .offers import TunnelOffers
 from .server import TunnelServer
 
-# How long a connection that came up shows that this daemon reaches a service.
-RECENT_REACH_SECONDS = 1.0
 # How long a daemon that is cut off looks for carriers before it is not ready.
 ALONE_SECONDS = 1.0
 
@@ -42,7 +40,6 @@
     ) -> None:
         self._settings = settings
         self._view = view
-        self._clock = clock
         self.reach = Reach(clock, lambda service: len(view.roster.of_service(service)))
         self.check = ReachCheck(
             self.reach,
@@ -50,7 +47,12 @@
             lambda endpoint: connects(endpoint.address, settings.connect_timeout),
         )
         self.server = TunnelServer(
-            view, registration.daemons, settings.connect_timeout, self.reach, clock
+            view,
+            registration.daemons,
+            settings.connect_timeout,
+            self.reach,
+            clock,
+            self.check.confirms_reach,
         )
         self.offers = TunnelOffers(
             peers,
@@ -79,12 +81,6 @@
         """
         return PathConnector(self._settings.id, self.reach, self.offers, **options)
 
-    def reaches_service(self, service: str) -> bool:
-        """Return whether a connection of this daemon has reached a service lately."""
-        since = self._clock() - RECENT_REACH_SECONDS
-        is_cut_off = self.reach.is_cut_off(service)
-        return not is_cut_off and self.reach.succeeded_since(service, since)
-
     def has_carriers(self) -> bool:
         """Return whether other daemons reach a service of which this one is in doubt."""
         return any(map(self.offers.carriers, self.reach.doubtful_services))
--- a/packages/gateway/src/thorncleat_gateway/tunnels/server.py
+++ b/packages/gateway/src/thorncleat_gateway/tunnels/server.py
@@ -27,8 +27,6 @@
 MAX_TUNNELS = 256
 # Bytes that may wait in each direction before the other side is read no further.
 BUFFER_BYTES = 32_768
-# How long before a failed connection another one shows that this daemon reaches endpoints.
-CONTACT_LOOKBACK_SECONDS = 0.05
 # How long a connection may take to send its opening.
 OPENING_TIMEOUT_SECONDS = 0.5
 ACCEPT_BACKLOG = 256
@@ -120,9 +118,9 @@
             async with asyncio.timeout(self._server.connect_timeout):
                 await loop.create_connection(lambda: _EndpointSide(self, endpoint), host, int(port))
         except TimeoutError:
-            self._fail(self._server.judge(endpoint, Failure.ENDPOINT_SILENT, began_at))
+            self._fail(await self._server.judge(endpoint, Failure.ENDPOINT_SILENT, began_at))
         except OSError:
-            self._fail(self._server.judge(endpoint, Failure.ENDPOINT_REFUSED, began_at))
+            self._fail(await self._server.judge(endpoint, Failure.ENDPOINT_REFUSED, began_at))
 
     def open(self, side: _EndpointSide) -> None:
         """Tell that the endpoint's connection is up."""
@@ -195,6 +193,7 @@
     :param connect_timeout: seconds until an endpoint's connection must be up.
     :param reach: whether this daemon's connections to endpoints come up.
     :param clock: monotonic, in seconds.
+    :param confirms_reach: returns whether this daemon has reached a service since an instant.
     :ivar stopping: set when this daemon stops, so that it carries no further tunnels.
     :ivar carried_count: how many tunnels came up since the start.
     :ivar refused_count: how many were refused.
@@ -207,7 +206,9 @@
         connect_timeout: float,
         reach: Reach,
         clock: t.Callable[[], float],
+        confirms_reach: t.Callable[[str, float], t.Awaitable[bool]],
     ) -> None:
+        self._confirms_reach = confirms_reach
         self._view = view
         self._daemons = daemons
         self.connect_timeout = connect_timeout
@@ -272,15 +273,14 @@
         self.carried_count += 1
         self._reach.record_success(endpoint)
 
-    def judge(self, endpoint: Endpoint, failure: Failure, began_at: float) -> Failure:
+    async def judge(self, endpoint: Endpoint, failure: Failure, began_at: float) -> Failure:
         """Return what a failed connection to an endpoint shows.
 
         :param failure: what it shows if this daemon reaches others of the service.
         :param began_at: when the connection was begun.
         """
-        since = began_at - CONTACT_LOOKBACK_SECONDS
-        is_in_touch = self._reach.succeeded_since(endpoint.service, since)
         self._reach.record_failure(endpoint)
+        is_in_touch = await self._confirms_reach(endpoint.service, began_at)
         return failure if is_in_touch else Failure.UNSURE
 
     def add(self, tunnel: _CallerSide) -> None:
--- a/tests/group_world.py
+++ b/tests/group_world.py
@@ -39,7 +39,6 @@
 from thorncleat_gateway.store.serving import Service
 from thorncleat_gateway.store.serving import ServingConfiguration
 from thorncleat_gateway.store.view import StoreView
-from thorncleat_gateway.tunnels.endpoint_paths import RECENT_REACH_SECONDS
 
 from .group_engines import ENGINE
 from .group_engines import SERVICE
@@ -160,7 +159,7 @@
             self.peers,
             self.ended,
             world.now,
-            self.reach_check.check,
+            self.reach_check.confirms_reach,
         )
         self.controller = Controller(
             self.view,
@@ -199,13 +198,12 @@
                 self.world.spawn(self._probe(sender, listed or removed.endpoint))
 
     async def _probe(self, sender: "Node", endpoint: Endpoint) -> None:
+        began_at = self.world.now()
         answered = await self.orders.is_responding(endpoint)
         if answered:
             self.peers.send(sender.name, self._load_report())
-        reaches_others = not self.reach.is_cut_off(SERVICE) and self.reach.succeeded_since(
-            SERVICE, self.world.now() - RECENT_REACH_SECONDS
-        )
         if self.reports_probe_results:
+            reaches_others = answered or await self.reach_check.confirms_reach(SERVICE, began_at)
             self.peers.send(sender.name, ProbeResult(endpoint.id, answered, reaches_others))
 
     def _record_answer(self, endpoint: Endpoint) -> None:
--- a/tests/test_cut_off_controller.py
+++ b/tests/test_cut_off_controller.py
@@ -47,14 +47,16 @@
             node.record_request(leader)
 
 
-async def _cut_controller(how: str, cut_count: int, *, others_are_older: bool = False):
+async def _cut_controller(
+    how: str, cut_count: int, *, nodes: int = 3, seed: int = 3, others_are_older: bool = False
+):
     """Cut the controller, and other daemons, off from all endpoints.
 
     :param others_are_older: whether the other daemons report no results of probes.
     :returns: the world, the groups before and after, and the fewest groups that a daemon that
         isn't cut off could use.
     """
-    world = World(seed=3)
+    world = World(seed, nodes=nodes)
     await world.start()
     await world.pass_time(CALM_SECONDS)
     before = {leader.group for leader in _open_leaders(world)}
@@ -63,6 +65,8 @@
     for node in others:
         node.reports_probe_results = not others_are_older
     cut = [controller, *others][:cut_count]
+    # All daemons have reached endpoints until the moment of the cut.
+    _answer_requests(world)
     for node in cut:
         _cut(world, node, how)
     fewest = len(before)
@@ -93,6 +97,16 @@
     assert fewest == len(before)
 
 
+@pytest.mark.parametrize("seed", range(3))
+@pytest.mark.parametrize("how", ["silent", "reset"])
+def test_controller_and_most_daemons_are_cut_off_at_once(how, seed):
+    """What a daemon heard before the cut says nothing of what it hears since."""
+    world, before, after, fewest = virtual_time.run(_cut_controller(how, 7, nodes=8, seed=seed))
+    assert world.broken == []
+    assert after == before
+    assert fewest == len(before)
+
+
 @pytest.mark.parametrize("how", ["silent", "reset"])
 def test_cut_off_controller_ends_no_sound_group_among_older_daemons(how):
     world, before, after, _ = virtual_time.run(_cut_controller(how, 1, others_are_older=True))
--- a/tests/test_probe_answers.py
+++ b/tests/test_probe_answers.py
@@ -55,7 +55,12 @@
     async def endpoint_answers(_endpoint):
         return answers
 
-    probe_answers = ProbeAnswers(StoreView(), peers, LoadReporter(), endpoint_answers)
+    async def confirms_reach(service, since):
+        return (service, since) == ("narrator", 1.0)
+
+    probe_answers = ProbeAnswers(
+        StoreView(), peers, LoadReporter(), endpoint_answers, lambda: 1.0, confirms_reach
+    )
     peers.receive("controller", Probe(probed))
     assert peers.sent == [("controller", LoadReport({"w0": 1}, []))]
     await asyncio.sleep(0)
--- a/tests/test_tunnels.py
+++ b/tests/test_tunnels.py
@@ -81,6 +81,7 @@
         self._behave = behave
         self.endpoint_ended = asyncio.Event()
         self.losses = 0
+        self.is_in_touch = True
 
     async def __aenter__(self):
         self._endpoint = await asyncio.start_server(self._serve, "127.0.0.1", 0)
@@ -93,6 +94,7 @@
             0.2,
             self.reach,
             asyncio.get_running_loop().time,
+            self._confirms_reach,
         )
         await self.server.open(("127.0.0.1", 0))
         self.address = self.server._server.sockets[0].getsockname()
@@ -111,6 +113,9 @@
         finally:
             self.endpoint_ended.set()
 
+    async def _confirms_reach(self, service, since):
+        return self.is_in_touch
+
     def _record_loss(self):
         self.losses += 1
 
@@ -272,8 +277,7 @@
     async with Fleet(_answer) as fleet:
         fleet._endpoint.close()
         await fleet._endpoint.wait_closed()
-        if in_touch:
-            fleet.reach.record_success(fleet.view.roster.endpoints["w0"])
+        fleet.is_in_touch = in_touch
         with pytest.raises(TunnelError) as caught:
             await fleet.open()
         assert caught.value.is_endpoints == in_touch
