--- a/tests/test_cut_off_controller.py
+++ b/tests/test_cut_off_controller.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from thorncleat_gateway.groups.lost_endpoints import LostCause
 from thorncleat_gateway.store.roster import GroupState
 
 from . import virtual_time
@@ -169,3 +170,22 @@
 def test_all_daemons_learn_of_a_dead_group_as_soon_as_before(unreachable, bound):
     # A member that falls silent needs two probes, one that refuses connections a single one.
     assert virtual_time.run(_seconds_until_all_know(unreachable)) < bound
+
+
+async def _order_to_a_member_is_unanswered():
+    """Return the groups before and after an order to a sound member got no answer."""
+    world = World(seed=3)
+    await world.start()
+    await world.pass_time(CALM_SECONDS)
+    before = {leader.group for leader in _open_leaders(world)}
+    member = world.workers[large_leader(world).members[1]]
+    controller_node(world).controller.term.lost.mark_lost(member.entry(), LostCause.SILENT)
+    await world.pass_time(3.0)
+    after = {leader.group for leader in _open_leaders(world)}
+    await world.stop()
+    return before, after
+
+
+def test_unanswered_order_alone_ends_no_group():
+    before, after = virtual_time.run(_order_to_a_member_is_unanswered())
+    assert after == before
--- a/tests/test_tunnels.py
+++ b/tests/test_tunnels.py
@@ -4,6 +4,7 @@
 import contextlib
 import types
 
+import aiohttp
 import pytest
 
 from thorncleat_gateway import planned_stop
@@ -17,6 +18,9 @@
 from thorncleat_gateway.tunnels import frames
 from thorncleat_gateway.tunnels import offers
 from thorncleat_gateway.tunnels import server as tunnel_server
+from thorncleat_gateway.tunnels.connector import AttemptPath
+from thorncleat_gateway.tunnels.connector import PathConnector
+from thorncleat_gateway.tunnels.connector import current_path
 from thorncleat_gateway.tunnels.frames import FrameKind
 from thorncleat_gateway.tunnels.frames import FrameReader
 from thorncleat_gateway.tunnels.frames import Opening
@@ -304,6 +308,45 @@
         await asyncio.wait_for(stopping, TIMEOUT_SECONDS)
 
 
+class OneCarrier:
+    """Offers of a single daemon."""
+
+    def __init__(self, address) -> None:
+        self._carrier = Carrier("edge-2", "narrator", address, "a", 1, 0.0)
+
+    async def wait_choice(self, service, seconds):
+        return self._carrier
+
+    def track(self, carrier):
+        return contextlib.nullcontext()
+
+
+async def _answer_http(reader, writer):
+    await reader.readuntil(b"\r\n\r\n")
+    writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\npong")
+
+
+async def test_attempts_are_tunnelled_at_once_while_this_daemon_is_cut_off(monkeypatch):
+    async def connect_directly(*_):
+        raise AssertionError("a direct connection was tried")
+
+    monkeypatch.setattr(PathConnector, "_connect", connect_directly)
+    async with Fleet(_answer_http) as fleet:
+        reach = Reach(asyncio.get_running_loop().time)
+        for number in range(3):
+            reach.record_failure(Endpoint(f"w{number}", "narrator", "", "a"))
+        connector = PathConnector("edge-1", reach, OneCarrier(fleet.address), force_close=True)
+        endpoint = fleet.view.roster.endpoints["w0"]
+        path = AttemptPath(endpoint, "r1")
+        current_path.set(path)
+        async with (
+            aiohttp.ClientSession(connector=connector) as session,
+            session.get(f"http://{endpoint.address}/") as response,
+        ):
+            assert await response.read() == b"pong"
+        assert path.carrier == "edge-2"
+
+
 @pytest.mark.parametrize(
     "data",
     [b"\xff\xff", b"\x00\x01\x90", b"\x00\x05" + b"\x94\x02\xa1a\xa1b", b"GET / HTTP/1.1\r\n\r\n"],
