All ways to an endpoint together have a bound of 0.45 s

Cause: with tunnels a connection could take over a second after the check whether its endpoint wants requests; one that has paused or drains meanwhile would have got it late. A tunnel that came up as its attempt was cancelled stayed open (read from the code; no run). Change: the direct connection and the tunnels share one timeout; a tunnel that isn't used is always closed.

--- a/packages/gateway/src/thorncleat_gateway/tunnels/connector.py
+++ b/packages/gateway/src/thorncleat_gateway/tunnels/connector.py
@@ -32,7 +32,10 @@
 # How long an attempt waits for the first offer.
 OFFER_TIMEOUT_SECONDS = 0.1
 # How long a tunnel may take: two connections, one of which may have to be repeated.
-TUNNEL_TIMEOUT_SECONDS = 0.4
+TUNNEL_TIMEOUT_SECONDS = 0.3
+# How long all ways together may take. What an endpoint has said of itself was checked before, and
+# it may want no requests since.
+MAX_CONNECT_SECONDS = 0.45
 # Carriers that are tried for one connection.
 MAX_CARRIERS = 3
 
@@ -45,6 +48,7 @@
     :ivar is_carrier_lost: whether the carrier was lost before the endpoint's connection ended.
     :ivar is_endpoints_fault: whether another daemon that reaches endpoints doesn't reach this one.
     :ivar has_carrier: whether another daemon has offered to carry it.
+    :ivar uses: counts it at its carrier until it is closed.
     """
 
     endpoint: Endpoint
@@ -83,13 +87,13 @@
         path = current_path.get()
         if path is None:
             return await super()._create_connection(req, traces, timeout)
-        if self._reach.is_cut_off(path.endpoint.service):
-            try:
-                return await self._tunnel(path)
-            except TunnelError:
-                # The direct path is tried, since it may work again.
-                pass
-        return await self._connect(path, super()._create_connection(req, traces, timeout))
+        # The library tells a timeout here as one of the connection.
+        async with asyncio.timeout(MAX_CONNECT_SECONDS):
+            if self._reach.is_cut_off(path.endpoint.service):
+                # The direct path is tried afterwards, since it may work again.
+                with contextlib.suppress(TunnelError):
+                    return await self._tunnel(path)
+            return await self._connect(path, super()._create_connection(req, traces, timeout))
 
     async def _connect(
         self, path: AttemptPath, connecting: t.Coroutine[t.Any, t.Any, ResponseHandler]
@@ -129,13 +133,15 @@
                     _discard(direct)
                     return tunnel.result()
                 if direct in done and direct.exception() is None:
-                    self._reach.record_success(path.endpoint)
-                    path.carrier = ""
-                    return direct.result()
-            return direct.result()
-        finally:
-            if not tunnel.done() or path.carrier == "":
-                _discard(tunnel)
+                    break
+            connection = direct.result()
+        except BaseException:
+            _discard(tunnel)
+            raise
+        _discard(tunnel)
+        self._reach.record_success(path.endpoint)
+        path.carrier = ""
+        return connection
 
     async def _tunnel(self, path: AttemptPath) -> ResponseHandler:
         """Return a connection to the endpoint by way of another daemon.
