A part that is no cause yet hides no request that is one

Cause: the likeliest key was looked at first, and if it had too few crashes for a part, the search ended; a request behind it with enough for a request stayed free. The shortest run of a crash was also worked out anew for each key. Change: only keys that are causes are compared, and each crash keeps its shortest run. test_part_that_is_no_cause_yet_hides_no_request_that_is_one failed before and passes.

--- a/packages/gateway/src/thorncleat_gateway/requests/quarantine.py
+++ b/packages/gateway/src/thorncleat_gateway/requests/quarantine.py
@@ -10,6 +10,7 @@
 """
 
 import dataclasses
+import math
 import typing as t
 
 from ..store.roster import Incarnation
@@ -71,17 +72,19 @@
     """The crash of an endpoint, with the requests that it broke.
 
     :param at: when the first connection broke.
+    :param shortest_run: seconds that the request ran which had begun last; infinite if none had.
     """
 
     incarnation: Incarnation
     at: float
     requests: dict[Fingerprint, Involvement] = dataclasses.field(default_factory=dict)
+    shortest_run: float = math.inf
 
-    @property
-    def shortest_run(self) -> float:
-        """Seconds that the request ran which had begun last; 0 if none had begun."""
-        runs = (involvement.run_seconds for involvement in self.requests.values())
-        return min((seconds for seconds in runs if seconds), default=0.0)
+    def add(self, fingerprint: Fingerprint, involvement: Involvement) -> None:
+        """Add a request or a part that was under way."""
+        self.requests[fingerprint] = involvement
+        if involvement.run_seconds:
+            self.shortest_run = min(self.shortest_run, involvement.run_seconds)
 
 
 class CrashScore(t.NamedTuple):
@@ -250,7 +253,7 @@
         if crash is None:
             crash = self._add_crash(Crash(incarnation, at))
         for fingerprint, involvement in new.items():
-            crash.requests[fingerprint] = involvement
+            crash.add(fingerprint, involvement)
             self._link(fingerprint, crash)
         self._evaluate()
         return new
@@ -379,10 +382,11 @@
         unexplained = {key: self._crashes_by_request[key] for key in self._candidates}
         while unexplained:
             scores = {key: crash_score(key, crashes) for key, crashes in unexplained.items()}
-            # Of a request and its parts, which are at the same crashes, the request is the cause.
-            cause = max(scores, key=lambda key: (scores[key], not is_part(key), key))
-            if not is_cause(cause, scores[cause]):
+            causes = [key for key, score in scores.items() if is_cause(key, score)]
+            if not causes:
                 break
+            # Of a request and its parts, which are at the same crashes, the request is the cause.
+            cause = max(causes, key=lambda key: (scores[key], not is_part(key), key))
             quarantined[cause] = scores[cause].newest_at + QUARANTINE_SECONDS
             companions[cause] = self._find_companions(cause)
             explained = unexplained.pop(cause)
--- a/tests/test_fatal_parts.py
+++ b/tests/test_fatal_parts.py
@@ -122,6 +122,12 @@
     assert not is_held(quarantine, b"new", SHARED)
 
 
+def test_part_that_is_no_cause_yet_hides_no_request_that_is_one(quarantine, clock):
+    for number, involvement in enumerate((BRIEF, BRIEF, LONG)):
+        crash(quarantine, clock, {b"same": involvement, SHARED: BRIEF}, number)
+    assert is_held(quarantine, b"same")
+
+
 def _rank(number):
     return lambda _key: number
 
