A tunnel keeps no bytes that come before it is open

Cause: they were kept without a bound until the endpoint's connection was up or given up (0.25 s). Change: they end the tunnel. test_bytes_before_the_tunnel_is_open_end_it failed before and passes.

--- a/packages/gateway/src/thorncleat_gateway/tunnels/server.py
+++ b/packages/gateway/src/thorncleat_gateway/tunnels/server.py
@@ -88,6 +88,10 @@
         if self._endpoint is not None and self._endpoint.transport is not None:
             self._endpoint.transport.write(data)
             return
+        if self._connecting is not None:
+            # Nothing may be sent before the tunnel is open, so nothing has to be kept until then.
+            self.abort()
+            return
         self._received += data
         try:
             opening = decode_opening(self._received)
@@ -96,7 +100,7 @@
             self._server.refused_count += 1
             self.abort()
             return
-        if opening is not None and self._connecting is None:
+        if opening is not None:
             self._begin(opening)
 
     def _begin(self, opening: Opening) -> None:
--- a/tests/test_tunnels.py
+++ b/tests/test_tunnels.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import socket
 import types
 
 import aiohttp
@@ -362,6 +363,27 @@
         await _until(lambda: not fleet.server.running)
 
 
+async def test_bytes_before_the_tunnel_is_open_end_it(monkeypatch):
+    async with Fleet(_answer) as fleet:
+        monkeypatch.setattr(fleet.server, "connect_timeout", TIMEOUT_SECONDS)
+        loop = asyncio.get_running_loop()
+        monkeypatch.setattr(loop, "sock_connect", lambda *_: asyncio.Event().wait())
+        reader, writer = await asyncio.wait_for(_connect(fleet.address), TIMEOUT_SECONDS)
+        writer.write(frames.encode_opening(OPENING))
+        await asyncio.sleep(0.05)
+        writer.write(b"x" * 1_000)
+        with contextlib.suppress(ConnectionResetError):
+            assert await asyncio.wait_for(reader.read(), TIMEOUT_SECONDS / 4) == b""
+        writer.close()
+
+
+async def _connect(address):
+    """Connect without the event loop's own way, which a test may block."""
+    connection = socket.create_connection(address)
+    connection.setblocking(False)
+    return await asyncio.open_connection(sock=connection)
+
+
 def test_bytes_of_openings_and_frames_are_unchanged():
     assert frames.encode_opening(OPENING).hex() == "000d9401a6656467652d31a2773007"
     assert frames.decode_opening(frames.encode_opening(OPENING)) == OPENING
