A daemon that is cut off from one service checks the others at once

Cause: reach goes by service, and nobody had asked for that one since the cut, so its first request met it unprepared: no offer came within 0.1 s, and after two time-outs it was refused. Change: the check looks at services that have not been reached since the loss of another; an offer is waited for 0.15 s. test_cut_from_one_service_makes_a_daemon_check_the_others failed before and passes.

--- a/packages/gateway/src/thorncleat_gateway/peers/reach.py
+++ b/packages/gateway/src/thorncleat_gateway/peers/reach.py
@@ -68,9 +68,13 @@
     @property
     def cut_off_seconds(self) -> float:
         """Seconds for which this daemon has been cut off from some service; 0 if it isn't."""
-        now = self._clock()
+        return 0.0 if self.lost_at is None else self._clock() - self.lost_at
+
+    @property
+    def lost_at(self) -> float | None:
+        """When this daemon found itself cut off from some service first; None if it isn't."""
         lost = [found.lost_at for found in self._services.values() if found.lost_at is not None]
-        return max((now - at for at in lost), default=0.0)
+        return min(lost, default=None)
 
     def is_doubtful(self, service: str) -> bool:
         """Return whether a connection to a service failed since the latest one that came up."""
--- a/packages/gateway/src/thorncleat_gateway/peers/reach_check.py
+++ b/packages/gateway/src/thorncleat_gateway/peers/reach_check.py
@@ -48,11 +48,24 @@
             await asyncio.sleep(DOUBT_SECONDS)
             listed = {endpoint.service for endpoint in self._view.roster.endpoints.values()}
             self._reach.forget_unlisted(listed)
-            doubtful = self._reach.doubtful_services
-            if doubtful:
-                await asyncio.gather(*map(self.check, doubtful))
+            services = self._services_to_check(listed)
+            if services:
+                await asyncio.gather(*map(self.check, services))
                 await asyncio.sleep(CHECK_INTERVAL_SECONDS)
 
+    def _services_to_check(self, listed: t.Iterable[str]) -> set[str]:
+        """Return the doubtful services, and all others once this daemon is cut off from one.
+
+        The first request to a service that is seldom asked for would otherwise meet the cut.
+        """
+        services = set(self._reach.doubtful_services)
+        lost_at = self._reach.lost_at
+        if lost_at is not None:
+            services |= {
+                service for service in listed if not self._reach.succeeded_since(service, lost_at)
+            }
+        return services
+
     async def confirms_reach(self, service: str, since: float) -> bool:
         """Return whether a connection to a service has come up since an instant, or does now.
 
--- a/packages/gateway/src/thorncleat_gateway/tunnels/connector.py
+++ b/packages/gateway/src/thorncleat_gateway/tunnels/connector.py
@@ -30,7 +30,7 @@
 # up at all takes some milliseconds.
 HEAD_START_SECONDS = 0.1
 # How long an attempt waits for the first offer.
-OFFER_TIMEOUT_SECONDS = 0.1
+OFFER_TIMEOUT_SECONDS = 0.15
 # How long a tunnel may take: two connections, one of which may have to be repeated.
 TUNNEL_TIMEOUT_SECONDS = 0.3
 # How long all ways together may take. What an endpoint has said of itself was checked before, and
--- a/tests/test_reach.py
+++ b/tests/test_reach.py
@@ -1,12 +1,16 @@
 """Whether a daemon itself is cut off from the endpoints."""
 
+import asyncio
+
 import pytest
 
 from thorncleat_gateway.groups import witnesses
 from thorncleat_gateway.groups.election import can_campaign
 from thorncleat_gateway.groups.election import must_hand_over
 from thorncleat_gateway.peers.reach import Reach
+from thorncleat_gateway.peers.reach_check import ReachCheck
 from thorncleat_gateway.store.roster import Endpoint
+from thorncleat_gateway.store.roster import Roster
 
 
 def endpoint(endpoint_id: str, service: str = "narrator") -> Endpoint:
@@ -55,6 +59,31 @@
     assert losses == [("narrator", 100.0)]
 
 
+class View:
+    def __init__(self, *endpoints: Endpoint) -> None:
+        self.roster = Roster()
+        for listed in endpoints:
+            self.roster.put(listed)
+
+
+async def test_cut_from_one_service_makes_a_daemon_check_the_others():
+    """A seldom asked service would otherwise lose its first request."""
+    reach = Reach(asyncio.get_running_loop().time)
+    services = {"narrator": "abc", "desk": "de"}
+    endpoints = [endpoint(name, service) for service, names in services.items() for name in names]
+
+    async def connect(_endpoint):
+        return False
+
+    check = ReachCheck(reach, View(*endpoints), connect)
+    await check.start()
+    for name in "abc":
+        reach.record_failure(endpoint(name))
+    await asyncio.sleep(0.1)
+    await check.stop()
+    assert reach.failed_count("desk") == 2
+
+
 def test_endpoints_that_crash_together_are_no_cut():
     clock = Clock()
     reach = Reach(clock)
