The only carrier is used although one of its tunnels has failed

Cause: a carrier that failed was left out for a second, and without any carrier a request counts as hopeless. Change: a carrier that failed comes after the others. test_only_carrier_is_used_although_it_has_failed failed before and passes.

--- a/packages/gateway/src/thorncleat_gateway/tunnels/offers.py
+++ b/packages/gateway/src/thorncleat_gateway/tunnels/offers.py
@@ -114,19 +114,25 @@
 
     def carriers(self, service: str) -> list[Carrier]:
         """Return the daemons whose offers to carry tunnels to a service hold."""
-        now = self._clock()
-        oldest = now - OFFER_TTL_SECONDS
+        oldest = self._clock() - OFFER_TTL_SECONDS
         return [
             carrier
-            for key, carrier in self._carriers.items()
-            if carrier.service == service
-            and carrier.offered_at >= oldest
-            and now >= self._avoided_until.get(key, oldest)
+            for carrier in self._carriers.values()
+            if carrier.service == service and carrier.offered_at >= oldest
         ]
 
     def choose(self, service: str) -> Carrier | None:
-        """Return the carrier for a tunnel to a service; None without an offer."""
-        return choose(self.carriers(service), self._failure_domain, self._running)
+        """Return the carrier for a tunnel to a service; None without an offer.
+
+        Those that are avoided are used if there is no other.
+        """
+        offered = self.carriers(service)
+        preferred = [carrier for carrier in offered if not self._is_avoided(carrier)]
+        return choose(preferred or offered, self._failure_domain, self._running)
+
+    def _is_avoided(self, carrier: Carrier) -> bool:
+        until = self._avoided_until.get((carrier.daemon_id, carrier.service))
+        return until is not None and self._clock() < until
 
     async def wait_choice(self, service: str, seconds: float) -> Carrier | None:
         """Ask for offers if there is none, and return a carrier; None if none comes in time."""
@@ -143,7 +149,7 @@
                     await self._has_offer.wait()
 
     def avoid(self, carrier: Carrier) -> None:
-        """Use another carrier for some time, since a tunnel by way of this one failed."""
+        """Prefer other carriers for some time, since a tunnel by way of this one failed."""
         key = carrier.daemon_id, carrier.service
         self._avoided_until[key] = self._clock() + AVOID_SECONDS
 
--- a/tests/test_tunnels.py
+++ b/tests/test_tunnels.py
@@ -11,6 +11,7 @@
 from thorncleat_gateway import planned_stop
 from thorncleat_gateway.exceptions import TunnelError
 from thorncleat_gateway.exceptions import TunnelLostError
+from thorncleat_gateway.peers.messages import TunnelOffer
 from thorncleat_gateway.peers.reach import Reach
 from thorncleat_gateway.planned_stop import PlannedStop
 from thorncleat_gateway.store.relays import Daemon
@@ -26,6 +27,7 @@
 from thorncleat_gateway.tunnels.frames import FrameReader
 from thorncleat_gateway.tunnels.frames import Opening
 from thorncleat_gateway.tunnels.offers import Carrier
+from thorncleat_gateway.tunnels.offers import TunnelOffers
 from thorncleat_gateway.tunnels.server import TunnelServer
 from thorncleat_gateway.tunnels.transport import Tunnel
 from thorncleat_gateway.tunnels.transport import open_tunnel
@@ -309,6 +311,42 @@
         await asyncio.wait_for(stopping, TIMEOUT_SECONDS)
 
 
+class Channel:
+    """The datagrams of a daemon whose only peer offers tunnels."""
+
+    other_daemons = frozenset({"edge-2"})
+    domain_peers = frozenset({"edge-2"})
+
+    def on_message(self, handler) -> None:
+        self.receive = handler
+
+
+def _offers(channel, now):
+    peers = {"edge-2": Daemon("edge-2", "127.0.0.1", 1)}
+    return TunnelOffers(
+        channel,
+        lambda: peers,
+        "a",
+        Reach(lambda: now),
+        None,
+        None,
+        lambda _: 0.0,
+        lambda: now,
+        None,
+    )
+
+
+async def test_only_carrier_is_used_although_it_has_failed():
+    """Otherwise one tunnel that failed would leave nothing for the time of its avoidance."""
+    channel = Channel()
+    found = _offers(channel, 100.0)
+    channel.receive("edge-2", TunnelOffer("narrator", 7355, 5))
+    carrier = found.choose("narrator")
+    found.avoid(carrier)
+    assert found.choose("narrator") == carrier
+    assert found.choose("desk") is None
+
+
 class OneCarrier:
     """Offers of a single daemon."""
 
