A daemon whose loop was late carries tunnels if no other one does

Cause: a carrier whose event loop had been 0.1 s late offered nothing for a second. Change: it offers room for one, and such offers come last; from 0.5 s on it offers nothing.

--- a/packages/gateway/src/thorncleat_gateway/tunnels/offers.py
+++ b/packages/gateway/src/thorncleat_gateway/tunnels/offers.py
@@ -37,8 +37,12 @@
 FURTHER_ASKED_DAEMONS = 2
 # How long a daemon that failed a tunnel isn't used.
 AVOID_SECONDS = 1.0
-# Lateness of the own event loop from which on this daemon carries no further tunnels.
-MAX_CARRIER_LATENESS_SECONDS = 0.1
+# Lateness of the own event loop from which on this daemon carries tunnels only if no other does,
+# and from which on it carries no further ones.
+LATE_SECONDS = 0.1
+MAX_CARRIER_LATENESS_SECONDS = 0.5
+# The room that a late daemon offers.
+LATE_ROOM = 1
 # How long ago a connection to an endpoint, or lateness of the event loop, still counts.
 RECENT_SECONDS = 1.0
 
@@ -64,10 +68,13 @@
 ) -> Carrier | None:
     """Return the carrier for a tunnel: of two drawn at random the one with fewer tunnels for it.
 
+    Late carriers are used only if there are no others.
+
     :param failure_domain: of this daemon; carriers there come first while they have room.
     :param running: this daemon's tunnels by carrier.
     """
-    usable = [carrier for carrier in carriers if carrier.room > 0]
+    with_room = [carrier for carrier in carriers if carrier.room > 0]
+    usable = [carrier for carrier in with_room if carrier.room > LATE_ROOM] or with_room
     near = [carrier for carrier in usable if carrier.failure_domain == failure_domain]
     drawn = random.sample(near or usable, min(2, len(near or usable)))
     return min(drawn, key=lambda carrier: running.get(carrier.daemon_id, 0), default=None)
@@ -192,9 +199,10 @@
         since = self._clock() - RECENT_SECONDS
         if self._reach.is_doubtful(service) or not self._reach.succeeded_since(service, since):
             return 0
-        if self._max_lateness(since) > MAX_CARRIER_LATENESS_SECONDS:
+        lateness = self._max_lateness(since)
+        if lateness > MAX_CARRIER_LATENESS_SECONDS:
             return 0
-        return self._server.room
+        return min(self._server.room, LATE_ROOM) if lateness > LATE_SECONDS else self._server.room
 
     def _on_message(self, sender: str, message: Message) -> None:
         match message:
--- a/tests/test_tunnels.py
+++ b/tests/test_tunnels.py
@@ -452,8 +452,18 @@
         ([_carrier("a", "x"), _carrier("b", "y")], {}, "a"),
         ([_carrier("a", "x", room=0), _carrier("b", "y")], {}, "b"),
         ([_carrier("a", "x"), _carrier("b", "x")], {"a": 1}, "b"),
+        ([_carrier("a", "x", room=1), _carrier("b", "y")], {}, "b"),
+        ([_carrier("a", "x", room=1)], {}, "a"),
+    ],
+    ids=[
+        "none",
+        "no room",
+        "own domain first",
+        "room before domain",
+        "fewer tunnels first",
+        "a late one comes last",
+        "a late one alone",
     ],
-    ids=["none", "no room", "own domain first", "room before domain", "fewer tunnels first"],
 )
 def test_choice_of_a_carrier(carriers, running, chosen):
     found = offers.choose(carriers, "x", running)
