Soak: several kinds of faults can be chosen

--only takes names separated by commas, so that a fault that needs few others shows sooner; an unknown kind ends the program with a message instead of a traceback at the first draw. Checks, bounds and draws of seeds are as they were.

--- a/bench/soaks/gateway.py
+++ b/bench/soaks/gateway.py
@@ -180,12 +180,26 @@
     await asyncio.gather(*coroutines)
 
 
+def _chosen_faults(only: str | tuple[str, ...]) -> list[str]:
+    """Return the names of the kinds of faults to inject.
+
+    :param only: as on the command line, where several names arrive as a tuple.
+    :raises SystemExit: if a kind is unknown.
+    """
+    names = [only] if isinstance(only, str) else list(only)
+    chosen = [name for name in names if name]
+    unknown = sorted(set(chosen) - set(faults.names))
+    if unknown:
+        raise SystemExit(f"unknown kinds of faults: {', '.join(unknown)}")
+    return chosen or faults.names
+
+
 def soak(
     seed: int = 1,
     minutes: float = 1.0,
     processes: int = 4,
     seeds: int = 1,
-    only: str = "",
+    only: str | tuple[str, ...] = "",
     logs: str = "",
     older: str = "",
 ) -> None:
@@ -195,12 +209,12 @@
     :param minutes: duration of each seed's run.
     :param processes: number of daemons.
     :param seeds: number of consecutive seeds.
-    :param only: the only kind of fault to inject; all kinds if empty.
+    :param only: the kinds of faults to inject, separated by commas; all kinds if empty.
     :param logs: directory for the daemons' logs; a temporary one if empty.
     :param older: checkout of an older build that the daemons run at the start and that is
         replaced during the run; empty for none.
     """
-    fault_names = [only] if only else faults.names
+    fault_names = _chosen_faults(only)
     # Silences the errors of the stand-ins' streams that faults break.
     logging.getLogger("aiohttp.server").setLevel(logging.CRITICAL)
     run_seeds(
