Keys of a copy are not trusted until the operator can have written again

Cause: an answer proves what the store holds; after a restore that isn't what it had acknowledged. Change: store/acknowledged_age lets the age go on from the former era until the operator has written in this one, or for 2 s; the record thorncleat/complete-era shows a daemon that starts whether it reads a copy. Relays pass on the age of their copy as before. The same fault elsewhere: whether a leader has left was judged by the copy's age (entries_age now). A start of all without a restore, and the very first start, wait for nothing (asserted).

--- a/packages/gateway/src/thorncleat_gateway/gateway.py
+++ b/packages/gateway/src/thorncleat_gateway/gateway.py
@@ -60,6 +60,7 @@
 from .requests.slow_groups import SlowGroups
 from .requests.streams import StreamForwarder
 from .settings import GatewaySettings
+from .store.complete_era_writer import CompleteEraWriter
 from .store.registration import RELAYS
 from .store.registration import Registration
 from .store.relay_feed import RelayFeed
@@ -182,6 +183,9 @@
             self._paths.reach,
             lambda: self._paths.has_carriers() or self._detector.others_reach_endpoints(),
         )
+        self._complete_era_writer = CompleteEraWriter(
+            records, view, clock, lambda: self._election.is_controller
+        )
         self._call_window = CallWindow(self._detector.lateness, clock)
         orders = Orders(
             settings.control,
@@ -333,6 +337,7 @@
             self._paths.check,
             self._paths.offers,
             self._election,
+            self._complete_era_writer,
             self._controller,
         ):
             await self.add_runtime_dependency(service)
--- a/packages/gateway/src/thorncleat_gateway/groups/group_steps.py
+++ b/packages/gateway/src/thorncleat_gateway/groups/group_steps.py
@@ -171,7 +171,7 @@
             group=order.group.name,
             former=former.name,
             how=how.value if how else NO_RECORD_IN_TERM,
-            records_age=round(self._view.age(), 3),
+            records_age=round(self._view.copy_age(), 3),
         )
 
     async def wait_ready(self, group: GroupId, plan: GroupPlan) -> bool:
--- a/packages/gateway/src/thorncleat_gateway/groups/leader_liveness.py
+++ b/packages/gateway/src/thorncleat_gateway/groups/leader_liveness.py
@@ -102,7 +102,7 @@
         :returns: True if it is dead, False if it answers.
         """
         while True:
-            if is_unlisted(self._is_listed(leader), self._view.age()):
+            if is_unlisted(self._is_listed(leader), self._view.entries_age()):
                 requested_at = self._request_probes(leader)
                 if await self._orders.is_responding(leader):
                     return False
@@ -126,9 +126,9 @@
         requests = self._load_table.request_count(leader.id)
         listed = self._view.roster.endpoints.get(leader.id)
         is_leader_idle = is_idle(requests=requests, silent_daemons=silent_daemons)
-        if is_leader_idle and not is_possibly_leaving(listed, self._view.age()):
+        if is_leader_idle and not is_possibly_leaving(listed, self._view.entries_age()):
             return not await self._is_responding_to_others(leader)
-        if requests or not is_unlisted(listed is not None, self._view.age()):
+        if requests or not is_unlisted(listed is not None, self._view.entries_age()):
             return False
         await asyncio.sleep(PROBE_ROUND_SECONDS)
         return self._is_dead(leader, requested_at)
--- a/packages/gateway/src/thorncleat_gateway/store/relay_server.py
+++ b/packages/gateway/src/thorncleat_gateway/store/relay_server.py
@@ -108,7 +108,8 @@
         if body is None:
             return web.Response(status=relay_answer.STATUS_HISTORY_COMPACTED)
         self.answered_count += 1
-        age = self._view.age()
+        # A daemon that has never known the newest configuration must not pass on revoked keys.
+        age = self._view.copy_age() if self._view.has_known_configuration else float("inf")
         if earlier:
             return web.Response(body=relay_answer.write_earlier(age, body))
         era, settling_times = self._position.era, self._view.settling_times()
--- a/packages/gateway/src/thorncleat_gateway/store/view.py
+++ b/packages/gateway/src/thorncleat_gateway/store/view.py
@@ -24,8 +24,9 @@
 from ..ports import Position
 from ..ports import RecordChanged
 from ..ports import SettlingTimes
+from .acknowledged_age import AcknowledgedAge
+from .complete_era import recorded_era
 from .former_eras import FormerEras
-from .freshness import ENTRY_REWRITE_SECONDS
 from .freshness import Freshness
 from .roster import Incarnation
 from .roster import Roster
@@ -66,8 +67,8 @@
         self.former_eras = FormerEras()
         # The position of the last answer.
         self._answered_position: Position | None = None
-        # The configuration may be an outdated one of a restored store until this time.
-        self._possibly_outdated_until = float("-inf")
+        self._configuration_age = AcknowledgedAge()
+        self._entries_age = AcknowledgedAge()
         # Ids of endpoints whose entries were written since the store's last return.
         self._rewritten_ids: set[str] = set()
         self._listeners: list[t.Callable[[], None]] = []
@@ -153,11 +154,28 @@
     def age(self) -> float:
         """Return the seconds for which a newer configuration may have been in force.
 
-        Infinite while this daemon has only the configuration of a restored store, which may
-        still hold keys that were revoked in the lost changes.
+        A restored store proves nothing until the operator has written again what it has lost. Until
+        then the age continues from before the restore, or is infinite if this daemon knew nothing.
         """
-        now = self._clock()
-        return float("inf") if now < self._possibly_outdated_until else self._freshness.age(now)
+        return self._configuration_age.age(self._clock())
+
+    def entries_age(self) -> float:
+        """Return the seconds for which an entry that an endpoint wrote may be unknown."""
+        return self._entries_age.age(self._clock())
+
+    def copy_age(self) -> float:
+        """Return the seconds for which a change that the store made may be unknown."""
+        return self._freshness.age(self._clock())
+
+    @property
+    def is_configuration_complete(self) -> bool:
+        """Whether the store holds the newest configuration that it has acknowledged."""
+        return self._configuration_age.is_complete(self._clock())
+
+    @property
+    def has_known_configuration(self) -> bool:
+        """Whether this daemon has ever known the newest configuration."""
+        return self._configuration_age.is_known
 
     def settling_times(self) -> SettlingTimes:
         """Return the time left until missing endpoints count as removed."""
@@ -186,7 +204,7 @@
                 continue
             except StoreError as error:
                 if backoff == MIN_BACKOFF_SECONDS:
-                    events.STORE_LOST.log(reason=str(error), age=round(self.age(), 3))
+                    events.STORE_LOST.log(reason=str(error), age=round(self.copy_age(), 3))
                 self._freshness = self._freshness.after_failure(self._clock())
                 await asyncio.sleep(backoff)
                 backoff = min(backoff * 2, MAX_BACKOFF_SECONDS)
@@ -218,9 +236,10 @@
             self._replace(answer.changes, restored=restored)
         else:
             answer = await self._feed.changes(self._position, self._wait)
-            self._record_answer(sent_at, answer)
+            restored = self._record_answer(sent_at, answer)
             for change in answer.changes:
                 self._apply(change)
+        self._record_proof(sent_at + answer.proven_seconds, answer, restored=restored)
         since, self._position = self._position, answer.position
         for listener in self._batch_listeners:
             listener(since, answer)
@@ -239,9 +258,6 @@
         :returns: whether a new era has begun.
         """
         before, self._answered_position = self._answered_position, answer.position
-        if before is None and self.era.has_ended and answer.settling_times is None:
-            # The first answer comes from the store itself, which was restored since the start.
-            self._possibly_outdated_until = self._clock() + ENTRY_REWRITE_SECONDS
         restored = before is not None and before.era != answer.position.era
         if before is not None and restored:
             self.former_eras.record_end(before.revision, self.records)
@@ -253,6 +269,23 @@
             self._rewritten_ids.clear()
         return restored
 
+    def _record_proof(self, proven_at: float, answer: Changes, *, restored: bool) -> None:
+        """Record what an answer whose changes were applied proves of acknowledged changes.
+
+        :param proven_at: time up to which the answer holds every change that the store made.
+        :param restored: whether it is the first answer of a new era.
+        """
+        now, era = self._clock(), answer.position.era
+        recorded = recorded_era(self.records)
+        is_first_start = recorded is None and not self.era.has_ended
+        for age in (self._configuration_age, self._entries_age):
+            age.begin_era(era, now, is_complete=is_first_start and not restored)
+        is_written = self._position is not None and not restored and _has_configuration(answer)
+        if recorded == era or is_written:
+            self._configuration_age.complete_era()
+        for age in (self._configuration_age, self._entries_age):
+            age.record_proof(proven_at)
+
     def _notify_listeners(self) -> None:
         self.version += 1
         self._changed.set()
@@ -307,8 +340,11 @@
         previous_version = self.configuration.version if self.configuration else -1
         if configuration.version <= previous_version:
             return
-        if self.configuration is not None:
-            self._possibly_outdated_until = float("-inf")
         self.configuration = configuration
         self._configured.set()
         events.CONFIG_IN_FORCE.log(version=configuration.version, before=previous_version)
+
+
+def _has_configuration(answer: Changes) -> bool:
+    """Return whether an answer tells of a write of the configuration."""
+    return any(isinstance(change, ConfigurationChanged) for change in answer.changes)
--- a/tests/fleet_world.py
+++ b/tests/fleet_world.py
@@ -199,8 +199,13 @@
 
     def configure(self, version: int) -> None:
         self.configuration = ConfigurationChanged(ServingConfiguration(version))
+        self.configured_at = self.now()
         self.store.put("config", self.configuration)
 
+    def configuration_version(self) -> float:
+        """Return the version that the operator wrote last."""
+        return self.configuration.configuration.version
+
     def add_endpoint(self) -> Endpoint:
         made = Endpoint(f"w{self._added:03}", "desk", f"a:{self._added}", "z0")
         self._added += 1
