Evacuations hold although the store came back from a copy that lacks them

Requests went to endpoints of an evacuated failure domain between a restore and the operator's next write.

--- a/packages/gateway/src/thorncleat_gateway/store/view.py
+++ b/packages/gateway/src/thorncleat_gateway/store/view.py
@@ -27,7 +27,9 @@
 from .acknowledged_age import AcknowledgedAge
 from .complete_era import recorded_era
 from .former_eras import FormerEras
+from .freshness import ENTRY_REWRITE_SECONDS
 from .freshness import Freshness
+from .retained_evacuations import RetainedEvacuations
 from .roster import Incarnation
 from .roster import Roster
 from .serving import ServingConfiguration
@@ -75,6 +77,7 @@
         self._batch_listeners: list[t.Callable[[Position | None, Changes], None]] = []
         self._freshness = Freshness()
         self.roster = Roster()
+        self._evacuations = RetainedEvacuations()
         self.records: dict[str, RecordChanged] = {}
         self.configuration: ServingConfiguration | None = None
         self._configured = asyncio.Event()
@@ -133,7 +136,11 @@
         configured = [ConfigurationChanged(self.configuration)] if self.configuration else []
         listed = [EndpointListed(endpoint) for endpoint in self.roster.stored_entries]
         missing = [EndpointRemoved(endpoint_id) for endpoint_id in self.roster.missing]
-        return [*configured, *listed, *missing, *self.records.values()]
+        # A reader of the snapshot gets no change when a retained evacuation ends.
+        stored = [
+            record for key, record in self.records.items() if key not in self._evacuations.records
+        ]
+        return [*configured, *listed, *missing, *stored]
 
     def mark_draining(self, incarnation: Incarnation) -> None:
         """Record that an endpoint reported in an answer that it drains."""
@@ -219,14 +226,24 @@
     async def _expire_task(self) -> None:
         while not self.should_stop:
             await asyncio.sleep(self._seconds_until_due())
-            if self.roster.expire(self._clock()):
+            now = self._clock()
+            has_expired = self._expire_evacuations(now)
+            if self.roster.expire(now) or has_expired:
                 self._notify_listeners()
 
     def _seconds_until_due(self) -> float:
         """Return the seconds until the roster is checked for expired endpoints."""
-        due_in = self.roster.next_due - self._clock()
+        due_in = min(self.roster.next_due, self._evacuations.next_due) - self._clock()
         return min(MAX_EXPIRY_POLL_SECONDS, max(0.0, due_in))
 
+    def _expire_evacuations(self, now: float) -> bool:
+        """End the evacuations that weren't written again; return whether there were any."""
+        expired = self._evacuations.expire(now)
+        for key in expired:
+            self.records_version += 1
+            del self.records[key]
+        return bool(expired)
+
     async def _fetch_changes(self) -> bool:
         """Read the next changes or a snapshot, and return whether there were any changes."""
         sent_at = self._clock()
@@ -302,7 +319,10 @@
         now = self._clock()
         remove_at = self._freshness.removal_time(now)
         self.roster.replace(listed, now, remove_at, restored=restored)
+        if restored:
+            self._evacuations.retain(self.records, now + ENTRY_REWRITE_SECONDS)
         self.records.clear()
+        self.records.update(self._evacuations.records)
         self.records_version += 1
         for change in changes:
             if not isinstance(change, EndpointListed):
@@ -323,6 +343,7 @@
             case RecordChanged(key, value):
                 self.records_version += 1
                 self.former_eras.discard_record(key)
+                self._evacuations.discard(key)
                 if value is None:
                     self.records.pop(key, None)
                 else:
