No epoch is given to two groups after a restore of the store

Cause: a term's number is the revision of the controller's record. After a restore a controller that starts before the endpoints have written again gets the same revision and knows no epoch, so it gave a second time; the end of the first group of that name released the members of the second. Change: the number is the era x 100,000 + the revision; each answer of the store names the era. Still above all known epochs.

--- a/packages/gateway/src/thorncleat_gateway/groups/term.py
+++ b/packages/gateway/src/thorncleat_gateway/groups/term.py
@@ -144,4 +144,6 @@
         memberships = (endpoint.membership for endpoint in (*roster.endpoints.values(), *former))
         epochs = [member.group.epoch for member in memberships if member is not None]
         epochs += [group.epoch for group in self._records.groups]
-        return term_number(position.revision, epochs, self._view.former_eras.revisions)
+        return term_number(
+            position.revision, epochs, self._view.former_eras.revisions, position.era
+        )
