A daemon that is told to stop while it starts ends within its grace

Cause: SIGTERM was blocked until the program could drain, and the planned stop counted the grace from its own first moment. A daemon that no load balancer has seen ready refuses at once.

--- a/packages/gateway/src/thorncleat_gateway/gateway.py
+++ b/packages/gateway/src/thorncleat_gateway/gateway.py
@@ -451,8 +451,12 @@
             is_suspected=self._detector.is_suspected(endpoint),
         )
 
-    async def drain(self) -> None:
-        """Finish the running requests before a planned stop."""
+    async def drain(self, ordered_at: float | None = None) -> None:
+        """Finish the running requests before a planned stop.
+
+        :param ordered_at: time of the order to stop, from which the grace period runs; None for
+            now.
+        """
         assert self._frontend is not None
         planned_stop = PlannedStop(
             self._frontend,
@@ -461,7 +465,7 @@
             self._clock,
             self._paths.server,
         )
-        await planned_stop.wait()
+        await planned_stop.wait(self._clock() if ordered_at is None else ordered_at)
 
     async def on_stop(self) -> None:
         """Close the listeners."""
--- a/packages/gateway/src/thorncleat_gateway/planned_stop.py
+++ b/packages/gateway/src/thorncleat_gateway/planned_stop.py
@@ -63,22 +63,25 @@
     def _running_tunnels(self) -> int:
         return self._tunnels.running if self._tunnels is not None else 0
 
-    async def wait(self) -> None:
+    async def wait(self, ordered_at: float) -> None:
         """Drain the running requests; return when the daemon may stop.
 
         The daemon reports itself as not ready at once, but serves requests until the load balancer
-        has noticed, and refuses them from then on.
+        has noticed, and refuses them from then on. One that the load balancer has never known
+        refuses them at once.
+
+        :param ordered_at: time of the order to stop.
         """
         events.STOPPING.log(running=self._frontend.running)
-        started_at = self._clock()
+        was_known = self._frontend.is_known
         self._frontend.stopping = True
         if self._tunnels is not None:
             self._tunnels.stopping = True
         # Another daemon takes over as controller while this one still serves requests.
         self._election.stopping = True
-        while not must_stop(self._clock() - started_at, self._grace):
+        while not must_stop(self._clock() - ordered_at, self._grace):
             await asyncio.sleep(POLL_INTERVAL_SECONDS)
-            if refuses_requests(self._clock() - started_at):
+            if not was_known or refuses_requests(self._clock() - ordered_at):
                 self._frontend.closed = True
                 if not self._frontend.running and not self._running_tunnels:
                     return
--- a/packages/gateway/src/thorncleat_gateway/requests/frontend.py
+++ b/packages/gateway/src/thorncleat_gateway/requests/frontend.py
@@ -70,6 +70,12 @@
         self.closed = False
         self.requests = 0
         self.running = 0
+        self._was_ready = False
+
+    @property
+    def is_known(self) -> bool:
+        """Whether a load balancer may send requests: it was told that this daemon is ready."""
+        return self._was_ready or self.requests > 0
 
     async def readiness(self, request: web.BaseRequest) -> web.StreamResponse:
         """Answer whether this daemon is ready."""
@@ -78,6 +84,7 @@
         reason = self._not_ready_reason()
         if reason is not None:
             return web.Response(status=503, text=reason.value)
+        self._was_ready = True
         return web.Response(status=200, text="ready")
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
