--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -4,6 +4,8 @@
 import hypothesis
 import pytest
 
+from . import process_logs
+
 # the same verdict on every run: examples are derived from the tests themselves
 hypothesis.settings.register_profile(
     "fixed",
@@ -20,6 +22,17 @@
     random.seed(1)
 
 
+@pytest.hookimpl(wrapper=True)
+def pytest_runtest_makereport(item, call):
+    """Add the last lines of a failed test's processes to its report, and keep their output."""
+    report = yield
+    if report.failed:
+        logs = process_logs.find(getattr(item, "funcargs", {}))
+        for log in process_logs.keep(logs, item.nodeid, item.config.rootpath):
+            report.sections.append((f"output of {log.stem}, kept in {log}", process_logs.tail(log)))
+    return report
+
+
 def _known_red(config):
     """Return the listed tests with their causes; each line is ``test | cause | issue``."""
     lines = (config.rootpath / "KNOWN-RED.txt").read_text(encoding="utf-8").splitlines()
