A stream that has begun waits for the end of a known pause

Cause: the wait for a group ended after 2.0 s whatever was known of pauses; and a request whose time was over was said to have found no group. Change: retry_policy.has_waited outwaits a pause that ends in time; the cut names the time if that ended it. Measured: tests/test_waiting_streams.py, pauses of 2.6 and 4.0 s: cut before, served now.

--- a/bench/soaks/gateway_site.py
+++ b/bench/soaks/gateway_site.py
@@ -34,6 +34,8 @@
 ENTRY_PREFIX = "servers/"
 # Time after which a revoked key must be rejected.
 REVOCATION_SECONDS = 3.0
+# Time after which the gateway gives up a request of any route.
+ROUTE_TIMEOUT_SECONDS = 4.0
 # Revoked keys that callers still use.
 MAX_REVOKED_KEYS = 4
 # Numbers of fabric domains, of workers in each, of members of a group, and of workers of the
@@ -212,7 +214,7 @@
         "path_prefix": PATHS[kind],
         "route_kind": route_kind,
         "service": service,
-        "timeout_ms": 4000,
+        "timeout_ms": int(ROUTE_TIMEOUT_SECONDS * 1000),
         "latency_target_ms": 500,
         "priority": 1,
         **options,
--- a/bench/soaks/gateway_troubles.py
+++ b/bench/soaks/gateway_troubles.py
@@ -12,10 +12,12 @@
 from thorncleat_core.daemon.registry import Registry
 
 from .gateway_callers import Caller
+from .gateway_checks import Exchange
 from .gateway_daemons import Daemon
 from .gateway_evacuations import evacuate_zone
 from .gateway_notices import DRAIN_SECONDS
 from .gateway_site import REVOCATION_SECONDS
+from .gateway_site import ROUTE_TIMEOUT_SECONDS
 from .gateway_site import SoakSite
 from .gateway_workers import SoakWorker
 from .harness import Soak
@@ -28,6 +30,9 @@
 STARTUP_SECONDS = 2.0
 # Time for a caller to record the end of its answer.
 RECORD_DELAY_SECONDS = 0.1
+# Time from which a request counts as cut by its route's timeout: the gateway gives up a little
+# before.
+OUT_OF_TIME_SECONDS = ROUTE_TIMEOUT_SECONDS - 0.05
 HARMFUL_MODES = (Mode.DELAY, Mode.SILENCE, Mode.LOSE_ANSWERS, Mode.LOSE_REQUESTS, Mode.RESET)
 FaultInjector = t.Callable[["GatewaySoak"], t.Awaitable[None]]
 faults: Registry[FaultInjector] = Registry("trouble")
@@ -225,6 +230,11 @@
             soak.fault_slots.release()
 
 
+def is_out_of_time(exchange: Exchange) -> bool:
+    """Return whether its route's timeout ended a request, which a planned stop need not prevent."""
+    return exchange.ended_at - exchange.sent_at >= OUT_OF_TIME_SECONDS
+
+
 async def _stop_and_check(soak: GatewaySoak, daemon: Daemon) -> None:
     """Stop a daemon gracefully and check that its running requests are completed."""
     current_exchanges = [caller.current_exchange for caller in soak.callers]
@@ -236,7 +246,11 @@
         checks.violations.append(f"LOST {daemon.name} did not stop within its grace period")
     await asyncio.sleep(RECORD_DELAY_SECONDS)
     for exchange in exchanges:
-        if not exchange.is_complete:
+        if exchange.is_complete:
+            continue
+        if is_out_of_time(exchange):
+            soak.counts["requests out of time in a planned stop"] += 1
+        else:
             checks.violations.append(
                 f"LOST {exchange.id} was cut by a planned stop of {daemon.name}: "
                 f"status {exchange.status}, {exchange.ended_at - exchange.sent_at:.3f} s, "
--- a/packages/gateway/src/thorncleat_gateway/requests/retry_policy.py
+++ b/packages/gateway/src/thorncleat_gateway/requests/retry_policy.py
@@ -20,7 +20,8 @@
 MAX_UNSENT_ATTEMPTS = 4
 # Timeout, as a fraction of the route's target, of an attempt that can be repeated elsewhere.
 ATTEMPT_TARGET_FRACTION = 0.8
-# How long a stream that has begun waits for a group on which it can resume.
+# How long a stream that has begun waits for a group on which it can resume, if none is known to
+# come back.
 WAIT_FOR_GROUP_SECONDS = 2.0
 # Causes in log lines and answers.
 OUT_OF_TIME = "out of time"
@@ -161,8 +162,31 @@
     return give_up(cause, seconds, may_have_run=may_have_run)
 
 
+def has_waited(waited: float, pause_left: float, left: float) -> bool:
+    """Return whether a stream that has begun stops waiting for a group.
+
+    It outwaits a pause that ends in time: the group is known to come back, and a cut answer can't
+    be repeated by every caller.
+
+    :param waited: seconds for which it has waited.
+    :param pause_left: seconds until a pausing group accepts requests; 0 if none pauses.
+    :param left: seconds until the request is given up.
+    """
+    if left <= 0:
+        return True
+    if 0 < pause_left < left:
+        return False
+    return waited >= WAIT_FOR_GROUP_SECONDS
+
+
 def without_group(
-    cause: str, *, may_have_run: bool, has_begun: bool, waited: bool, pause_left: float = 0.0
+    cause: str,
+    *,
+    may_have_run: bool,
+    has_begun: bool,
+    waited: bool,
+    pause_left: float = 0.0,
+    is_late: bool = False,
 ) -> t.Literal[NextStep.WAIT_FOR_GROUP] | Refusal | CutAnswer:
     """Decide how a streamed request proceeds while no group can take it.
 
@@ -170,12 +194,15 @@
     :param pause_left: seconds until a pausing endpoint accepts requests; 0 if none pauses.
     :param has_begun: whether the caller has got the head of the answer. Before that the request is
         refused without a wait, since the caller can retry at another daemon.
-    :param waited: whether :data:`WAIT_FOR_GROUP_SECONDS` are over.
+    :param waited: whether its wait is over, as :func:`has_waited` says.
+    :param is_late: whether the request has run out of time.
     """
     if not has_begun:
         seconds = retry_after.during_pause(retry_after.STREAM_SECONDS, pause_left)
         return give_up(cause, seconds, may_have_run=may_have_run)
-    return CutAnswer(NO_GROUP_LEFT) if waited else NextStep.WAIT_FOR_GROUP
+    if not waited:
+        return NextStep.WAIT_FOR_GROUP
+    return CutAnswer(OUT_OF_TIME if is_late else NO_GROUP_LEFT)
 
 
 def refuse_quarantined(
--- a/packages/gateway/src/thorncleat_gateway/requests/streams.py
+++ b/packages/gateway/src/thorncleat_gateway/requests/streams.py
@@ -27,7 +27,6 @@
 from .first_event_offsets import ExpectedTime
 from .forwarder import Forwarder
 from .request import Request
-from .retry_policy import WAIT_FOR_GROUP_SECONDS
 from .retry_policy import NextStep
 from .retry_policy import StreamDecision
 from .slow_groups import GapMeter
@@ -161,7 +160,7 @@
         :raises RefusalError: if there is none, or the request is quarantined.
         :raises AnswerAbortedError: in these cases, if the caller has got the head of the answer.
         """
-        until = min(request.give_up_at, self._clock() + WAIT_FOR_GROUP_SECONDS)
+        started_at = self._clock()
         service, model = request.service.name, request.meta.model
         # Requests that a crash broke go to random groups, so that they don't meet its cause again.
         randomize = self._crash_watch.is_suspect(request)
@@ -186,12 +185,15 @@
                 if is_denied
                 else self._no_group_cause(service, model)
             )
+            now, pause_left = self._clock(), self._selector.pause_left(service, model)
+            left = request.give_up_at - now
             decision = retry_policy.without_group(
                 no_group,
                 may_have_run=request.may_have_run,
                 has_begun=caller.has_begun,
-                waited=self._clock() >= until,
-                pause_left=self._selector.pause_left(service, model),
+                waited=retry_policy.has_waited(now - started_at, pause_left, left),
+                pause_left=pause_left,
+                is_late=left <= 0,
             )
             if decision is not NextStep.WAIT_FOR_GROUP:
                 raise decision.error()
--- a/tests/test_retry_policy.py
+++ b/tests/test_retry_policy.py
@@ -332,6 +332,30 @@
     assert found == expected
 
 
+def test_cut_for_want_of_time_says_so():
+    """A stream whose time was over was said to have found no group."""
+    found = retry_policy.without_group(
+        "c", may_have_run=True, has_begun=True, waited=True, is_late=True
+    )
+    assert found == CutAnswer("out of time")
+
+
+@pytest.mark.parametrize(
+    ("waited", "pause_left", "left", "ends"),
+    [
+        pytest.param(1.9, 0.0, 5.0, False, id="a group may come"),
+        pytest.param(2.0, 0.0, 5.0, True, id="none came"),
+        pytest.param(2.5, 0.7, 5.0, False, id="a pause ends in time"),
+        pytest.param(2.5, 0.7, 0.5, True, id="the pause ends too late"),
+        pytest.param(0.5, 0.7, 0.5, False, id="another group may come before"),
+        pytest.param(0.5, 0.0, 0.0, True, id="no time is left"),
+        pytest.param(0.5, 0.7, -0.1, True, id="no time is left, while a group pauses"),
+    ],
+)
+def test_wait_of_a_stream_that_has_begun(waited, pause_left, left, ends):
+    assert retry_policy.has_waited(waited, pause_left, left) is ends
+
+
 @pytest.mark.parametrize(
     ("failure", "heard", "counts"),
     [
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -17,6 +17,7 @@
 from bench.soaks.gateway_evacuations import EvacuationChecks
 from bench.soaks.gateway_limits import LimitChecks
 from bench.soaks.gateway_notices import NoticeChecks
+from bench.soaks.gateway_troubles import is_out_of_time
 from bench.soaks.proxy import Mode
 from bench.soaks.proxy import Proxy
 
@@ -328,3 +329,17 @@
     def test_arrival(self, seconds, fields, is_violation):
         violations = virtual_time.run(self._arrival(seconds, **fields))
         assert bool(violations) is is_violation
+
+
+@pytest.mark.parametrize(
+    ("seconds", "is_allowed"),
+    [
+        pytest.param(4.03, True, id="as c6-43 of seed 1203, whose route's timeout was over"),
+        pytest.param(3.95, True, id="the gateway gives up a little before"),
+        pytest.param(3.9, False, id="it had time left"),
+        pytest.param(1.7, False, id="it had much time left"),
+    ],
+)
+def test_stop_may_cut_only_requests_that_are_out_of_time(seconds, is_allowed):
+    exchange = Exchange("r", RequestKind.STREAM, 0.0, "key", b"", ended_at=seconds)
+    assert is_out_of_time(exchange) is is_allowed
--- /dev/null
+++ b/tests/test_waiting_streams.py
@@ -0,0 +1,61 @@
+"""A stream that has begun waits for a group whose pause ends in time."""
+
+import asyncio
+
+import pytest
+
+from thorncleat_gateway.exceptions import AnswerAbortedError
+from thorncleat_gateway.requests.retry_policy import WAIT_FOR_GROUP_SECONDS
+
+from . import virtual_time
+from .notice_endpoints import Size
+from .notice_world import Caller
+from .notice_world import NoticeWorld
+
+# How late a stream may notice that a group accepts requests again.
+POLL_SECONDS = 0.1
+
+
+async def _wait_for_a_group(pause: float, left: float) -> tuple[str, float]:
+    """Return the group or the cause of the cut, and the seconds that a stream waited for it.
+
+    :param pause: seconds for which the only group wants no requests.
+    :param left: seconds until the request is given up.
+    """
+    world = NoticeWorld(Size(daemons=1, endpoints=1), 1)
+    await world.begin()
+    (daemon,) = world.daemons
+    endpoint = world.workers[0].endpoint
+    daemon.selector._notices._pause(endpoint.incarnation, pause)
+    request, caller = world.request("r", left=left), Caller(world)
+    await caller.begin(200, ())
+    started_at = world.now()
+    try:
+        engine = request.service.engine
+        chosen = await daemon.streams._choose_leader(request, engine, caller)
+        found = chosen.id
+    except AnswerAbortedError as error:
+        found = error.cause
+    waited = asyncio.get_running_loop().time() - started_at
+    await world.end()
+    return found, waited
+
+
+@pytest.mark.parametrize("pause", [0.5, 1.9, 2.6, 4.0])
+def test_stream_goes_on_when_the_pause_ends(pause):
+    """It was cut after two seconds, though its group was known to come back."""
+    found, waited = virtual_time.run(_wait_for_a_group(pause, left=6.0))
+    assert found == "w0"
+    assert pause <= waited <= pause + POLL_SECONDS
+
+
+def test_stream_whose_time_is_over_before_the_pause_is_cut_with_the_true_cause():
+    found, waited = virtual_time.run(_wait_for_a_group(3.0, left=1.0))
+    assert found == "out of time"
+    assert waited <= 1.0 + POLL_SECONDS
+
+
+def test_stream_does_not_wait_for_a_pause_that_ends_too_late():
+    found, waited = virtual_time.run(_wait_for_a_group(10.0, left=5.0))
+    assert found == "no group to go on in"
+    assert waited <= WAIT_FOR_GROUP_SECONDS + POLL_SECONDS
