An address without a port is a named fault of the settings, or a bad entry

An operator whose settings lacked a port got a traceback; an endpoint's entry without one raised ValueError in the check of reach and in tunnels. Cause: addresses were plain strings, split where they were used.

--- a/tests/test_forms_settings.py
+++ b/tests/test_forms_settings.py
@@ -131,6 +131,10 @@
         ('address = "10.0.0.5:2379"', ""),
         ("[platform]\n", ""),
         ("[listen]", "[listen"),
+        ('frontend = "0.0.0.0:8000"', 'frontend = "0.0.0.0"'),
+        ('frontend = "0.0.0.0:8000"', 'frontend = "0.0.0.0:http"'),
+        ('address = "10.0.0.5:2379"', 'address = "10.0.0.5:65536"'),
+        ('address = "10.0.0.5:2379"', 'address = "10.0.0.5:"'),
     ],
 )
 def test_value_that_is_wrong(tmp_path, old, new, snapshot):
--- a/tests/test_platform_documents.py
+++ b/tests/test_platform_documents.py
@@ -123,6 +123,8 @@
         (lambda: route(service=None), "configuration: route 'chat' leads to no service"),
         (lambda: engine(slots=None), "configuration: services.0.engine.slots: "),
         (lambda: endpoint(address=None), "endpoint 'i-1': address: "),
+        (lambda: endpoint(address="10.0.0.1"), "endpoint 'i-1': address: "),
+        (lambda: endpoint(address="10.0.0.1:http"), "endpoint 'i-1': address: "),
         (lambda: endpoint(group={"name": "g"}), "endpoint 'i-1': group 'g' has no epoch"),
         (
             lambda: endpoint(group=GROUP | {"state": "odd"}),
