thorncleatd: requests of a closed group move without a retry token

Cause: a member that doesn't answer for 0.3 s (the lab's member_probe) closes its group, as it must; each stream then takes a token of the daemon's retry budget, of which 10 are saved up. Evidence: one engine paused for 0.3 s beside 60 streams, 20 at each daemon: at each daemon 10 lines request_moved and 10 request_failed. Change: a move whose group has closed takes no token; the group has stopped the request, and permits limit what others get.

--- a/packages/daemon/src/thorncleat_daemon/attempts.py
+++ b/packages/daemon/src/thorncleat_daemon/attempts.py
@@ -34,6 +34,9 @@
         "group_closed",
     }
 )
+# Causes that take no token of the retry budget: the group has stopped the request itself, so a move
+# adds no load to it, and permits limit what the others get.
+UNTHROTTLED_CAUSES = frozenset({"group_closed"})
 _GROUP_CLOSED_MESSAGE = "group closed"
 Answer = t.TypeVar("Answer")
 SlotRequestFactory = t.Callable[[frozenset[str]], SlotRequest]
@@ -139,7 +142,7 @@
             seconds_left=caller.seconds_left(),
         ):
             return False
-        if not self._retries.try_acquire():
+        if error.cause not in UNTHROTTLED_CAUSES and not self._retries.try_acquire():
             return False
         self._metrics.retries.labels(error.cause).inc()
         return True
