thorncleatd: a stream that goes on outlives more than four groups

Cause: each closed group counted as an attempt, of which a request has four, however much it had brought. Evidence: a reader of 6,000 events whose groups are paused in turn for 0.5 s: whole with 0, 1, 2 pauses; 2,008, 1,954 and 1,385 events with 4, 6 and 8. Change: an attempt in a closed group that brought events begins the count anew; the deadline bounds it.

--- a/packages/daemon/src/thorncleat_daemon/attempts.py
+++ b/packages/daemon/src/thorncleat_daemon/attempts.py
@@ -67,16 +67,23 @@
         permits.on_closed(self._cancel_calls)
 
     async def run(
-        self, caller: Caller, slot_request_factory: SlotRequestFactory, work: SendToGroup[Answer]
+        self,
+        caller: Caller,
+        slot_request_factory: SlotRequestFactory,
+        work: SendToGroup[Answer],
+        progress: t.Callable[[], int] = lambda: 0,
     ) -> Answer:
         """Run a request until it is answered or can't be retried.
 
         :param slot_request_factory: returns the request's requirements, given the groups to avoid.
         :param work: sends the request to the group of a slot.
+        :param progress: returns how many events the caller has got.
         :raises RequestError: the error of the last attempt; it says whether the request ran.
         """
         failed: set[str] = set()
-        for attempt in range(1, MAX_ATTEMPTS + 1):
+        attempt, events_before = 0, progress()
+        while True:
+            attempt += 1
             slot = await self._dispatcher.acquire(slot_request_factory(frozenset(failed)))
             try:
                 answer = await self._run_until_closed(slot, work(slot))
@@ -85,12 +92,14 @@
                 return answer
             except RequestError as error:
                 self._record_failure(slot, error, failed)
+                if error.cause in UNTHROTTLED_CAUSES and progress() > events_before:
+                    # A long stream may outlive many groups; its deadline bounds it.
+                    attempt, events_before = 1, progress()
                 if not self._reserve_retry(caller, error, attempt):
                     raise
                 events.REQUEST_MOVED.log(request=caller.id, cause=error.cause)
             finally:
                 self._dispatcher.release(slot)
-        raise AssertionError("the last attempt returns or raises")
 
     def permitted_until(self, slot: Slot) -> float:
         """Return the end of the permit of a call's group; 0 if the group may not answer now."""
--- a/packages/daemon/src/thorncleat_daemon/streams.py
+++ b/packages/daemon/src/thorncleat_daemon/streams.py
@@ -119,7 +119,9 @@
             await self._copy_answer(caller_stream, slot, completion)
 
         try:
-            await self._attempts.run(caller, slot_request_factory, send_once)
+            await self._attempts.run(
+                caller, slot_request_factory, send_once, lambda: caller_stream.pieces.events
+            )
             await caller_stream.write(DONE)
             await caller_stream.response.write_eof()
         except RequestError as error:
--- a/tests/test_moved_requests.py
+++ b/tests/test_moved_requests.py
@@ -7,6 +7,7 @@
 import pytest
 
 from thorncleat_core import clock
+from thorncleat_daemon.attempts import MAX_ATTEMPTS
 from thorncleat_daemon.attempts import Attempts
 from thorncleat_daemon.callers import Caller
 from thorncleat_daemon.dispatch import Slot
@@ -106,3 +107,39 @@
     answers = await _run(attempts, work)
     assert all(isinstance(answer, RequestError) for answer in answers)
     assert len(sends) == pytest.approx(REQUESTS + 10)
+
+
+async def _groups_close(closings: int, *, events_in_each: int) -> tuple[object, int]:
+    """Close each group that a stream comes to; return its result and its number of groups.
+
+    :param events_in_each: events that its caller gets in each group.
+    """
+    permits, dispatcher = _Permits(), _Dispatcher()
+    attempts = Attempts(dispatcher, permits, _Metrics())
+    events, groups = [], []
+
+    async def work(slot: Slot) -> str:
+        groups.append(slot.group)
+        events.extend([slot.group] * events_in_each)
+        if len(groups) <= closings:
+            asyncio.get_running_loop().call_soon(permits.close, slot.group)
+            await asyncio.Event().wait()
+        return "whole"
+
+    call = attempts.run(_caller(0), lambda avoid: avoid, work, lambda: len(events))
+    (result,) = await asyncio.gather(call, return_exceptions=True)
+    return result, len(groups)
+
+
+async def test_stream_that_goes_on_outlives_many_groups():
+    """A long stream ended within its answer when its fourth group closed."""
+    result, groups = await _groups_close(12, events_in_each=1)
+    assert result == "whole"
+    assert groups == 13
+
+
+async def test_stream_that_gets_no_event_ends_after_four_groups():
+    result, groups = await _groups_close(12, events_in_each=0)
+    assert isinstance(result, RequestError)
+    assert result.cause == "group_closed"
+    assert groups == MAX_ATTEMPTS
