--- a/packages/gateway/src/thorncleat_gateway/requests/retry_policy.py
+++ b/packages/gateway/src/thorncleat_gateway/requests/retry_policy.py
@@ -23,6 +23,8 @@
 # How long a stream that has begun waits for a group on which it can resume, if none is known to
 # come back.
 WAIT_FOR_GROUP_SECONDS = 2.0
+# Longest pause that it outwaits, as a fraction of its time left; the rest is for its answer.
+MAX_PAUSE_FRACTION = 0.5
 # Causes in log lines and answers.
 OUT_OF_TIME = "out of time"
 NO_ENDPOINT = "no endpoint"
@@ -165,8 +167,8 @@
 def has_waited(waited: float, pause_left: float, left: float) -> bool:
     """Return whether a stream that has begun stops waiting for a group.
 
-    It outwaits a pause that ends in time: the group is known to come back, and a cut answer can't
-    be repeated by every caller.
+    It outwaits a pause that leaves enough time for the rest of the answer, since the group is known
+    to come back.
 
     :param waited: seconds for which it has waited.
     :param pause_left: seconds until a pausing group accepts requests; 0 if none pauses.
@@ -174,7 +176,7 @@
     """
     if left <= 0:
         return True
-    if 0 < pause_left < left:
+    if 0 < pause_left <= MAX_PAUSE_FRACTION * left:
         return False
     return waited >= WAIT_FOR_GROUP_SECONDS
 
--- a/tests/test_retry_policy.py
+++ b/tests/test_retry_policy.py
@@ -346,6 +346,8 @@
         pytest.param(1.9, 0.0, 5.0, False, id="a group may come"),
         pytest.param(2.0, 0.0, 5.0, True, id="none came"),
         pytest.param(2.5, 0.7, 5.0, False, id="a pause ends in time"),
+        pytest.param(2.5, 2.5, 5.0, False, id="half of its time is left after the pause"),
+        pytest.param(2.5, 2.6, 5.0, True, id="too little is left after the pause"),
         pytest.param(2.5, 0.7, 0.5, True, id="the pause ends too late"),
         pytest.param(0.5, 0.7, 0.5, False, id="another group may come before"),
         pytest.param(0.5, 0.0, 0.0, True, id="no time is left"),
