--- a/bench/soaks/gateway_evacuations.py
+++ b/bench/soaks/gateway_evacuations.py
@@ -13,14 +13,11 @@
 
 if t.TYPE_CHECKING:
     from .gateway_daemons import Daemon
-    from .gateway_troubles import GatewaySoak
     from .gateway_workers import SoakWorker
 
 ZONES = ("zone-a", "zone-b")
 # Time after which no request may reach a worker of an evacuated failure domain.
 EVACUATION_SECONDS = 5.0
-# Bounds of the duration of an evacuation.
-MIN_EVACUATION_SECONDS, MAX_EVACUATION_SECONDS = 1.0, 11.0
 
 
 class EvacuationChecks:
@@ -68,16 +65,3 @@
             f"EVACUATED {request} reached {worker.id} from {daemon.name}, "
             f"{now - evacuated_at:.3f} s after the evacuation of {worker.zone}"
         )
-
-
-async def evacuate_zone(soak: "GatewaySoak") -> None:
-    """Evacuate a failure domain for a while."""
-    site = soak.site
-    zone = soak.rng.choice(ZONES)
-    if zone in site.evacuations.zones:
-        return
-    site.evacuations.begin(zone)
-    site.store.evacuate(zone)
-    await soak.pause(MIN_EVACUATION_SECONDS, MAX_EVACUATION_SECONDS)
-    site.evacuations.end(zone)
-    site.store.end_evacuation(zone)
--- a/bench/soaks/gateway_troubles.py
+++ b/bench/soaks/gateway_troubles.py
@@ -14,7 +14,7 @@
 from .gateway_callers import Caller
 from .gateway_checks import Exchange
 from .gateway_daemons import Daemon
-from .gateway_evacuations import evacuate_zone
+from .gateway_evacuations import ZONES
 from .gateway_notices import DRAIN_SECONDS
 from .gateway_site import REVOCATION_SECONDS
 from .gateway_site import ROUTE_TIMEOUT_SECONDS
@@ -24,6 +24,8 @@
 from .proxy import Mode
 
 MAX_CONCURRENT_FAULTS = 2
+# Bounds of the duration of an evacuation.
+MIN_EVACUATION_SECONDS, MAX_EVACUATION_SECONDS = 1.0, 11.0
 # Time without other faults of this module before a watched stop.
 QUIET_PERIOD_SECONDS = 3.0
 # Time for a started program to install its signal handlers.
@@ -211,7 +213,15 @@
 @faults.register("evacuate")
 async def evacuate(soak: GatewaySoak) -> None:
     """Evacuate a failure domain for a while; no request may be sent there after a bound."""
-    await evacuate_zone(soak)
+    site = soak.site
+    zone = soak.rng.choice(ZONES)
+    if zone in site.evacuations.zones:
+        return
+    site.evacuations.begin(zone)
+    site.store.evacuate(zone)
+    await soak.pause(MIN_EVACUATION_SECONDS, MAX_EVACUATION_SECONDS)
+    site.evacuations.end(zone)
+    site.store.end_evacuation(zone)
 
 
 @faults.register("watched_stop")
--- a/packages/gateway/src/thorncleat_gateway/requests/streams.py
+++ b/packages/gateway/src/thorncleat_gateway/requests/streams.py
@@ -180,25 +180,38 @@
             )
             if endpoint is not None and not is_denied:
                 return endpoint
-            no_group = (
+            cause = (
                 retry_policy.DENIED_LAST_ENDPOINT
                 if is_denied
                 else self._no_group_cause(service, model)
             )
-            now, pause_left = self._clock(), self._selector.pause_left(service, model)
-            left = request.give_up_at - now
-            decision = retry_policy.without_group(
-                no_group,
-                may_have_run=request.may_have_run,
-                has_begun=caller.has_begun,
-                waited=retry_policy.has_waited(now - started_at, pause_left, left),
-                pause_left=pause_left,
-                is_late=left <= 0,
-            )
-            if decision is not NextStep.WAIT_FOR_GROUP:
-                raise decision.error()
+            self._check_wait(request, caller, cause, started_at)
             await asyncio.sleep(GROUP_POLL_INTERVAL_SECONDS)
 
+    def _check_wait(
+        self, request: Request, caller: CallerStream, cause: str, started_at: float
+    ) -> None:
+        """Check that a request for which there is no group goes on waiting for one.
+
+        :param cause: why there is none.
+        :param started_at: when it began to wait.
+        :raises RefusalError: if nothing of the answer was passed on.
+        :raises AnswerAbortedError: if a part was passed on, and the wait is over.
+        """
+        now = self._clock()
+        pause_left = self._selector.pause_left(request.service.name, request.meta.model)
+        left = request.give_up_at - now
+        decision = retry_policy.without_group(
+            cause,
+            may_have_run=request.may_have_run,
+            has_begun=caller.has_begun,
+            waited=retry_policy.has_waited(now - started_at, pause_left, left),
+            pause_left=pause_left,
+            is_late=left <= 0,
+        )
+        if decision is not NextStep.WAIT_FOR_GROUP:
+            raise decision.error()
+
     def _expect(self, request: Request, engine: Engine, leader: Endpoint) -> ExpectedTime | None:
         """Return what is expected of a request's first attempt; None for later ones."""
         work = _work_of(request, engine)
