--- a/packages/gateway/src/thorncleat_gateway/requests/frontend.py
+++ b/packages/gateway/src/thorncleat_gateway/requests/frontend.py
@@ -74,7 +74,7 @@
 
     @property
     def is_known(self) -> bool:
-        """Whether a load balancer may send requests: it was told that this daemon is ready."""
+        """Whether a load balancer may send requests, as it was told that this daemon is ready."""
         return self._was_ready or self.requests > 0
 
     async def readiness(self, request: web.BaseRequest) -> web.StreamResponse:
