Soak: checks, workers, site and faults depend on each other one way

Checks know a worker by a protocol, workers know their site by a protocol, and faults that need both stand in modules of their own.

--- a/bench/soaks/gateway.py
+++ b/bench/soaks/gateway.py
@@ -18,8 +18,8 @@
 import fire
 
 from . import gateway_fatal
-from . import gateway_limits
-from . import gateway_notices
+from . import gateway_limit_faults
+from . import gateway_notice_faults
 from . import gateway_restores
 from . import gateway_upgrade
 from .gateway_callers import Caller
@@ -170,8 +170,8 @@
     """Send requests and inject faults until the end of the run."""
     coroutines = [_inject_faults(soak) for _ in range(MAX_CONCURRENT_FAULTS)]
     coroutines += [caller.run(soak.ends_at) for caller in soak.callers]
-    coroutines += [_watch_exits(soak), gateway_notices.inject_notices(soak, seed)]
-    coroutines.append(gateway_limits.inject_limits(soak, seed))
+    coroutines += [_watch_exits(soak), gateway_notice_faults.inject_notices(soak, seed)]
+    coroutines.append(gateway_limit_faults.inject_limits(soak, seed))
     coroutines.append(gateway_restores.inject_restores(soak, soak.site, seed))
     if older:
         coroutines.append(
--- a/bench/soaks/gateway_checks.py
+++ b/bench/soaks/gateway_checks.py
@@ -7,9 +7,12 @@
 import collections
 import dataclasses
 import enum
+import typing as t
 
 from thorncleat_standins.platform_worker import Run
 
+from .proxy import Proxy
+
 # Statuses that promise that the request did not run.
 REFUSAL_STATUSES = (408, 421, 429, 503)
 
@@ -22,6 +25,18 @@
     REPEATABLE = "repeatable"
 
 
+class ObservedWorker(t.Protocol):
+    """What the checks need to know of a worker.
+
+    :ivar zone: its failure domain.
+    :ivar proxy: the proxy between it and the daemons; None before its start.
+    """
+
+    id: str
+    zone: str
+    proxy: Proxy | None
+
+
 @dataclasses.dataclass
 class Exchange:
     """A request and its answer.
--- a/bench/soaks/gateway_evacuations.py
+++ b/bench/soaks/gateway_evacuations.py
@@ -9,12 +9,10 @@
 import collections
 import typing as t
 
+from .gateway_checks import ObservedWorker
+from .gateway_daemons import Daemon
 from .proxy import Mode
 
-if t.TYPE_CHECKING:
-    from .gateway_daemons import Daemon
-    from .gateway_workers import SoakWorker
-
 ZONES = ("zone-a", "zone-b")
 # Time after which no request may reach a worker of an evacuated failure domain.
 EVACUATION_SECONDS = 5.0
@@ -51,7 +49,7 @@
         """Record that the store refuses calls, or was restored."""
         self._store_fault_at = asyncio.get_running_loop().time()
 
-    def check_arrival(self, worker: "SoakWorker", daemon: "Daemon", request: str) -> None:
+    def check_arrival(self, worker: ObservedWorker, daemon: Daemon, request: str) -> None:
         """Check a request that reached a worker which serves it."""
         evacuated_at = self._evacuated_at.get(worker.zone)
         if evacuated_at is None:
--- a/bench/soaks/gateway_notices.py
+++ b/bench/soaks/gateway_notices.py
@@ -1,6 +1,4 @@
-"""Workers of the gateway's soak that ask for a pause or announce that they leave.
-
-Checks that daemons respect both.
+"""Checks that daemons respect workers that ask for a pause or announce that they leave.
 
 Owns: the pauses and announcements that each daemon received.
 Relies on: callers to record the daemon of each request, and daemons to record the times of
@@ -10,29 +8,17 @@
 import asyncio
 import collections
 import dataclasses
-import random
-import typing as t
 
+from .gateway_checks import ObservedWorker
+from .gateway_daemons import Daemon
 from .proxy import Mode
 
-if t.TYPE_CHECKING:
-    from .gateway_daemons import Daemon
-    from .gateway_site import SoakSite
-    from .gateway_troubles import GatewaySoak
-    from .gateway_workers import SoakWorker
-
 # Start of a pause during which requests may still arrive, since they were sent before it.
 IN_FLIGHT_SECONDS = 0.5
 # Requests of one daemon that may arrive during the rest of a pause.
 MAX_REQUESTS_IN_PAUSE = 2
 # How long a leaving worker accepts requests sent after its announcement.
 DRAIN_SECONDS = 2.0
-# Values of the Retry-After header; the last two are invalid.
-RETRY_AFTER_VALUES = ("0.4", "1", "2.5", "3", "", "soon")
-# Share of the faults that make a worker refuse requests; the others make it leave.
-TURN_AWAY_SHARE = 0.6
-# Workers of a service that stay unaffected.
-MIN_ACCEPTING_WORKERS = 1
 
 
 @dataclasses.dataclass
@@ -63,7 +49,7 @@
         self._pauses: dict[tuple[str, str], list[_Pause]] = collections.defaultdict(list)
         self._leaving_since: dict[tuple[str, str], float] = {}
 
-    def forget_worker(self, worker: "SoakWorker") -> None:
+    def forget_worker(self, worker: ObservedWorker) -> None:
         """Forget the pauses and announcements of a worker that restarts."""
         self._pauses = collections.defaultdict(
             list, {key: value for key, value in self._pauses.items() if key[0] != worker.id}
@@ -72,7 +58,7 @@
             key: at for key, at in self._leaving_since.items() if key[0] != worker.id
         }
 
-    def record_pause(self, worker: "SoakWorker", daemon: "Daemon", pause: str) -> None:
+    def record_pause(self, worker: ObservedWorker, daemon: Daemon, pause: str) -> None:
         """Record that a worker refused a daemon's request.
 
         :param pause: value of the ``Retry-After`` header; invalid ones start no pause.
@@ -83,14 +69,14 @@
         now = asyncio.get_running_loop().time()
         self._pauses[worker.id, daemon.name].append(_Pause(now, float(pause)))
 
-    def record_leaving(self, worker: "SoakWorker", daemon: "Daemon") -> None:
+    def record_leaving(self, worker: ObservedWorker, daemon: Daemon) -> None:
         """Record that a worker announced to a daemon that it leaves."""
         if is_reachable(worker):
             now = asyncio.get_running_loop().time()
             self._leaving_since.setdefault((worker.id, daemon.name), now)
 
     def check_arrival(
-        self, worker: "SoakWorker", daemon: "Daemon", request: str, sent_at: float
+        self, worker: ObservedWorker, daemon: Daemon, request: str, sent_at: float
     ) -> None:
         """Check a request that reached a worker.
 
@@ -110,7 +96,7 @@
             )
 
     def _check_pause(
-        self, worker: "SoakWorker", daemon: "Daemon", request: str, pause: _Pause
+        self, worker: ObservedWorker, daemon: Daemon, request: str, pause: _Pause
     ) -> None:
         elapsed = asyncio.get_running_loop().time() - pause.started_at
         if not IN_FLIGHT_SECONDS < elapsed < pause.seconds:
@@ -126,58 +112,15 @@
             )
 
 
-def is_reachable(worker: "SoakWorker") -> bool:
+def is_reachable(worker: ObservedWorker) -> bool:
     """Return whether a worker's answers reach the daemons without disturbance."""
     return worker.proxy is not None and worker.proxy.mode is Mode.PASS
 
 
-def _is_excused(worker: "SoakWorker", disturbed_at: float, since: float) -> bool:
+def _is_excused(worker: ObservedWorker, disturbed_at: float, since: float) -> bool:
     """Return whether a daemon, or its connections to a worker, were disturbed since a time.
 
     :param disturbed_at: time of the daemon's latest disturbance of a kind that excuses it.
     """
     changed_at = worker.proxy.changed_at if worker.proxy is not None else since
     return disturbed_at >= since or changed_at >= since
-
-
-async def inject_notices(soak: "GatewaySoak", seed: int) -> None:
-    """Make random workers refuse requests or leave until the end of the run."""
-    # A generator of its own, so that seeds choose the same faults elsewhere.
-    rng = random.Random(f"notices {seed}")
-    tasks: list[asyncio.Task[None]] = []
-    while not soak.is_over:
-        await asyncio.sleep(rng.uniform(0.2, 1.2))
-        accepting = [worker for worker in soak.site.workers.values() if worker.is_accepting]
-        chosen = rng.choice(accepting)
-        if sum(worker.service == chosen.service for worker in accepting) <= MIN_ACCEPTING_WORKERS:
-            continue
-        inject_fault = _turn_away if rng.random() < TURN_AWAY_SHARE else _leave
-        soak.counts[f"trouble {inject_fault.__name__.strip('_')}"] += 1
-        seconds = rng.uniform(0.3, 2.5)
-        tasks.append(asyncio.create_task(inject_fault(soak.site, chosen, rng, seconds)))
-    await asyncio.gather(*tasks)
-
-
-async def _turn_away(
-    _site: "SoakSite", worker: "SoakWorker", rng: random.Random, seconds: float
-) -> None:
-    """Make a worker refuse all requests for some time."""
-    born, worker.refusal_retry_after = worker.born, rng.choice(RETRY_AFTER_VALUES)
-    await asyncio.sleep(seconds)
-    if worker.born == born:
-        worker.refusal_retry_after = None
-
-
-async def _leave(
-    site: "SoakSite", worker: "SoakWorker", _rng: random.Random, seconds: float
-) -> None:
-    """Make a worker leave that announces it in its answers, and only later in its entry."""
-    born, worker.leaving = worker.born, True
-    await site.add_worker(worker.service, worker.domain)
-    await asyncio.sleep(seconds)
-    if worker.is_alive and worker.born == born:
-        worker.draining = True
-        worker.publish()
-    await asyncio.sleep(DRAIN_SECONDS)
-    if worker.is_alive and worker.born == born:
-        await worker.crash()
--- a/bench/soaks/gateway_workers.py
+++ b/bench/soaks/gateway_workers.py
@@ -9,18 +9,22 @@
 
 from aiohttp import web
 
+from thorncleat_standins.platform_store import PlatformStore
 from thorncleat_standins.platform_worker import ATTEMPT_ID
 from thorncleat_standins.platform_worker import EVENT_INTERVAL_SECONDS
 from thorncleat_standins.platform_worker import RETRY_AFTER
 from thorncleat_standins.platform_worker import PlatformWorker
 from thorncleat_standins.platform_worker import Run
 
+from .gateway_checks import Checks
+from .gateway_checks import Exchange
 from .gateway_connections import ConnectionFaults
+from .gateway_daemons import Daemon
+from .gateway_evacuations import EvacuationChecks
+from .gateway_limits import LimitChecks
+from .gateway_notices import NoticeChecks
 from .proxy import Proxy
 
-if t.TYPE_CHECKING:
-    from .gateway_site import SoakSite
-
 # Body of a request that crashes each group leader that runs it.
 FATAL_BODY = b"a request that no worker survives"
 EVENTS_PER_STREAM = 20
@@ -33,10 +37,26 @@
 RESTART_DELAY_SECONDS = 1.0
 
 
+class WorkerSite(t.Protocol):
+    """What a worker needs of the site: the store, the callers' exchanges and the checks."""
+
+    store: PlatformStore
+    checks: Checks
+    notices: NoticeChecks
+    limits: LimitChecks
+    evacuations: EvacuationChecks
+    workers: "dict[str, SoakWorker]"
+    exchanges: dict[str, Exchange]
+
+    def find_daemon(self, name: str) -> Daemon:
+        """Return the daemon of a name."""
+        ...
+
+
 class SoakWorker(PlatformWorker):
     """A worker behind a proxy; as a leader it stalls while a member is missing."""
 
-    def __init__(self, site: "SoakSite", name: str, service: str, domain: str = "") -> None:
+    def __init__(self, site: WorkerSite, name: str, service: str, domain: str = "") -> None:
         super().__init__(site.store, name, service, domain)
         self._site = site
         self.proxy: Proxy | None = None
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -343,3 +343,20 @@
 def test_stop_may_cut_only_requests_that_are_out_of_time(seconds, is_allowed):
     exchange = Exchange("r", RequestKind.STREAM, 0.0, "key", b"", ended_at=seconds)
     assert is_out_of_time(exchange) is is_allowed
+
+
+@pytest.mark.parametrize(
+    ("only", "chosen"),
+    [
+        ("", gateway_soak.faults.names),
+        ("kill", ["kill"]),
+        (("kill", "stop"), ["kill", "stop"]),
+    ],
+)
+def test_kinds_of_faults_can_be_chosen(only, chosen):
+    assert gateway_soak._chosen_faults(only) == chosen
+
+
+def test_unknown_kind_of_fault_is_named():
+    with pytest.raises(SystemExit, match="unknown kinds of faults: kil"):
+        gateway_soak._chosen_faults(("kil", "stop"))
