--- a/packages/gateway/src/thorncleat_gateway/gateway.py
+++ b/packages/gateway/src/thorncleat_gateway/gateway.py
@@ -465,7 +465,7 @@
             self._clock,
             self._paths.server,
         )
-        await planned_stop.wait(self._clock() if ordered_at is None else ordered_at)
+        await planned_stop.wait(ordered_at)
 
     async def on_stop(self) -> None:
         """Close the listeners."""
--- a/packages/gateway/src/thorncleat_gateway/planned_stop.py
+++ b/packages/gateway/src/thorncleat_gateway/planned_stop.py
@@ -63,16 +63,18 @@
     def _running_tunnels(self) -> int:
         return self._tunnels.running if self._tunnels is not None else 0
 
-    async def wait(self, ordered_at: float) -> None:
+    async def wait(self, ordered_at: float | None = None) -> None:
         """Drain the running requests; return when the daemon may stop.
 
         The daemon reports itself as not ready at once, but serves requests until the load balancer
         has noticed, and refuses them from then on. One that the load balancer has never known
         refuses them at once.
 
-        :param ordered_at: time of the order to stop.
+        :param ordered_at: time of the order to stop; None for now.
         """
         events.STOPPING.log(running=self._frontend.running)
+        if ordered_at is None:
+            ordered_at = self._clock()
         was_known = self._frontend.is_known
         self._frontend.stopping = True
         if self._tunnels is not None:
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -353,7 +353,7 @@
 
 MARKER = {
     "service": "x",
-    "address": "",
+    "address": "127.0.0.1:1",
     "zone": "",
     "version": "v1",
     "slots": 1,
--- a/tests/test_suspension.py
+++ b/tests/test_suspension.py
@@ -53,7 +53,7 @@
             timer.cancel()
             os.kill(os.getpid(), signal.SIGTERM)
 
-        async def drain(self):
+        async def drain(self, ordered_at):
             pass
 
         async def stop(self):
--- a/tests/test_taken_addresses.py
+++ b/tests/test_taken_addresses.py
@@ -23,7 +23,7 @@
     ended, other = [worker for worker in world.workers.values() if worker.group is None][:2]
     ended.alive = False
     world.successors[ended.id] = other
-    order = Join(GroupId(10**9, "g"), "large", (ended.id, other.id))
+    order = Join(GroupId(10**12, "g"), "large", (ended.id, other.id))
     steps = GroupSteps(
         ControlSettings(),
         node.view,
--- a/tests/test_tunnels.py
+++ b/tests/test_tunnels.py
@@ -294,7 +294,7 @@
     monkeypatch.setattr(planned_stop, "ACCEPT_SECONDS", 0.0)
     async with Fleet(_answer) as fleet:
         caller = await fleet.open()
-        frontend = types.SimpleNamespace(running=0, stopping=False, closed=False)
+        frontend = types.SimpleNamespace(running=0, stopping=False, closed=False, is_known=True)
         stop = PlannedStop(
             frontend,
             types.SimpleNamespace(stopping=False),
