Gateway: a line and metrics tell when a retry had no token, and why

retry_denied (7324) shows the daemon's account: requests, retries and allowed ones of the window, the daemons that share the fixed part, and the process's uptime. Two metrics count tokens taken and denied.

--- a/packages/gateway/src/thorncleat_gateway/events.py
+++ b/packages/gateway/src/thorncleat_gateway/events.py
@@ -121,6 +121,9 @@
 QUARANTINE_PROBED = _event(
     7323, "quarantine_probed", INFO, "a quarantined request is sent to learn whether it crashes"
 )
+RETRY_DENIED = _event(
+    7324, "retry_denied", INFO, "the retry budget of this daemon allows no retry of a request"
+)
 CUT_OFF = _event(
     7318, "endpoints_cut_off", WARNING, "no connection of this daemon to an endpoint comes up"
 )
--- a/packages/gateway/src/thorncleat_gateway/gateway.py
+++ b/packages/gateway/src/thorncleat_gateway/gateway.py
@@ -151,6 +151,9 @@
         self._reporter = LoadReporter(
             self._peers, self.load_table, self._detector, self._settings.failure_domain
         )
+        self._retry_budgets = RetryBudgets(
+            self._settings.retry, self._clock, lambda: self._peers.daemon_count
+        )
         self._workspace_loads = WorkspaceLoads(self._clock)
         self._ended_groups = EndedGroups(self._peers, self._clock)
         self._quarantine = Quarantine(self._clock)
@@ -258,6 +261,8 @@
         add("tunnels_carried", "For other daemons, now", lambda: self._paths.server.running)
         add("datagrams_rejected", "From unknown senders", lambda: self._peers.rejected_count)
         add("requests_quarantined", "Held back", lambda: len(self._quarantine.quarantined))
+        add("retries_sent", "With a token, since the start", lambda: self._retry_budgets.taken)
+        add("retries_denied", "Without one, since the start", lambda: self._retry_budgets.denied)
         if self._evacuations is not None:
             add("failure_domains_evacuated", "Get no requests", self._evacuations.count)
         if self._cold is not None:
@@ -368,12 +373,11 @@
         settings, clock = self._settings, self._clock
         connector = self._paths.create_connector(**endpoint_client.CONNECTOR_OPTIONS)
         self._client = endpoint_client.create_session(connector)
-        retry_budgets = RetryBudgets(settings.retry, clock, lambda: self._peers.daemon_count)
         if settings.overload_control:
             self._pool = ConnectionPool(
                 self._can_keep_connections,
                 lambda: self._peers.daemon_count,
-                retry_budgets.take_token,
+                self._retry_budgets.take_token,
                 settings.connect_timeout,
             )
         client = EndpointClient(
@@ -412,7 +416,7 @@
             client,
             selector,
             self.load_table,
-            retry_budgets,
+            self._retry_budgets,
             self._detector,
             crash_watch,
             clock,
--- a/packages/gateway/src/thorncleat_gateway/requests/forwarder.py
+++ b/packages/gateway/src/thorncleat_gateway/requests/forwarder.py
@@ -11,6 +11,7 @@
 from ..peers.failure_detector import FailureDetector
 from ..peers.load_table import LoadTable
 from ..store.roster import Endpoint
+from . import request_log
 from . import retry_policy
 from .crash_watch import CrashWatch
 from .endpoint_client import EndpointClient
@@ -89,4 +90,12 @@
 
     def _token_source(self, request: Request) -> t.Callable[[], bool]:
         """Return a function that takes a token of the retry budget for a request."""
-        return lambda: self._retry_budgets.take_token(request.service.name)
+        return lambda: self._take_token(request)
+
+    def _take_token(self, request: Request) -> bool:
+        """Take a token for a retry of a request, and log a denial."""
+        service = request.service.name
+        if self._retry_budgets.take_token(service):
+            return True
+        request_log.retry_denied(request, self._retry_budgets.account(service))
+        return False
--- a/packages/gateway/src/thorncleat_gateway/requests/request_log.py
+++ b/packages/gateway/src/thorncleat_gateway/requests/request_log.py
@@ -15,6 +15,7 @@
 from .capacity_estimate import CapacityEstimate
 from .fingerprint import Fingerprint
 from .request import Request
+from .retry_budget import RetryAccount
 
 # Endpoints in one log line.
 MAX_ENDPOINTS = 8
@@ -45,6 +46,19 @@
     )
 
 
+def retry_denied(request: Request, account: RetryAccount) -> None:
+    """Log that a request isn't sent again for want of a token, with the account that shows why."""
+    events.RETRY_DENIED.log(
+        request=request.meta.id,
+        service=request.service.name,
+        requests=account.requests,
+        retries=account.retries,
+        allowed=account.allowed,
+        daemons=account.daemons,
+        uptime=round(account.uptime, 3),
+    )
+
+
 def done(request: Request, status: int, now: float, config_age: float) -> None:
     """Log an answer that was passed on completely.
 
--- a/packages/gateway/src/thorncleat_gateway/requests/retry_budget.py
+++ b/packages/gateway/src/thorncleat_gateway/requests/retry_budget.py
@@ -31,6 +31,24 @@
     window: float
 
 
+@dataclasses.dataclass(frozen=True)
+class RetryAccount:
+    """What a daemon may retry at a service, and what it has used of that, within the window.
+
+    :param requests: callers' requests.
+    :param retries: retries that took a token.
+    :param allowed: retries that the daemon may send.
+    :param daemons: daemons that share the fixed number of retries.
+    :param uptime: seconds since the daemon's process started.
+    """
+
+    requests: int
+    retries: int
+    allowed: int
+    daemons: int
+    uptime: float
+
+
 class RetryBudget:
     """Counts one daemon's requests and retries to one service in a sliding window."""
 
@@ -44,8 +62,18 @@
         self._requests.append(now)
         self._forget(now)
 
-    def retries_left(self, now: float, daemons: int) -> int:
-        """Return the number of retries that may be sent now.
+    @property
+    def requests(self) -> int:
+        """Number of requests in the window, as of the latest call."""
+        return len(self._requests)
+
+    @property
+    def retries(self) -> int:
+        """Number of retries in the window, as of the latest call."""
+        return len(self._retries)
+
+    def allowed(self, now: float, daemons: int) -> int:
+        """Return the number of retries that may be sent in the window that ends now.
 
         Each daemon gets a ratio of its own requests and an equal share of the fixed number.
 
@@ -53,7 +81,14 @@
         """
         self._forget(now)
         own = self._settings.ratio * len(self._requests) + self._settings.extra / max(1, daemons)
-        return math.floor(own * USED_FRACTION) - len(self._retries)
+        return math.floor(own * USED_FRACTION)
+
+    def retries_left(self, now: float, daemons: int) -> int:
+        """Return the number of retries that may be sent now.
+
+        :param daemons: daemons that share the budget.
+        """
+        return self.allowed(now, daemons) - len(self._retries)
 
     def take_token(self, now: float, daemons: int) -> bool:
         """Count a retry if the budget allows one; return whether it does."""
@@ -103,21 +138,50 @@
         count_daemons: t.Callable[[], int],
     ) -> None:
         self._clock = clock
+        self._started_at = clock()
         self._count_daemons = count_daemons
         self._max_daemon_count = _RecentMaximum()
         self._budgets: dict[str, RetryBudget] = collections.defaultdict(
             lambda: RetryBudget(settings)
         )
+        self._taken = 0
+        self._denied = 0
+
+    @property
+    def taken(self) -> int:
+        """Number of tokens taken since the start."""
+        return self._taken
+
+    @property
+    def denied(self) -> int:
+        """Number of tokens denied since the start."""
+        return self._denied
 
     def record_request(self, service: str) -> None:
         """Count a caller's request to a service."""
         now = self._clock()
-        self._max_daemon_count.update(self._count_daemons(), now)
+        self._daemons(now)
         self._budgets[service].record_request(now)
 
     def take_token(self, service: str) -> bool:
         """Count a retry to a service if the budget allows one; return whether it does."""
         now = self._clock()
-        return self._budgets[service].take_token(
-            now, self._max_daemon_count.update(self._count_daemons(), now)
+        has_token = self._budgets[service].take_token(now, self._daemons(now))
+        if has_token:
+            self._taken += 1
+        else:
+            self._denied += 1
+        return has_token
+
+    def account(self, service: str) -> RetryAccount:
+        """Return this daemon's account for a service."""
+        now = self._clock()
+        budget, daemons = self._budgets[service], self._daemons(now)
+        allowed = budget.allowed(now, daemons)
+        return RetryAccount(
+            budget.requests, budget.retries, allowed, daemons, now - self._started_at
         )
+
+    def _daemons(self, now: float) -> int:
+        """Return the number of daemons that share the budget."""
+        return self._max_daemon_count.update(self._count_daemons(), now)
