--- a/bench/soaks/gateway.py
+++ b/bench/soaks/gateway.py
@@ -21,6 +21,7 @@
 from . import gateway_limit_faults
 from . import gateway_notice_faults
 from . import gateway_restores
+from . import gateway_retry_faults
 from . import gateway_upgrade
 from .gateway_callers import Caller
 from .gateway_checks import RequestKind
@@ -138,6 +139,8 @@
         replaced during the run; empty for none.
     """
     site = SoakSite(directory, processes, gateway_upgrade.program_of(older))
+    if older:
+        site.retries.ignore_older_builds()
     rng = random.Random(seed)
     try:
         await site.start()
@@ -155,6 +158,8 @@
         )
         await _run_callers_and_faults(result, seed, older)
         await _recover(result)
+        await gateway_retry_faults.decline_while_daemons_restart(site, result.callers, seed)
+        await _recover(result)
         await gateway_fatal.send_fatal_parts(site, Caller(site, "part", rng))
         await gateway_fatal.send_fatal_requests(site, Caller(site, "fatal", rng))
         return result
--- a/bench/soaks/gateway_callers.py
+++ b/bench/soaks/gateway_callers.py
@@ -14,6 +14,7 @@
 from .gateway_daemons import Daemon
 from .gateway_site import HOST
 from .gateway_site import PATHS
+from .gateway_site import SERVICES
 from .gateway_site import SoakSite
 
 REQUEST_TIMEOUT_SECONDS = 4.0
@@ -77,6 +78,7 @@
             name, kind, loop.time(), key, body or b"body of " + name.encode(), daemon=daemon.name
         )
         self._site.exchanges[name] = self.current_exchange = exchange
+        self._site.retries.record_request(SERVICES[kind])
         try:
             async with asyncio.timeout(REQUEST_TIMEOUT_SECONDS):
                 await self._send(client, daemon, exchange, "same" if body else name, prompt)
--- a/bench/soaks/gateway_site.py
+++ b/bench/soaks/gateway_site.py
@@ -24,6 +24,10 @@
 from .gateway_evacuations import EvacuationChecks
 from .gateway_limits import LimitChecks
 from .gateway_notices import NoticeChecks
+from .gateway_retries import RETRY_EXTRA
+from .gateway_retries import RETRY_RATIO
+from .gateway_retries import RETRY_WINDOW_SECONDS
+from .gateway_retries import RetryChecks
 from .gateway_workers import EVENTS_PER_STREAM
 from .gateway_workers import STALL_TIMEOUT_SECONDS
 from .gateway_workers import SoakWorker
@@ -43,6 +47,11 @@
 DOMAINS, DOMAIN_SIZE, GROUP_SIZE, PLAIN_WORKERS = 2, 6, 2, 3
 # Listeners for callers, for readiness probes, and two for other daemons.
 PORTS_PER_DAEMON = 4
+SERVICES = {
+    RequestKind.STREAM: "narrator",
+    RequestKind.NON_REPEATABLE: "desk",
+    RequestKind.REPEATABLE: "desk",
+}
 PATHS = {
     RequestKind.STREAM: "/chat/",
     RequestKind.NON_REPEATABLE: "/status/",
@@ -72,6 +81,7 @@
         self.notices = NoticeChecks(self.checks.violations, self.checks.counts)
         self.limits = LimitChecks(self.checks.violations, self.checks.counts)
         self.evacuations = EvacuationChecks(self.checks.violations, self.checks.counts)
+        self.retries = RetryChecks(self.checks.violations, self.checks.counts)
         self.workers: dict[str, SoakWorker] = {}
         self.daemons: list[Daemon] = []
         self.exchanges: dict[str, Exchange] = {}
@@ -122,6 +132,9 @@
             revoke_fail_closed = true
             revoke_ms = {int(REVOCATION_SECONDS * 1000)}
             grace_s = {GRACE_PERIOD_SECONDS}
+            retry_budget_ratio = {RETRY_RATIO}
+            budget_extra = {RETRY_EXTRA}
+            budget_window_s = {RETRY_WINDOW_SECONDS}
             evacuate_ms = {int(EVACUATION_SECONDS * 1000)}
             stall_ms = {int(STALL_TIMEOUT_SECONDS * 1000)}
             [platform]
@@ -158,9 +171,9 @@
         """Write the next version of the configuration, with the valid keys."""
         self.version += 3
         routes = [
-            _route(RequestKind.STREAM, "streaming", "narrator", resumable=True, max_attempts=2),
-            _route(RequestKind.NON_REPEATABLE, "non_idempotent", "desk"),
-            _route(RequestKind.REPEATABLE, "idempotent", "desk", max_attempts=2),
+            _route(RequestKind.STREAM, "streaming", resumable=True, max_attempts=2),
+            _route(RequestKind.NON_REPEATABLE, "non_idempotent"),
+            _route(RequestKind.REPEATABLE, "idempotent", max_attempts=2),
         ]
         model = {"name": "large", "size": GROUP_SIZE, "share": 1.0, "load_s": 0.2, "warm_s": 0.1}
         engine = {"slots": 8, "models": [model], "loads_per_s": 10, "loads_at_once": 4}
@@ -207,13 +220,13 @@
         await self.store.stop()
 
 
-def _route(kind: RequestKind, route_kind: str, service: str, **options: t.Any) -> dict[str, t.Any]:
+def _route(kind: RequestKind, route_kind: str, **options: t.Any) -> dict[str, t.Any]:
     return {
         "name": kind.value,
         "host": HOST,
         "path_prefix": PATHS[kind],
         "route_kind": route_kind,
-        "service": service,
+        "service": SERVICES[kind],
         "timeout_ms": int(ROUTE_TIMEOUT_SECONDS * 1000),
         "latency_target_ms": 500,
         "priority": 1,
--- a/bench/soaks/gateway_workers.py
+++ b/bench/soaks/gateway_workers.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import random
 import typing as t
 
 from aiohttp import web
@@ -12,6 +13,7 @@
 from thorncleat_standins.platform_store import PlatformStore
 from thorncleat_standins.platform_worker import ATTEMPT_ID
 from thorncleat_standins.platform_worker import EVENT_INTERVAL_SECONDS
+from thorncleat_standins.platform_worker import NOT_EXECUTED
 from thorncleat_standins.platform_worker import RETRY_AFTER
 from thorncleat_standins.platform_worker import PlatformWorker
 from thorncleat_standins.platform_worker import Run
@@ -23,6 +25,7 @@
 from .gateway_evacuations import EvacuationChecks
 from .gateway_limits import LimitChecks
 from .gateway_notices import NoticeChecks
+from .gateway_retries import RetryChecks
 from .proxy import Proxy
 
 # Body of a request that crashes each group leader that runs it.
@@ -45,6 +48,7 @@
     notices: NoticeChecks
     limits: LimitChecks
     evacuations: EvacuationChecks
+    retries: RetryChecks
     workers: "dict[str, SoakWorker]"
     exchanges: dict[str, Exchange]
 
@@ -54,7 +58,10 @@
 
 
 class SoakWorker(PlatformWorker):
-    """A worker behind a proxy; as a leader it stalls while a member is missing."""
+    """A worker behind a proxy; as a leader it stalls while a member is missing.
+
+    :ivar declined_share: share of the requests that it declines, without having run them.
+    """
 
     def __init__(self, site: WorkerSite, name: str, service: str, domain: str = "") -> None:
         super().__init__(site.store, name, service, domain)
@@ -68,6 +75,8 @@
         # Set from the first incarnation on, since daemons tell incarnations apart by it.
         self.born = 1
         self.is_alive = True
+        self.declined_share = 0.0
+        self._declining = random.Random(name)
         self.connection_faults = ConnectionFaults(name)
         self._entry_expiry: asyncio.TimerHandle | None = None
 
@@ -138,6 +147,7 @@
         exchange = self._site.exchanges.get(request.headers[ATTEMPT_ID])
         if exchange is not None:
             daemon = self._site.find_daemon(exchange.daemon)
+            self._site.retries.check_arrival(self.service, exchange.id)
             self._site.notices.check_arrival(self, daemon, exchange.id, exchange.sent_at)
             if self.is_serving_leader or not self.domain:
                 self._site.limits.check_arrival(self, daemon, exchange.id)
@@ -150,7 +160,9 @@
         return response
 
     def refusal_for(self, request: web.BaseRequest) -> web.Response | None:
-        """Record the pause of each refusal."""
+        """Record the pause of each refusal; decline some requests without a pause."""
+        if self.declined_share and self._declining.random() < self.declined_share:
+            return web.Response(status=503, headers={NOT_EXECUTED: "1", **self.common_headers()})
         response = super().refusal_for(request)
         exchange = self._site.exchanges.get(request.headers[ATTEMPT_ID])
         if response is not None and exchange is not None:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -17,6 +17,7 @@
 from bench.soaks.gateway_evacuations import EvacuationChecks
 from bench.soaks.gateway_limits import LimitChecks
 from bench.soaks.gateway_notices import NoticeChecks
+from bench.soaks.gateway_retries import RetryChecks
 from bench.soaks.gateway_troubles import is_out_of_time
 from bench.soaks.proxy import Mode
 from bench.soaks.proxy import Proxy
@@ -360,3 +361,29 @@
 def test_unknown_kind_of_fault_is_named():
     with pytest.raises(SystemExit, match="unknown kinds of faults: kil"):
         gateway_soak._chosen_faults(("kil", "stop"))
+
+
+class TestRetries:
+    """Guards against a check that misses repeats which all daemons together send."""
+
+    async def _repeat(self, requests, repeats, services=("narrator",)):
+        """Return the violations of some requests, of which each arrives some times more."""
+        violations, counts = [], collections.Counter()
+        checks = RetryChecks(violations, counts)
+        for number in range(requests):
+            for service in services:
+                checks.record_request(service)
+                for _ in range(1 + repeats):
+                    checks.check_arrival(service, f"{service}-{number}")
+            await asyncio.sleep(0.1)
+        return violations
+
+    @pytest.mark.parametrize(
+        ("requests", "repeats", "found"),
+        [(300, 0, False), (60, 1, False), (100, 1, True), (100, 2, True)],
+    )
+    def test_ten_requests_a_second(self, requests, repeats, found):
+        assert bool(virtual_time.run(self._repeat(requests, repeats))) is found
+
+    def test_each_service_has_a_budget_of_its_own(self):
+        assert virtual_time.run(self._repeat(60, 1, ("narrator", "desk"))) == []
