A daemon that restarts begins with what its predecessor left of the retry budget

Cause: the budget holds for a window of 10 s, and its account was kept in the memory of processes that live shorter.

Change: a process has no share of the fixed number until it has been registered for a window and 3 s (so all that share within a window have listed each other since it began), and a fifth of the ratio in its first window, which is what the others leave unused. Daemons keep what others report of their retries (8 keepers each, two new datagrams and an answer); a process that starts asks them, and goes on as its predecessor would have. A report of a process that knows nothing of its predecessor says so. At the very first start there is none.

--- a/packages/gateway/src/thorncleat_gateway/events.py
+++ b/packages/gateway/src/thorncleat_gateway/events.py
@@ -124,6 +124,9 @@
 RETRY_DENIED = _event(
     7324, "retry_denied", INFO, "the retry budget of this daemon allows no retry of a request"
 )
+RETRIES_INHERITED = _event(
+    7325, "retries_inherited", INFO, "other daemons told what this one had used of its retry budget"
+)
 CUT_OFF = _event(
     7318, "endpoints_cut_off", WARNING, "no connection of this daemon to an endpoint comes up"
 )
--- a/packages/gateway/src/thorncleat_gateway/gateway.py
+++ b/packages/gateway/src/thorncleat_gateway/gateway.py
@@ -57,6 +57,7 @@
 from .requests.plain import PlainForwarder
 from .requests.quarantine import Quarantine
 from .requests.retry_budget import RetryBudgets
+from .requests.retry_reporter import RetryReporter
 from .requests.slow_groups import SlowGroups
 from .requests.streams import StreamForwarder
 from .settings import GatewaySettings
@@ -152,8 +153,13 @@
             self._peers, self.load_table, self._detector, self._settings.failure_domain
         )
         self._retry_budgets = RetryBudgets(
-            self._settings.retry, self._clock, lambda: self._peers.daemon_count
+            self._settings.retry,
+            self._clock,
+            lambda: self._peers.daemon_count,
+            self._has_retry_share,
+            has_predecessor=not self._first_start,
         )
+        self._retry_reporter = RetryReporter(self._retry_budgets, self._peers, self._clock)
         self._workspace_loads = WorkspaceLoads(self._clock)
         self._ended_groups = EndedGroups(self._peers, self._clock)
         self._quarantine = Quarantine(self._clock)
@@ -161,6 +167,12 @@
         self._released_requests = ReleasedRequests(self.view, self._quarantine)
         self._limit_reporter = LimitReporter(self._limits, self.view, self._peers, self._clock)
 
+    def _has_retry_share(self, had_share: bool) -> bool:
+        """Return whether this daemon has a share of the fixed number of retries."""
+        return self._registration.has_share_of_window(
+            self._settings.retry.window, had_share=had_share
+        )
+
     def _is_full(self, leader: Endpoint) -> bool:
         """Return whether the slots of a leader's group may all be taken, under overload control.
 
@@ -352,6 +364,7 @@
             await self._listeners.open(self.metrics.handle, self._settings.metrics)
         await self._listeners.open(self._frontend.readiness, self._settings.readiness)
         await self._wait_for_first_configuration()
+        await self.add_runtime_dependency(self._retry_reporter)
         await self._listeners.open(self._frontend.handle, self._settings.callers, self._callers)
         await self.add_runtime_dependency(self._reporter)
         await self.add_runtime_dependency(self._crash_reporter)
--- a/packages/gateway/src/thorncleat_gateway/peers/message_codec.py
+++ b/packages/gateway/src/thorncleat_gateway/peers/message_codec.py
@@ -25,6 +25,10 @@
 from .messages import ReportedCrash
 from .messages import ReportedLimit
 from .messages import ReportedRequest
+from .messages import RetryQuery
+from .messages import RetryRecall
+from .messages import RetryReport
+from .messages import RetryUse
 from .messages import Suspicion
 from .messages import TunnelOffer
 from .messages import TunnelQuery
@@ -230,6 +234,45 @@
     return None
 
 
+@_encodes(RetryReport)
+def _encode_retries(message: RetryReport) -> Fields:
+    return ["retries", *_pack_retries(message)]
+
+
+@_decodes("retries")
+def _decode_retries(fields: Fields) -> Message | None:
+    return _parse_retries(*fields)
+
+
+@_encodes(RetryQuery)
+def _encode_retry_query(_: RetryQuery) -> Fields:
+    return ["ask retries"]
+
+
+@_decodes("ask retries")
+def _decode_retry_query(fields: Fields) -> Message | None:
+    return None if fields else RetryQuery()
+
+
+@_encodes(RetryRecall)
+def _encode_retry_recall(message: RetryRecall) -> Fields:
+    times = [_to_milliseconds(message.heard_for), _to_milliseconds(message.age)]
+    report = [] if message.report is None else _pack_retries(message.report)
+    return ["recall retries", *times, report]
+
+
+@_decodes("recall retries")
+def _decode_retry_recall(fields: Fields) -> Message | None:
+    match fields:
+        case [int(heard_for), int(age), list(report)]:
+            return RetryRecall(
+                _parse_natural(heard_for) / MILLISECONDS_PER_SECOND,
+                _parse_natural(age) / MILLISECONDS_PER_SECOND,
+                _parse_retries(*report) if report else None,
+            )
+    return None
+
+
 @_encodes(TunnelQuery)
 def _encode_tunnel_query(message: TunnelQuery) -> Fields:
     return ["ask tunnel", message.service]
@@ -271,6 +314,27 @@
     return WorkspaceCounts(str(service), str(model), parsed)
 
 
+def _pack_retries(report: RetryReport) -> Fields:
+    uses = [[use.service, list(use.requests), list(use.retries)] for use in report.uses]
+    return [report.is_complete, report.has_share, uses]
+
+
+def _parse_retries(is_complete: t.Any, has_share: t.Any, uses: t.Any) -> RetryReport:
+    """Return a report from its unpacked fields.
+
+    :raises TypeError, ValueError: if a field has another type or value.
+    """
+    parsed = [
+        RetryUse(
+            str(service),
+            [_parse_natural(count) for count in requests],
+            [_parse_natural(count) for count in retries],
+        )
+        for service, requests, retries in uses
+    ]
+    return RetryReport(bool(is_complete), bool(has_share), parsed)
+
+
 def _to_milliseconds(seconds: float) -> int:
     return round(seconds * MILLISECONDS_PER_SECOND)
 
--- a/packages/gateway/src/thorncleat_gateway/peers/messages.py
+++ b/packages/gateway/src/thorncleat_gateway/peers/messages.py
@@ -177,6 +177,58 @@
     loads: t.Sequence[WorkspaceCounts]
 
 
+@dataclasses.dataclass(frozen=True)
+class RetryUse:
+    """What a daemon has used of its retry budget for a service.
+
+    :param requests: callers' requests, by their age in whole seconds.
+    :param retries: retries, by their age in whole seconds.
+    """
+
+    service: str
+    requests: t.Sequence[int]
+    retries: t.Sequence[int]
+
+
+@dataclasses.dataclass(frozen=True)
+class RetryReport:
+    """What the sender has used of its retry budgets within the window.
+
+    Daemons of earlier builds reject it.
+
+    :param is_complete: whether this includes what the sender's predecessor had used.
+    :param has_share: whether the sender has a share of the fixed number of retries.
+    """
+
+    is_complete: bool
+    has_share: bool
+    uses: t.Sequence[RetryUse]
+
+
+@dataclasses.dataclass(frozen=True)
+class RetryQuery:
+    """The question of a daemon that has started: what its predecessor had used.
+
+    Daemons of earlier builds reject it.
+    """
+
+
+@dataclasses.dataclass(frozen=True)
+class RetryRecall:
+    """The answer to a :class:`RetryQuery`.
+
+    Daemons of earlier builds reject it.
+
+    :param heard_for: seconds for which the sender had heard of the daemon without a gap.
+    :param age: seconds since the report came.
+    :param report: the latest report of the daemon; None if there is none.
+    """
+
+    heard_for: float
+    age: float
+    report: RetryReport | None
+
+
 @dataclasses.dataclass(frozen=True)
 class TunnelQuery:
     """A question which daemons carry tunnels to the endpoints of a service (:mod:`..tunnels`).
@@ -211,6 +263,9 @@
     | CrashWithdrawal
     | LimitReport
     | WorkspaceLoad
+    | RetryReport
+    | RetryQuery
+    | RetryRecall
     | TunnelQuery
     | TunnelOffer
 )
--- a/packages/gateway/src/thorncleat_gateway/requests/retry_budget.py
+++ b/packages/gateway/src/thorncleat_gateway/requests/retry_budget.py
@@ -1,7 +1,13 @@
 """Limits the retries of a daemon, so that all daemons together stay within a budget.
 
+The budget holds for a window of time, and a process may live for less than that: what its
+predecessor sent counts against the budget of all. So a process begins with what no predecessor
+uses: no part of the fixed number, and a small part of the ratio. It has the whole after a window,
+or once other daemons have told what its predecessor had used (:mod:`.retry_reporter`).
+
 Owns: this daemon's requests and retries within the window, for each service.
-Relies on: the number of listed daemons.
+Relies on: the number of listed daemons, and on :mod:`..store.fleet_knowledge` for whether the
+others count this one.
 """
 
 import collections
@@ -9,8 +15,13 @@
 import math
 import typing as t
 
+from ..peers.messages import RetryUse
+
 # Fraction of the budget that is used; the rest covers requests and retries in different windows.
 USED_FRACTION = 0.8
+# Fraction of the ratio that a process uses in its first window. Together with what its predecessor
+# may have used just before its end, this is the whole.
+FIRST_WINDOW_FRACTION = 1.0 - USED_FRACTION
 
 # How long a daemon counts after it was last listed; longer than records take to expire in an outage
 # of the store and to be written again.
@@ -38,30 +49,30 @@
     :param requests: callers' requests.
     :param retries: retries that took a token.
     :param allowed: retries that the daemon may send.
-    :param daemons: daemons that share the fixed number of retries.
+    :param daemons: daemons that share the fixed number of retries; None without a share of it.
     :param uptime: seconds since the daemon's process started.
     """
 
     requests: int
     retries: int
     allowed: int
-    daemons: int
+    daemons: int | None
     uptime: float
 
 
 class RetryBudget:
-    """Counts one daemon's requests and retries to one service in a sliding window."""
+    """Counts one daemon's requests and retries to one service in a sliding window.
 
-    def __init__(self, settings: RetryBudgetSettings) -> None:
+    :param counted_since: from when on all requests and retries of the daemon are counted, in
+        seconds; those of an earlier process may be missing before.
+    """
+
+    def __init__(self, settings: RetryBudgetSettings, counted_since: float = -math.inf) -> None:
         self._settings = settings
+        self._counted_since = counted_since
         self._requests: collections.deque[float] = collections.deque()
         self._retries: collections.deque[float] = collections.deque()
 
-    def record_request(self, now: float) -> None:
-        """Count a caller's request."""
-        self._requests.append(now)
-        self._forget(now)
-
     @property
     def requests(self) -> int:
         """Number of requests in the window, as of the latest call."""
@@ -72,31 +83,66 @@
         """Number of retries in the window, as of the latest call."""
         return len(self._retries)
 
-    def allowed(self, now: float, daemons: int) -> int:
+    def record_request(self, now: float) -> None:
+        """Count a caller's request."""
+        self._requests.append(now)
+        self._forget(now)
+
+    def allowed(self, now: float, daemons: int | None) -> int:
         """Return the number of retries that may be sent in the window that ends now.
 
         Each daemon gets a ratio of its own requests and an equal share of the fixed number.
 
-        :param daemons: daemons that share the budget.
+        :param daemons: daemons that share the fixed number; None if this one has no share of it.
         """
         self._forget(now)
-        own = self._settings.ratio * len(self._requests) + self._settings.extra / max(1, daemons)
-        return math.floor(own * USED_FRACTION)
+        by_ratio = self._settings.ratio * len(self._requests)
+        if now - self._counted_since < self._settings.window:
+            return math.floor(by_ratio * FIRST_WINDOW_FRACTION)
+        share = self._settings.extra / max(1, daemons) if daemons is not None else 0.0
+        return math.floor((by_ratio + share) * USED_FRACTION)
 
-    def retries_left(self, now: float, daemons: int) -> int:
+    def retries_left(self, now: float, daemons: int | None) -> int:
         """Return the number of retries that may be sent now.
 
-        :param daemons: daemons that share the budget.
+        :param daemons: as for :meth:`allowed`.
         """
         return self.allowed(now, daemons) - len(self._retries)
 
-    def take_token(self, now: float, daemons: int) -> bool:
+    def take_token(self, now: float, daemons: int | None) -> bool:
         """Count a retry if the budget allows one; return whether it does."""
         if self.retries_left(now, daemons) < 1:
             return False
         self._retries.append(now)
         return True
 
+    def use(self, service: str, now: float) -> RetryUse:
+        """Return what was used within the window."""
+        self._forget(now)
+        return RetryUse(service, self._ages(self._requests, now), self._ages(self._retries, now))
+
+    def inherit(self, use: RetryUse | None, now: float) -> None:
+        """Count also what an earlier process had used.
+
+        :param use: by the ages at a given time; None if it had used nothing.
+        :param now: that time.
+        """
+        self._counted_since = -math.inf
+        if use is None:
+            return
+        # Requests count as long as they certainly may, retries as long as they possibly must.
+        requests = _times(use.requests, now - 1.0)
+        retries = _times(use.retries, now)
+        self._requests = collections.deque(sorted([*requests, *self._requests]))
+        self._retries = collections.deque(sorted([*retries, *self._retries]))
+
+    def _ages(self, times: t.Iterable[float], now: float) -> list[int]:
+        """Return how many times lie back each number of whole seconds."""
+        counts = [0] * math.ceil(self._settings.window)
+        for at in times:
+            counts[min(max(0, int(now - at)), len(counts) - 1)] += 1
+        return counts
+
     def _forget(self, now: float) -> None:
         begin = now - self._settings.window
         for times in (self._requests, self._retries):
@@ -104,6 +150,12 @@
                 times.popleft()
 
 
+def _times(counts: t.Sequence[int], newest: float) -> t.Iterator[float]:
+    """Yield the time of each item of a number of items by age in whole seconds."""
+    for age, count in enumerate(counts):
+        yield from [newest - age] * count
+
+
 class _RecentMaximum:
     """The largest value within the last :data:`UNLISTED_DAEMON_TTL_SECONDS`."""
 
@@ -127,8 +179,13 @@
     The largest recent number of daemons counts, since running daemons are missing from the list
     while they can't renew their records.
 
+    It is created when the process starts, and may inherit what its predecessor had used.
+
     :param clock: monotonic, in seconds.
     :param count_daemons: returns the number of listed daemons.
+    :param has_share: returns whether this daemon has a share of the fixed number within the window,
+        given whether its predecessor had one until now; None for always.
+    :param has_predecessor: whether this daemon may have run before.
     """
 
     def __init__(
@@ -136,17 +193,40 @@
         settings: RetryBudgetSettings,
         clock: t.Callable[[], float],
         count_daemons: t.Callable[[], int],
+        has_share: t.Callable[[bool], bool] | None = None,
+        *,
+        has_predecessor: bool = True,
     ) -> None:
+        self._settings = settings
         self._clock = clock
         self._started_at = clock()
+        self._counted_since = self._started_at if has_predecessor else -math.inf
         self._count_daemons = count_daemons
+        self._has_share = has_share
+        self._had_share = False
         self._max_daemon_count = _RecentMaximum()
         self._budgets: dict[str, RetryBudget] = collections.defaultdict(
-            lambda: RetryBudget(settings)
+            lambda: RetryBudget(settings, self._counted_since)
         )
+        self._listeners: list[t.Callable[[], None]] = []
         self._taken = 0
         self._denied = 0
 
+    @property
+    def window(self) -> float:
+        """Length of the window in seconds."""
+        return self._settings.window
+
+    @property
+    def is_complete(self) -> bool:
+        """Whether all that this daemon used within the window is known."""
+        return self._clock() - self._counted_since >= self._settings.window
+
+    @property
+    def has_share(self) -> bool:
+        """Whether this daemon has a share of the fixed number."""
+        return self._has_share is None or self._has_share(self._had_share)
+
     @property
     def taken(self) -> int:
         """Number of tokens taken since the start."""
@@ -157,31 +237,55 @@
         """Number of tokens denied since the start."""
         return self._denied
 
+    def on_retry(self, listener: t.Callable[[], None]) -> None:
+        """Call a function after each token that is taken."""
+        self._listeners.append(listener)
+
     def record_request(self, service: str) -> None:
         """Count a caller's request to a service."""
         now = self._clock()
-        self._daemons(now)
+        self._sharing_daemons(now)
         self._budgets[service].record_request(now)
 
     def take_token(self, service: str) -> bool:
         """Count a retry to a service if the budget allows one; return whether it does."""
         now = self._clock()
-        has_token = self._budgets[service].take_token(now, self._daemons(now))
-        if has_token:
-            self._taken += 1
-        else:
+        if not self._budgets[service].take_token(now, self._sharing_daemons(now)):
             self._denied += 1
-        return has_token
+            return False
+        self._taken += 1
+        for listener in self._listeners:
+            listener()
+        return True
 
     def account(self, service: str) -> RetryAccount:
         """Return this daemon's account for a service."""
         now = self._clock()
-        budget, daemons = self._budgets[service], self._daemons(now)
+        budget, daemons = self._budgets[service], self._sharing_daemons(now)
         allowed = budget.allowed(now, daemons)
         return RetryAccount(
             budget.requests, budget.retries, allowed, daemons, now - self._started_at
         )
 
-    def _daemons(self, now: float) -> int:
-        """Return the number of daemons that share the budget."""
-        return self._max_daemon_count.update(self._count_daemons(), now)
+    def uses(self) -> list[RetryUse]:
+        """Return what was used within the window, for the services with retries."""
+        now = self._clock()
+        uses = [budget.use(service, now) for service, budget in self._budgets.items()]
+        return [use for use in uses if any(use.retries)]
+
+    def inherit(self, uses: t.Iterable[RetryUse], age: float, *, had_share: bool) -> None:
+        """Count also what the predecessor of this process had used; all of it is known then.
+
+        :param uses: as of some seconds ago; services that lack had no retries.
+        :param age: these seconds.
+        :param had_share: whether the predecessor had a share of the fixed number until now.
+        """
+        by_service = {use.service: use for use in uses}
+        self._counted_since, self._had_share = -math.inf, had_share
+        for service in by_service.keys() | self._budgets.keys():
+            self._budgets[service].inherit(by_service.get(service), self._clock() - age)
+
+    def _sharing_daemons(self, now: float) -> int | None:
+        """Return the number of daemons that share the fixed number; None without a share."""
+        daemons = self._max_daemon_count.update(self._count_daemons(), now)
+        return daemons if self.has_share else None
--- a/packages/gateway/src/thorncleat_gateway/store/registration.py
+++ b/packages/gateway/src/thorncleat_gateway/store/registration.py
@@ -7,6 +7,7 @@
 """
 
 import asyncio
+import math
 import random
 import typing as t
 
@@ -21,6 +22,7 @@
 from ..settings import GatewaySettings
 from .fleet_knowledge import FleetKnowledge
 from .fleet_knowledge import fleet_knowledge
+from .fleet_knowledge import has_share_of_window
 from .relays import SMALL_FLEET
 from .relays import Daemon
 from .relays import order_by_proximity
@@ -103,8 +105,25 @@
             return FleetKnowledge.NONE
         if self._view.era.is_over(self._lease.era) or self._settings.id not in self.daemons():
             return FleetKnowledge.NONE
-        lease_left = self._renewed_at + DAEMON_LEASE_SECONDS - now
-        return fleet_knowledge(now - self._registered_at, lease_left, self._view.age())
+        return fleet_knowledge(now - self._registered_at, self._lease_left(), self._view.age())
+
+    def has_share_of_window(self, window: float, *, had_share: bool) -> bool:
+        """Return whether this daemon has a share of what all together may use within a window.
+
+        :param window: seconds.
+        :param had_share: whether the process before this one had a share until it ended, a moment
+            before this one started.
+        """
+        if self._registered_at is None or self._lease is None:
+            return False
+        if self._view.era.is_over(self._lease.era):
+            return False
+        registered_for = math.inf if had_share else self._clock() - self._registered_at
+        return has_share_of_window(registered_for, self._lease_left(), self._view.age(), window)
+
+    def _lease_left(self) -> float:
+        """Return the seconds for which this daemon's record certainly stays."""
+        return self._renewed_at + DAEMON_LEASE_SECONDS - self._clock()
 
     def addresses(self) -> t.Mapping[str, tuple[str, int]]:
         """Return the address of each registered daemon."""
--- a/tests/test_forms_datagrams.py
+++ b/tests/test_forms_datagrams.py
@@ -15,6 +15,10 @@
 from thorncleat_gateway.peers.messages import ReportedCrash
 from thorncleat_gateway.peers.messages import ReportedLimit
 from thorncleat_gateway.peers.messages import ReportedRequest
+from thorncleat_gateway.peers.messages import RetryQuery
+from thorncleat_gateway.peers.messages import RetryRecall
+from thorncleat_gateway.peers.messages import RetryReport
+from thorncleat_gateway.peers.messages import RetryUse
 from thorncleat_gateway.peers.messages import Suspicion
 from thorncleat_gateway.peers.messages import TunnelOffer
 from thorncleat_gateway.peers.messages import TunnelQuery
@@ -45,6 +49,10 @@
     ),
     "workspaces": WorkspaceLoad("", [WorkspaceCounts("narrator", "large", {"growers": 3, "": 1})]),
     "workspaces of a domain": WorkspaceLoad("riga-a", []),
+    "retries": RetryReport(True, False, [RetryUse("narrator", [300, 2], [5, 0])]),
+    "retry query": RetryQuery(),
+    "retry recall": RetryRecall(12.5, 0.25, RetryReport(False, True, [RetryUse("desk", [1], [1])])),
+    "empty retry recall": RetryRecall(0.0, 0.0, None),
     "tunnel query": TunnelQuery("narrator"),
     "tunnel offer": TunnelOffer("narrator", 7355, 256),
 }
@@ -71,6 +79,12 @@
         "9501a6656467652d31aa776f726b737061636573a09193a86e61727261746f72a56c6172676582a767726f7765727303a001"
     ),
     "workspaces of a domain": "9501a6656467652d31aa776f726b737061636573a6726967612d6190",
+    "retries": "9601a6656467652d31a772657472696573c3c29193a86e61727261746f7292cd012c02920500",
+    "retry query": "9301a6656467652d31ab61736b2072657472696573",
+    "retry recall": (
+        "9601a6656467652d31ae726563616c6c2072657472696573cd30d4ccfa93c2c39193a46465736b91019101"
+    ),
+    "empty retry recall": "9601a6656467652d31ae726563616c6c2072657472696573000090",
     "tunnel query": "9401a6656467652d31aa61736b2074756e6e656ca86e61727261746f72",
     "tunnel offer": "9601a6656467652d31ac6f666665722074756e6e656ca86e61727261746f72cd1cbbcd0100",
 }
@@ -128,6 +142,14 @@
         [1, "edge-1", "limits", [["i-1", 7, float("nan"), 0, 0]]],
         [1, "edge-1", "limits", [["i-1", 7, 1.5, -1, 0]]],
         [1, "edge-1", "limits", [["i-1", [], 1.5, 0, 0]]],
+        [1, "edge-1", "retries", True, False],
+        [1, "edge-1", "retries", True, False, [7]],
+        [1, "edge-1", "retries", True, False, [["narrator", [1]]]],
+        [1, "edge-1", "retries", True, False, [["narrator", [1], [-1]]]],
+        [1, "edge-1", "retries", True, False, [["narrator", [1], ["many"]]]],
+        [1, "edge-1", "ask retries", 7],
+        [1, "edge-1", "recall retries", -1, 0, []],
+        [1, "edge-1", "recall retries", 0, 0, [True, False]],
         [1, "edge-1", "workspaces", "", {}],
         [1, "edge-1", "workspaces", 7, []],
         [1, "edge-1", "workspaces", "", [["narrator", "large", []]]],
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -152,6 +152,8 @@
             [bounds]
             revoke_fail_closed = true
             revoke_ms = 2000
+            # A daemon that has just started has no share of the fixed number of retries.
+            retry_budget_ratio = 10
             {self._bounds}
             [platform]
             address = "{store}"
