--- a/tests/crash_world.py
+++ b/tests/crash_world.py
@@ -271,6 +271,7 @@
     def __init__(self, world: "CrashWorld", number: int) -> None:
         clock = world.now
         self.world = world
+        self.started_at = clock()
         self.peers = Peers(world, f"edge-{number}")
         self.detector = FailureDetector(StreamSettings(), self.peers, clock)
         self.table = LoadTable(clock, self.peers.report_interval_seconds)
@@ -345,6 +346,9 @@
         self.arrivals: dict[bytes, list[float]] = collections.defaultdict(list)
         self.quarantined: collections.Counter[bytes] = collections.Counter()
         self.outcomes: collections.Counter[bool] = collections.Counter()
+        # When each request with a fatal part reached an endpoint, and for how long the daemon that
+        # sent it had run.
+        self.fatal_arrivals: list[tuple[float, float]] = []
         # When each ordinary request was sent, and whether its first attempt was served.
         self.first_attempts: list[tuple[float, bool]] = []
         self._tasks: set[asyncio.Task] = set()
@@ -376,6 +380,13 @@
             await daemon.reporter.start()
         self._spawn(self._report())
 
+    async def restart(self, number: int) -> None:
+        """Kill a daemon and start it again with empty memory."""
+        self.daemons[number].peers.cut = True
+        await self.daemons[number].reporter.stop()
+        self.daemons[number] = Daemon(self, number)
+        await self.daemons[number].reporter.start()
+
     async def end(self) -> None:
         for task in list(self._tasks):
             task.cancel()
@@ -447,7 +458,13 @@
         """Try a request at random daemons in turn; return whether it was served."""
         for _ in range(tries):
             await asyncio.sleep(ONE_WAY_SECONDS)
-            status = await self.random.choice(self.daemons).serve(self.request(body))
+            daemon, request = self.random.choice(self.daemons), self.request(body)
+            arrived_before = len(self.arrivals[body])
+            status = await daemon.serve(request)
+            if self.is_fatal(request):
+                self.fatal_arrivals += [
+                    (at, at - daemon.started_at) for at in self.arrivals[body][arrived_before:]
+                ]
             if status == 200:
                 return True
             await asyncio.sleep(ONE_WAY_SECONDS)
@@ -529,6 +546,17 @@
             return 0
         return sum(at > arrivals[4] + CONTACT_SECONDS for at in arrivals)
 
+    def arrivals_from_running_daemons(self) -> int:
+        """Return how many requests with a fatal part came after all could know of five crashes.
+
+        Those of daemons that have just started don't count.
+        """
+        arrivals = sorted(self.fatal_arrivals)
+        if len(arrivals) < 5:
+            return 0
+        begin = arrivals[4][0] + CONTACT_SECONDS
+        return sum(at > begin and age >= CONTACT_SECONDS for at, age in arrivals)
+
     def served_share(self, since: float) -> float:
         """Return the share of ordinary first attempts from an instant on that were served."""
         served = [is_served for at, is_served in self.first_attempts if at >= since]
--- a/tests/test_fatal_parts_fleet.py
+++ b/tests/test_fatal_parts_fleet.py
@@ -85,3 +85,28 @@
     world = virtual_time.run(waves())
     assert len(world.first_attempts) > 500
     assert world.quarantined_bystanders == 0
+
+
+async def _fatal_part_while_daemons_restart(seed, rate):
+    """Return the world after one fatal part, while all daemons are killed again and again."""
+    world = CrashWorld(SMALL, seed)
+    await world.begin()
+    sending = [
+        asyncio.ensure_future(world.send_sharing(30.0, SMALL.rate, SOUND_PROMPTS)),
+        asyncio.ensure_future(world.send_with_fatal_part(30.0, rate, "p0", "5c1e dead")),
+    ]
+    await asyncio.sleep(6.0)
+    for _ in range(4):
+        for number in world.random.sample(range(SMALL.daemons), SMALL.daemons):
+            await world.restart(number)
+        await asyncio.sleep(3.5)
+    await asyncio.gather(*sending)
+    await world.end()
+    return world
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_daemons_that_restart_know_fatal_parts_again(seed):
+    """Guards against crashes that nobody remembers once all daemons were killed."""
+    world = virtual_time.run(_fatal_part_while_daemons_restart(seed, rate=4.0))
+    assert world.arrivals_from_running_daemons() <= MAX_LATE_ARRIVALS
