Tests: what a starting daemon takes from the answers on its predecessor's retries

Five of nine mutants of the reporter and the budget were seen by no test (oldest answer taken, reports while asking, a share after any silence, gaps ignored, requests not inherited), and one more by none that is meant for it. Each fails one of these now.

--- a/tests/test_retry_reporter.py
+++ b/tests/test_retry_reporter.py
@@ -8,6 +8,9 @@
 from bench.retry_rule import RetryRule
 
 from thorncleat_gateway.peers.messages import LoadReport
+from thorncleat_gateway.peers.messages import RetryRecall
+from thorncleat_gateway.peers.messages import RetryReport
+from thorncleat_gateway.peers.messages import RetryUse
 from thorncleat_gateway.requests.retry_budget import RetryBudgets
 from thorncleat_gateway.requests.retry_budget import RetryBudgetSettings
 from thorncleat_gateway.requests.retry_reporter import BATCH_SECONDS
@@ -188,6 +191,19 @@
     assert world.spend(0) == 16
 
 
+def test_requests_of_the_predecessor_count():
+    world = World()
+    world.run_until(20.0)
+    for _ in range(99):
+        world.request(0)
+    world.request(0, 1)
+    world.run_until(21.0)
+    world.restart(0)
+    world.run_until(22.0)
+    # Four fifths of 20 of the fixed number and of 0.2 for each of 100 requests.
+    assert world.spend(0) == 32 - 1
+
+
 def test_nobody_remembers_if_all_daemons_end():
     world = World()
     world.run_until(20.0)
@@ -225,6 +241,70 @@
     assert world.spend(0) == 0
 
 
+class TestAnswers:
+    """One daemon that has just started, and the answers to its question."""
+
+    def _start(self):
+        world = World(daemons=2)
+        world.run_until(20.0)
+        world.restart(0, pause=0.0)
+        return world.processes["edge-0"]
+
+    def _recall(self, process, *recalls):
+        for recall in recalls:
+            for handler in process.peers.handlers:
+                handler("edge-1", recall)
+        process.reporter.take_best_recall()
+        return process.budgets
+
+    @staticmethod
+    def _report(retries):
+        return RetryReport(True, True, [RetryUse(SERVICE, [30], [retries])])
+
+    def test_latest_report_counts(self):
+        old, new = RetryRecall(15.0, 3.0, self._report(1)), RetryRecall(15.0, 0.2, self._report(9))
+        budgets = self._recall(self._start(), new, old)
+        assert budgets.account(SERVICE).retries == 9
+
+    def test_share_continues_only_if_the_record_cannot_have_expired(self):
+        assert self._recall(self._start(), RetryRecall(15.0, 4.0, self._report(1))).has_share
+        assert not self._recall(self._start(), RetryRecall(15.0, 6.0, self._report(1))).has_share
+
+    @pytest.mark.parametrize(
+        ("heard_for", "is_complete", "has_share"),
+        [(9.9, False, False), (10.0, True, False), (12.9, True, False), (13.0, True, True)],
+    )
+    def test_silence_means_no_retries_only_if_it_was_heard(self, heard_for, is_complete, has_share):
+        budgets = self._recall(self._start(), RetryRecall(heard_for, 0.0, None))
+        assert (budgets.is_complete, budgets.has_share) == (is_complete, has_share)
+
+    def test_nothing_is_reported_before_the_question_is_answered(self):
+        process = self._start()
+        sent = []
+        process.peers.send = lambda daemon, message: sent.append(message)
+        process.budgets.inherit([RetryUse(SERVICE, [30], [3])], 0.0, had_share=True)
+        process.reporter.report()
+        assert sent == []
+        process.reporter.end_asking()
+        process.reporter.report()
+        assert [sum(message.uses[0].retries) for message in sent] == [3]
+
+    @pytest.mark.parametrize(("pause", "is_remembered"), [(5.0, True), (11.0, False)])
+    def test_what_is_remembered_after_a_gap(self, pause, is_remembered):
+        world = World(daemons=2)
+        world.run_until(20.0)
+        world.request(0, 1)
+        world.run_until(20.5)
+        answers = []
+        process = world.processes["edge-1"]
+        process.peers.send = lambda daemon, message: answers.append(message)
+        world.restart(0, pause=pause)
+        world.run_until(world.now + 0.1)
+        (recall,) = (answer for answer in answers if isinstance(answer, RetryRecall))
+        assert recall.heard_for == 0.0
+        assert (recall.report is not None) is is_remembered
+
+
 @pytest.mark.parametrize("loss", [0.0, 0.1])
 def test_random_failures_and_restarts_keep_the_budget_of_all(loss):
     excesses = {seed: _random_excess(seed, loss) for seed in range(10)}
