Readability: the last phases of the soak, clocks and timers of tests stand once

Five classes Clock of tests are one SetClock, crash_world and notice_world share their timers, and the soak's run is split. No check changed.

--- a/bench/soaks/gateway.py
+++ b/bench/soaks/gateway.py
@@ -161,15 +161,21 @@
         )
         await _run_callers_and_faults(result, seed, older)
         await _recover(result, "heal")
-        await gateway_retry_faults.decline_while_daemons_restart(site, result.callers, seed)
-        await _recover(result, "heal-again")
-        await gateway_fatal.send_fatal_parts(site, Caller(site, "part", rng))
-        await gateway_fatal.send_fatal_requests(site, Caller(site, "fatal", rng))
+        await _run_last_phases(result, seed)
         return result
     finally:
         await site.stop()
 
 
+async def _run_last_phases(soak: GatewaySoak, seed: int) -> None:
+    """Run the phases that need a site without other faults."""
+    site, rng = soak.site, soak.rng
+    await gateway_retry_faults.decline_while_daemons_restart(site, soak.callers, seed)
+    await _recover(soak, "heal-again")
+    await gateway_fatal.send_fatal_parts(site, Caller(site, "part", rng))
+    await gateway_fatal.send_fatal_requests(site, Caller(site, "fatal", rng))
+
+
 def _callers(site: SoakSite, rng: random.Random, count: int) -> list[Caller]:
     return [Caller(site, f"c{number}", random.Random(rng.random())) for number in range(count)]
 
--- a/tests/crash_world.py
+++ b/tests/crash_world.py
@@ -8,7 +8,6 @@
 import collections
 import contextlib
 import dataclasses
-import random
 
 from thorncleat_gateway.exceptions import AnswerAbortedError
 from thorncleat_gateway.exceptions import AttemptError
@@ -52,6 +51,8 @@
 from thorncleat_gateway.store.serving import Split
 from thorncleat_gateway.store.serving import Workspace
 
+from . import virtual_time
+
 ONE_WAY_SECONDS = 0.0014
 DATAGRAM_LOSS = 0.03
 # Time from a crash until the list no longer shows the group.
@@ -325,7 +326,7 @@
             return error.status
 
 
-class CrashWorld:
+class CrashWorld(virtual_time.RandomTimers):
     """A site and its statistics.
 
     :ivar crashed: ids of the workers that crashed.
@@ -336,7 +337,7 @@
 
     def __init__(self, size: Size, seed: int, *, publishes_born: bool = False) -> None:
         self.size = size
-        self.random = random.Random(seed)
+        super().__init__(seed)
         self.publishes_born = publishes_born
         self.view = View(size)
         self.workers: dict[str, Worker] = {}
@@ -354,15 +355,6 @@
         self._tasks: set[asyncio.Task] = set()
         self._lives = 0
 
-    def now(self) -> float:
-        return asyncio.get_running_loop().time()
-
-    def later(self, seconds, action) -> None:
-        asyncio.get_running_loop().call_later(seconds, action)
-
-    def random_later(self, min_seconds, max_seconds, action) -> None:
-        self.later(self.random.uniform(min_seconds, max_seconds), action)
-
     async def until(self, condition) -> float:
         """Return the seconds until a condition is true; more than the bound if it stays false."""
         started_at = self.now()
--- a/tests/notice_world.py
+++ b/tests/notice_world.py
@@ -8,7 +8,6 @@
 import asyncio
 import collections
 import dataclasses
-import random
 
 from thorncleat_gateway.exceptions import AnswerAbortedError
 from thorncleat_gateway.exceptions import RefusalError
@@ -53,6 +52,7 @@
 from thorncleat_gateway.store.serving import Workspace
 from thorncleat_platform.headers import PlatformHeaders
 
+from . import virtual_time
 from .crash_world import Peers
 from .notice_endpoints import ONE_WAY_SECONDS
 from .notice_endpoints import Session
@@ -232,7 +232,7 @@
             return Outcome(error.status, now(), error.retry_after, error.cause)
 
 
-class NoticeWorld:
+class NoticeWorld(virtual_time.RandomTimers):
     """A site and its statistics.
 
     :ivar served: number of requests that were served, by whether that was within the target,
@@ -244,7 +244,7 @@
 
     def __init__(self, size: Size, seed: int) -> None:
         self.size = size
-        self.random = random.Random(seed)
+        super().__init__(seed)
         self.workers: dict[int, Worker] = {}
         self.daemons: list[Daemon] = []
         self.registered: dict[str, RegisteredDaemon] = {}
@@ -257,15 +257,6 @@
         self._tasks: set[asyncio.Task] = set()
         self._lives = 0
 
-    def now(self) -> float:
-        return asyncio.get_running_loop().time()
-
-    def later(self, seconds, action) -> None:
-        asyncio.get_running_loop().call_later(seconds, action)
-
-    def random_later(self, min_seconds, max_seconds, action) -> None:
-        self.later(self.random.uniform(min_seconds, max_seconds), action)
-
     def events(self) -> int:
         return self.random.randint(4, 26)
 
--- a/tests/test_demand_placement.py
+++ b/tests/test_demand_placement.py
@@ -20,21 +20,16 @@
 from thorncleat_gateway.store.serving import Engine
 from thorncleat_gateway.store.serving import EngineModel
 
+from .virtual_time import SetClock
+
 SLOTS = 10
 ENGINE = Engine(SLOTS, (EngineModel("big", 8), EngineModel("mid", 4), EngineModel("tiny", 2)))
 STEP_SECONDS = 0.25
 
 
-class Clock:
-    now = 100.0
-
-    def __call__(self):
-        return self.now
-
-
 def observed(loads):
     """Return a demand that has observed the running requests of 100 slots, by time step."""
-    clock = Clock()
+    clock = SetClock()
     demand = Demand(clock)
     for running in loads:
         clock.now += STEP_SECONDS
@@ -75,7 +70,7 @@
 
 def test_a_gap_in_observation_is_no_need():
     """Guards against a need that is counted over a time in which nothing was seen."""
-    clock = Clock()
+    clock = SetClock()
     demand = Demand(clock)
     for seconds in (0.25, 0.25, 30.0, 0.25):
         clock.now += seconds
--- a/tests/test_domain_sizes.py
+++ b/tests/test_domain_sizes.py
@@ -6,20 +6,14 @@
 from thorncleat_gateway.groups.domain_sizes import DomainSizes
 from thorncleat_gateway.store.roster import Endpoint
 
-LATER = SIZE_TTL_SECONDS + 0.1
-
+from .virtual_time import SetClock
 
-class Clock:
-    def __init__(self):
-        self.now = 100.0
-
-    def __call__(self):
-        return self.now
+LATER = SIZE_TTL_SECONDS + 0.1
 
 
 @pytest.fixture
 def clock():
-    return Clock()
+    return SetClock()
 
 
 def endpoints(count, domain="d0", service="narrator"):
--- a/tests/test_fatal_parts.py
+++ b/tests/test_fatal_parts.py
@@ -17,6 +17,8 @@
 from thorncleat_platform.headers import PROMPT_PARTS
 from thorncleat_platform.headers import PlatformHeaders
 
+from .virtual_time import SetClock
+
 BRIEF = Involvement(RAN_POINTS, 0.05)
 LONG = Involvement(RAN_POINTS, 1.5)
 FATAL = fingerprint.of_part("narrator", "dead")
@@ -25,17 +27,9 @@
 PART_CRASHES = 4
 
 
-class Clock:
-    def __init__(self):
-        self.now = 1000.0
-
-    def __call__(self):
-        return self.now
-
-
 @pytest.fixture
 def clock():
-    return Clock()
+    return SetClock()
 
 
 @pytest.fixture
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -23,22 +23,16 @@
 from thorncleat_gateway.requests.quarantine import Quarantine
 from thorncleat_gateway.store.roster import Incarnation
 
+from .virtual_time import SetClock
+
 RAN = Involvement(RAN_POINTS, 0.05)
 LONG = Involvement(RAN_POINTS, 1.5)
 WAITED = Involvement(MAY_HAVE_WAITED_POINTS, 0.0)
 
 
-class Clock:
-    def __init__(self):
-        self.now = 1000.0
-
-    def __call__(self):
-        return self.now
-
-
 @pytest.fixture
 def clock():
-    return Clock()
+    return SetClock()
 
 
 @pytest.fixture
--- a/tests/test_reach.py
+++ b/tests/test_reach.py
@@ -12,19 +12,13 @@
 from thorncleat_gateway.store.roster import Endpoint
 from thorncleat_gateway.store.roster import Roster
 
+from .virtual_time import SetClock
+
 
 def endpoint(endpoint_id: str, service: str = "narrator") -> Endpoint:
     return Endpoint(endpoint_id, service, "", "a")
 
 
-class Clock:
-    def __init__(self) -> None:
-        self.now = 100.0
-
-    def __call__(self) -> float:
-        return self.now
-
-
 @pytest.mark.parametrize(
     ("listed", "failed", "cut_off"),
     [
@@ -36,7 +30,7 @@
     ],
 )
 def test_connections_to_several_endpoints_must_fail(listed, failed, cut_off):
-    reach = Reach(Clock(), lambda _: listed)
+    reach = Reach(SetClock(), lambda _: listed)
     for endpoint_id in failed:
         reach.record_failure(endpoint(endpoint_id))
     assert reach.is_cut_off("narrator") == cut_off
@@ -44,7 +38,7 @@
 
 
 def test_one_connection_that_comes_up_ends_the_doubt():
-    clock = Clock()
+    clock = SetClock()
     reach = Reach(clock)
     losses = []
     reach.on_loss(lambda service: losses.append((service, clock.now)))
@@ -85,7 +79,7 @@
 
 
 def test_endpoints_that_crash_together_are_no_cut():
-    clock = Clock()
+    clock = SetClock()
     reach = Reach(clock)
     reach.record_success(endpoint("d"))
     clock.now += 0.05
@@ -98,7 +92,7 @@
 
 
 def test_service_that_is_reached_says_nothing_of_another():
-    reach = Reach(Clock())
+    reach = Reach(SetClock())
     for endpoint_id in "abc":
         reach.record_failure(endpoint(endpoint_id))
         reach.record_success(endpoint("d", "desk"))
@@ -108,7 +102,7 @@
 
 
 def test_service_that_is_not_listed_any_more_is_forgotten():
-    reach = Reach(Clock())
+    reach = Reach(SetClock())
     reach.record_failure(endpoint("a"))
     reach.forget_unlisted({"desk"})
     assert reach.doubtful_services == []
--- a/tests/virtual_time.py
+++ b/tests/virtual_time.py
@@ -1,6 +1,7 @@
 """An event loop in virtual time, which jumps to the next timer."""
 
 import asyncio
+import random
 import selectors
 import typing as t
 
@@ -37,3 +38,31 @@
         return loop.run_until_complete(coroutine)
     finally:
         loop.close()
+
+
+class SetClock:
+    """A clock that a test sets, in seconds."""
+
+    def __init__(self) -> None:
+        self.now = 1000.0
+
+    def __call__(self) -> float:
+        return self.now
+
+
+class RandomTimers:
+    """Base class of sites in virtual time, whose events come at times drawn from a seed."""
+
+    def __init__(self, seed: int) -> None:
+        self.random = random.Random(seed)
+
+    def now(self) -> float:
+        return asyncio.get_running_loop().time()
+
+    def later(self, seconds: float, action: t.Callable[[], t.Any]) -> None:
+        asyncio.get_running_loop().call_later(seconds, action)
+
+    def random_later(
+        self, min_seconds: float, max_seconds: float, action: t.Callable[[], t.Any]
+    ) -> None:
+        self.later(self.random.uniform(min_seconds, max_seconds), action)
