--- a/tests/test_reach.py
+++ b/tests/test_reach.py
@@ -38,7 +38,7 @@
 
 
 def test_one_connection_that_comes_up_ends_the_doubt():
-    clock = SetClock()
+    clock = SetClock(100.0)
     reach = Reach(clock)
     losses = []
     reach.on_loss(lambda service: losses.append((service, clock.now)))
--- a/tests/virtual_time.py
+++ b/tests/virtual_time.py
@@ -43,8 +43,8 @@
 class SetClock:
     """A clock that a test sets, in seconds."""
 
-    def __init__(self) -> None:
-        self.now = 1000.0
+    def __init__(self, now: float = 1000.0) -> None:
+        self.now = now
 
     def __call__(self) -> float:
         return self.now
