A stream without a retry stays in its silent group

Cause: a stream was taken from its silent group before a token of the retry budget was asked for, and cut when there was none. Change: the token is reserved when the stream leaves; without one it waits for its group, until its deadline or its connection ends. test_stream_without_a_retry_stays_in_its_silent_group (of three streams with one token one leaves, and all that leave are sent again).

--- a/packages/gateway/src/thorncleat_gateway/peers/failure_detector.py
+++ b/packages/gateway/src/thorncleat_gateway/peers/failure_detector.py
@@ -43,7 +43,7 @@
 
     Times are seconds on the gateway's clock.
 
-    :param can_migrate: returns whether the stream can resume on another group now.
+    :param reserve_retry: reserves a retry on another group; returns whether there is one now.
     :param abort: ends the attempt, so that the stream leaves the group.
     :param last_at: time of the last event; 0 before the first one.
     :param gap: moving average of the seconds between two events.
@@ -54,7 +54,7 @@
 
     leader: Endpoint
     started_at: float
-    can_migrate: t.Callable[[], bool]
+    reserve_retry: t.Callable[[], bool]
     abort: t.Callable[[], None]
     last_at: float = 0.0
     gap: float = 0.0
@@ -255,6 +255,6 @@
 def _abort_attempts(attempts: t.Iterable[StreamAttempt], cause: str) -> None:
     """Abort the running attempts whose streams can resume on another group."""
     for attempt in attempts:
-        if not attempt.abort_cause and attempt.can_migrate():
+        if not attempt.abort_cause and attempt.reserve_retry():
             attempt.abort_cause = cause
             attempt.abort()
--- a/packages/gateway/src/thorncleat_gateway/requests/forwarder.py
+++ b/packages/gateway/src/thorncleat_gateway/requests/forwarder.py
@@ -93,7 +93,10 @@
         return lambda: self._take_token(request)
 
     def _take_token(self, request: Request) -> bool:
-        """Take a token for a retry of a request, and log a denial."""
+        """Take a token for a retry of a request, or use the reserved one; log a denial."""
+        if request.has_token:
+            request.has_token = False
+            return True
         service = request.service.name
         if self._retry_budgets.take_token(service):
             return True
--- a/packages/gateway/src/thorncleat_gateway/requests/request.py
+++ b/packages/gateway/src/thorncleat_gateway/requests/request.py
@@ -55,6 +55,7 @@
         overload control.
     :param expected: what was expected of the latest attempt; None if it isn't the first one, or
         isn't known.
+    :param has_token: whether a token of the retry budget is reserved for its next attempt.
     :param is_probe: whether it was let through a quarantine, for its first attempt.
     """
 
@@ -81,6 +82,7 @@
     head_at: float = 0.0
     level_priority: int | None = None
     expected: ExpectedTime | None = None
+    has_token: bool = False
     is_probe: bool = False
 
     @functools.cached_property
--- a/packages/gateway/src/thorncleat_gateway/requests/retry_budget.py
+++ b/packages/gateway/src/thorncleat_gateway/requests/retry_budget.py
@@ -247,6 +247,11 @@
         self._sharing_daemons(now)
         self._budgets[service].record_request(now)
 
+    def has_token(self, service: str) -> bool:
+        """Return whether the budget allows a retry to a service now."""
+        now = self._clock()
+        return self._budgets[service].retries_left(now, self._sharing_daemons(now)) >= 1
+
     def take_token(self, service: str) -> bool:
         """Count a retry to a service if the budget allows one; return whether it does."""
         now = self._clock()
--- a/packages/gateway/src/thorncleat_gateway/requests/streams.py
+++ b/packages/gateway/src/thorncleat_gateway/requests/streams.py
@@ -245,7 +245,7 @@
                     attempt = StreamAttempt(
                         endpoint,
                         self._clock(),
-                        can_migrate=lambda: self._can_migrate(request),
+                        reserve_retry=lambda: self._reserve_retry(request),
                         abort=lambda: scope.reschedule(loop.time()),
                     )
                     self._detector.watch(attempt)
@@ -259,13 +259,19 @@
                 if attempt is not None:
                     self._detector.unwatch(attempt)
 
-    def _can_migrate(self, request: Request) -> bool:
-        """Return whether an attempt could resume on another group now."""
-        return retry_policy.can_leave_group(
+    def _reserve_retry(self, request: Request) -> bool:
+        """Reserve a retry of a stream whose group is silent; return whether there is one.
+
+        Without one it stays: its answer would be cut, though the group may go on.
+        """
+        service = request.service.name
+        can_migrate = retry_policy.can_leave_group(
             request.route, request.sends
-        ) and self._selector.has_other_group(
-            request.service.name, request.meta.model, request.tried
-        )
+        ) and self._selector.has_other_group(service, request.meta.model, request.tried)
+        if not can_migrate or not self._retry_budgets.has_token(service):
+            return False
+        request.has_token = self._retry_budgets.take_token(service)
+        return request.has_token
 
     async def _exchange(
         self,
--- a/tests/test_waiting_streams.py
+++ b/tests/test_waiting_streams.py
@@ -59,3 +59,33 @@
     found, waited = virtual_time.run(_wait_for_a_group(4.8, left=5.0))
     assert found == "no group to go on in"
     assert waited <= WAIT_FOR_GROUP_SECONDS + POLL_SECONDS
+
+
+async def _leave_a_silent_group(tokens: int) -> list[bool]:
+    """Return which of three streams leave a silent group, while there are some tokens.
+
+    Those that leave can be sent again, and no other one.
+    """
+    world = NoticeWorld(Size(daemons=1, endpoints=2), 1)
+    await world.begin()
+    (daemon,) = world.daemons
+    service = world.request("r", left=6.0).service.name
+    while (
+        daemon.budgets.account(service).allowed - daemon.budgets.account(service).retries > tokens
+    ):
+        daemon.budgets.take_token(service)
+    requests = [world.request(f"r{number}", left=6.0) for number in range(3)]
+    leaving = [daemon.streams._reserve_retry(request) for request in requests]
+    sent_again = [daemon.streams._token_source(request)() for request in requests]
+    await world.end()
+    assert sent_again == leaving
+    return leaving
+
+
+@pytest.mark.parametrize(
+    ("tokens", "leaving"),
+    [(0, [False] * 3), (1, [True, False, False]), (3, [True] * 3)],
+)
+def test_stream_without_a_retry_stays_in_its_silent_group(tokens, leaving):
+    """Guards against streams that leave a group which goes on, and are cut for want of a token."""
+    assert virtual_time.run(_leave_a_silent_group(tokens)) == leaving
