--- a/packages/gateway/src/thorncleat_gateway/requests/retry_budget.py
+++ b/packages/gateway/src/thorncleat_gateway/requests/retry_budget.py
@@ -281,7 +281,7 @@
     def inherit(self, uses: t.Iterable[RetryUse], age: float, *, had_share: bool) -> None:
         """Count also what the predecessor of this process had used; all of it is known then.
 
-        :param uses: as of some seconds ago; services that lack had no retries.
+        :param uses: as of some seconds ago; a service without one had no retries.
         :param age: these seconds.
         :param had_share: whether the predecessor had a share of the fixed number until now.
         """
