A predecessor of an earlier build isn't taken for one that retried nothing

Cause: a daemon that others had heard for a window and that had reported no retries counted as one that had sent none; earlier builds send load reports and never report retries.

--- a/packages/gateway/src/thorncleat_gateway/peers/message_codec.py
+++ b/packages/gateway/src/thorncleat_gateway/peers/message_codec.py
@@ -256,20 +256,15 @@
 
 @_encodes(RetryRecall)
 def _encode_retry_recall(message: RetryRecall) -> Fields:
-    times = [_to_milliseconds(message.heard_for), _to_milliseconds(message.age)]
-    report = [] if message.report is None else _pack_retries(message.report)
-    return ["recall retries", *times, report]
+    return ["recall retries", _to_milliseconds(message.age), _pack_retries(message.report)]
 
 
 @_decodes("recall retries")
 def _decode_retry_recall(fields: Fields) -> Message | None:
     match fields:
-        case [int(heard_for), int(age), list(report)]:
-            return RetryRecall(
-                _parse_natural(heard_for) / MILLISECONDS_PER_SECOND,
-                _parse_natural(age) / MILLISECONDS_PER_SECOND,
-                _parse_retries(*report) if report else None,
-            )
+        case [int(age), list(report)]:
+            seconds = _parse_natural(age) / MILLISECONDS_PER_SECOND
+            return RetryRecall(seconds, _parse_retries(*report))
     return None
 
 
--- a/packages/gateway/src/thorncleat_gateway/peers/messages.py
+++ b/packages/gateway/src/thorncleat_gateway/peers/messages.py
@@ -192,7 +192,7 @@
 
 @dataclasses.dataclass(frozen=True)
 class RetryReport:
-    """What the sender has used of its retry budgets within the window.
+    """What the sender has used of its retry budgets within the window; it may be nothing.
 
     Daemons of earlier builds reject it.
 
@@ -219,14 +219,12 @@
 
     Daemons of earlier builds reject it.
 
-    :param heard_for: seconds for which the sender had heard of the daemon without a gap.
     :param age: seconds since the report came.
-    :param report: the latest report of the daemon; None if there is none.
+    :param report: the latest report of the daemon that asks.
     """
 
-    heard_for: float
     age: float
-    report: RetryReport | None
+    report: RetryReport
 
 
 @dataclasses.dataclass(frozen=True)
