--- a/review/lib/world.py
+++ b/review/lib/world.py
@@ -12,7 +12,6 @@
 import pathlib
 import shutil
 import signal
-import socket
 import sys
 import tempfile
 import time
@@ -23,6 +22,7 @@
 from thorncleat_standins.platform_store import PlatformStore
 from thorncleat_standins.platform_worker import PlatformWorker
 from thorncleat_standins.platform_worker import Run
+from thorncleat_standins.ports import free_ports
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 HEARTBEAT_SECONDS = 1.2
@@ -137,17 +137,6 @@
     process: asyncio.subprocess.Process | None = None
 
 
-def free_ports(count: int) -> list[int]:
-    """Return ports that are free now."""
-    sockets = [socket.socket() for _ in range(count)]
-    for one in sockets:
-        one.bind(("127.0.0.1", 0))
-    ports = [one.getsockname()[1] for one in sockets]
-    for one in sockets:
-        one.close()
-    return ports
-
-
 class World:
     """The deployment.
 
