Gateway: a line tells when a lost endpoint answers again, and whether it had restarted

A sound endpoint that paused and one that died look alike in the log: both are 'silent under suspicion'. Event 7223 endpoint_regained shows the first kind, and 7207 group_detached says how many requests ran in the group whose leader was ordered to leave, so that a cut by our own order can be told from one by the endpoint.

--- a/packages/gateway/src/thorncleat_gateway/events.py
+++ b/packages/gateway/src/thorncleat_gateway/events.py
@@ -88,6 +88,7 @@
 PLACEMENT_REWRITTEN = _event(
     7222, "placement_rewritten", INFO, "a placement that the store had lost is written again"
 )
+ENDPOINT_REGAINED = _event(7223, "endpoint_regained", INFO, "a lost endpoint answers again")
 
 GROUP_SUSPECTED = _event(7301, "group_suspected", WARNING, "a group is suspected to be down")
 REQUEST_SENT = _event(7302, "request_sent", INFO, "a request was sent to an endpoint")
--- a/packages/gateway/src/thorncleat_gateway/groups/ending.py
+++ b/packages/gateway/src/thorncleat_gateway/groups/ending.py
@@ -15,6 +15,7 @@
 from ..exceptions import EndpointError
 from ..exceptions import EndpointRefusedError
 from ..exceptions import EndpointReplacedError
+from ..peers.load_table import LoadTable
 from ..ports import Close
 from ..ports import Leave
 from ..store.roster import Endpoint
@@ -47,6 +48,7 @@
         records: GroupRecords,
         ended: EndedGroups,
         liveness: LeaderLiveness,
+        load_table: LoadTable,
         clock: t.Callable[[], float],
         start: Start,
     ) -> None:
@@ -54,6 +56,7 @@
         self._records = records
         self._ended = ended
         self._liveness = liveness
+        self._load_table = load_table
         self._clock = clock
         self._start = start
         self._under_way: set[GroupId] = set()
@@ -95,15 +98,18 @@
         """
         started_at = self._clock()
         try:
-            how = Detached.NO_RECORD
+            how, requests = Detached.NO_RECORD, 0
             leader = self._records.leader(group)
             if leader is not None:
                 if drain_timeout is not None:
                     await self._drain(leader, group, drain_timeout)
+                requests = self._load_table.request_count(leader.id)
                 how = await self._detach_leader(leader, group)
             self._records.end(group, how)
             seconds = round(self._clock() - started_at, 3)
-            events.GROUP_DETACHED.log(group=group.name, how=how.value, seconds=seconds)
+            events.GROUP_DETACHED.log(
+                group=group.name, how=how.value, seconds=seconds, requests=requests
+            )
         finally:
             self._under_way.discard(group)
 
--- a/packages/gateway/src/thorncleat_gateway/groups/lost_endpoints.py
+++ b/packages/gateway/src/thorncleat_gateway/groups/lost_endpoints.py
@@ -52,12 +52,18 @@
     """
 
     def __init__(
-        self, view: StoreView, orders: Orders, start: Start, wake: t.Callable[[], None]
+        self,
+        view: StoreView,
+        orders: Orders,
+        start: Start,
+        wake: t.Callable[[], None],
+        clock: t.Callable[[], float],
     ) -> None:
         self._view = view
         self._orders = orders
         self._start = start
         self._wake = wake
+        self._clock = clock
         self._incarnations: dict[str, Incarnation] = {}
         # Those of them that are certainly dead.
         self._dead: dict[str, Incarnation] = {}
@@ -92,9 +98,16 @@
 
     async def _poll_until_responding(self, endpoint: Endpoint) -> None:
         """Poll a lost endpoint while it is listed, until it answers."""
+        lost_at = self._clock()
         while endpoint.id in self._view.roster.endpoints:
             await asyncio.sleep(POLL_INTERVAL_SECONDS)
-            if await self._orders.is_responding(endpoint, BACKGROUND):
+            report = await self._orders.probe(endpoint, BACKGROUND)
+            if report is not None:
+                events.ENDPOINT_REGAINED.log(
+                    endpoint=endpoint.id,
+                    seconds=round(self._clock() - lost_at, 3),
+                    restarted=self._orders.has_restarted(endpoint, report),
+                )
                 break
         if self._incarnations.get(endpoint.id) == endpoint.incarnation:
             del self._incarnations[endpoint.id]
--- a/packages/gateway/src/thorncleat_gateway/groups/term.py
+++ b/packages/gateway/src/thorncleat_gateway/groups/term.py
@@ -102,12 +102,14 @@
         orders.discard_reports()
         records.begin_term()
         jobs = Jobs(wake)
-        lost = LostEndpoints(view, orders, jobs.start, wake)
+        lost = LostEndpoints(view, orders, jobs.start, wake, clock)
         slow = SlowEndpoints(view, orders, jobs.start, wake)
         liveness = LeaderLiveness(
             view, orders, self._detector, self._load_table, self._peers, clock
         )
-        ending = GroupEnding(orders, records, self._ended, liveness, clock, jobs.start)
+        ending = GroupEnding(
+            orders, records, self._ended, liveness, self._load_table, clock, jobs.start
+        )
         state = FormingState(self._term_number(position), clock)
         steps = GroupSteps(self._settings, view, orders, records, lost, clock, state.skip_epochs)
         jobs.start(records.rewrite_lost_records())
