Known red: the order to leave ends groups whose endpoints only paused

In virtual time, endpoints of a world now can stand still: connections are accepted, nothing is answered, and an order that was given up is carried out when they go on, as at a real process. A sound leader that pauses for 1.2, 2 and 3 s loses its group each time, by an order to leave that was decided, or sent, while it was silent.

--- a/tests/group_engines.py
+++ b/tests/group_engines.py
@@ -70,6 +70,8 @@
     silent_until: float = 0.0
     born: int = FIRST_BORN
     pace: float = 1.0
+    # Until when it stands still: connections are accepted, and nothing is read or answered.
+    paused_until: float = 0.0
 
     def restart(self) -> None:
         """Restart under the same id; the host keeps its models."""
@@ -96,6 +98,11 @@
         """Whether it is the leader of its group, in any state."""
         return bool(self.members) and self.members[0] == self.id
 
+    @property
+    def pause_left(self) -> float:
+        """The seconds for which it still stands still."""
+        return max(0.0, self.paused_until - self.world.now())
+
     @property
     def reported_count(self) -> int:
         """The number of orders begun as reported, which lags behind."""
@@ -145,6 +152,7 @@
             case Leave(group):
                 if self.group != group:
                     return Outcome.CONFLICT
+                self.world.record_leave(self)
                 self._leave()
                 self.world.publish(self)
                 return Outcome.DONE
@@ -262,6 +270,11 @@
             raise EndpointTimeoutError("silent")
         if not worker.alive or worker.refuses or worker.id in self._node.reset_paths:
             raise EndpointRefusedError("refused")
+        if worker.pause_left > timeout:
+            await asyncio.sleep(timeout)
+            raise EndpointTimeoutError("silent")
+        # What has arrived is read when the pause is over.
+        await asyncio.sleep(worker.pause_left)
         return worker
 
     async def report(self, endpoint: Endpoint, timeout: float) -> EngineReport:
@@ -302,6 +315,7 @@
 
     async def _order(self, endpoint, order, expected, timeout) -> Outcome:
         successor = self._world.successors.get(endpoint.id)
+        self._queue_if_paused(self._world.workers[endpoint.id], order, expected, timeout)
         worker = await self.reach(successor.entry() if successor else endpoint, timeout)
         if successor is not None and not self._world.chance("lost order answer"):
             raise EndpointReplacedError("another endpoint has the address")
@@ -318,3 +332,11 @@
             await asyncio.sleep(timeout)
             raise EndpointTimeoutError("unanswered")
         return outcome
+
+    def _queue_if_paused(self, worker: Worker, order, expected, timeout: float) -> None:
+        """Have a paused worker carry out an order that is given up, as soon as it goes on."""
+        is_reached = worker.alive and not worker.unreachable and not self._node.cut_from_engines
+        if is_reached and worker.pause_left > timeout:
+            self._world.later(
+                worker.pause_left, lambda: worker.alive and worker.receive_order(order, expected)
+            )
--- a/tests/group_world.py
+++ b/tests/group_world.py
@@ -272,6 +272,8 @@
         # By the id of a worker that has ended, the worker that has taken its address.
         self.successors: dict[str, Worker] = {}
         self.broken: list[str] = []
+        # The groups that were ordered to end while all their members lived and served.
+        self.ended_sound: list[GroupId] = []
         # Number of orders whose epoch was below one that their worker had seen.
         self.stale_refusals = 0
         self.opened = 0
@@ -330,6 +332,10 @@
             if not node.frozen:
                 node.detector.suspect(leader.entry(), "silence")
 
+    def pause(self, worker: Worker, seconds: float) -> None:
+        """Make a sound worker stand still for a while; its entry stays current."""
+        worker.paused_until = max(worker.paused_until, self.now() + seconds)
+
     def isolate(self, worker: Worker, seconds: float) -> None:
         """Cut a running worker off from the store and from all daemons for some time."""
         worker.unreachable = True
@@ -416,6 +422,14 @@
                 text = f"TWO: {worker.id} joins {order.group} while {other.id} leads {former}"
                 self.broken.append(text)
 
+    def record_leave(self, leader: Worker) -> None:
+        """Record an order that ends a group which serves."""
+        if leader.state is not GroupState.OPEN or not leader.is_leader:
+            return
+        members = [self.workers[name] for name in leader.members]
+        if all(member.alive and member.group == leader.group for member in members):
+            self.ended_sound.append(leader.group)
+
     def check_distinct(self, order: Join) -> None:
         """Check that a group names no endpoint twice."""
         if len(set(order.members)) < len(order.members):
