Gateway: a group whose members only pause is kept, and no order waits at a silent leader

Callers' streams were cut, several at once at several daemons, within 60 ms of the end of a pause of sound endpoints: the controller took a silence of 0.6 s for a death, ended the group, and ordered its leader to leave, again and again until it answered; so the order was carried out when the endpoint went on.

A silence under suspicion now ends a group in two steps. At once, as before, all daemons learn that it gets no new requests, and others may be formed from spares. Its leader is ordered to leave only when a member has been silent for longer than a sound endpoint may pause (1.5 s, counted from the group's last event) and answers no other daemon either; if all members answer in the state that they were in, the group is kept, and a new datagram (kept) tells the daemons to use it again. The leader is asked for a report before each order to leave, so that none waits at a silent one. Reports of members in doubt are no contacts: they show that a leader lives, not that its group moves, and made the controller's own streams wait there.

The cause is the class: what can't be reached was taken for ended, and an end once decided was never taken back.

--- a/packages/gateway/src/thorncleat_gateway/events.py
+++ b/packages/gateway/src/thorncleat_gateway/events.py
@@ -88,6 +88,7 @@
 PLACEMENT_REWRITTEN = _event(
     7222, "placement_rewritten", INFO, "a placement that the store had lost is written again"
 )
+GROUP_KEPT = _event(7224, "group_kept", INFO, "a group that was to be ended serves again")
 ENDPOINT_REGAINED = _event(7223, "endpoint_regained", INFO, "a lost endpoint answers again")
 
 GROUP_SUSPECTED = _event(7301, "group_suspected", WARNING, "a group is suspected to be down")
--- a/packages/gateway/src/thorncleat_gateway/gateway.py
+++ b/packages/gateway/src/thorncleat_gateway/gateway.py
@@ -211,6 +211,7 @@
             self._call_window,
             clock,
             self._paths.reach.record_failure,
+            self._paths.reach.record_success,
         )
         self._probe_answers = ProbeAnswers(
             view,
--- a/packages/gateway/src/thorncleat_gateway/groups/ended.py
+++ b/packages/gateway/src/thorncleat_gateway/groups/ended.py
@@ -13,6 +13,7 @@
 
 from ..peers.datagrams import PeerChannel
 from ..peers.messages import GroupEnded
+from ..peers.messages import GroupKept
 from ..peers.messages import Message
 from ..store.roster import GroupId
 
@@ -56,9 +57,19 @@
             entry.sent_at = now
             self._peers.broadcast(GroupEnded(group))
 
+    def keep(self, group: GroupId, leader: str) -> None:
+        """Use a group again whose end is given up, and tell the other daemons.
+
+        :param leader: id of its leader.
+        """
+        self._groups.pop(group, None)
+        self._peers.broadcast(GroupKept(group, leader))
+
     def _on_message(self, sender: str, message: Message) -> None:
         if isinstance(message, GroupEnded):
             self._refresh(message.group)
+        elif isinstance(message, GroupKept):
+            self._groups.pop(message.group, None)
 
     def _refresh(self, group: GroupId) -> _EndedGroup:
         until = self._clock() + ENDED_TTL_SECONDS
--- a/packages/gateway/src/thorncleat_gateway/groups/ending.py
+++ b/packages/gateway/src/thorncleat_gateway/groups/ending.py
@@ -1,6 +1,9 @@
 """Ends groups: ensures that a group no longer answers before its members are released.
 
-Only leaders are ordered to leave; a group has ended once its leader has left or is dead.
+Only leaders are ordered to leave; a group has ended once its leader has left or is dead. One whose
+members were only silent is kept if all of them serve it again before that. No order is sent to a
+leader while it is silent, since a paused one would carry it out when it goes on.
+
 :mod:`.group_health` decides which groups are ended and why.
 
 Owns: which groups are being ended.
@@ -23,8 +26,10 @@
 from ..store.roster import GroupState
 from .ended import EndedGroups
 from .group_health import EndReason
+from .group_recovery import GroupRecovery
 from .jobs import Start
 from .leader_liveness import LeaderLiveness
+from .lost_endpoints import LostEndpoints
 from .orders import ACCEPTED
 from .orders import POLL_INTERVAL_SECONDS
 from .orders import PROBE_INTERVAL_SECONDS
@@ -48,6 +53,8 @@
         records: GroupRecords,
         ended: EndedGroups,
         liveness: LeaderLiveness,
+        recovery: GroupRecovery,
+        lost: LostEndpoints,
         load_table: LoadTable,
         clock: t.Callable[[], float],
         start: Start,
@@ -56,6 +63,8 @@
         self._records = records
         self._ended = ended
         self._liveness = liveness
+        self._recovery = recovery
+        self._lost = lost
         self._load_table = load_table
         self._clock = clock
         self._start = start
@@ -89,30 +98,55 @@
             members=[member.id for member in members],
             graceful=reason.is_graceful,
         )
-        self._start(self._detach(group, drain_timeout if reason.is_graceful else None))
-
-    async def _detach(self, group: GroupId, drain_timeout: float | None) -> None:
-        """Ensure that a group no longer answers, and release its members.
+        self._start(self._end(group, reason, members, drain_timeout))
 
-        :param drain_timeout: how long its requests may take to finish first; None not to wait.
-        """
+    async def _end(
+        self,
+        group: GroupId,
+        reason: EndReason,
+        members: t.Sequence[Endpoint],
+        drain_timeout: float,
+    ) -> None:
+        """Ensure that a group no longer answers, and release its members, or keep it."""
         started_at = self._clock()
         try:
-            how, requests = Detached.NO_RECORD, 0
             leader = self._records.leader(group)
-            if leader is not None:
-                if drain_timeout is not None:
-                    await self._drain(leader, group, drain_timeout)
-                requests = self._load_table.request_count(leader.id)
-                how = await self._detach_leader(leader, group)
-            self._records.end(group, how)
-            seconds = round(self._clock() - started_at, 3)
-            events.GROUP_DETACHED.log(
-                group=group.name, how=how.value, seconds=seconds, requests=requests
-            )
+            if leader is None:
+                self._release(group, Detached.NO_RECORD, 0, started_at)
+                return
+            if reason.is_graceful:
+                await self._drain(leader, group, drain_timeout)
+            requests = self._load_table.request_count(leader.id)
+            how = await self._detach_leader(leader, group, members if reason.is_revocable else ())
+            if how is not None:
+                self._release(group, how, requests, started_at)
+            else:
+                self._keep(group, leader, members, started_at)
         finally:
             self._under_way.discard(group)
 
+    def _release(self, group: GroupId, how: Detached, requests: int, started_at: float) -> None:
+        """Record that a group has ended, so that its members may be used.
+
+        :param requests: how many requests ran there when its end began.
+        """
+        self._records.end(group, how)
+        seconds = round(self._clock() - started_at, 3)
+        events.GROUP_DETACHED.log(
+            group=group.name, how=how.value, seconds=seconds, requests=requests
+        )
+
+    def _keep(
+        self, group: GroupId, leader: Endpoint, members: t.Sequence[Endpoint], started_at: float
+    ) -> None:
+        """Use a group again whose members all serve it."""
+        self._lost.mark_answering(members)
+        self._ended.keep(group, leader.id)
+        seconds = round(self._clock() - started_at, 3)
+        events.GROUP_KEPT.log(
+            group=group.name, members=[member.id for member in members], seconds=seconds
+        )
+
     async def _drain(self, leader: Endpoint, group: GroupId, timeout: float) -> None:
         """Order a leader to finish its requests, and wait until it has or the timeout passes."""
         deadline = self._clock() + timeout
@@ -127,15 +161,25 @@
                 return
             await asyncio.sleep(POLL_INTERVAL_SECONDS)
 
-    async def _detach_leader(self, leader: Endpoint, group: GroupId) -> Detached:
-        """Order a leader to leave its group until it has left, has ended, or is dead."""
+    async def _detach_leader(
+        self, leader: Endpoint, group: GroupId, recoverable: t.Sequence[Endpoint]
+    ) -> Detached | None:
+        """Order a leader to leave its group until it has left, has ended, or is dead.
+
+        :param recoverable: the members of a group that is kept if all of them serve it again.
+        :returns: None if the group is kept.
+        """
+        if recoverable and await self._recovery.wait_recovered(group, recoverable):
+            return None
         while True:
             try:
-                outcome = await self._orders.send(leader, Leave(group))
-                if outcome in ACCEPTED:
-                    return Detached.LEFT
-                if not await self._orders.is_member(leader, group):
-                    return Detached.ELSEWHERE
+                # A silent leader gets no order.
+                await self._orders.fetch_member_report(leader)
+                if recoverable and await self._recovery.is_recovered(group, recoverable):
+                    return None
+                how = await self._order_to_leave(leader, group)
+                if how is not None:
+                    return how
             except EndpointReplacedError:
                 return Detached.PROCESS_ENDED
             except EndpointRefusedError:
@@ -145,3 +189,15 @@
                 if await self._liveness.wait_dead(leader):
                     return Detached.DEAD
             await asyncio.sleep(PROBE_INTERVAL_SECONDS)
+
+    async def _order_to_leave(self, leader: Endpoint, group: GroupId) -> Detached | None:
+        """Order a leader to leave its group.
+
+        :returns: None if it refuses and is still in the group.
+        :raises EndpointError: if it doesn't answer.
+        """
+        if await self._orders.send(leader, Leave(group)) in ACCEPTED:
+            return Detached.LEFT
+        if not await self._orders.is_member(leader, group):
+            return Detached.ELSEWHERE
+        return None
--- a/packages/gateway/src/thorncleat_gateway/groups/group_health.py
+++ b/packages/gateway/src/thorncleat_gateway/groups/group_health.py
@@ -44,6 +44,11 @@
         """Whether the group still works, so that its requests may finish first."""
         return self in (EndReason.LEADER_DRAINING, EndReason.DOMAIN_MOVES)
 
+    @property
+    def is_revocable(self) -> bool:
+        """Whether the group is kept if all its members answer before its leader has left."""
+        return self is EndReason.MEMBER_UNREACHABLE
+
 
 @dataclasses.dataclass(frozen=True)
 class GroupHealth:
--- a/packages/gateway/src/thorncleat_gateway/groups/group_inspector.py
+++ b/packages/gateway/src/thorncleat_gateway/groups/group_inspector.py
@@ -8,7 +8,6 @@
 
 import typing as t
 
-from ..store.roster import Endpoint
 from ..store.roster import Group
 from ..store.roster import GroupId
 from ..store.serving import Engine
@@ -139,5 +138,4 @@
         if group_id in self._term.ending or not self._term.records.can_answer(group_id):
             return
         self._examined_at[group_id] = now
-        members: list[Endpoint] = list(group.members.values())
-        self._term.jobs.start(self._term.examination.examine(members))
+        self._term.jobs.start(self._term.examination.examine(group))
--- a/packages/gateway/src/thorncleat_gateway/groups/lost_endpoints.py
+++ b/packages/gateway/src/thorncleat_gateway/groups/lost_endpoints.py
@@ -67,6 +67,9 @@
         self._incarnations: dict[str, Incarnation] = {}
         # Those of them that are certainly dead.
         self._dead: dict[str, Incarnation] = {}
+        # When each was lost, and when its silence began.
+        self._lost_at: dict[str, float] = {}
+        self._silent_since: dict[str, float] = {}
 
     def __contains__(self, endpoint: Endpoint) -> bool:
         return _holds(self._incarnations, endpoint)
@@ -78,40 +81,66 @@
     def discard_unlisted(self) -> None:
         """Discard lost endpoints that are no longer listed."""
         listed = self._view.roster.endpoints
-        for incarnations in (self._incarnations, self._dead):
-            for endpoint_id in [key for key in incarnations if key not in listed]:
-                del incarnations[endpoint_id]
+        for endpoint_id in [key for key in self._incarnations if key not in listed]:
+            self._discard(endpoint_id)
+
+    def silent_since(self, endpoints: t.Iterable[Endpoint]) -> dict[str, float]:
+        """Return since when those of some endpoints have been silent that are lost, by id."""
+        return {
+            endpoint.id: self._silent_since[endpoint.id]
+            for endpoint in endpoints
+            if endpoint in self and endpoint.id in self._silent_since
+        }
+
+    def mark_lost(
+        self, endpoint: Endpoint, cause: LostCause, silent_since: float | None = None
+    ) -> None:
+        """Mark an endpoint as lost until it answers.
 
-    def mark_lost(self, endpoint: Endpoint, cause: LostCause) -> None:
-        """Mark an endpoint as lost until it answers."""
+        :param silent_since: when its silence began; None if it did answer, or if that isn't known.
+        """
         is_known = endpoint in self and (self.is_dead(endpoint) or not cause.proves_death)
         if is_known:
             return
         was_lost = endpoint in self
+        if silent_since is not None:
+            self._silent_since.setdefault(endpoint.id, silent_since)
         if cause.proves_death:
             self._dead[endpoint.id] = endpoint.incarnation
         self._incarnations[endpoint.id] = endpoint.incarnation
         events.ENDPOINT_LOST.log(endpoint=endpoint.id, cause=cause.value)
         self._wake()
         if not was_lost:
+            self._lost_at[endpoint.id] = self._clock()
             self._start(self._poll_until_responding(endpoint))
 
     async def _poll_until_responding(self, endpoint: Endpoint) -> None:
         """Poll a lost endpoint while it is listed, until it answers."""
-        lost_at = self._clock()
-        while endpoint.id in self._view.roster.endpoints:
+        report = None
+        while endpoint in self and endpoint.id in self._view.roster.endpoints:
             await asyncio.sleep(POLL_INTERVAL_SECONDS)
             report = await self._orders.probe(endpoint, BACKGROUND)
             if report is not None:
-                events.ENDPOINT_REGAINED.log(
-                    endpoint=endpoint.id,
-                    seconds=round(self._clock() - lost_at, 3),
-                    restarted=self._orders.has_restarted(endpoint, report),
-                )
                 break
         if self._incarnations.get(endpoint.id) == endpoint.incarnation:
-            del self._incarnations[endpoint.id]
-            self._dead.pop(endpoint.id, None)
+            if report is not None:
+                self._log_regained(endpoint, restarted=self._orders.has_restarted(endpoint, report))
+            self._discard(endpoint.id)
+
+    def mark_answering(self, endpoints: t.Iterable[Endpoint]) -> None:
+        """Mark endpoints as no longer lost, since they answer as the incarnations they were."""
+        for endpoint in endpoints:
+            if endpoint in self:
+                self._log_regained(endpoint, restarted=False)
+                self._discard(endpoint.id)
+
+    def _log_regained(self, endpoint: Endpoint, *, restarted: bool) -> None:
+        seconds = round(self._clock() - self._lost_at[endpoint.id], 3)
+        events.ENDPOINT_REGAINED.log(endpoint=endpoint.id, seconds=seconds, restarted=restarted)
+
+    def _discard(self, endpoint_id: str) -> None:
+        for by_id in (self._incarnations, self._dead, self._lost_at, self._silent_since):
+            by_id.pop(endpoint_id, None)
 
 
 def _holds(incarnations: t.Mapping[str, Incarnation], endpoint: Endpoint) -> bool:
--- a/packages/gateway/src/thorncleat_gateway/groups/member_examination.py
+++ b/packages/gateway/src/thorncleat_gateway/groups/member_examination.py
@@ -8,8 +8,11 @@
 import asyncio
 import typing as t
 
+from ..peers.failure_detector import FailureDetector
+from ..peers.load_table import LoadTable
 from ..ports import EngineReport
 from ..store.roster import Endpoint
+from ..store.roster import Group
 from .lost_endpoints import LostCause
 from .lost_endpoints import LostEndpoints
 from .orders import Orders
@@ -20,6 +23,23 @@
 # How long a member may take to answer before other daemons are asked about it, so that those that
 # answer cost nobody else a probe.
 ASK_AFTER_SECONDS = 0.05
+# Longest silence of a group, before its members are probed, that counts as theirs.
+MAX_EARLIER_SILENCE_SECONDS = 0.6
+
+
+def silence_start(probed_at: float, last_contact_at: float, *, has_requests: bool) -> float:
+    """Return since when a member that doesn't answer a probe has been silent.
+
+    A group with requests makes events as long as all of its members go on, so that its silence is
+    theirs. Times are in seconds on the gateway's clock.
+
+    :param probed_at: when the member was probed first.
+    :param last_contact_at: when its group's leader last answered any daemon.
+    :param has_requests: whether any daemon has requests in the group.
+    """
+    if not has_requests:
+        return probed_at
+    return min(probed_at, max(last_contact_at, probed_at - MAX_EARLIER_SILENCE_SECONDS))
 
 
 class MemberExamination:
@@ -31,30 +51,49 @@
         lost: LostEndpoints,
         slow: SlowEndpoints,
         witnesses: Witnesses,
+        detector: FailureDetector,
+        load_table: LoadTable,
         clock: t.Callable[[], float],
     ) -> None:
         self._orders = orders
         self._lost = lost
         self._slow = slow
         self._witnesses = witnesses
+        self._detector = detector
+        self._load_table = load_table
         self._clock = clock
 
-    async def examine(self, members: t.Sequence[Endpoint]) -> None:
-        """Probe members and mark those as lost that answer no daemon or have restarted.
+    async def examine(self, group: Group) -> None:
+        """Probe a group's members and mark those as lost that answer no daemon or have restarted.
 
         The list shows this late: an entry expires some time after its last heartbeat, and an
         endpoint that is cut off from the store writes none.
         """
-        await asyncio.gather(*(self._examine(member) for member in members))
+        silent_since = self._silence_start(group)
+        await asyncio.gather(
+            *(self._examine(member, silent_since) for member in group.members.values())
+        )
+
+    def _silence_start(self, group: Group) -> float:
+        now, leader = self._clock(), group.leader
+        if leader is None:
+            return now
+        return silence_start(
+            now,
+            self._detector.last_contact_at(leader.id),
+            has_requests=self._load_table.request_count(leader.id) > 0,
+        )
 
-    async def _examine(self, member: Endpoint) -> None:
+    async def _examine(self, member: Endpoint, silent_since: float) -> None:
         question = self._witnesses.begin(member)
         try:
             report = await self._probe(member, question)
             if report is not None:
                 self._record_report(member, report)
             elif await self._witnesses.is_lost(question):
-                self._lost.mark_lost(member, LostCause.SILENT_UNDER_SUSPICION)
+                self._lost.mark_lost(
+                    member, LostCause.SILENT_UNDER_SUSPICION, silent_since=silent_since
+                )
         finally:
             self._witnesses.end(question)
 
--- a/packages/gateway/src/thorncleat_gateway/groups/orders.py
+++ b/packages/gateway/src/thorncleat_gateway/groups/orders.py
@@ -67,6 +67,8 @@
     :param record_contact: called with each endpoint that answers.
     :param calls: window that limits all calls.
     :param record_failure: called with each endpoint that does not answer.
+    :param record_success: called with each endpoint whose answer is no contact, as it says nothing
+        of its group.
     """
 
     def __init__(
@@ -79,6 +81,7 @@
         calls: CallWindow,
         clock: t.Callable[[], float],
         record_failure: t.Callable[[Endpoint], None] = lambda _: None,
+        record_success: t.Callable[[Endpoint], None] = lambda _: None,
     ) -> None:
         self._settings = settings
         self._engines = engines
@@ -88,6 +91,7 @@
         self._calls = calls
         self._clock = clock
         self._record_failure = record_failure
+        self._record_success = record_success
         self._reports: dict[str, EngineReport] = {}
 
     def discard_reports(self) -> None:
@@ -153,12 +157,40 @@
 
         :raises EndpointError: if there is no answer.
         """
+        report = await self._call_report(endpoint, urgency)
+        self._record_contact(endpoint)
+        return report
+
+    async def fetch_member_report(self, member: Endpoint) -> EngineReport:
+        """Return the report of a member of a group that may not move.
+
+        The report shows that the member lives, but not that its group does, so it is no contact
+        that ends a suspicion or that streams of this daemon could take for a sign of life.
+
+        :raises EndpointError: if there is no answer.
+        """
+        sent_at = self._clock()
+        try:
+            report = await self._call_report(member, IMMEDIATE)
+        except EndpointReplacedError:
+            raise
+        except EndpointError as error:
+            self._record_unanswered(member, error, sent_at)
+            raise
+        self._record_success(member)
+        return report
+
+    async def _call_report(self, endpoint: Endpoint, urgency: Urgency) -> EngineReport:
         async with self._calls.slot(urgency):
             report = await self._engines.report(endpoint, self._settings.probe_timeout)
-        self._record_contact(endpoint)
         self._reports[endpoint.id] = report
         return report
 
+    def _record_unanswered(self, endpoint: Endpoint, error: EndpointError, sent_at: float) -> None:
+        """Record the failure of a call, unless this daemon may only have missed the answer."""
+        if isinstance(error, EndpointRefusedError) or not self.was_late_since(sent_at):
+            self._record_failure(endpoint)
+
     async def is_member(self, endpoint: Endpoint, group: GroupId) -> bool:
         """Return whether an endpoint reports that it is in a group.
 
@@ -180,18 +212,21 @@
                 return await self.fetch_report(endpoint, urgency)
             except EndpointReplacedError:
                 return None
-            except EndpointRefusedError:
-                self._record_failure(endpoint)
-                return None
-            except EndpointError:
+            except EndpointError as error:
+                self._record_unanswered(endpoint, error, sent_at)
+                if isinstance(error, EndpointRefusedError):
+                    return None
                 # No answer in time; the probe is repeated.
-                if self._calls.was_late_since(sent_at):
+                if self.was_late_since(sent_at):
                     silent_while_late += 1
                 else:
                     silent += 1
-                    self._record_failure(endpoint)
         return None
 
+    def was_late_since(self, since: float) -> bool:
+        """Return whether this daemon's event loop was late since a time, and may miss answers."""
+        return self._calls.was_late_since(since)
+
     async def is_responding(self, endpoint: Endpoint, urgency: Urgency = IMMEDIATE) -> bool:
         """Return whether an endpoint answers a :meth:`probe`."""
         return await self.probe(endpoint, urgency) is not None
--- a/packages/gateway/src/thorncleat_gateway/groups/term.py
+++ b/packages/gateway/src/thorncleat_gateway/groups/term.py
@@ -21,6 +21,7 @@
 from .ending import GroupEnding
 from .forming import GroupForming
 from .forming_state import FormingState
+from .group_recovery import GroupRecovery
 from .group_steps import GroupSteps
 from .jobs import Jobs
 from .leader_liveness import LeaderLiveness
@@ -108,7 +109,15 @@
             view, orders, self._detector, self._load_table, self._peers, clock
         )
         ending = GroupEnding(
-            orders, records, self._ended, liveness, self._load_table, clock, jobs.start
+            orders,
+            records,
+            self._ended,
+            liveness,
+            GroupRecovery(orders, lost, self._witnesses, clock),
+            lost,
+            self._load_table,
+            clock,
+            jobs.start,
         )
         state = FormingState(self._term_number(position), clock)
         steps = GroupSteps(self._settings, view, orders, records, lost, clock, state.skip_epochs)
@@ -120,7 +129,9 @@
             records=records,
             lost=lost,
             slow=slow,
-            examination=MemberExamination(orders, lost, slow, self._witnesses, clock),
+            examination=MemberExamination(
+                orders, lost, slow, self._witnesses, self._detector, self._load_table, clock
+            ),
             unlisted=UnlistedEndpoints(view, orders, clock, jobs.start),
             ending=ending,
             forming_state=state,
--- a/packages/gateway/src/thorncleat_gateway/groups/witnesses.py
+++ b/packages/gateway/src/thorncleat_gateway/groups/witnesses.py
@@ -127,6 +127,14 @@
         """Take no more answers to a question."""
         self._questions.discard(question)
 
+    async def confirm_lost(self, endpoint: Endpoint) -> bool:
+        """Ask other daemons now, and return whether a silent endpoint is lost."""
+        question = self.begin(endpoint)
+        try:
+            return await self.is_lost(question)
+        finally:
+            self.end(question)
+
     async def is_lost(self, question: Question) -> bool:
         """Return whether an endpoint that doesn't answer this daemon is lost."""
         question.ask(self._clock())
--- a/packages/gateway/src/thorncleat_gateway/peers/failure_detector.py
+++ b/packages/gateway/src/thorncleat_gateway/peers/failure_detector.py
@@ -18,6 +18,7 @@
 from ..store.roster import Endpoint
 from . import silence
 from .datagrams import PeerChannel
+from .messages import GroupKept
 from .messages import LoadReport
 from .messages import Message
 from .messages import Suspicion
@@ -136,12 +137,14 @@
 
     def has_contact_since(self, endpoint_id: str, since: float) -> bool:
         """Return whether an endpoint answered any daemon at or after an instant."""
+        return self.last_contact_at(endpoint_id) >= since
+
+    def last_contact_at(self, endpoint_id: str) -> float:
+        """Return when an endpoint last answered any daemon, as far as is known; -inf if never."""
         never = float("-inf")
-        local, remote = (
-            self._contacts.get(endpoint_id, never),
-            self._remote_contacts.get(endpoint_id, never),
+        return max(
+            self._contacts.get(endpoint_id, never), self._remote_contacts.get(endpoint_id, never)
         )
-        return max(local, remote) >= since
 
     def was_heard_here_since(self, endpoint_id: str, since: float) -> bool:
         """Return whether an endpoint answered this daemon itself at or after an instant."""
@@ -202,6 +205,8 @@
             self._remote_contacts.update(dict.fromkeys(message.heard, now))
             if message.heard:
                 self._others_reached_at = now
+        elif isinstance(message, GroupKept):
+            self._suspicions.remove(message.leader)
         elif isinstance(message, Suspicion):
             last_contact_at = self._contacts.get(message.leader, 0.0)
             if silence.is_credible(now, last_contact_at, self._settings):
--- a/packages/gateway/src/thorncleat_gateway/peers/message_codec.py
+++ b/packages/gateway/src/thorncleat_gateway/peers/message_codec.py
@@ -17,6 +17,7 @@
 from .messages import CrashWithdrawal
 from .messages import DomainLoad
 from .messages import GroupEnded
+from .messages import GroupKept
 from .messages import LimitReport
 from .messages import LoadReport
 from .messages import Message
@@ -178,6 +179,19 @@
     return None
 
 
+@_encodes(GroupKept)
+def _encode_kept(message: GroupKept) -> Fields:
+    return ["kept", message.group.epoch, message.group.name, message.leader]
+
+
+@_decodes("kept")
+def _decode_kept(fields: Fields) -> Message | None:
+    match fields:
+        case [int(epoch), str(name), str(leader)]:
+            return GroupKept(GroupId(epoch, name), leader)
+    return None
+
+
 @_encodes(CrashReport)
 def _encode_crash(message: CrashReport) -> Fields:
     return ["crash", [_pack_crash(crash) for crash in message.crashes]]
--- a/packages/gateway/src/thorncleat_gateway/peers/messages.py
+++ b/packages/gateway/src/thorncleat_gateway/peers/messages.py
@@ -76,6 +76,19 @@
     group: GroupId
 
 
+@dataclasses.dataclass(frozen=True)
+class GroupKept:
+    """A notice that a group which the controller was ending is kept, since all its members answer.
+
+    Daemons of earlier builds neither send nor accept it.
+
+    :param leader: id of its leader.
+    """
+
+    group: GroupId
+    leader: str
+
+
 @dataclasses.dataclass(frozen=True)
 class ReportedRequest:
     """A request that was running at a crash.
@@ -257,6 +270,7 @@
     | Probe
     | ProbeResult
     | GroupEnded
+    | GroupKept
     | CrashReport
     | CrashWithdrawal
     | LimitReport
--- a/tests/group_world.py
+++ b/tests/group_world.py
@@ -144,6 +144,7 @@
             self.calls,
             world.now,
             self.reach.record_failure,
+            self.reach.record_success,
         )
         self.records = GroupRecords(client, self.view, self.election)
         self.placements = PlacementRecords(client, self.view, self.election)
--- a/tests/test_ended_groups.py
+++ b/tests/test_ended_groups.py
@@ -10,6 +10,7 @@
 from thorncleat_gateway.peers.failure_detector import FailureDetector
 from thorncleat_gateway.peers.load_table import LoadTable
 from thorncleat_gateway.peers.messages import GroupEnded
+from thorncleat_gateway.peers.messages import GroupKept
 from thorncleat_gateway.requests.endpoint_limits import EndpointLimits
 from thorncleat_gateway.requests.endpoint_notices import EndpointNotices
 from thorncleat_gateway.requests.endpoint_selector import EndpointSelector
@@ -112,6 +113,22 @@
     assert daemon.chosen() == {"w0", "w1"}
 
 
+def test_group_that_is_kept_is_used_again_at_once(daemon):
+    group = FIRST.membership.group
+    daemon.peers.receive("controller", GroupEnded(group))
+    assert daemon.chosen() == {"w1"}
+    daemon.peers.receive("controller", GroupKept(group, FIRST.id))
+    assert daemon.chosen() == {"w0", "w1"}
+
+
+def test_controller_that_keeps_a_group_tells_the_others(daemon):
+    group = FIRST.membership.group
+    daemon.ended.broadcast(group)
+    daemon.ended.keep(group, FIRST.id)
+    assert daemon.peers.sent == [GroupEnded(group), GroupKept(group, FIRST.id)]
+    assert daemon.chosen() == {"w0", "w1"}
+
+
 def test_message_is_repeated_at_an_interval(daemon):
     group = FIRST.membership.group
     for _ in range(5):
--- a/tests/test_failure_detector.py
+++ b/tests/test_failure_detector.py
@@ -10,6 +10,7 @@
 from thorncleat_gateway.peers.message_codec import decode
 from thorncleat_gateway.peers.message_codec import encode
 from thorncleat_gateway.peers.messages import GroupEnded
+from thorncleat_gateway.peers.messages import GroupKept
 from thorncleat_gateway.peers.messages import Probe
 from thorncleat_gateway.peers.messages import Suspicion
 from thorncleat_gateway.settings import StreamSettings
@@ -116,6 +117,13 @@
     assert not detector.is_suspected_locally(LEADER)
 
 
+def test_group_that_the_controller_keeps_is_no_longer_suspected(detector):
+    detector.suspect(LEADER, "silence")
+    detector._peers.receive("controller", GroupKept(GROUP, "w0"))
+    assert not detector.is_suspected(LEADER)
+    assert not detector.is_on_probation(LEADER)
+
+
 @pytest.mark.parametrize("message", [Suspicion("w0", GROUP, "w1"), Probe("w0"), GroupEnded(GROUP)])
 def test_datagrams_round_trip(message):
     assert decode(encode("edge-1", message)) == ("edge-1", message)
--- a/tests/test_forms_datagrams.py
+++ b/tests/test_forms_datagrams.py
@@ -8,6 +8,7 @@
 from thorncleat_gateway.peers.messages import CrashWithdrawal
 from thorncleat_gateway.peers.messages import DomainLoad
 from thorncleat_gateway.peers.messages import GroupEnded
+from thorncleat_gateway.peers.messages import GroupKept
 from thorncleat_gateway.peers.messages import LimitReport
 from thorncleat_gateway.peers.messages import LoadReport
 from thorncleat_gateway.peers.messages import Probe
@@ -34,6 +35,7 @@
     "suspicion of nobody": Suspicion("i-1", GROUP),
     "probe": Probe("i-1"),
     "ended": GroupEnded(GROUP),
+    "kept": GroupKept(GROUP, "i-1"),
     "probed": ProbeResult("i-1", False, True),
     "domain": DomainLoad("riga-a", {"i-1": 3}),
     "crash": CrashReport(
@@ -64,6 +66,7 @@
     "suspicion of nobody": "9701a6656467652d31a773757370656374a3692d3103aa6e61727261746f722d30a0",
     "probe": "9401a6656467652d31a570726f6265a3692d31",
     "ended": "9501a6656467652d31a5656e64656403aa6e61727261746f722d30",
+    "kept": "9601a6656467652d31a46b65707403aa6e61727261746f722d30a3692d31",
     "probed": "9601a6656467652d31a670726f626564a3692d31c2c3",
     "domain": "9501a6656467652d31a6646f6d61696ea6726967612d6181a3692d3103",
     "crash": (
@@ -121,6 +124,7 @@
         [1, "edge-1", "domain", "riga-a", []],
         [1, "edge-1", "suspect", "i-1", 3, "narrator-0"],
         [1, "edge-1", "ended", "3", "narrator-0"],
+        [1, "edge-1", "kept", 3, "narrator-0"],
         [1, "edge-1", "crash", {}],
         [1, "edge-1", "crash", [["i-1", 7, 500]]],
         [1, "edge-1", "crash", [["i-1", 7, "soon", []]]],
--- a/tests/test_paused_endpoints.py
+++ b/tests/test_paused_endpoints.py
@@ -1,5 +1,7 @@
 """Sound endpoints that pause keep their groups, and dead ones lose them, in virtual time."""
 
+import random
+
 import pytest
 
 from thorncleat_gateway.store.roster import GroupState
@@ -13,6 +15,10 @@
 FIRST_SUSPICION_SECONDS = 0.32
 SUSPICION_INTERVAL_SECONDS = 0.2
 TICK_SECONDS = 0.1
+# The longest pause of a sound endpoint.
+LONGEST_PAUSE_SECONDS = 1.5
+# How long the groups of endpoints that have died may take to serve anew.
+REPAIR_SECONDS = 12.0
 
 
 def _open_leaders(world: World):
@@ -72,6 +78,102 @@
     return world
 
 
+async def _pause_together(seed: int, share: float, seconds: float, times: int):
+    """Pause a share of the endpoints a few times; return the world, and the groups before."""
+    world = await _calm_world(seed)
+    streams = Streams(world)
+    before = {leader.group for leader in _open_leaders(world)}
+    for _ in range(times):
+        for worker in world.workers.values():
+            if world.random.random() < share:
+                world.pause(worker, seconds)
+        await _pass_time(world, streams, seconds + world.random.uniform(0.5, 3.0))
+    await _pass_time(world, streams, 1.0)
+    return world, before
+
+
+async def _groups_after_pauses(seed: int, share: float, seconds: float, times: int = 3):
+    world, before = await _pause_together(seed, share, seconds, times)
+    after = {leader.group for leader in _open_leaders(world)}
+    usable = [
+        sum(leader.group not in node.ended for leader in _open_leaders(world))
+        for node in world.nodes
+    ]
+    await world.stop()
+    return world, before, after, usable
+
+
+@pytest.mark.parametrize("seed", range(4))
+@pytest.mark.parametrize("seconds", [0.5, 1.0, 1.2, 1.4, LONGEST_PAUSE_SECONDS])
+@pytest.mark.parametrize("share", [0.1, 0.3, 0.6, 1.0])
+def test_groups_of_paused_endpoints_are_kept(share, seconds, seed):
+    world, before, after, usable = virtual_time.run(_groups_after_pauses(seed, share, seconds))
+    assert world.broken == []
+    assert world.ended_sound == []
+    assert before <= after
+    # A second after the last pause, all daemons use them again.
+    assert min(usable) == len(after)
+
+
+async def _pause_around_deaths(seed: int):
+    """Kill endpoints, silently or not, while others pause; return the world."""
+    world = await _calm_world(seed, domains=3)
+    streams = Streams(world)
+    draw = random.Random(seed)
+    for _ in range(3):
+        share = draw.choice([0.2, 0.6, 1.0])
+        for worker in world.workers.values():
+            if worker.alive and draw.random() < share:
+                world.pause(worker, draw.uniform(0.5, LONGEST_PAUSE_SECONDS))
+        victim = draw.choice([worker for worker in world.workers.values() if worker.alive])
+        await _pass_time(world, streams, draw.uniform(0.0, 1.0))
+        world.kill(victim, unreachable=draw.random() < 0.7)
+        world.add_worker(victim.domain, staged=victim.staged)
+        await _pass_time(world, streams, draw.uniform(2.0, 5.0))
+    await _pass_time(world, streams, REPAIR_SECONDS)
+    still = [leader.id for leader in _open_leaders(world) if _stands_still(world, leader)]
+    running = world.running_groups()
+    await world.stop()
+    return world, still, running
+
+
+@pytest.mark.parametrize("seed", range(30))
+def test_only_groups_of_dead_endpoints_end_among_pauses(seed):
+    world, still, running = virtual_time.run(_pause_around_deaths(seed))
+    assert world.broken == []
+    assert world.ended_sound == []
+    assert still == []
+    assert running["large"] >= 3
+
+
+async def _seconds_until_served_anew(rank: int):
+    """Kill a silent member of a group that has a spare; return the seconds to its replacement."""
+    world = await _calm_world(3, domains=1, workers=8)
+    streams = Streams(world)
+    leader = large_leader(world)
+    lost_group = leader.group
+    world.add_worker(leader.domain, staged=("large",))
+    await _pass_time(world, streams, 1.0)
+    world.kill(world.workers[leader.members[rank]], unreachable=True)
+    killed_at = world.now()
+    while True:
+        groups = [other.group for other in _open_leaders(world) if other.model == "large"]
+        if any(group != lost_group for group in groups):
+            break
+        assert world.now() < killed_at + REPAIR_SECONDS
+        await _pass_time(world, streams, TICK_SECONDS)
+    seconds = world.now() - killed_at
+    await world.stop()
+    return world, seconds
+
+
+def test_group_of_a_silent_death_is_replaced_soon():
+    world, seconds = virtual_time.run(_seconds_until_served_anew(1))
+    assert world.broken == []
+    # The longest pause, two rounds of probes, and the time to join and open.
+    assert seconds < LONGEST_PAUSE_SECONDS + 2.0
+
+
 async def _pause_outlasts_the_order(seconds: float):
     """Pause a leader for longer than any proof of death takes; return the world and its group."""
     world = await _calm_world(3)
