Gateway: a draining leader that pauses still finishes its requests

The class of the paused endpoints once more: the order to close a draining leader was given once, and if it got no answer the order to leave followed, which breaks what the leader runs. It is repeated now, being idempotent, until it is answered or the time to drain is over.

test_draining_leader_that_pauses_finishes_its_requests: all three cases, from a pause of 0.5 s on, failed with the order given once.

--- a/packages/gateway/src/thorncleat_gateway/groups/ending.py
+++ b/packages/gateway/src/thorncleat_gateway/groups/ending.py
@@ -18,6 +18,7 @@
 from ..exceptions import EndpointError
 from ..exceptions import EndpointRefusedError
 from ..exceptions import EndpointReplacedError
+from ..exceptions import EndpointTimeoutError
 from ..peers.load_table import LoadTable
 from ..ports import Close
 from ..ports import Leave
@@ -150,9 +151,7 @@
     async def _drain(self, leader: Endpoint, group: GroupId, timeout: float) -> None:
         """Order a leader to finish its requests, and wait until it has or the timeout passes."""
         deadline = self._clock() + timeout
-        try:
-            await self._orders.send(leader, Close(group))
-        except EndpointError:
+        if not await self._close(leader, group, deadline):
             # The order to leave that follows determines the leader's state.
             return
         while self._clock() < deadline:
@@ -161,6 +160,19 @@
                 return
             await asyncio.sleep(POLL_INTERVAL_SECONDS)
 
+    async def _close(self, leader: Endpoint, group: GroupId, deadline: float) -> bool:
+        """Order a leader to finish its requests; return whether it has answered in time."""
+        while self._clock() < deadline:
+            try:
+                await self._orders.send(leader, Close(group))
+                return True
+            except EndpointTimeoutError:
+                # It may only pause; the order is idempotent.
+                await asyncio.sleep(PROBE_INTERVAL_SECONDS)
+            except EndpointError:
+                return False
+        return False
+
     async def _detach_leader(
         self, leader: Endpoint, group: GroupId, recoverable: t.Sequence[Endpoint]
     ) -> Detached | None:
--- a/tests/group_world.py
+++ b/tests/group_world.py
@@ -425,7 +425,7 @@
 
     def record_leave(self, leader: Worker) -> None:
         """Record an order that ends a group which serves."""
-        if leader.state is not GroupState.OPEN or not leader.is_leader:
+        if leader.state not in (GroupState.OPEN, GroupState.CLOSING) or not leader.is_leader:
             return
         members = [self.workers[name] for name in leader.members]
         if all(member.alive and member.group == leader.group for member in members):
--- a/tests/test_paused_endpoints.py
+++ b/tests/test_paused_endpoints.py
@@ -193,3 +193,24 @@
     world, group, after = virtual_time.run(_pause_outlasts_the_order(seconds))
     assert world.ended_sound == []
     assert group in after
+
+
+async def _drain_while_paused(seconds: float):
+    """Drain a leader that pauses, so that its order to close gets no answer."""
+    world = await _calm_world(3)
+    streams = Streams(world)
+    leader = large_leader(world)
+    group = leader.group
+    world.pause(leader, seconds)
+    world.drain(leader)
+    await _pass_time(world, streams, 3.0)
+    await world.stop()
+    return world, group, leader
+
+
+@pytest.mark.parametrize("seconds", [0.5, 1.0, LONGEST_PAUSE_SECONDS])
+def test_draining_leader_that_pauses_finishes_its_requests(seconds):
+    world, group, leader = virtual_time.run(_drain_while_paused(seconds))
+    assert world.broken == []
+    assert world.ended_sound == []
+    assert leader.group != group
