Gateway: a new controller examines the groups that are suspected already

Suspicions are datagrams to whoever controls at that moment. At the begin of a term the members of suspected groups are probed.

In virtual time the group ended after 5.4 s before, and in less than 2 s now.

--- a/packages/gateway/src/thorncleat_gateway/groups/controller.py
+++ b/packages/gateway/src/thorncleat_gateway/groups/controller.py
@@ -55,6 +55,7 @@
         super().__init__()
         self._view = view
         self._election = election
+        self._detector = detector
         self._term_factory = term_factory
         self._placements = placements
         self._clock = clock
@@ -121,8 +122,18 @@
             inspector = GroupInspector(self._view, term, self._clock)
             planner = Planner(self._view, self._sizes, term, inspector, self._before_requests)
             self._planner = planner
+            self._examine_suspected(inspector)
         return planner
 
+    def _examine_suspected(self, inspector: GroupInspector) -> None:
+        """Probe the members of groups that were suspected before the term began.
+
+        Streams that have left such a group don't suspect it again.
+        """
+        for group in self._view.roster.groups.values():
+            if group.leader is not None and self._detector.is_suspected(group.leader):
+                inspector.examine(group.id)
+
     def _plan(self, planner: Planner) -> None:
         configuration = self._view.configuration
         if configuration is None:
--- a/tests/test_group_repair.py
+++ b/tests/test_group_repair.py
@@ -7,6 +7,8 @@
 from .group_world import controller_node
 from .group_world import large_leader
 
+# How long a frozen controller holds its lease.
+CONTROLLER_LEASE_SECONDS = 2.0
 # Upper bound for every repair here.
 REPAIR_TIMEOUT_SECONDS = 30.0
 
@@ -104,3 +106,32 @@
     world, replaced = virtual_time.run(_leader_ends_while_a_daemon_is_silent())
     assert world.broken == []
     assert UNLISTED_AFTER_SECONDS < replaced < UNLISTED_AFTER_SECONDS + 4.0
+
+
+async def _member_dies_just_before_an_election():
+    """Kill a member silently; return the seconds until the next controller ends its group."""
+    world = await calm_world()
+    leader = large_leader(world)
+    group = leader.group
+    frozen = controller_node(world)
+    frozen.freeze(60.0)
+    await world.pass_time(CONTROLLER_LEASE_SECONDS - 0.3)
+    world.workers[leader.members[1]].alive = False
+    world.workers[leader.members[1]].unreachable = True
+    others = [node for node in world.nodes if node is not frozen]
+    # The streams of the daemons leave the group, so that nobody suspects it again.
+    others[0].detector.suspect(leader.entry(), "silence")
+    killed_at = world.now()
+    while not all(group in node.ended for node in others):
+        assert world.now() < killed_at + REPAIR_TIMEOUT_SECONDS
+        await world.pass_time(0.1)
+    seconds = world.now() - killed_at
+    await world.stop()
+    return world, seconds
+
+
+def test_new_controller_examines_groups_that_were_suspected_before():
+    world, seconds = virtual_time.run(_member_dies_just_before_an_election())
+    assert world.broken == []
+    # The rest of the former lease, the election, two probes and the answers of other daemons.
+    assert seconds < 2.0
