Groups: a leader that refuses connections has ended only once it is unlisted

Cause: a refused connection, seen by all daemons, counted as an ended process while the leader's entry was listed.

Change: such a leader has ended once a recent list lacks it, no daemon reports a request there, and none gets an answer; it is recorded as "neither listed nor heard", no longer as "process ended", so that it has to leave its group if it is listed again.

--- a/packages/gateway/src/thorncleat_gateway/groups/ending.py
+++ b/packages/gateway/src/thorncleat_gateway/groups/ending.py
@@ -196,7 +196,7 @@
                 return Detached.PROCESS_ENDED
             except EndpointRefusedError:
                 if await self._liveness.has_ended(leader):
-                    return Detached.PROCESS_ENDED
+                    return Detached.DEAD
             except EndpointError:
                 if await self._liveness.wait_dead(leader):
                     return Detached.DEAD
--- a/packages/gateway/src/thorncleat_gateway/groups/leader_liveness.py
+++ b/packages/gateway/src/thorncleat_gateway/groups/leader_liveness.py
@@ -3,10 +3,9 @@
 A leader that doesn't answer the controller may still answer other daemons, so they are asked to
 probe it and to report.
 
-One that refuses connections may have ended, may be draining and finishing its requests, or may be
-refused to this daemon alone. One that a recent list shows as not draining has ended once every
-daemon has reported since that it has no request there, and none gets an answer of it; for others
-the list has to show that they are gone.
+One that refuses connections may have ended, may be finishing its requests, or may be cut off from
+some daemons or from all of them, whatever they report. While its entry is renewed it lives: it has
+ended only once a recent list lacks it, no daemon has requests there, and none gets an answer.
 
 Owns: no state.
 Relies on: the other daemons to report at once when they get a :class:`.Probe`, and again when the
@@ -18,7 +17,6 @@
 
 from ..peers.datagrams import PeerChannel
 from ..peers.failure_detector import FailureDetector
-from ..peers.load_reporter import contact_ttl_seconds
 from ..peers.load_table import LoadTable
 from ..peers.messages import Probe
 from ..store.roster import Endpoint
@@ -35,9 +33,6 @@
 # How long the other daemons may take to report their requests under way: a datagram each way and
 # one turn of the other daemon's event loop.
 REPORT_ROUND_SECONDS = 0.1
-# Longest wait until reports no longer name an endpoint's earlier contacts. With many daemons
-# reports are rare and this would take longer; the list shows sooner that an endpoint is gone.
-MAX_CONTACT_TTL_SECONDS = 1.0
 
 
 def is_unlisted(listed: bool, list_age: float) -> bool:
@@ -58,23 +53,13 @@
     return not (listed or has_contact)
 
 
-def is_idle(*, requests: int, silent_daemons: t.Collection[str]) -> bool:
-    """Return whether an endpoint has no requests from any daemon.
+def has_stopped(*, unlisted: bool, requests: int) -> bool:
+    """Return whether a leader that refuses connections may have ended.
 
+    :param unlisted: whether a recent list lacks it; while it is listed, its entry may be renewed.
     :param requests: number of its requests according to the latest reports.
-    :param silent_daemons: daemons that have not reported since the probe; they may have requests
-        there.
     """
-    return requests == 0 and not silent_daemons
-
-
-def is_possibly_leaving(listed: Endpoint | None, list_age: float) -> bool:
-    """Return whether an endpoint may have stopped listening without having ended.
-
-    :param listed: its entry; None if it isn't listed, which may be so while it leaves.
-    :param list_age: seconds for which the list may be out of date.
-    """
-    return listed is None or listed.draining or list_age >= MAX_LIST_AGE_SECONDS
+    return unlisted and requests == 0
 
 
 class LeaderLiveness:
@@ -102,7 +87,7 @@
         :returns: True if it is dead, False if it answers.
         """
         while True:
-            if is_unlisted(self._is_listed(leader), self._view.entries_age()):
+            if self._is_unlisted(leader):
                 requested_at = self._request_probes(leader)
                 if await self._orders.is_responding(leader):
                     return False
@@ -114,38 +99,17 @@
             await asyncio.sleep(PROBE_INTERVAL_SECONDS)
 
     async def has_ended(self, leader: Endpoint) -> bool:
-        """Return whether a leader that refuses connections has ended.
-
-        It may also be finishing its requests, or be unreachable from this daemon only. It has
-        ended once all daemons report no requests there and none gets an answer. If it may be
-        leaving, or a daemon does not report, it must also be unlisted.
-        """
+        """Return whether a leader that refuses connections has ended."""
+        if not self._is_unlisted(leader):
+            return False
         requested_at = self._request_probes(leader)
         await asyncio.sleep(REPORT_ROUND_SECONDS)
-        silent_daemons = self._peers.other_daemons - self._load_table.reporters_since(requested_at)
         requests = self._load_table.request_count(leader.id)
-        listed = self._view.roster.endpoints.get(leader.id)
-        is_leader_idle = is_idle(requests=requests, silent_daemons=silent_daemons)
-        if is_leader_idle and not is_possibly_leaving(listed, self._view.entries_age()):
-            return not await self._is_responding_to_others(leader)
-        if requests or not is_unlisted(listed is not None, self._view.entries_age()):
+        if not has_stopped(unlisted=self._is_unlisted(leader), requests=requests):
             return False
         await asyncio.sleep(PROBE_ROUND_SECONDS)
         return self._is_dead(leader, requested_at)
 
-    async def _is_responding_to_others(self, leader: Endpoint) -> bool:
-        """Return whether a leader that refuses this daemon's connections answers another daemon.
-
-        Reports name an endpoint for some time after its last answer, so the probe is sent only
-        after that time.
-        """
-        await asyncio.sleep(
-            min(contact_ttl_seconds(self._peers.report_interval_seconds()), MAX_CONTACT_TTL_SECONDS)
-        )
-        requested_at = self._request_probes(leader)
-        await asyncio.sleep(PROBE_ROUND_SECONDS)
-        return self._detector.has_contact_since(leader.id, requested_at)
-
     def _request_probes(self, leader: Endpoint) -> float:
         """Ask the other daemons to probe a leader; return the time of the request."""
         self._peers.broadcast(Probe(leader.id))
@@ -161,5 +125,8 @@
         )
         return is_dead(listed=self._is_listed(leader), has_contact=has_contact)
 
+    def _is_unlisted(self, leader: Endpoint) -> bool:
+        return is_unlisted(self._is_listed(leader), self._view.entries_age())
+
     def _is_listed(self, leader: Endpoint) -> bool:
         return leader.id in self._view.roster.endpoints
--- a/tests/test_group_ends.py
+++ b/tests/test_group_ends.py
@@ -22,6 +22,8 @@
 FAULT_SECONDS = 40.0
 ENOUGH_WORKERS = 14
 SEEDS = range(12)
+# Share of the endpoints whose connections are reset.
+RESET_SHARE = 0.35
 
 
 # Records that are not in the view
@@ -133,6 +135,59 @@
     assert running["large"] == 1
 
 
+async def _leaders_reset_all_connections(seed: int, seconds: float):
+    """Reset all daemons' connections to some workers, whose entries stay current."""
+    world = World(seed)
+    await world.start()
+    await world.pass_time(CALM_SECONDS)
+    leaders = [worker for worker in world.workers.values() if worker.is_leader]
+    reset = {worker.id for worker in world.workers.values() if world.random.random() < RESET_SHARE}
+    reset.add(world.random.choice(leaders).id)
+    for node in world.nodes:
+        node.reset_paths = set(reset)
+    for leader in leaders:
+        world.suspect(leader)
+    world.later(seconds, lambda: [node.reset_paths.clear() for node in world.nodes])
+    await world.pass_time(seconds + 8.0)
+    running = world.running_groups()
+    await world.stop()
+    return world, running
+
+
+@pytest.mark.parametrize("seconds", [2.0, 6.0, 12.0])
+@pytest.mark.parametrize("seed", SEEDS)
+def test_listed_leaders_that_refuse_all_daemons_keep_their_members(seed, seconds):
+    """An entry that is still renewed shows that its endpoint lives."""
+    world, running = virtual_time.run(_leaders_reset_all_connections(seed, seconds))
+    assert world.broken == []
+    assert running["large"] >= 2
+
+
+async def _refusing_leader_is_cut_from_the_store(seconds: float):
+    """Cut a leader from the store and reset all connections to it; it returns with its group."""
+    world = await calm_world()
+    leader = large_leader(world)
+    former = leader.group
+    for node in world.nodes:
+        node.reset_paths = {leader.id}
+    world.cut_from_store(leader, seconds)
+    world.suspect(leader)
+    world.later(seconds, lambda: [node.reset_paths.clear() for node in world.nodes])
+    await world.pass_time(seconds + 8.0)
+    await world.stop()
+    return world, leader, former
+
+
+def test_refusing_leader_that_returns_leaves_its_former_group():
+    """It may have been replaced meanwhile; that it is gone from the list doesn't show that it is
+    dead.
+    """
+    world, leader, former = virtual_time.run(_refusing_leader_is_cut_from_the_store(10.0))
+    assert world.running_groups()["large"] == 1
+    assert leader.alive
+    assert leader.group != former
+
+
 async def _leader_leaves_unannounced():
     """Remove a leader's entry and stop its listening while a request there gets no events."""
     world = await calm_world()
