Gateway: streams stay in their groups while most are silent together

Cause: when most groups fall silent for a second, each stream left its silent group after 0.3 to 0.6 s for one that was as silent, and had no attempt left. Change: peers/shared_silence; while more than half of the groups with running streams (two at least) are silent, streams stay, until another of them is heard again for 0.3 s or their own silence has lasted for 1.5 s. Suspicions are sent as before. Streams leave as before where a connection to the service has just failed.

--- a/packages/gateway/src/thorncleat_gateway/peers/failure_detector.py
+++ b/packages/gateway/src/thorncleat_gateway/peers/failure_detector.py
@@ -2,8 +2,8 @@
 
 Owns: the running attempts of this daemon's streams, and the time of the last contact with each
 endpoint.
-Relies on: :mod:`.silence` for the rules, :mod:`.suspicions` for the duration of a suspicion, and
-:mod:`.datagrams` for messages of other daemons.
+Relies on: :mod:`.silence` and :mod:`.shared_silence` for the rules, :mod:`.suspicions` for the
+duration of a suspicion, and :mod:`.datagrams` for messages of other daemons.
 """
 
 import asyncio
@@ -24,6 +24,8 @@
 from .own_lateness import MAX_LATENESS_SECONDS
 from .own_lateness import OwnLateness
 from .reach import Reach
+from .shared_silence import GroupActivity
+from .shared_silence import SharedSilence
 from .suspicions import Suspicions
 
 POLL_INTERVAL_SECONDS = 0.02
@@ -93,6 +95,7 @@
         self._contacts: dict[str, float] = {}
         self._remote_contacts: dict[str, float] = {}
         self._suspicions = Suspicions(settings.suspicion, clock)
+        self._shared_silence = SharedSilence()
         self._reported_at: dict[str, float] = {}
         self._others_reached_at = float("-inf")
         self._listeners: list[t.Callable[[Suspicion], None]] = []
@@ -216,14 +219,29 @@
             now = self._clock()
             if late_seconds <= MAX_LATENESS_SECONDS:
                 # After a pause of this daemon, answers may be waiting unread in the sockets.
+                self._shared_silence.update(now, self._activities())
                 for leader_id in list(self._attempts):
                     self._check_leader(leader_id, now)
 
-    def _check_leader(self, leader_id: str, now: float) -> None:
-        """Suspect a silent group and abort its overdue attempts, or abort stalled attempts."""
-        attempts = [
+    def _activities(self) -> t.Iterator[GroupActivity]:
+        """Yield the times of the groups in which this daemon has streams that have had events."""
+        for leader_id in self._attempts:
+            started = [attempt for attempt in self._running(leader_id) if attempt.last_at]
+            if started:
+                event_at = max(attempt.last_at for attempt in started)
+                latest_at = max(event_at, self._contacts.get(leader_id, event_at))
+                gap = max(attempt.gap for attempt in started)
+                yield GroupActivity(leader_id, latest_at, gap)
+
+    def _running(self, leader_id: str) -> list[StreamAttempt]:
+        """Return the attempts at a group whose callers have read all events."""
+        return [
             attempt for attempt in self._attempts[leader_id] if not attempt.is_blocked_by_caller
         ]
+
+    def _check_leader(self, leader_id: str, now: float) -> None:
+        """Suspect a silent group and abort its overdue attempts, or abort stalled attempts."""
+        attempts = self._running(leader_id)
         if not attempts:
             return
         leader = attempts[0].leader
@@ -246,6 +264,9 @@
         if not self.reach.is_doubtful(leader.service):
             # Otherwise this daemon may be the one that is cut off; its streams leave all the same.
             self.suspect(leader, silence.SUSPICION_CAUSE)
+            heard_at = max(self._contacts.get(leader_id, 0.0), silence.latest_sign_at(attempts))
+            if self._shared_silence.is_staying_better(now, now - heard_at):
+                return
         overdue = [
             attempt for attempt in attempts if silence.is_overdue(now, attempt, self._settings)
         ]
--- a/packages/gateway/src/thorncleat_gateway/peers/silence.py
+++ b/packages/gateway/src/thorncleat_gateway/peers/silence.py
@@ -116,6 +116,15 @@
     return min(max(settings.gaps * gap, settings.least_silence), settings.most_silence)
 
 
+def latest_sign_at(streams: t.Collection[Stream]) -> float:
+    """Return the time since which a group's silence counts: that of the latest event.
+
+    Before the first event it is the time of the oldest request.
+    """
+    started = [stream.last_at for stream in streams if stream.last_at > 0]
+    return max(started) if started else min(stream.started_at for stream in streams)
+
+
 def is_overdue(now: float, stream: Stream, settings: StreamSettings) -> bool:
     """Return whether a stream has waited long enough to leave a silent group."""
     return now - max(stream.started_at, stream.last_at) > settings.suspected
