Gateway: an adopted suspicion ends with a later contact of another daemon

Cause: only this daemon's own contact ended it, so a group that was well again stayed unused for up to 1 s, then on probation. Change: a load report that names the leader ends it, if it comes later than the suspicion's latest report by the time for which reports name an endpoint (0.3 s in a small fleet). A daemon's own suspicion stays.

--- a/packages/gateway/src/thorncleat_gateway/peers/failure_detector.py
+++ b/packages/gateway/src/thorncleat_gateway/peers/failure_detector.py
@@ -126,6 +126,18 @@
         self._suspicions.remove(endpoint_id)
         self._reported_at.pop(endpoint_id, None)
 
+    def record_remote_contacts(self, endpoint_ids: t.Iterable[str], max_age: float) -> None:
+        """Record that endpoints answered another daemon.
+
+        An adopted suspicion that is older than the contact ends. This daemon's own one stays, since
+        its path to the endpoint may be the one that is cut.
+
+        :param max_age: seconds since the earliest of these contacts.
+        """
+        since = self._clock() - max_age
+        for endpoint_id in endpoint_ids:
+            self._suspicions.remove_adopted_before(endpoint_id, since)
+
     def contacted_within(self, seconds: float) -> list[str]:
         """Return the ids of the endpoints that answered this daemon recently.
 
--- a/packages/gateway/src/thorncleat_gateway/peers/load_reporter.py
+++ b/packages/gateway/src/thorncleat_gateway/peers/load_reporter.py
@@ -61,15 +61,17 @@
 
     def build_report(self) -> LoadReport:
         """Return a report of the running requests and recent contacts of this daemon."""
-        contact_ttl = contact_ttl_seconds(self._peers.report_interval_seconds())
-        return LoadReport(
-            dict(self._load_table.local_counts), self._detector.contacted_within(contact_ttl)
-        )
+        heard = self._detector.contacted_within(self._contact_ttl_seconds())
+        return LoadReport(dict(self._load_table.local_counts), heard)
+
+    def _contact_ttl_seconds(self) -> float:
+        return contact_ttl_seconds(self._peers.report_interval_seconds())
 
     def _on_message(self, sender: str, message: Message) -> None:
         match message:
-            case LoadReport(counts):
+            case LoadReport(counts, heard):
                 self._load_table.report(sender, counts)
+                self._detector.record_remote_contacts(heard, self._contact_ttl_seconds())
             case DomainLoad(failure_domain, counts):
                 if failure_domain == self._failure_domain:
                     # The daemons of this domain send their reports to this one directly.
--- a/packages/gateway/src/thorncleat_gateway/peers/suspicions.py
+++ b/packages/gateway/src/thorncleat_gateway/peers/suspicions.py
@@ -83,6 +83,15 @@
         """Remove the suspicion of a leader's group, since the leader has answered."""
         self._by_leader.pop(leader_id, None)
 
+    def remove_adopted_before(self, leader_id: str, instant: float) -> None:
+        """Remove the suspicion of a leader's group if only other daemons had it before an instant.
+
+        It counts from its latest report.
+        """
+        entry = self._by_leader.get(leader_id)
+        if entry is not None and not entry.is_local and entry.ends_at - entry.seconds < instant:
+            del self._by_leader[leader_id]
+
     def forget_own_since(self, service: str, since: float) -> None:
         """Forget the suspicions of a service's groups that this daemon has had since an instant."""
         self._by_leader = {
