Gateway: silences count from the end of the daemon's own pause

Cause: a daemon that stood still for 0.4 s or more left out the check of one tick only. If answers came 20 ms later or more, it then suspected every group, left its streams' groups, or took one stream for stalled beside another of its group; and it adopted suspicions that had waited in its socket. Change: after a pause of 0.25 s or more the silence of each attempt counts anew; for 0.1 s the daemon suspects nothing, adopts no suspicion and ends none by a report, which may all have waited. Not run: a real process that is stopped.

--- a/packages/gateway/src/thorncleat_gateway/peers/failure_detector.py
+++ b/packages/gateway/src/thorncleat_gateway/peers/failure_detector.py
@@ -35,6 +35,10 @@
 CONTACT_TTL_SECONDS = 60.0
 # How long another daemon's report of answers shows that it reaches endpoints.
 OTHERS_REACH_SECONDS = 1.0
+# Shortest time for which the event loop stood still that counts as a pause of this daemon.
+MIN_OWN_PAUSE_SECONDS = 0.25
+# How long messages and failures that waited during the pause may be met after it.
+AFTER_OWN_PAUSE_SECONDS = 0.1
 # Minimum time between two broadcasts of the same suspicion.
 MIN_RESEND_SECONDS = 0.2
 
@@ -47,7 +51,9 @@
 
     :param reserve_retry: reserves a retry on another group; returns whether there is one now.
     :param abort: ends the attempt, so that the stream leaves the group.
-    :param last_at: time of the last event; 0 before the first one.
+    :param started_at: when the request was sent, or the end of a later pause of this daemon.
+    :param last_at: time of the last event, or the end of a later pause of this daemon; 0 before the
+        first event.
     :param gap: moving average of the seconds between two events.
     :param abort_cause: logged cause of the abort; empty if the attempt wasn't aborted.
     :param is_blocked_by_caller: whether the caller has yet to read events; no further events are
@@ -69,6 +75,12 @@
             self.gap += LATEST_GAP_WEIGHT * (now - self.last_at - self.gap)
         self.last_at = now
 
+    def excuse_silence(self, now: float) -> None:
+        """Let a silence count from now on, since this daemon couldn't read events before."""
+        self.started_at = now
+        if self.last_at:
+            self.last_at = now
+
 
 class FailureDetector(mode.Service):
     """Watches this daemon's streams in all groups and determines which groups are suspected.
@@ -134,6 +146,9 @@
 
         :param max_age: seconds since the earliest of these contacts.
         """
+        if self._has_just_paused():
+            # The report may have waited in the socket.
+            return
         since = self._clock() - max_age
         for endpoint_id in endpoint_ids:
             self._suspicions.remove_adopted_before(endpoint_id, since)
@@ -181,8 +196,12 @@
     def suspect(self, leader: Endpoint, cause: str) -> None:
         """Suspect a leader's group and broadcast the suspicion.
 
+        After a pause of this daemon, its time-outs prove nothing about the group.
+
         :param cause: the logged cause.
         """
+        if self._has_just_paused():
+            return
         now = self._clock()
         group = leader.membership.group if leader.membership else None
         self._suspicions.add(leader.id, group, is_local=True, service=leader.service)
@@ -207,6 +226,11 @@
         """Forget what this daemon suspected when it was most likely cut off already."""
         self._suspicions.forget_own_since(service, self.reach.succeeded_at(service))
 
+    def _has_just_paused(self) -> bool:
+        """Return whether this daemon paused, and may still meet what waited meanwhile."""
+        since = self._clock() - AFTER_OWN_PAUSE_SECONDS
+        return self.lateness.max_lateness_since(since) >= MIN_OWN_PAUSE_SECONDS
+
     def _notify(self, suspicion: Suspicion) -> None:
         for listener in self._listeners:
             listener(suspicion)
@@ -219,7 +243,10 @@
                 self._others_reached_at = now
         elif isinstance(message, Suspicion):
             last_contact_at = self._contacts.get(message.leader, 0.0)
-            if silence.is_credible(now, last_contact_at, self._settings):
+            is_credible = silence.is_credible(now, last_contact_at, self._settings)
+            if is_credible and not self._has_just_paused():
+                # A suspicion that waited in the socket may have been disproved since. If it still
+                # holds, it is sent again.
                 self._suspicions.add(message.leader, message.group, is_local=False)
             self._notify(message)
 
@@ -229,12 +256,20 @@
             await asyncio.sleep(POLL_INTERVAL_SECONDS)
             late_seconds = self.lateness.record_tick()
             now = self._clock()
+            if late_seconds >= MIN_OWN_PAUSE_SECONDS:
+                self._excuse_silences(now)
             if late_seconds <= MAX_LATENESS_SECONDS:
                 # After a pause of this daemon, answers may be waiting unread in the sockets.
                 self._shared_silence.update(now, self._activities())
                 for leader_id in list(self._attempts):
                     self._check_leader(leader_id, now)
 
+    def _excuse_silences(self, now: float) -> None:
+        """Let the silences of all groups count from the end of this daemon's pause on."""
+        for attempts in self._attempts.values():
+            for attempt in attempts:
+                attempt.excuse_silence(now)
+
     def _activities(self) -> t.Iterator[GroupActivity]:
         """Yield the times of the groups in which this daemon has streams that have had events."""
         for leader_id in self._attempts:
