--- a/packages/gateway/src/thorncleat_gateway/peers/failure_detector.py
+++ b/packages/gateway/src/thorncleat_gateway/peers/failure_detector.py
@@ -2,8 +2,8 @@
 
 Owns: the running attempts of this daemon's streams, and the time of the last contact with each
 endpoint.
-Relies on: :mod:`.silence` for the rules, :mod:`.suspicions` for the duration of a suspicion, and
-:mod:`.datagrams` for messages of other daemons.
+Relies on: :mod:`.silence` and :mod:`.shared_silence` for the rules, :mod:`.suspicions` for the
+duration of a suspicion, and :mod:`.datagrams` for messages of other daemons.
 """
 
 import asyncio
@@ -25,6 +25,8 @@
 from .own_lateness import MAX_LATENESS_SECONDS
 from .own_lateness import OwnLateness
 from .reach import Reach
+from .shared_silence import GroupActivity
+from .shared_silence import SharedSilence
 from .suspicions import Suspicions
 
 POLL_INTERVAL_SECONDS = 0.02
@@ -34,6 +36,10 @@
 CONTACT_TTL_SECONDS = 60.0
 # How long another daemon's report of answers shows that it reaches endpoints.
 OTHERS_REACH_SECONDS = 1.0
+# Shortest time for which the event loop stood still that counts as a pause of this daemon.
+MIN_OWN_PAUSE_SECONDS = 0.25
+# How long messages and failures that waited during the pause may be met after it.
+AFTER_OWN_PAUSE_SECONDS = 0.1
 # Minimum time between two broadcasts of the same suspicion.
 MIN_RESEND_SECONDS = 0.2
 
@@ -46,7 +52,9 @@
 
     :param reserve_retry: reserves a retry on another group; returns whether there is one now.
     :param abort: ends the attempt, so that the stream leaves the group.
-    :param last_at: time of the last event; 0 before the first one.
+    :param started_at: when the request was sent, or the end of a later pause of this daemon.
+    :param last_at: time of the last event, or the end of a later pause of this daemon; 0 before the
+        first event.
     :param gap: moving average of the seconds between two events.
     :param abort_cause: logged cause of the abort; empty if the attempt wasn't aborted.
     :param is_blocked_by_caller: whether the caller has yet to read events; no further events are
@@ -68,6 +76,12 @@
             self.gap += LATEST_GAP_WEIGHT * (now - self.last_at - self.gap)
         self.last_at = now
 
+    def excuse_silence(self, now: float) -> None:
+        """Let a silence count from now on, since this daemon couldn't read events before."""
+        self.started_at = now
+        if self.last_at:
+            self.last_at = now
+
 
 class FailureDetector(mode.Service):
     """Watches this daemon's streams in all groups and determines which groups are suspected.
@@ -94,6 +108,7 @@
         self._contacts: dict[str, float] = {}
         self._remote_contacts: dict[str, float] = {}
         self._suspicions = Suspicions(settings.suspicion, clock)
+        self._shared_silence = SharedSilence()
         self._reported_at: dict[str, float] = {}
         self._others_reached_at = float("-inf")
         self._listeners: list[t.Callable[[Suspicion], None]] = []
@@ -124,6 +139,21 @@
         self._suspicions.remove(endpoint_id)
         self._reported_at.pop(endpoint_id, None)
 
+    def record_remote_contacts(self, endpoint_ids: t.Iterable[str], max_age: float) -> None:
+        """Record that endpoints answered another daemon.
+
+        An adopted suspicion that is older than the contact ends. This daemon's own one stays, since
+        its path to the endpoint may be the one that is cut.
+
+        :param max_age: seconds since the earliest of these contacts.
+        """
+        if self._has_just_paused():
+            # The report may have waited in the socket.
+            return
+        since = self._clock() - max_age
+        for endpoint_id in endpoint_ids:
+            self._suspicions.remove_adopted_before(endpoint_id, since)
+
     def contacted_within(self, seconds: float) -> list[str]:
         """Return the ids of the endpoints that answered this daemon recently.
 
@@ -169,8 +199,12 @@
     def suspect(self, leader: Endpoint, cause: str) -> None:
         """Suspect a leader's group and broadcast the suspicion.
 
+        After a pause of this daemon, its time-outs prove nothing about the group.
+
         :param cause: the logged cause.
         """
+        if self._has_just_paused():
+            return
         now = self._clock()
         group = leader.membership.group if leader.membership else None
         self._suspicions.add(leader.id, group, is_local=True, service=leader.service)
@@ -195,6 +229,11 @@
         """Forget what this daemon suspected when it was most likely cut off already."""
         self._suspicions.forget_own_since(service, self.reach.succeeded_at(service))
 
+    def _has_just_paused(self) -> bool:
+        """Return whether this daemon paused, and may still meet what waited meanwhile."""
+        since = self._clock() - AFTER_OWN_PAUSE_SECONDS
+        return self.lateness.max_lateness_since(since) >= MIN_OWN_PAUSE_SECONDS
+
     def _notify(self, suspicion: Suspicion) -> None:
         for listener in self._listeners:
             listener(suspicion)
@@ -209,7 +248,10 @@
             self._suspicions.remove(message.leader)
         elif isinstance(message, Suspicion):
             last_contact_at = self._contacts.get(message.leader, 0.0)
-            if silence.is_credible(now, last_contact_at, self._settings):
+            is_credible = silence.is_credible(now, last_contact_at, self._settings)
+            if is_credible and not self._has_just_paused():
+                # A suspicion that waited in the socket may have been disproved since. If it still
+                # holds, it is sent again.
                 self._suspicions.add(message.leader, message.group, is_local=False)
             self._notify(message)
 
@@ -219,16 +261,39 @@
             await asyncio.sleep(POLL_INTERVAL_SECONDS)
             late_seconds = self.lateness.record_tick()
             now = self._clock()
+            if late_seconds >= MIN_OWN_PAUSE_SECONDS:
+                self._excuse_silences(now)
             if late_seconds <= MAX_LATENESS_SECONDS:
                 # After a pause of this daemon, answers may be waiting unread in the sockets.
+                self._shared_silence.update(now, self._activities())
                 for leader_id in list(self._attempts):
                     self._check_leader(leader_id, now)
 
-    def _check_leader(self, leader_id: str, now: float) -> None:
-        """Suspect a silent group and abort its overdue attempts, or abort stalled attempts."""
-        attempts = [
+    def _excuse_silences(self, now: float) -> None:
+        """Let the silences of all groups count from the end of this daemon's pause on."""
+        for attempts in self._attempts.values():
+            for attempt in attempts:
+                attempt.excuse_silence(now)
+
+    def _activities(self) -> t.Iterator[GroupActivity]:
+        """Yield the times of the groups in which this daemon has streams that have had events."""
+        for leader_id in self._attempts:
+            started = [attempt for attempt in self._running(leader_id) if attempt.last_at]
+            if started:
+                event_at = max(attempt.last_at for attempt in started)
+                latest_at = max(event_at, self._contacts.get(leader_id, event_at))
+                gap = max(attempt.gap for attempt in started)
+                yield GroupActivity(leader_id, latest_at, gap)
+
+    def _running(self, leader_id: str) -> list[StreamAttempt]:
+        """Return the attempts at a group whose callers have read all events."""
+        return [
             attempt for attempt in self._attempts[leader_id] if not attempt.is_blocked_by_caller
         ]
+
+    def _check_leader(self, leader_id: str, now: float) -> None:
+        """Suspect a silent group and abort its overdue attempts, or abort stalled attempts."""
+        attempts = self._running(leader_id)
         if not attempts:
             return
         leader = attempts[0].leader
@@ -251,6 +316,9 @@
         if not self.reach.is_doubtful(leader.service):
             # Otherwise this daemon may be the one that is cut off; its streams leave all the same.
             self.suspect(leader, silence.SUSPICION_CAUSE)
+            heard_at = max(self._contacts.get(leader_id, 0.0), silence.latest_sign_at(attempts))
+            if self._shared_silence.is_staying_better(now, now - heard_at):
+                return
         overdue = [
             attempt for attempt in attempts if silence.is_overdue(now, attempt, self._settings)
         ]
