Gateway: a streaming route is served as a stream whatever its service is

Cause: the path of a request was chosen by the route and by whether the service has an engine. A streaming route on a service without one took the path for whole answers.

Change: the kind of the route alone chooses the path. What differs by the service (which endpoints, their capacity and pauses, what counts as sent) is in requests/service_endpoints. A group's streams run in step, those of a plain endpoint don't, so there each is watched by itself and leaves when its route's target is missed, not sooner than a group's, and only with a retry in hand. A stream that may not be resumed runs once. The plain path passes Last-Event-Id on as well, on any other route. Three test files that call the forwarder directly give it its new parameters; their checks are as they were.

--- a/packages/gateway/src/thorncleat_gateway/peers/failure_detector.py
+++ b/packages/gateway/src/thorncleat_gateway/peers/failure_detector.py
@@ -39,12 +39,14 @@
 
 @dataclasses.dataclass(eq=False)
 class StreamAttempt:
-    """One attempt to stream a request from a group's leader.
+    """One attempt to stream a request from a group's leader or a plain endpoint.
 
     Times are seconds on the gateway's clock.
 
     :param reserve_retry: reserves a retry on another group; returns whether there is one now.
     :param abort: ends the attempt, so that the stream leaves the group.
+    :param allowance: what its route allows a plain endpoint; None in a group, whose streams are
+        watched together.
     :param last_at: time of the last event; 0 before the first one.
     :param gap: moving average of the seconds between two events.
     :param abort_cause: logged cause of the abort; empty if the attempt wasn't aborted.
@@ -56,6 +58,7 @@
     started_at: float
     reserve_retry: t.Callable[[], bool]
     abort: t.Callable[[], None]
+    allowance: silence.Allowance | None = None
     last_at: float = 0.0
     gap: float = 0.0
     abort_cause: str = ""
@@ -220,20 +223,35 @@
                     self._check_leader(leader_id, now)
 
     def _check_leader(self, leader_id: str, now: float) -> None:
-        """Suspect a silent group and abort its overdue attempts, or abort stalled attempts."""
+        """Abort the attempts at an endpoint that is silent to them."""
         attempts = [
             attempt for attempt in self._attempts[leader_id] if not attempt.is_blocked_by_caller
         ]
         if not attempts:
             return
+        alone = [attempt for attempt in attempts if self._is_silent_alone(attempt, now)]
+        _abort_attempts(alone, silence.ENDPOINT_SILENT_CAUSE)
+        in_group = [attempt for attempt in attempts if attempt.allowance is None]
+        if in_group:
+            self._check_group(in_group, now)
+
+    def _is_silent_alone(self, attempt: StreamAttempt, now: float) -> bool:
+        """Return whether a plain endpoint is silent to an attempt; False for one in a group."""
+        allowance = attempt.allowance
+        return allowance is not None and silence.is_silent_alone(
+            now, attempt, allowance, self._settings
+        )
+
+    def _check_group(self, attempts: list[StreamAttempt], now: float) -> None:
+        """Suspect a silent group and abort its overdue attempts, or abort stalled attempts."""
         leader = attempts[0].leader
         liveness = silence.classify_group(
             now,
-            self._contacts.get(leader_id, 0.0),
+            self._contacts.get(leader.id, 0.0),
             attempts,
             self._settings,
             is_suspected=self.is_suspected(leader),
-            remote_contact_at=self._remote_contacts.get(leader_id, float("-inf")),
+            remote_contact_at=self._remote_contacts.get(leader.id, float("-inf")),
             is_full=self._is_full(leader),
         )
         if not liveness.is_silent:
--- a/packages/gateway/src/thorncleat_gateway/peers/silence.py
+++ b/packages/gateway/src/thorncleat_gateway/peers/silence.py
@@ -17,6 +17,7 @@
 # Logged causes of aborted attempts.
 GROUP_SILENT_CAUSE = "group silent"
 STREAM_SILENT_CAUSE = "stream silent, its group is not"
+ENDPOINT_SILENT_CAUSE = "endpoint silent"
 # How far a stream may lag behind the others of its group. An engine that runs out of memory reads
 # a prompt again and sends no events for that stream meanwhile.
 STALL_TIMEOUT_SECONDS = 1.0
@@ -40,6 +41,17 @@
         return self is not Liveness.ALIVE
 
 
+class Allowance(t.NamedTuple):
+    """The seconds without an event that a stream's route allows a plain endpoint.
+
+    :param first_event: before the first event.
+    :param further_event: between two events.
+    """
+
+    first_event: float
+    further_event: float
+
+
 class Stream(t.Protocol):
     """The times of one stream in a group."""
 
@@ -105,6 +117,19 @@
     return stream.last_at > 0 and latest_event_at - stream.last_at > STALL_TIMEOUT_SECONDS
 
 
+def is_silent_alone(
+    now: float, stream: Stream, allowance: Allowance, settings: StreamSettings
+) -> bool:
+    """Return whether a plain endpoint is silent to a stream.
+
+    Its streams don't run in step, and nothing is known of its times. So each stream is looked at by
+    itself, and the endpoint may take what the route allows, and no less time than a group.
+    """
+    if stream.last_at > 0:
+        return now - stream.last_at > max(settings.most_silence, allowance.further_event)
+    return now - stream.started_at > max(settings.first_event, allowance.first_event)
+
+
 def silence_timeout(gap: float, settings: StreamSettings, *, is_suspected: bool) -> float:
     """Return the seconds without an event after which a group is silent.
 
--- a/packages/gateway/src/thorncleat_gateway/requests/endpoint_selector.py
+++ b/packages/gateway/src/thorncleat_gateway/requests/endpoint_selector.py
@@ -426,6 +426,13 @@
             for leader in self.leaders(service, model)
         )
 
+    def has_other_endpoint(self, service: str, tried: t.Container[str]) -> bool:
+        """Return whether a plain endpoint that was not tried and isn't avoided accepts requests."""
+        return any(
+            endpoint.id not in tried and not self._is_avoided(endpoint)
+            for endpoint in self.endpoints(service)
+        )
+
     def _is_doubtful(self, leader: Endpoint) -> bool:
         """Return whether a leader's group is suspected or on probation."""
         return self._detector.is_suspected(leader) or self._detector.is_on_probation(leader)
--- a/packages/gateway/src/thorncleat_gateway/requests/frontend.py
+++ b/packages/gateway/src/thorncleat_gateway/requests/frontend.py
@@ -189,8 +189,8 @@
         )
 
     async def _forward(self, request: Request, caller: CallerResponse) -> None:
-        if request.route.kind is RouteKind.STREAMING and request.service.engine is not None:
-            await self._streams.serve(request, request.service.engine, caller)
+        if request.route.kind is RouteKind.STREAMING:
+            await self._streams.serve(request, caller)
             return
         answer = await self._plain.serve(request)
         length = ("Content-Length", str(len(answer.body)))
--- a/packages/gateway/src/thorncleat_gateway/requests/plain.py
+++ b/packages/gateway/src/thorncleat_gateway/requests/plain.py
@@ -1,4 +1,4 @@
-"""Forwards requests to plain services, and returns complete answers.
+"""Forwards requests of routes without streams, and returns complete answers.
 
 Owns: nothing; the state of a request is in :mod:`.request`.
 Relies on: :mod:`.retry_policy` to decide after a failed attempt, and :mod:`.endpoint_selector` to
@@ -21,6 +21,7 @@
 from .request import Request
 from .retry_policy import NextStep
 from .retry_policy import PlainDecision
+from .service_endpoints import PlainEndpoints
 
 
 class PlainForwarder(Forwarder):
@@ -96,19 +97,15 @@
         self, request: Request, failed_answer: EndpointAnswer | None
     ) -> t.Literal[NextStep.RETURN_FAILED_ANSWER] | Refusal:
         """Decide how a request ends if no endpoint can take it."""
-        pause_left = self._selector.pause_left(request.service.name, None)
-        cause = retry_policy.NO_ENDPOINT
-        if pause_left:
-            cause = retry_policy.ALL_PAUSED
-        elif self._selector.are_all_evacuated(request.service.name, None):
-            cause = retry_policy.EVACUATED
+        endpoints = PlainEndpoints(request, self._selector)
+        cause = endpoints.missing_cause()
         if self._is_denied_last_endpoint(request):
             cause = retry_policy.DENIED_LAST_ENDPOINT
         return retry_policy.without_endpoint(
             may_have_run=request.may_have_run,
             has_failed_answer=failed_answer is not None,
             cause=cause,
-            pause_left=pause_left,
+            pause_left=endpoints.pause_left(),
         )
 
     def _after_failure(
@@ -158,6 +155,6 @@
 
     async def _exchange(self, request: Request, endpoint: Endpoint) -> EndpointAnswer:
         request.sent_at = self._clock()
-        meta = request.forward_meta(endpoint, request.sent_at, None)
+        meta = request.forward_meta(endpoint, request.sent_at, request.meta.last_event_id)
         async with self._endpoint_client.open(endpoint, request, meta) as exchange:
             return await exchange.read()
--- a/packages/gateway/src/thorncleat_gateway/requests/streams.py
+++ b/packages/gateway/src/thorncleat_gateway/requests/streams.py
@@ -2,7 +2,7 @@
 
 Owns: nothing; the state of a request is in :mod:`.request`.
 Relies on: :mod:`.retry_policy` to decide after a failed attempt, :mod:`..peers.failure_detector` to
-leave a silent group, and :mod:`.endpoint_selector` to choose the group.
+leave a silent group, and :mod:`.service_endpoints` for the endpoints of the service.
 """
 
 import asyncio
@@ -16,24 +16,20 @@
 from ..peers.failure_detector import StreamAttempt
 from ..ports import Headers
 from ..store.roster import Endpoint
-from ..store.serving import Engine
 from . import request_log
 from . import retry_policy
+from . import service_endpoints
 from .endpoint_client import EndpointAnswer
 from .endpoint_client import Exchange
 from .event_stream import EventSplitter
-from .expected_time import Work
-from .expected_time import work_of
-from .first_event_offsets import ExpectedTime
 from .forwarder import Forwarder
 from .request import Request
 from .retry_policy import NextStep
 from .retry_policy import StreamDecision
+from .service_endpoints import ServiceEndpoints
 from .slow_groups import GapMeter
 
 GROUP_POLL_INTERVAL_SECONDS = 0.05
-# Without the engine's figures the size of a request isn't used.
-UNKNOWN_WORK = Work(0.0, 0.0)
 
 
 class CallerStream(t.Protocol):
@@ -58,42 +54,40 @@
 
 
 class StreamForwarder(Forwarder):
-    """Serves streamed requests from the groups of a service."""
+    """Serves streamed requests from the groups or the plain endpoints of a service."""
 
-    async def serve(self, request: Request, engine: Engine, caller: CallerStream) -> None:
+    async def serve(self, request: Request, caller: CallerStream) -> None:
         """Pass an answer on until it is complete.
 
         :raises RefusalError: if nothing of it was passed on.
         :raises AnswerAbortedError: if a part was passed on and the rest can't be.
         """
-        self._admit(request, engine)
+        endpoints = service_endpoints.of(request, self._selector)
+        self._admit(request, endpoints)
         self._count_request(request)
         failed_answers: list[EndpointAnswer] = []
         try:
-            await self._serve(request, engine, caller, failed_answers)
+            await self._serve(request, endpoints, caller, failed_answers)
         except RefusalError:
             if not failed_answers or caller.has_begun:
                 raise
             # An endpoint's failed answer is more useful to the caller than a refusal.
             await _pass_on(failed_answers[-1], caller)
 
-    def _admit(self, request: Request, engine: Engine) -> None:
-        """Check before the first attempt that the groups have capacity for a request.
+    def _admit(self, request: Request, endpoints: ServiceEndpoints) -> None:
+        """Check before the first attempt that the endpoints have capacity for a request.
 
         :raises RefusalError: if it is shed.
         """
         if self._overload_control is None:
             return
         self._check_quarantine(request, has_begun=False)
-        model = request.meta.model
-        work = work_of(request.meta, engine.times) if engine.times else UNKNOWN_WORK
-        capacity = self._selector.estimate_capacity(request.service.name, engine, model, work)
-        self._overload_control.admit(request, model, capacity)
+        self._overload_control.admit(request, endpoints.model, endpoints.estimate_capacity())
 
     async def _serve(
         self,
         request: Request,
-        engine: Engine,
+        endpoints: ServiceEndpoints,
         caller: CallerStream,
         failed_answers: list[EndpointAnswer],
     ) -> None:
@@ -103,13 +97,13 @@
         """
         splitter = EventSplitter()
         while True:
-            endpoint = await self._choose_leader(request, engine, caller)
-            request.expected = self._expect(request, engine, endpoint)
+            endpoint = await self._choose_endpoint(request, endpoints, caller)
+            request.expected = endpoints.expect(endpoint)
             try:
-                answer = await self._attempt(request, endpoint, splitter, caller)
+                answer = await self._attempt(request, endpoint, endpoints, splitter, caller)
                 if answer is None:
                     self._selector.record_result(endpoint, succeeded=True)
-                    self._record_served(request, endpoint, request.meta.model)
+                    self._record_served(request, endpoint, endpoints.model)
                     return
                 failed_answers.append(answer)
                 self._selector.avoid(endpoint)
@@ -119,17 +113,22 @@
                 request.tried.add(endpoint.id)
                 continue
             except AttemptError as failure:
-                decision = self._after_failure(request, endpoint, failure, caller)
+                decision = self._after_failure(request, endpoint, endpoints, failure, caller)
                 if decision is not NextStep.RETRY:
                     raise decision.error() from failure
             splitter.restart()
 
     def _after_failure(
-        self, request: Request, endpoint: Endpoint, failure: AttemptError, caller: CallerStream
+        self,
+        request: Request,
+        endpoint: Endpoint,
+        endpoints: ServiceEndpoints,
+        failure: AttemptError,
+        caller: CallerStream,
     ) -> StreamDecision:
         """Record a failed attempt and decide how the request proceeds."""
         has_contact = self._detector.has_contact_since(endpoint.id, request.sent_at)
-        is_counted = retry_policy.counts_as_sent(failure, had_contact_since_sent=has_contact)
+        is_counted = endpoints.counts_as_sent(failure, had_contact_since_sent=has_contact)
         request.record_failure(endpoint, failure, counted=is_counted)
         self._crash_watch.record_failure(request, endpoint, failure)
         self._selector.record_result(endpoint, succeeded=False)
@@ -152,46 +151,36 @@
             has_begun=caller.has_begun,
         )
 
-    async def _choose_leader(
-        self, request: Request, engine: Engine, caller: CallerStream
+    async def _choose_endpoint(
+        self, request: Request, endpoints: ServiceEndpoints, caller: CallerStream
     ) -> Endpoint:
-        """Return the leader of the next attempt's group; a stream that has begun waits for one.
+        """Return the endpoint of the next attempt; a stream that has begun waits for one.
 
         :raises RefusalError: if there is none, or the request is quarantined.
         :raises AnswerAbortedError: in these cases, if the caller has got the head of the answer.
         """
         started_at = self._clock()
-        service, model = request.service.name, request.meta.model
         # Requests that a crash broke go to random groups, so that they don't meet its cause again.
         randomize = self._crash_watch.is_suspect(request)
         while True:
             self._check_quarantine(request, has_begun=caller.has_begun)
-            is_denied = self._crash_watch.is_denied_last_endpoint(
-                request, lambda: self._selector.leaders(service, model)
-            )
-            endpoint = self._selector.choose_leader(
-                service,
-                engine,
-                model,
-                request.tried,
-                randomize=randomize,
-                work=_work_of(request, engine),
-                left=request.target_left(self._clock()),
-            )
+            is_denied = self._crash_watch.is_denied_last_endpoint(request, endpoints.accepting)
+            endpoint = endpoints.choose(self._clock(), randomize=randomize)
             if endpoint is not None and not is_denied:
                 return endpoint
-            cause = (
-                retry_policy.DENIED_LAST_ENDPOINT
-                if is_denied
-                else self._no_group_cause(service, model)
-            )
-            self._check_wait(request, caller, cause, started_at)
+            cause = retry_policy.DENIED_LAST_ENDPOINT if is_denied else endpoints.missing_cause()
+            self._check_wait(request, endpoints, caller, cause, started_at)
             await asyncio.sleep(GROUP_POLL_INTERVAL_SECONDS)
 
     def _check_wait(
-        self, request: Request, caller: CallerStream, cause: str, started_at: float
+        self,
+        request: Request,
+        endpoints: ServiceEndpoints,
+        caller: CallerStream,
+        cause: str,
+        started_at: float,
     ) -> None:
-        """Check that a request for which there is no group goes on waiting for one.
+        """Check that a request for which there is no endpoint goes on waiting for one.
 
         :param cause: why there is none.
         :param started_at: when it began to wait.
@@ -199,7 +188,7 @@
         :raises AnswerAbortedError: if a part was passed on, and the wait is over.
         """
         now = self._clock()
-        pause_left = self._selector.pause_left(request.service.name, request.meta.model)
+        pause_left = endpoints.pause_left()
         left = request.give_up_at - now
         decision = retry_policy.without_group(
             cause,
@@ -212,41 +201,27 @@
         if decision is not NextStep.WAIT_FOR_GROUP:
             raise decision.error()
 
-    def _expect(self, request: Request, engine: Engine, leader: Endpoint) -> ExpectedTime | None:
-        """Return what is expected of a request's first attempt; None for later ones."""
-        work = _work_of(request, engine)
-        if work is None or request.tried or request.first_event_at:
-            return None
-        return self._selector.expect(request.service.name, engine, request.meta.model, work, leader)
-
-    def _no_group_cause(self, service: str, model: str) -> str:
-        if self._selector.are_all_evacuated(service, model):
-            return retry_policy.EVACUATED
-        count = self._selector.count_groups(service, model)
-        cause = (
-            f"no group for {model!r}: {count.open_groups} open, "
-            f"{count.suspected_groups} of them suspected"
-        )
-        if count.paused_groups:
-            cause = f"{cause}, {count.paused_groups} paused"
-        evacuated = self._selector.evacuated_count(service, model)
-        return f"{cause}, {evacuated} evacuated" if evacuated else cause
-
     async def _attempt(
-        self, request: Request, endpoint: Endpoint, splitter: EventSplitter, caller: CallerStream
+        self,
+        request: Request,
+        endpoint: Endpoint,
+        endpoints: ServiceEndpoints,
+        splitter: EventSplitter,
+        caller: CallerStream,
     ) -> EndpointAnswer | None:
         """Pass an answer on, or return it if it has a failure status."""
         loop = asyncio.get_running_loop()
         until = loop.time() + request.give_up_at - self._clock()
         attempt: StreamAttempt | None = None
-        with self._track(request, endpoint, request.meta.model):
+        with self._track(request, endpoint, endpoints.model):
             try:
                 async with asyncio.timeout_at(until) as scope:
                     attempt = StreamAttempt(
                         endpoint,
                         self._clock(),
-                        reserve_retry=lambda: self._reserve_retry(request),
+                        reserve_retry=lambda: self._reserve_retry(request, endpoints),
                         abort=lambda: scope.reschedule(loop.time()),
+                        allowance=endpoints.silence_allowance(),
                     )
                     self._detector.watch(attempt)
                     return await self._exchange(request, attempt, splitter, caller)
@@ -259,15 +234,14 @@
                 if attempt is not None:
                     self._detector.unwatch(attempt)
 
-    def _reserve_retry(self, request: Request) -> bool:
-        """Reserve a retry of a stream whose group is silent; return whether there is one.
+    def _reserve_retry(self, request: Request, endpoints: ServiceEndpoints) -> bool:
+        """Reserve a retry of a stream whose endpoint is silent; return whether there is one.
 
-        Without one it stays: its answer would be cut, though the group may go on.
+        Without one it stays: its answer would be cut, though the endpoint may go on.
         """
         service = request.service.name
-        can_migrate = retry_policy.can_leave_group(
-            request.route, request.sends
-        ) and self._selector.has_other_group(service, request.meta.model, request.tried)
+        can_leave = retry_policy.can_leave_group(request.route, request.sends)
+        can_migrate = can_leave and endpoints.has_other()
         if not can_migrate or not self._retry_budgets.has_token(service):
             return False
         request.has_token = self._retry_budgets.take_token(service)
@@ -358,11 +332,6 @@
         return None
 
 
-def _work_of(request: Request, engine: Engine) -> Work | None:
-    """Return the size of a request; None if the engine's figures aren't known."""
-    return work_of(request.meta, engine.times) if engine.times is not None else None
-
-
 async def _pass_on(answer: EndpointAnswer, caller: CallerStream) -> None:
     await caller.begin(answer.status, answer.headers)
     await caller.write(answer.body)
--- a/packages/standins/src/thorncleat_standins/platform_worker.py
+++ b/packages/standins/src/thorncleat_standins/platform_worker.py
@@ -56,6 +56,7 @@
     :ivar zone: failure domain.
     :ivar cold_until: until when the worker is cold, on the monotonic clock; it doesn't limit the
         requests that it runs. Its entry tells the time that is left when it is written.
+    :ivar streams: whether a worker of a plain service answers with streams as well.
     :ivar events: number of events in a stream.
     :ivar stall_after: number of events after which streams stall; None for never.
     :ivar cut_after: number of events after which streams are cut, except resumed ones.
@@ -86,6 +87,7 @@
         self.cold_until = 0.0
         self.address = ""
         self.draining = False
+        self.streams = False
         self.events = 5
         self.stall_after: int | None = None
         self.cut_after: int | None = None
@@ -304,7 +306,7 @@
             return await self._run_into_crash(request, headers)
         if self.failure_status:
             return web.Response(status=self.failure_status, headers=headers, text="failed")
-        if self.domain:
+        if self.domain or self.streams:
             self._stream_count += 1
             try:
                 return await self._stream(request, headers)
--- a/tests/crash_world.py
+++ b/tests/crash_world.py
@@ -316,7 +316,7 @@
         try:
             if self.world.size.plain:
                 return (await self.plain.serve(request)).status
-            await self.streams.serve(request, request.service.engine, caller)
+            await self.streams.serve(request, caller)
             return caller.status
         except AnswerAbortedError:
             return 0
--- a/tests/notice_world.py
+++ b/tests/notice_world.py
@@ -224,7 +224,7 @@
             if self.world.size.plain:
                 answer = await self.plain.serve(request)
                 return Outcome(answer.status, now(), headers=tuple(answer.headers))
-            await self.streams.serve(request, request.service.engine, caller)
+            await self.streams.serve(request, caller)
             return Outcome(caller.status, caller.first_at, headers=tuple(caller.headers))
         except AnswerAbortedError:
             return Outcome(0, now())
--- a/tests/test_silence.py
+++ b/tests/test_silence.py
@@ -55,6 +55,24 @@
     assert silence.is_stalled(streams[0], latest_event_at) is stalled
 
 
+@pytest.mark.parametrize(
+    ("stream", "allowed", "silent"),
+    [
+        pytest.param(without_event(0.44), 0.1, False, id="first event: no less time than a group"),
+        pytest.param(without_event(0.46), 0.1, True, id="first event: late"),
+        pytest.param(without_event(1.1), 1.2, False, id="first event: the route allows it"),
+        pytest.param(without_event(1.3), 1.2, True, id="first event: later than its route allows"),
+        pytest.param(with_events(0.44), 0.1, False, id="pause: no less time than a group"),
+        pytest.param(with_events(0.46), 0.1, True, id="pause: too long"),
+        pytest.param(with_events(1.1), 1.2, False, id="pause: the route allows it"),
+        pytest.param(with_events(1.3), 1.2, True, id="pause: longer than its route allows"),
+    ],
+)
+def test_plain_endpoint_is_silent_to_a_stream(stream, allowed, silent):
+    allowance = silence.Allowance(allowed, allowed)
+    assert silence.is_silent_alone(NOW, stream, allowance, SETTINGS) is silent
+
+
 ALIVE, NO_FIRST, NO_FURTHER = Liveness.ALIVE, Liveness.NO_FIRST_EVENT, Liveness.NO_FURTHER_EVENT
 
 
--- a/tests/test_waiting_streams.py
+++ b/tests/test_waiting_streams.py
@@ -5,6 +5,7 @@
 import pytest
 
 from thorncleat_gateway.exceptions import AnswerAbortedError
+from thorncleat_gateway.requests import service_endpoints
 from thorncleat_gateway.requests.retry_policy import WAIT_FOR_GROUP_SECONDS
 
 from . import virtual_time
@@ -31,8 +32,8 @@
     await caller.begin(200, ())
     started_at = world.now()
     try:
-        engine = request.service.engine
-        chosen = await daemon.streams._choose_leader(request, engine, caller)
+        endpoints = service_endpoints.of(request, daemon.selector)
+        chosen = await daemon.streams._choose_endpoint(request, endpoints, caller)
         found = chosen.id
     except AnswerAbortedError as error:
         found = error.cause
@@ -75,7 +76,10 @@
     ):
         daemon.budgets.take_token(service)
     requests = [world.request(f"r{number}", left=6.0) for number in range(3)]
-    leaving = [daemon.streams._reserve_retry(request) for request in requests]
+    leaving = [
+        daemon.streams._reserve_retry(request, service_endpoints.of(request, daemon.selector))
+        for request in requests
+    ]
     sent_again = [daemon.streams._token_source(request)() for request in requests]
     await world.end()
     assert sent_again == leaving
