--- a/packages/standins/src/thorncleat_standins/platform_worker.py
+++ b/packages/standins/src/thorncleat_standins/platform_worker.py
@@ -60,6 +60,8 @@
     :ivar events: number of events in a stream.
     :ivar stall_after: number of events after which streams stall; None for never.
     :ivar cut_after: number of events after which streams are cut, except resumed ones.
+    :ivar end_within_event: number of the event within which streams end, without a length and as if
+        they were whole, except resumed ones; None for never.
     :ivar reset_body: whether connections are reset in the middle of an answer without a length.
     :ivar failure_status: HTTP status for all requests; 0 to serve them.
     :ivar refusal_retry_after: value of the Retry-After header of refusals, empty to omit the
@@ -91,6 +93,7 @@
         self.events = 5
         self.stall_after: int | None = None
         self.cut_after: int | None = None
+        self.end_within_event: int | None = None
         self.reset_body = False
         self.failure_status = 0
         self.refusal_retry_after: str | None = None
@@ -340,10 +343,12 @@
     async def _stream(
         self, request: web.BaseRequest, headers: dict[str, str]
     ) -> web.StreamResponse:
+        first = int(request.headers.get(LAST_EVENT_ID, "0"))
+        if self.end_within_event is not None and first == 0:
+            return await self._end_within_event(request, headers, self.end_within_event)
         response = web.StreamResponse(headers={**headers, "Content-Type": "text/event-stream"})
         response.enable_chunked_encoding()
         await response.prepare(request)
-        first = int(request.headers.get(LAST_EVENT_ID, "0"))
         for number in range(first + 1, self.events + 1):
             if self.stall_after is not None and number - first > self.stall_after:
                 await asyncio.sleep(STALL_SECONDS)
@@ -356,6 +361,21 @@
         await response.write_eof()
         return response
 
+    async def _end_within_event(
+        self, request: web.BaseRequest, headers: dict[str, str], last: int
+    ) -> web.StreamResponse:
+        """Stream without a length, as an endpoint does whose process is killed within an event."""
+        transport = request.transport
+        assert transport is not None
+        head = "".join(f"{name}: {value}\r\n" for name, value in headers.items())
+        transport.write(f"HTTP/1.1 200 OK\r\nConnection: close\r\n{head}\r\n".encode())
+        for number in range(1, last):
+            transport.write(b"id: %d\ndata: %s\n\n" % (number, self.event(request, number)))
+            await self.delay_next_event()
+        transport.write(b"id: %d\nda" % last)
+        transport.close()
+        return web.Response()
+
     def event(self, request: web.BaseRequest, number: int) -> bytes:
         """Return the data of a stream's event."""
         return b"event %d" % number
--- a/tests/test_plain_streams.py
+++ b/tests/test_plain_streams.py
@@ -111,3 +111,22 @@
         with pytest.raises(aiohttp.ClientPayloadError):
             await cluster.call("POST", "/news/x")
         assert len(cluster.runs("desk")) == 1
+
+
+async def test_answer_that_ends_within_an_event_is_no_whole_answer(tmp_path):
+    """Without a length it was taken for whole, and the caller could not know of the crash."""
+    async with site(tmp_path) as cluster:
+        await _serve_streams(cluster, end_within_event=EVENTS_BEFORE_STALL)
+        with pytest.raises(aiohttp.ClientPayloadError):
+            await cluster.call("POST", "/news/x")
+        assert len(cluster.runs("desk")) == 1
+
+
+async def test_answer_that_ends_within_an_event_is_completed_by_another_endpoint(tmp_path):
+    async with site(tmp_path) as cluster:
+        await _serve_streams(cluster, end_within_event=EVENTS_BEFORE_STALL)
+        status, _, body = await cluster.call("POST", "/brief/x")
+        first, second = cluster.runs("desk")
+        assert (status, body) == (200, ALL_EVENTS)
+        assert first.worker != second.worker
+        assert second.headers["Last-Event-Id"] == str(EVENTS_BEFORE_STALL - 1)
