--- a/packages/gateway/src/thorncleat_gateway/peers/failure_detector.py
+++ b/packages/gateway/src/thorncleat_gateway/peers/failure_detector.py
@@ -46,12 +46,14 @@
 
 @dataclasses.dataclass(eq=False)
 class StreamAttempt:
-    """One attempt to stream a request from a group's leader.
+    """One attempt to stream a request from a group's leader or a plain endpoint.
 
     Times are seconds on the gateway's clock.
 
     :param reserve_retry: reserves a retry on another group; returns whether there is one now.
     :param abort: ends the attempt, so that the stream leaves the group.
+    :param allowance: what its route allows a plain endpoint; None in a group, whose streams are
+        watched together.
     :param started_at: when the request was sent, or the end of a later pause of this daemon.
     :param last_at: time of the last event, or the end of a later pause of this daemon; 0 before the
         first event.
@@ -65,6 +67,7 @@
     started_at: float
     reserve_retry: t.Callable[[], bool]
     abort: t.Callable[[], None]
+    allowance: silence.Allowance | None = None
     last_at: float = 0.0
     gap: float = 0.0
     abort_cause: str = ""
@@ -278,7 +281,11 @@
     def _activities(self) -> t.Iterator[GroupActivity]:
         """Yield the times of the groups in which this daemon has streams that have had events."""
         for leader_id in self._attempts:
-            started = [attempt for attempt in self._running(leader_id) if attempt.last_at]
+            started = [
+                attempt
+                for attempt in self._running(leader_id)
+                if attempt.last_at and attempt.allowance is None
+            ]
             if started:
                 event_at = max(attempt.last_at for attempt in started)
                 latest_at = max(event_at, self._contacts.get(leader_id, event_at))
@@ -292,18 +299,33 @@
         ]
 
     def _check_leader(self, leader_id: str, now: float) -> None:
-        """Suspect a silent group and abort its overdue attempts, or abort stalled attempts."""
+        """Abort the attempts at an endpoint that is silent to them."""
         attempts = self._running(leader_id)
         if not attempts:
             return
+        alone = [attempt for attempt in attempts if self._is_silent_alone(attempt, now)]
+        _abort_attempts(alone, silence.ENDPOINT_SILENT_CAUSE)
+        in_group = [attempt for attempt in attempts if attempt.allowance is None]
+        if in_group:
+            self._check_group(in_group, now)
+
+    def _is_silent_alone(self, attempt: StreamAttempt, now: float) -> bool:
+        """Return whether a plain endpoint is silent to an attempt; False for one in a group."""
+        allowance = attempt.allowance
+        return allowance is not None and silence.is_silent_alone(
+            now, attempt, allowance, self._settings
+        )
+
+    def _check_group(self, attempts: list[StreamAttempt], now: float) -> None:
+        """Suspect a silent group and abort its overdue attempts, or abort stalled attempts."""
         leader = attempts[0].leader
         liveness = silence.classify_group(
             now,
-            self._contacts.get(leader_id, 0.0),
+            self._contacts.get(leader.id, 0.0),
             attempts,
             self._settings,
             is_suspected=self.is_suspected(leader),
-            remote_contact_at=self._remote_contacts.get(leader_id, float("-inf")),
+            remote_contact_at=self._remote_contacts.get(leader.id, float("-inf")),
             is_full=self._is_full(leader),
         )
         if not liveness.is_silent:
@@ -316,7 +338,7 @@
         if not self.reach.is_doubtful(leader.service):
             # Otherwise this daemon may be the one that is cut off; its streams leave all the same.
             self.suspect(leader, silence.SUSPICION_CAUSE)
-            heard_at = max(self._contacts.get(leader_id, 0.0), silence.latest_sign_at(attempts))
+            heard_at = max(self._contacts.get(leader.id, 0.0), silence.latest_sign_at(attempts))
             if self._shared_silence.is_staying_better(now, now - heard_at):
                 return
         overdue = [
