Gateway: probes of members in doubt are no contacts, in examinations too

The report of a leader that lives says nothing of a member that has died, so the probes of an examination would have ended all suspicions of a group that stands still. They count for the reach of this daemon alone, as those of a group that is being ended do already.

--- a/packages/gateway/src/thorncleat_gateway/groups/member_examination.py
+++ b/packages/gateway/src/thorncleat_gateway/groups/member_examination.py
@@ -103,7 +103,7 @@
             ASK_AFTER_SECONDS, lambda: question.ask(self._clock())
         )
         try:
-            return await self._orders.probe(member)
+            return await self._orders.probe_member(member)
         finally:
             ask.cancel()
 
--- a/packages/gateway/src/thorncleat_gateway/groups/orders.py
+++ b/packages/gateway/src/thorncleat_gateway/groups/orders.py
@@ -48,6 +48,9 @@
 # Outcomes that mean that the endpoint carries out an order or has already done so.
 ACCEPTED = (Outcome.DONE, Outcome.BEGUN)
 
+# Records that an endpoint has answered.
+RecordAnswer = t.Callable[[Endpoint], None]
+
 
 def order_urgency(order: Order) -> Urgency:
     """Return the urgency of an order among the waiting calls."""
@@ -77,11 +80,11 @@
         engines: Engines,
         view: StoreView,
         is_controller: t.Callable[[], bool],
-        record_contact: t.Callable[[Endpoint], None],
+        record_contact: RecordAnswer,
         calls: CallWindow,
         clock: t.Callable[[], float],
         record_failure: t.Callable[[Endpoint], None] = lambda _: None,
-        record_success: t.Callable[[Endpoint], None] = lambda _: None,
+        record_success: RecordAnswer = lambda _: None,
     ) -> None:
         self._settings = settings
         self._engines = engines
@@ -162,23 +165,14 @@
         return report
 
     async def fetch_member_report(self, member: Endpoint) -> EngineReport:
-        """Return the report of a member of a group that may not move.
+        """Return the report of a member of a group that may not move, and record a failure.
 
         The report shows that the member lives, but not that its group does, so it is no contact
         that ends a suspicion or that streams of this daemon could take for a sign of life.
 
         :raises EndpointError: if there is no answer.
         """
-        sent_at = self._clock()
-        try:
-            report = await self._call_report(member, IMMEDIATE)
-        except EndpointReplacedError:
-            raise
-        except EndpointError as error:
-            self._record_unanswered(member, error, sent_at)
-            raise
-        self._record_success(member)
-        return report
+        return await self._probe_once(member, IMMEDIATE, self._record_success)
 
     async def _call_report(self, endpoint: Endpoint, urgency: Urgency) -> EngineReport:
         async with self._calls.slot(urgency):
@@ -186,11 +180,6 @@
         self._reports[endpoint.id] = report
         return report
 
-    def _record_unanswered(self, endpoint: Endpoint, error: EndpointError, sent_at: float) -> None:
-        """Record the failure of a call, unless this daemon may only have missed the answer."""
-        if isinstance(error, EndpointRefusedError) or not self.was_late_since(sent_at):
-            self._record_failure(endpoint)
-
     async def is_member(self, endpoint: Endpoint, group: GroupId) -> bool:
         """Return whether an endpoint reports that it is in a group.
 
@@ -200,22 +189,31 @@
         return membership is not None and membership.group == group
 
     async def probe(self, endpoint: Endpoint, urgency: Urgency = IMMEDIATE) -> EngineReport | None:
-        """Return an endpoint's report; None if it is silent.
+        """Return an endpoint's report; None if it is silent."""
+        return await self._probe(endpoint, urgency, self._record_contact)
+
+    async def probe_member(self, member: Endpoint) -> EngineReport | None:
+        """Return the report of a member of a group that may not move; None if it is silent.
+
+        Like that of :meth:`fetch_member_report` it is no contact.
+        """
+        return await self._probe(member, IMMEDIATE, self._record_success)
+
+    async def _probe(
+        self, endpoint: Endpoint, urgency: Urgency, record_answer: RecordAnswer
+    ) -> EngineReport | None:
+        """Try :data:`MAX_PROBES` times, and more often while this daemon's own loop is late.
 
-        Tries :data:`MAX_PROBES` times, and more often while this daemon's own event loop is late,
-        since it may then have missed the answer.
+        It may then have missed the answer.
         """
         silent = silent_while_late = 0
         while silent < MAX_PROBES and silent_while_late < MAX_PROBES_WHILE_LATE:
             sent_at = self._clock()
             try:
-                return await self.fetch_report(endpoint, urgency)
-            except EndpointReplacedError:
+                return await self._probe_once(endpoint, urgency, record_answer)
+            except (EndpointReplacedError, EndpointRefusedError):
                 return None
-            except EndpointError as error:
-                self._record_unanswered(endpoint, error, sent_at)
-                if isinstance(error, EndpointRefusedError):
-                    return None
+            except EndpointError:
                 # No answer in time; the probe is repeated.
                 if self.was_late_since(sent_at):
                     silent_while_late += 1
@@ -223,6 +221,29 @@
                     silent += 1
         return None
 
+    async def _probe_once(
+        self, endpoint: Endpoint, urgency: Urgency, record_answer: RecordAnswer
+    ) -> EngineReport:
+        """Return an endpoint's report, and record the answer or the failure.
+
+        :raises EndpointError: if there is no answer.
+        """
+        sent_at = self._clock()
+        try:
+            report = await self._call_report(endpoint, urgency)
+        except EndpointReplacedError:
+            raise
+        except EndpointRefusedError:
+            self._record_failure(endpoint)
+            raise
+        except EndpointError:
+            # This daemon may only have missed the answer.
+            if not self.was_late_since(sent_at):
+                self._record_failure(endpoint)
+            raise
+        record_answer(endpoint)
+        return report
+
     def was_late_since(self, since: float) -> bool:
         """Return whether this daemon's event loop was late since a time, and may miss answers."""
         return self._calls.was_late_since(since)
