Gateway: a later attempt goes to a group that this daemon has just heard

Cause: a stream that left a silent group went to one that had fallen silent at the same time, though others went on: without overload control nothing prefers a group that answers, and with it one counts as answering for 0.5 s, longer than the 0.3 s after which streams leave. Change: the next attempt of a request that was tried goes to a group with free slots that this daemon itself has heard within 0.2 s, if there is one; otherwise the choice is as it was.

--- a/packages/gateway/src/thorncleat_gateway/requests/endpoint_selector.py
+++ b/packages/gateway/src/thorncleat_gateway/requests/endpoint_selector.py
@@ -56,6 +56,10 @@
 # How long a group counts as one that answers after its latest contact: some intervals between the
 # events of a stream, and between the load reports within a failure domain.
 RECENT_CONTACT_SECONDS = 0.5
+# How long a group counts as one that goes on after this daemon itself heard it: some intervals
+# between the events of a stream. It is shorter than the silence for which streams leave a group, so
+# that none goes to a group that fell silent at the same time.
+OWN_CONTACT_SECONDS = 0.2
 
 
 class _Avoided(t.NamedTuple):
@@ -243,9 +247,26 @@
         if random_leader is not None:
             return random_leader
         times = self._work_times(service, engine, model, work)
+        if tried:
+            # A group that hangs looks idle. A request that met one may have run there, so its next
+            # attempt goes to a group that is known to answer, if there is one.
+            chosen = self._choose_group(self._just_heard(usable, engine.slots), engine, times, left)
+            if chosen is not None:
+                return chosen
+            if times is not None:
+                usable = self._lately_heard(usable) or usable
+        return self._choose_group(usable, engine, times, left)
+
+    def _choose_group(
+        self, leaders: list[Endpoint], engine: Engine, times: WorkTimes | None, left: float
+    ) -> Endpoint | None:
+        """Return the leader that answers soonest or is least loaded; None if all groups are full.
+
+        :param times: None for a choice by the number of running requests.
+        """
         if times is not None:
-            return self._choose_soonest(self._recently_answering(usable, tried), times, left)
-        chosen = self._choose_least_loaded(usable, engine.slots)
+            return self._choose_soonest(leaders, times, left)
+        chosen = self._choose_least_loaded(leaders, engine.slots)
         if (
             chosen is not None
             and self._load_table.request_count(chosen.id) >= MAX_REQUESTS_PER_SLOT * engine.slots
@@ -260,21 +281,20 @@
             leader for leader in leaders if not self._detector.is_suspected_locally(leader)
         ]
 
-    def _recently_answering(
-        self, leaders: list[Endpoint], tried: t.Container[str]
-    ) -> list[Endpoint]:
-        """Return the leaders that answered lately, for a request that has failed elsewhere.
+    def _just_heard(self, leaders: t.Iterable[Endpoint], slots: int) -> list[Endpoint]:
+        """Return the leaders of groups with free slots that this daemon itself has just heard."""
+        since = self._clock() - OWN_CONTACT_SECONDS
+        return [
+            leader
+            for leader in leaders
+            if self._detector.was_heard_here_since(leader.id, since)
+            and self._load_table.request_count(leader.id) < slots
+        ]
 
-        A group that hangs looks idle. A request that met one may have run there, so its next
-        attempt goes to a group that is known to answer. Returns all leaders if there is none, or if
-        the request hasn't been tried yet.
-        """
-        if not tried:
-            return leaders
+    def _lately_heard(self, leaders: t.Iterable[Endpoint]) -> list[Endpoint]:
+        """Return the leaders that answered any daemon lately."""
         since = self._clock() - RECENT_CONTACT_SECONDS
-        return [
-            leader for leader in leaders if self._detector.has_contact_since(leader.id, since)
-        ] or leaders
+        return [leader for leader in leaders if self._detector.has_contact_since(leader.id, since)]
 
     def estimate_capacity(
         self, service: str, engine: Engine, model: str, work: Work
--- a/tests/test_endpoint_selector.py
+++ b/tests/test_endpoint_selector.py
@@ -58,6 +58,10 @@
     own_suspects: tuple[str, ...] = ()
     probation: tuple[str, ...] = ()
     contacts: t.Mapping[str, float] = dataclasses.field(default_factory=dict)
+    own_contacts: t.Mapping[str, float] = dataclasses.field(default_factory=dict)
+
+    def was_heard_here_since(self, endpoint_id, since):
+        return self.own_contacts.get(endpoint_id, float("-inf")) >= since
 
     def has_contact_since(self, endpoint_id, since):
         return self.contacts.get(endpoint_id, float("-inf")) >= since
--- a/tests/test_shared_silence.py
+++ b/tests/test_shared_silence.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import dataclasses
+import random
 
 import pytest
 
@@ -167,3 +168,24 @@
     left_at = play([[*silent_for(1.2), alone], silent_for(1.2), silent_for(1.2)])
     assert sorted(left_at) == [0]
     assert left_at[0] - 3.0 <= PROMPT_SECONDS + 0.02
+
+
+@pytest.mark.parametrize("seed", range(30))
+def test_streams_stay_in_sound_groups_and_leave_dead_ones(seed):
+    """Silences of any share and length, and deaths among them."""
+    drawn = random.Random(seed)
+    count, share = drawn.randint(2, 10), drawn.random()
+    ends = drawn.uniform(0.5, MAX_SOUND_SILENCE_SECONDS - 0.2)
+    silences = [
+        silent_for(ends + drawn.uniform(0.0, 0.1)) if drawn.random() < share else SOUND
+        for _ in range(count)
+    ]
+    dead = set(drawn.sample(range(count), drawn.randint(0, count // 3)))
+    for number in dead:
+        silences[number] = DEAD
+    silent = {number for number in range(count) if silences[number]}
+    left_at = play(silences)
+    is_shared = 2 * len(silent) > count
+    assert set(left_at) == (dead if is_shared else silent)
+    latest = MAX_SOUND_SILENCE_SECONDS if is_shared else PROMPT_SECONDS
+    assert all(at <= latest + 0.04 for at in left_at.values())
--- a/tests/test_timed_selection.py
+++ b/tests/test_timed_selection.py
@@ -228,11 +228,15 @@
     return [100.0]
 
 
-def selector_of(now, load=(), suspects=(), own_suspects=(), contacts=None):
+def selector_of(
+    now, load=(), suspects=(), own_suspects=(), contacts=None, own_contacts=None, by_time=True
+):
     table = LoadTable(lambda: now[0], lambda: 0.1)
     table.report("other", dict(load))
-    detector = Detector(suspects, own_suspects, contacts=contacts or {})
-    return make_selector(GROUPS, table, lambda: now[0], detector=detector)
+    detector = Detector(
+        suspects, own_suspects, contacts=contacts or {}, own_contacts=own_contacts or {}
+    )
+    return make_selector(GROUPS, table, lambda: now[0], detector=detector, by_time=by_time)
 
 
 def chosen(selector, left=TARGET_SECONDS, tried=()):
@@ -278,6 +282,25 @@
     assert chosen(selector, tried=("w0",)) <= LOCAL | REMOTE
 
 
+@pytest.mark.parametrize("by_time", [True, False])
+def test_request_that_failed_does_not_go_to_a_group_that_fell_silent_with_its_own(now, by_time):
+    """Guards against a last attempt at a group that is as silent, but not suspected yet."""
+    load = {"w0": 6, "w1": 6, "w2": 0, "w3": 0}
+    heard = {"w0": now[0] - 0.05, "w2": now[0] - 0.33, "w3": now[0] - 0.33}
+    selector = selector_of(now, load, contacts=heard, own_contacts=heard, by_time=by_time)
+    assert chosen(selector) <= {"w2", "w3"}
+    assert chosen(selector, tried=("w1",)) == {"w0"}
+    assert chosen(selector, tried=("w0",)) <= {"w2", "w3"}
+
+
+@pytest.mark.parametrize("by_time", [True, False])
+def test_request_that_failed_does_not_queue_at_a_group_for_being_heard(now, by_time):
+    """A group without free slots is no better than one that answered lately."""
+    heard = {"w0": now[0] - 0.05, "w2": now[0] - 0.33}
+    selector = selector_of(now, {"w0": SLOTS}, contacts=heard, own_contacts=heard, by_time=by_time)
+    assert chosen(selector, tried=("w1",)) == {"w2"}
+
+
 def test_kept_connection_decides_among_groups_that_answer_equally_soon(now):
     """Guards against a new connection for each request, and against overload for a kept one."""
     groups = list(test_placement.leaders(24, 2))
