Gateway: the parts of a term are built in steps

Change: the parts with many arguments are created by methods of their own; begin shows the order only. No change of behaviour: constructors of parts only store their arguments, and records are read again as before.

--- a/packages/gateway/src/thorncleat_gateway/groups/term.py
+++ b/packages/gateway/src/thorncleat_gateway/groups/term.py
@@ -105,22 +105,9 @@
         jobs = Jobs(wake)
         lost = LostEndpoints(view, orders, jobs.start, wake, clock)
         slow = SlowEndpoints(view, orders, jobs.start, wake)
-        liveness = LeaderLiveness(
-            view, orders, self._detector, self._load_table, self._peers, clock
-        )
-        ending = GroupEnding(
-            orders,
-            records,
-            self._ended,
-            liveness,
-            GroupRecovery(orders, lost, self._witnesses, clock),
-            lost,
-            self._load_table,
-            clock,
-            jobs.start,
-        )
+        ending = self._create_ending(lost, jobs)
         state = FormingState(self._term_number(position), clock)
-        steps = GroupSteps(self._settings, view, orders, records, lost, clock, state.skip_epochs)
+        forming = self._create_forming(state, lost, ending, jobs)
         jobs.start(records.rewrite_lost_records())
         return Term(
             position=position,
@@ -129,25 +116,71 @@
             records=records,
             lost=lost,
             slow=slow,
-            examination=MemberExamination(
-                orders, lost, slow, self._witnesses, self._detector, self._load_table, clock
-            ),
+            examination=self._create_examination(lost, slow),
             unlisted=UnlistedEndpoints(view, orders, clock, jobs.start),
             ending=ending,
             forming_state=state,
-            forming=GroupForming(state, records, steps, ending, clock, jobs.start),
+            forming=forming,
             loader=ModelLoader(self._settings, view, orders, lost, clock, jobs.start),
             warming=SpareWarming(view, orders, records, state, clock, jobs.start),
-            moves=DomainMoves(
-                view,
-                self._load_table,
-                self._placements,
-                records,
-                ending,
-                state,
-                clock,
-                jobs.start,
-            ),
+            moves=self._create_moves(ending, state, jobs),
+        )
+
+    def _create_ending(self, lost: LostEndpoints, jobs: Jobs) -> GroupEnding:
+        """Return what ends groups, with what decides on their leaders and silent members."""
+        liveness = LeaderLiveness(
+            self._view, self._orders, self._detector, self._load_table, self._peers, self._clock
+        )
+        return GroupEnding(
+            self._orders,
+            self._records,
+            self._ended,
+            liveness,
+            GroupRecovery(self._orders, lost, self._witnesses, self._clock),
+            lost,
+            self._load_table,
+            self._clock,
+            jobs.start,
+        )
+
+    def _create_forming(
+        self, state: FormingState, lost: LostEndpoints, ending: GroupEnding, jobs: Jobs
+    ) -> GroupForming:
+        """Return what forms groups."""
+        steps = GroupSteps(
+            self._settings,
+            self._view,
+            self._orders,
+            self._records,
+            lost,
+            self._clock,
+            state.skip_epochs,
+        )
+        return GroupForming(state, self._records, steps, ending, self._clock, jobs.start)
+
+    def _create_examination(self, lost: LostEndpoints, slow: SlowEndpoints) -> MemberExamination:
+        """Return what examines the members of suspected groups."""
+        return MemberExamination(
+            self._orders,
+            lost,
+            slow,
+            self._witnesses,
+            self._detector,
+            self._load_table,
+            self._clock,
+        )
+
+    def _create_moves(self, ending: GroupEnding, state: FormingState, jobs: Jobs) -> DomainMoves:
+        """Return what moves fabric domains to other models."""
+        return DomainMoves(
+            self._view,
+            self._load_table,
+            self._placements,
+            self._records,
+            ending,
+            state,
+            self._clock,
+            jobs.start,
         )
 
     def _term_number(self, position: Position) -> int:
