Gateway: the control and the request path are wired in modules of their own

Change: groups/control_services builds election, orders, probe answers, terms and controller; requests/request_services builds the client, the pool, the forwarders and the frontend. A data class of each names what it needs of the rest of the daemon. Services are created, started and stopped in the same order as before; the election and the frontend are still found at the gateway by the names that tests use.

--- a/packages/gateway/src/thorncleat_gateway/gateway.py
+++ b/packages/gateway/src/thorncleat_gateway/gateway.py
@@ -1,34 +1,29 @@
 """One daemon of the gateway: creates its services, wires them together and runs them.
 
-Owns: the services, the order in which they start and stop, and the HTTP client for the endpoints.
-Relies on: the adapter's ports for the store, the engines and the names of headers.
+Owns: the services, and the order in which they start and stop.
+Relies on: the adapter's ports for the store, the engines and the names of headers,
+:mod:`.groups.control_services` and :mod:`.requests.request_services` to wire the services of the
+control of the groups and of the path of a request.
 """
 
 import asyncio
 import contextlib
-import random
 import socket
 import typing as t
 
-import aiohttp
 import mode
 
 from . import events
-from .groups.call_window import CallWindow
-from .groups.controller import Controller
+from .groups.control_services import ControlDependencies
+from .groups.control_services import ControlServices
 from .groups.election import Election
 from .groups.ended import EndedGroups
-from .groups.orders import Orders
-from .groups.placement_records import PlacementRecords
-from .groups.records import GroupRecords
-from .groups.term import TermFactory
 from .listeners import Listeners
 from .metrics import Metrics
 from .peers.datagrams import PeerChannel
 from .peers.failure_detector import FailureDetector
 from .peers.load_reporter import LoadReporter
 from .peers.load_table import LoadTable
-from .peers.probe_answers import ProbeAnswers
 from .peers.workspace_loads import WorkspaceLoads
 from .peers.workspace_loads import WorkspaceReporter
 from .planned_stop import PlannedStop
@@ -36,32 +31,22 @@
 from .ports import Engines
 from .ports import HeaderCodec
 from .ports import RecordStore
-from .requests import endpoint_client
-from .requests import kept_connections
 from .requests.body_budget import BodyBudget
 from .requests.cold_endpoints import ColdEndpoints
 from .requests.connection_pool import ConnectionPool
 from .requests.crash_reporter import CrashReporter
-from .requests.crash_watch import CrashWatch
-from .requests.endpoint_client import EndpointClient
 from .requests.endpoint_limits import EndpointLimits
 from .requests.endpoint_notices import EndpointNotices
-from .requests.endpoint_selector import EndpointSelector
 from .requests.evacuations import Evacuations
-from .requests.first_event_offsets import FirstEventOffsets
 from .requests.frontend import Frontend
-from .requests.group_times import GroupTimes
 from .requests.lifted_holds import ReleasedRequests
 from .requests.limit_reporter import LimitReporter
-from .requests.overload.control import OverloadControl
-from .requests.plain import PlainForwarder
 from .requests.quarantine import Quarantine
+from .requests.request_services import RequestDependencies
+from .requests.request_services import RequestServices
 from .requests.retry_budget import RetryBudgets
 from .requests.retry_reporter import RetryReporter
-from .requests.slow_groups import SlowGroups
-from .requests.streams import StreamForwarder
 from .settings import GatewaySettings
-from .store.complete_era_writer import CompleteEraWriter
 from .store.registration import RELAYS
 from .store.registration import Registration
 from .store.relay_feed import RelayFeed
@@ -112,9 +97,7 @@
         self._first_start = first_start
         self._callers = callers
         self._listeners = Listeners()
-        self._client: aiohttp.ClientSession | None = None
-        self._pool: ConnectionPool | None = None
-        self._frontend: Frontend | None = None
+        self._request_services: RequestServices | None = None
         self._records = records
         self._feed = RelayFeed(settings.relay, feed, self._relays, self._listed_relays, clock)
         self.view = StoreView(self._feed, clock, settings.watch, self._coalesce_seconds)
@@ -129,7 +112,7 @@
         self._create_peer_services()
         engines.on_answer(self._notices.record_answer)
         engines.on_answer(lambda endpoint, meta: self._limits.record_answer(endpoint, meta, None))
-        self._create_control_services(records, engines)
+        self._control = self._create_control_services(records, engines)
         self.metrics = Metrics()
         self._add_gauges()
 
@@ -187,69 +170,25 @@
             return False
         return self.load_table.request_count(leader.id) >= FULL_FRACTION * service.engine.slots
 
-    def _create_control_services(self, records: RecordStore, engines: Engines) -> None:
-        settings, clock, view = self._settings, self._clock, self.view
-        self._election = Election(
-            settings,
-            records,
-            view,
-            clock,
-            self._registration.capacities,
-            self._paths.reach,
-            lambda: self._paths.has_carriers() or self._detector.others_reach_endpoints(),
-        )
-        self._complete_era_writer = CompleteEraWriter(
-            records, view, clock, lambda: self._election.is_controller
-        )
-        self._call_window = CallWindow(self._detector.lateness, clock)
-        orders = Orders(
-            settings.control,
-            engines,
-            view,
-            lambda: self._election.is_controller,
-            self._record_answer,
-            self._call_window,
-            clock,
-            self._paths.reach.record_failure,
-            self._paths.reach.record_success,
-        )
-        self._probe_answers = ProbeAnswers(
-            view,
-            self._peers,
-            self._reporter,
-            orders.is_responding,
-            clock,
-            self._paths.check.confirms_reach,
-        )
-        placements = PlacementRecords(records, view, self._election)
-        terms = TermFactory(
-            settings.control,
-            view,
-            orders,
-            GroupRecords(records, view, self._election),
-            placements,
-            self._detector,
-            self.load_table,
-            self._peers,
-            self._ended_groups,
-            clock,
-            self._paths.check.confirms_reach,
-        )
-        self._controller = Controller(
-            view,
-            self._election,
-            self._detector,
-            terms,
-            placements,
-            clock,
-            lambda: self._has_no_requests_yet,
+    def _create_control_services(self, records: RecordStore, engines: Engines) -> ControlServices:
+        return ControlServices(
+            ControlDependencies(
+                settings=self._settings,
+                records=records,
+                engines=engines,
+                view=self.view,
+                registration=self._registration,
+                peers=self._peers,
+                paths=self._paths,
+                detector=self._detector,
+                load_table=self.load_table,
+                reporter=self._reporter,
+                ended=self._ended_groups,
+                clock=self._clock,
+                before_requests=lambda: self._has_no_requests_yet,
+            )
         )
 
-    def _record_answer(self, endpoint: Endpoint) -> None:
-        """Record that an endpoint has answered a call of this daemon's own."""
-        self._paths.reach.record_success(endpoint)
-        self._detector.record_contact(endpoint.id, self._clock())
-
     def _add_gauges(self) -> None:
         add = self.metrics.gauge
         add("configuration_age_seconds", "Since a newer one was excluded", self.view.age)
@@ -263,8 +202,12 @@
             "Left of the lease",
             lambda: self._election.lease_seconds_left,
         )
-        add("endpoint_calls_allowed", "At once, by the controller", lambda: self._call_window.limit)
-        add("endpoint_calls_waiting", "For their turn", lambda: self._call_window.waiting)
+        add(
+            "endpoint_calls_allowed",
+            "At once, by the controller",
+            lambda: self._control.calls.limit,
+        )
+        add("endpoint_calls_waiting", "For their turn", lambda: self._control.calls.waiting)
         add("loop_late_seconds", "At most, of the last second", self._recent_lateness)
         add(
             "endpoints_cut_off",
@@ -280,7 +223,7 @@
             add("failure_domains_evacuated", "Get no requests", self._evacuations.count)
         if self._cold is not None:
             add("endpoints_cold", "Get few requests", self._cold.count)
-        self.metrics.add_utilization(self._controller.utilizations)
+        self.metrics.add_utilization(self._control.controller.utilizations)
         add("relayed_answers", "Given to other daemons", lambda: self._relay_server.answered_count)
 
         if self._settings.overload_control:
@@ -298,6 +241,18 @@
         add("body_bytes_held", "Of callers", lambda: self._bodies.held if self._bodies else 0)
         add("bodies_refused", "No memory", lambda: self._bodies.refused if self._bodies else 0)
 
+    @property
+    def _election(self) -> Election:
+        return self._control.election
+
+    @property
+    def _frontend(self) -> Frontend | None:
+        return self._request_services.frontend if self._request_services is not None else None
+
+    @property
+    def _pool(self) -> ConnectionPool | None:
+        return self._request_services.pool if self._request_services is not None else None
+
     @property
     def _bodies(self) -> BodyBudget | None:
         return self._frontend.bodies if self._frontend is not None else None
@@ -346,7 +301,8 @@
 
         Callers are accepted last among the listeners, after the wait for a configuration.
         """
-        self._frontend = self._build_frontend()
+        self._request_services = self._create_request_services()
+        frontend = self._request_services.frontend
         for service in (
             self.view,
             self._registration,
@@ -355,22 +311,22 @@
             self._paths.check,
             self._paths.offers,
             self._election,
-            self._complete_era_writer,
-            self._controller,
+            self._control.complete_era_writer,
+            self._control.controller,
         ):
             await self.add_runtime_dependency(service)
         await self._listeners.open(self._relay_server.handle, self._settings.peers)
         await self._paths.open()
         if self._settings.metrics is not None:
             await self._listeners.open(self.metrics.handle, self._settings.metrics)
-        await self._listeners.open(self._frontend.readiness, self._settings.readiness)
+        await self._listeners.open(frontend.readiness, self._settings.readiness)
         await self._wait_for_first_configuration()
         await self.add_runtime_dependency(self._retry_reporter)
-        await self._listeners.open(self._frontend.handle, self._settings.callers, self._callers)
+        await self._listeners.open(frontend.handle, self._settings.callers, self._callers)
         await self.add_runtime_dependency(self._reporter)
         await self.add_runtime_dependency(self._crash_reporter)
         await self.add_runtime_dependency(self._limit_reporter)
-        await self.add_runtime_dependency(self._probe_answers)
+        await self.add_runtime_dependency(self._control.probe_answers)
         if self._settings.overload_control:
             reporter = WorkspaceReporter(
                 self._workspace_loads, self._peers, self._settings.failure_domain
@@ -383,90 +339,27 @@
         with contextlib.suppress(TimeoutError):
             await asyncio.wait_for(self.view.wait_loaded(), FIRST_CONFIGURATION_TIMEOUT_SECONDS)
 
-    def _build_frontend(self) -> Frontend:
-        settings, clock = self._settings, self._clock
-        connector = self._paths.create_connector(**endpoint_client.CONNECTOR_OPTIONS)
-        self._client = endpoint_client.create_session(connector)
-        if settings.overload_control:
-            self._pool = ConnectionPool(
-                self._can_keep_connections,
-                lambda: self._peers.daemon_count,
-                self._retry_budgets.take_token,
-                settings.connect_timeout,
+    def _create_request_services(self) -> RequestServices:
+        return RequestServices(
+            RequestDependencies(
+                settings=self._settings,
+                codec=self._codec,
+                view=self.view,
+                peers=self._peers,
+                paths=self._paths,
+                detector=self._detector,
+                load_table=self.load_table,
+                workspace_loads=self._workspace_loads,
+                ended=self._ended_groups,
+                notices=self._notices,
+                limits=self._limits,
+                evacuations=self._evacuations,
+                retry_budgets=self._retry_budgets,
+                quarantine=self._quarantine,
+                crash_reporter=self._crash_reporter,
+                metrics=self.metrics,
+                clock=self._clock,
             )
-        client = EndpointClient(
-            self._client,
-            self._codec,
-            self._notices,
-            self._limits,
-            settings.connect_timeout,
-            evacuations=self._evacuations,
-            pool=self._pool,
-            reach=self._paths.reach,
-        )
-        selector = EndpointSelector(
-            self.view,
-            self.load_table,
-            self._detector,
-            self._ended_groups,
-            self._notices,
-            self._limits,
-            clock,
-            settings.failure_domain,
-            times=self._build_group_times() if settings.overload_control else None,
-            evacuations=self._evacuations,
-            has_connection=client.has_idle_connection,
-        )
-        crash_watch = CrashWatch(
-            self._quarantine,
-            self.view,
-            self._detector,
-            self._crash_reporter,
-            clock,
-            lambda: self._peers.other_daemons,
-            settings.id,
-        )
-        dependencies = (
-            client,
-            selector,
-            self.load_table,
-            self._retry_budgets,
-            self._detector,
-            crash_watch,
-            clock,
-            self._build_overload_control() if settings.overload_control else None,
-        )
-        plain, streams = PlainForwarder(*dependencies), StreamForwarder(*dependencies)
-        return Frontend(
-            settings, self.view, self._codec, plain, streams, clock, self._paths.has_way
-        )
-
-    def _build_overload_control(self) -> OverloadControl:
-        return OverloadControl(
-            lambda: self.view.configuration,
-            self._workspace_loads,
-            lambda: self._peers.daemon_count,
-            self._clock,
-            random.Random(),
-            self.metrics.record_pressure,
-        )
-
-    def _build_group_times(self) -> GroupTimes:
-        return GroupTimes(
-            self.load_table,
-            FirstEventOffsets(self._clock, self.metrics.record_first_event),
-            SlowGroups(self._clock),
-            self._settings.failure_domain,
-        )
-
-    def _can_keep_connections(self, endpoint: Endpoint) -> bool:
-        """Return whether idle connections to an endpoint may be used."""
-        roster = self.view.roster
-        return kept_connections.is_usable(
-            endpoint,
-            roster.endpoints.get(endpoint.id),
-            is_missing=endpoint.id in roster.missing,
-            is_suspected=self._detector.is_suspected(endpoint),
         )
 
     async def drain(self, ordered_at: float | None = None) -> None:
@@ -491,10 +384,8 @@
         await self._listeners.close()
 
     async def on_shutdown(self) -> None:
-        """Close the HTTP client and the feed."""
-        if self._client is not None:
-            await self._client.close()
-        if self._pool is not None:
-            await self._pool.close()
+        """Close the connections to endpoints and the feed."""
+        if self._request_services is not None:
+            await self._request_services.close()
         await self._feed.close()
         events.STOPPED.log()
--- a/packages/gateway/src/thorncleat_gateway/groups/__init__.py
+++ b/packages/gateway/src/thorncleat_gateway/groups/__init__.py
@@ -17,6 +17,7 @@
 Whether an order is safe to send                :mod:`.orders`, :mod:`.join_rules`
 Which endpoints and domains are paused          :mod:`.forming_state`, :mod:`.lost_endpoints`
 Which members are slow or no longer listed      :mod:`.slow_endpoints`, :mod:`.unlisted_endpoints`
+How all of these are wired                      :mod:`.control_services`, :mod:`.term`
 ==============================================  ==================================================
 
 Owns: the controller's state. Only the groups' records in the store outlive its term.
