--- a/tests/group_engines.py
+++ b/tests/group_engines.py
@@ -25,7 +25,7 @@
 from thorncleat_gateway.store.serving import EngineModel
 
 if t.TYPE_CHECKING:
-    from .group_world import Node
+    from .group_node import Node
     from .group_world import World
 
 SERVICE = "narrator"
--- a/tests/group_store.py
+++ b/tests/group_store.py
@@ -15,7 +15,7 @@
 from thorncleat_gateway.store.store_era import StoreEra
 
 if t.TYPE_CHECKING:
-    from .group_world import Node
+    from .group_node import Node
     from .group_world import World
 
 
--- a/tests/test_domain_moves.py
+++ b/tests/test_domain_moves.py
@@ -34,7 +34,7 @@
 from .group_engines import ENGINE as FACTOR_OF_TWO
 from .group_engines import SERVICE
 from .group_engines import Worker
-from .group_world import Node
+from .group_node import Node
 from .group_world import World
 from .group_world import controller_node
 
--- a/tests/test_epochs_across_eras.py
+++ b/tests/test_epochs_across_eras.py
@@ -11,9 +11,9 @@
 from thorncleat_gateway.store.roster import GroupId
 
 from . import virtual_time
+from .group_node import Node
 from .group_store import Copy
 from .group_world import CALM_SECONDS
-from .group_world import Node
 from .group_world import World
 from .group_world import controller_node
 
--- a/tests/test_group_ends.py
+++ b/tests/test_group_ends.py
@@ -10,9 +10,9 @@
 
 from . import virtual_time
 from .group_engines import MODELS
+from .group_node import Node
 from .group_world import CALM_SECONDS
 from .group_world import UNLISTED_AFTER_SECONDS
-from .group_world import Node
 from .group_world import World
 from .group_world import calm_world
 from .group_world import controller_node
--- a/tests/test_restored_groups.py
+++ b/tests/test_restored_groups.py
@@ -6,8 +6,8 @@
 from thorncleat_gateway.groups.term_number import EPOCHS_PER_TERM
 
 from . import virtual_time
+from .group_node import Node
 from .group_world import CALM_SECONDS
-from .group_world import Node
 from .group_world import World
 from .group_world import controller_node
 
