Soak: settings, callers and the stand-in worker can serve a second world

Cause: the soak never paused sound workers, since its workers run in its own process. Change, without effect on the existing soak: the daemons' settings are written by a module of their own, whose bounds the world gives; a caller needs only what a protocol names, and its timeout can be given; the stand-in worker needs only a store that takes its entry, and `breaks_streams` makes an order to leave break what runs, as the platform does (off by default).

--- a/bench/soaks/gateway_callers.py
+++ b/bench/soaks/gateway_callers.py
@@ -5,17 +5,20 @@
 """
 
 import asyncio
+import collections
 import random
+import typing as t
 
 import aiohttp
 
+from .gateway_checks import Checks
 from .gateway_checks import Exchange
 from .gateway_checks import RequestKind
 from .gateway_daemons import Daemon
+from .gateway_retries import RetryChecks
 from .gateway_site import HOST
 from .gateway_site import PATHS
 from .gateway_site import SERVICES
-from .gateway_site import SoakSite
 
 REQUEST_TIMEOUT_SECONDS = 4.0
 # Mean pause after an answer with another status than 200.
@@ -25,15 +28,34 @@
 KINDS = (RequestKind.STREAM, RequestKind.NON_REPEATABLE, RequestKind.REPEATABLE)
 
 
+class CallerSite(t.Protocol):
+    """What a caller needs of the site: the daemons, the keys and what records its requests."""
+
+    daemons: list[Daemon]
+    valid_keys: list[str]
+    revoked_keys: collections.deque[str]
+    exchanges: dict[str, Exchange]
+    checks: Checks
+    retries: RetryChecks
+
+
 class Caller:
     """A client that reuses its connections.
 
     :param name: unique prefix of the ids of its requests.
+    :param timeout_seconds: time after which it gives up a request, also its stated deadline.
     :ivar current_exchange: the exchange in progress; None between two requests.
     """
 
-    def __init__(self, site: SoakSite, name: str, rng: random.Random) -> None:
+    def __init__(
+        self,
+        site: CallerSite,
+        name: str,
+        rng: random.Random,
+        timeout_seconds: float = REQUEST_TIMEOUT_SECONDS,
+    ) -> None:
         self._site = site
+        self._timeout_seconds = timeout_seconds
         self._name = name
         self.rng = rng
         self._request_count = 0
@@ -80,7 +102,7 @@
         self._site.exchanges[name] = self.current_exchange = exchange
         self._site.retries.record_request(SERVICES[kind])
         try:
-            async with asyncio.timeout(REQUEST_TIMEOUT_SECONDS):
+            async with asyncio.timeout(self._timeout_seconds):
                 await self._send(client, daemon, exchange, "same" if body else name, prompt)
         except (aiohttp.ClientError, OSError, TimeoutError):
             pass
@@ -100,7 +122,7 @@
         headers = {
             "Host": HOST,
             "X-Thorncleat-Attempt-Id": exchange.id,
-            "X-Thorncleat-Deadline-Ms": str(int(REQUEST_TIMEOUT_SECONDS * 1000)),
+            "X-Thorncleat-Deadline-Ms": str(int(self._timeout_seconds * 1000)),
             "Authorization": f"Token {exchange.key}",
         }
         if exchange.kind is RequestKind.STREAM:
--- a/bench/soaks/gateway_daemons.py
+++ b/bench/soaks/gateway_daemons.py
@@ -25,7 +25,7 @@
 _PR_SET_PDEATHSIG = 1
 
 
-def _exit_with_parent() -> None:
+def exit_with_parent() -> None:
     """Make the kernel kill this process when its parent exits."""
     ctypes.CDLL(None).prctl(_PR_SET_PDEATHSIG, signal.SIGKILL)
 
@@ -102,7 +102,7 @@
                 stdout=output,
                 stderr=output,
                 env=environment,
-                preexec_fn=_exit_with_parent,
+                preexec_fn=exit_with_parent,
             )
         self.process = Process(self.name, process)
         self.running_program = self.program
--- a/bench/soaks/gateway_site.py
+++ b/bench/soaks/gateway_site.py
@@ -28,10 +28,12 @@
 from .gateway_retries import RETRY_RATIO
 from .gateway_retries import RETRY_WINDOW_SECONDS
 from .gateway_retries import RetryChecks
+from .gateway_settings import PORTS_PER_DAEMON
+from .gateway_settings import DaemonSettings
+from .gateway_settings import create_daemon
 from .gateway_workers import EVENTS_PER_STREAM
 from .gateway_workers import STALL_TIMEOUT_SECONDS
 from .gateway_workers import SoakWorker
-from .proxy import Proxy
 
 HOST = "soak.example"
 CONFIGURATION_KEY = "op/config"
@@ -45,13 +47,20 @@
 # Numbers of fabric domains, of workers in each, of members of a group, and of workers of the
 # plain service.
 DOMAINS, DOMAIN_SIZE, GROUP_SIZE, PLAIN_WORKERS = 2, 6, 2, 3
-# Listeners for callers, for readiness probes, and two for other daemons.
-PORTS_PER_DAEMON = 4
 SERVICES = {
     RequestKind.STREAM: "narrator",
     RequestKind.NON_REPEATABLE: "desk",
     RequestKind.REPEATABLE: "desk",
 }
+BOUNDS: dict[str, float] = {
+    "revoke_ms": int(REVOCATION_SECONDS * 1000),
+    "grace_s": GRACE_PERIOD_SECONDS,
+    "retry_budget_ratio": RETRY_RATIO,
+    "budget_extra": RETRY_EXTRA,
+    "budget_window_s": RETRY_WINDOW_SECONDS,
+    "evacuate_ms": int(EVACUATION_SECONDS * 1000),
+    "stall_ms": int(STALL_TIMEOUT_SECONDS * 1000),
+}
 PATHS = {
     RequestKind.STREAM: "/chat/",
     RequestKind.NON_REPEATABLE: "/status/",
@@ -102,7 +111,8 @@
         ports = free_ports(PORTS_PER_DAEMON * self._daemon_count)
         for number in range(self._daemon_count):
             own_ports = ports[number :: self._daemon_count]
-            self.daemons.append(await self._create_daemon(number, address, own_ports))
+            settings = DaemonSettings(self._directory, number, address, own_ports, BOUNDS)
+            self.daemons.append(await create_daemon(settings, self._program))
         await asyncio.gather(*(self.start_daemon(daemon) for daemon in self.daemons))
 
     async def start_daemon(self, daemon: Daemon) -> None:
@@ -112,44 +122,6 @@
             if not daemon.is_running:
                 await daemon.start(self._directory / f"{daemon.name}.log")
 
-    async def _create_daemon(self, number: int, store: str, ports: t.Sequence[int]) -> Daemon:
-        proxy = Proxy(store)
-        callers, readiness, peers, tunnels = ports
-        path = self._directory / f"edge-{number}.toml"
-        # Every other daemon keeps connections and bounds bodies, as in a rollout.
-        contracts = "[]" if number % 2 else '["pressure"]'
-        path.write_text(
-            f"""
-            contracts = {contracts}
-            node_name = "edge-{number}"
-            ip = "127.0.0.1"
-            zone = "zone-{"ab"[number % 2]}"
-            internal_ports = [{peers}, {tunnels}]
-            [listen]
-            frontend = "127.0.0.1:{callers}"
-            readiness = "127.0.0.1:{readiness}"
-            [bounds]
-            revoke_fail_closed = true
-            revoke_ms = {int(REVOCATION_SECONDS * 1000)}
-            grace_s = {GRACE_PERIOD_SECONDS}
-            retry_budget_ratio = {RETRY_RATIO}
-            budget_extra = {RETRY_EXTRA}
-            budget_window_s = {RETRY_WINDOW_SECONDS}
-            evacuate_ms = {int(EVACUATION_SECONDS * 1000)}
-            stall_ms = {int(STALL_TIMEOUT_SECONDS * 1000)}
-            [platform]
-            address = "{await proxy.start()}"
-            """
-        )
-        return Daemon(
-            f"edge-{number}",
-            path,
-            f"127.0.0.1:{callers}",
-            f"127.0.0.1:{readiness}",
-            proxy,
-            self._program,
-        )
-
     def find_daemon(self, name: str) -> Daemon:
         """Return the daemon of a name."""
         return next(daemon for daemon in self.daemons if daemon.name == name)
--- a/packages/standins/src/thorncleat_standins/platform_worker.py
+++ b/packages/standins/src/thorncleat_standins/platform_worker.py
@@ -14,8 +14,6 @@
 
 from aiohttp import web
 
-from .platform_store import PlatformStore
-
 ATTEMPT_ID = "X-Thorncleat-Attempt-Id"
 RESPONSE_STAMP = "X-Thorncleat-Response-Stamp"
 EXPECT_INSTANCE = "X-Thorncleat-Expect-Instance"
@@ -48,6 +46,18 @@
     body: bytes
 
 
+class EntryStore(t.Protocol):
+    """What a worker needs of the store that holds its entry."""
+
+    def write(self, key: str, document: dict[str, t.Any]) -> object:
+        """Write a document."""
+        ...
+
+    def delete(self, key: str) -> None:
+        """Delete a key."""
+        ...
+
+
 class PlatformWorker:
     """A worker of a plain service or of a group.
 
@@ -69,15 +79,17 @@
     :ivar events_before_crash: number of events that such a request receives.
     :ivar restart_after_seconds: delay of the restart after such a crash; None for never.
     :ivar crashes: number of such crashes.
+    :ivar breaks_streams: whether an order to leave breaks the running streams.
     :ivar born: increases with each restart; None before the first.
     :ivar runs: the executed requests.
     """
 
-    def __init__(self, store: PlatformStore, name: str, service: str, domain: str = "") -> None:
+    def __init__(self, store: EntryStore, name: str, service: str, domain: str = "") -> None:
         self._store = store
         self._server: web.Server | None = None
         self._runner: web.ServerRunner | None = None
         self._stream_count = 0
+        self._stream_transports: set[asyncio.Transport] = set()
         self._crash_tasks: set[asyncio.Task[None]] = set()
         self.id = name
         self.service = service
@@ -98,6 +110,7 @@
         self.events_before_crash = 0
         self.restart_after_seconds: float | None = None
         self.crashes = 0
+        self.breaks_streams = False
         self.born: int | None = None
         self.runs: list[Run] = []
         self._order_count = 0
@@ -239,10 +252,16 @@
         if self._group is None or self._group["epoch"] != order["epoch"]:
             return 409
         if order["op"] == "leave":
-            self._group = None
+            self._leave()
             return 202
         return self._open() if order["op"] == "open" else self._close()
 
+    def _leave(self) -> None:
+        self._group = None
+        if self.breaks_streams:
+            for transport in self._stream_transports:
+                transport.abort()
+
     def _open(self) -> int:
         assert self._group is not None
         if self._group["state"] != "ready":
@@ -305,15 +324,25 @@
         if self.failure_status:
             return web.Response(status=self.failure_status, headers=headers, text="failed")
         if self.domain:
-            self._stream_count += 1
-            try:
-                return await self._stream(request, headers)
-            finally:
-                self._stream_count -= 1
+            return await self._run_stream(request, headers)
         if self.reset_body:
             return await self._reset_midway(request, headers)
         return web.Response(headers=headers, body=b"answer to " + body)
 
+    async def _run_stream(
+        self, request: web.BaseRequest, headers: dict[str, str]
+    ) -> web.StreamResponse:
+        """Stream an answer that counts as running until its end."""
+        transport = request.transport
+        assert transport is not None
+        self._stream_count += 1
+        self._stream_transports.add(transport)
+        try:
+            return await self._stream(request, headers)
+        finally:
+            self._stream_count -= 1
+            self._stream_transports.discard(transport)
+
     async def _run_into_crash(
         self, request: web.BaseRequest, headers: dict[str, str]
     ) -> web.StreamResponse:
