--- a/bench/soaks/gateway_pause_checks.py
+++ b/bench/soaks/gateway_pause_checks.py
@@ -72,12 +72,20 @@
 
     def is_lost(self, exchange: Exchange) -> bool:
         """Return whether a request ended without a whole answer and nothing excuses that."""
-        seconds = exchange.ended_at - exchange.sent_at
-        if exchange.is_complete or seconds >= self._spent_seconds:
-            return False
-        if not self._runs[exchange.id] and seconds <= LOSS_SLACK_SECONDS:
-            return False
-        return not self._was_struck(exchange) and not self._outlasted_a_stop(exchange)
+        return not exchange.is_complete and not self.find_excuse(exchange)
+
+    def find_excuse(self, exchange: Exchange) -> str:
+        """Return what excuses an answer without its end; empty for nothing.
+
+        :param exchange: one whose answer has no end.
+        """
+        if exchange.ended_at - exchange.sent_at >= self._spent_seconds:
+            return "out of time"
+        if not self._runs[exchange.id] and self._crossed_a_close(exchange):
+            return "never taken"
+        if self._was_struck(exchange):
+            return "death in its group"
+        return "end of a grace period" if self._outlasted_a_stop(exchange) else ""
 
     def ended_groups(self) -> list[list[Leave]]:
         """Return the orders to leave of each group none of whose members died before them."""
@@ -94,6 +102,10 @@
         """Return a description of each ended group of sound workers."""
         return [self._describe_end(leaves) for leaves in self.ended_groups()]
 
+    def _crossed_a_close(self, exchange: Exchange) -> bool:
+        """Return whether a connection ended so soon that its close can have been under way."""
+        return exchange.ended_at - exchange.sent_at <= LOSS_SLACK_SECONDS
+
     def _was_struck(self, exchange: Exchange) -> bool:
         """Return whether a worker died in a group that ran a request."""
         epochs = {run.epoch for run in self._runs[exchange.id]}
--- a/bench/soaks/gateway_pauses.py
+++ b/bench/soaks/gateway_pauses.py
@@ -199,12 +199,15 @@
 
 async def _check_recovery(soak: PauseSoak) -> None:
     """Check that each daemon runs and serves a stream once the pauses are over."""
-    caller = Caller(soak.site, "heal", soak.rng, CALLER_TIMEOUT_SECONDS)
-    for daemon in soak.site.daemons:
-        if not daemon.is_running:
-            soak.violations.append(f"ENDED {daemon.name} isn't running")
-        elif not await _serves(soak, caller, daemon):
-            soak.violations.append(f"RECOVER {daemon.name} serves no streams")
+    await asyncio.gather(*(_check_daemon(soak, daemon) for daemon in soak.site.daemons))
+
+
+async def _check_daemon(soak: PauseSoak, daemon: Daemon) -> None:
+    caller = Caller(soak.site, f"heal-{daemon.name}", soak.rng, CALLER_TIMEOUT_SECONDS)
+    if not daemon.is_running:
+        soak.violations.append(f"ENDED {daemon.name} isn't running")
+    elif not await _serves(soak, caller, daemon):
+        soak.violations.append(f"RECOVER {daemon.name} serves no streams")
 
 
 async def _serves(soak: PauseSoak, caller: Caller, daemon: Daemon) -> bool:
@@ -229,9 +232,10 @@
     soak.counts["streams cut (LOST)"] = len(lost)
     soak.counts["refused (503)"] = sum(item.status == 503 for item in exchanges)
     soak.counts["groups of sound workers ended"] = len(ended)
-    soak.counts["incomplete answers"] = sum(
-        not item.is_complete and item.status != 0 for item in exchanges
-    )
+    for exchange in exchanges:
+        excuse = soak.site.pauses.find_excuse(exchange)
+        if excuse and not exchange.is_complete:
+            soak.counts[f"streams cut and excused, {excuse}"] += 1
     soak.counts["streams broken by orders to leave"] = sum(
         leave.streams for leave in soak.site.pauses.leaves
     )
--- a/tests/test_soak_pauses.py
+++ b/tests/test_soak_pauses.py
@@ -107,6 +107,24 @@
     def test_stream_that_outlasts_a_planned_stop_may_be_cut(self):
         assert not self._is_lost(exchange(5.5), stop=0.1)
 
+    @pytest.mark.parametrize(
+        ("seconds", "epochs", "excuse"),
+        [
+            (7.1, (7,), "out of time"),
+            (0.1, (), "never taken"),
+            (1.0, (8,), "death in its group"),
+            (5.5, (7,), "end of a grace period"),
+            (1.0, (7,), ""),
+        ],
+    )
+    def test_excuse_is_named(self, seconds, epochs, excuse):
+        checks = PauseChecks(ROUTE_TIMEOUT_SECONDS)
+        for epoch in epochs:
+            checks.record_run(RunStart("w1", "r1", "/", epoch))
+        checks.record_death(Death("w2", 8, SENT_AT + 0.5))
+        checks.record_stop("edge-1", SENT_AT + 0.1)
+        assert checks.find_excuse(exchange(seconds)) == excuse
+
     def test_violation_names_the_order_that_broke_the_stream(self):
         checks = PauseChecks(ROUTE_TIMEOUT_SECONDS)
         checks.record_run(RunStart("w1", "r1", "/", 7))
