Groups: the next controller lets a closing group finish its requests

Cause: a group that a former controller had closed because its leader drains was "leader closing" to the next one, and ordered to leave at once, which broke the requests that it was finishing.

Change: "leader closing" is graceful. The test (virtual time) failed before; test_only_a_group_that_may_work... names the reasons as exactly as before, one more.

--- a/packages/gateway/src/thorncleat_gateway/groups/group_health.py
+++ b/packages/gateway/src/thorncleat_gateway/groups/group_health.py
@@ -41,8 +41,12 @@
 
     @property
     def is_graceful(self) -> bool:
-        """Whether the group still works, so that its requests may finish first."""
-        return self in (EndReason.LEADER_DRAINING, EndReason.DOMAIN_MOVES)
+        """Whether the leader may still work, so that its requests may finish first."""
+        return self in (
+            EndReason.LEADER_CLOSING,
+            EndReason.LEADER_DRAINING,
+            EndReason.DOMAIN_MOVES,
+        )
 
     @property
     def is_revocable(self) -> bool:
--- a/tests/group_world.py
+++ b/tests/group_world.py
@@ -67,6 +67,8 @@
         self.broken: list[str] = []
         # The groups that were ordered to end while all their members lived and served.
         self.ended_sound: list[GroupId] = []
+        # The groups that were ordered to end while their requests were being finished.
+        self.ended_busy: list[GroupId] = []
         # Number of orders whose epoch was below one that their worker had seen.
         self.stale_refusals = 0
         self.opened = 0
@@ -216,7 +218,9 @@
                 self.broken.append(text)
 
     def record_leave(self, leader: Worker) -> None:
-        """Record an order that ends a group which serves."""
+        """Record an order that ends a group which serves or finishes its requests."""
+        if leader.state is GroupState.CLOSING and leader.is_leader:
+            self.ended_busy.append(leader.group)
         if leader.state not in (GroupState.OPEN, GroupState.CLOSING) or not leader.is_leader:
             return
         members = [self.workers[name] for name in leader.members]
--- a/tests/test_group_health.py
+++ b/tests/test_group_health.py
@@ -114,8 +114,10 @@
     assert end_reason_unlisted(age) is reason
 
 
-def test_only_a_group_that_works_may_finish_its_requests():
+def test_only_a_group_that_may_work_may_finish_its_requests():
+    """A leader that is closing finishes what it runs."""
     assert [reason for reason in EndReason if reason.is_graceful] == [
+        EndReason.LEADER_CLOSING,
         EndReason.LEADER_DRAINING,
         EndReason.DOMAIN_MOVES,
     ]
