--- a/packages/gateway/src/thorncleat_gateway/groups/ending.py
+++ b/packages/gateway/src/thorncleat_gateway/groups/ending.py
@@ -25,8 +25,10 @@
 from ..store.roster import Endpoint
 from ..store.roster import GroupId
 from ..store.roster import GroupState
+from .ended import BROADCAST_INTERVAL_SECONDS
 from .ended import EndedGroups
 from .group_health import EndReason
+from .group_recovery import MAX_PAUSE_SECONDS
 from .group_recovery import GroupRecovery
 from .jobs import Start
 from .leader_liveness import LeaderLiveness
@@ -40,6 +42,8 @@
 
 # How long the requests of a draining group may take to finish.
 DRAIN_TIMEOUT_SECONDS = 6.0
+# How often it is told again that a group is kept.
+KEPT_REPEATS = 2
 
 
 class GroupEnding:
@@ -140,14 +144,28 @@
     def _keep(
         self, group: GroupId, leader: Endpoint, members: t.Sequence[Endpoint], started_at: float
     ) -> None:
-        """Use a group again whose members all serve it."""
+        """Use a group again whose members all serve it.
+
+        :raises LeaseError: if this daemon may no longer be the controller.
+        """
+        self._orders.check_lease()
         self._lost.mark_answering(members)
         self._ended.keep(group, leader.id)
+        self._start(self._repeat_kept(group, leader))
         seconds = round(self._clock() - started_at, 3)
         events.GROUP_KEPT.log(
             group=group.name, members=[member.id for member in members], seconds=seconds
         )
 
+    async def _repeat_kept(self, group: GroupId, leader: Endpoint) -> None:
+        """Tell the other daemons again that a group is kept, since datagrams may be lost."""
+        for _ in range(KEPT_REPEATS):
+            await asyncio.sleep(BROADCAST_INTERVAL_SECONDS)
+            if group in self._under_way:
+                return
+            self._orders.check_lease()
+            self._ended.keep(group, leader.id)
+
     async def _drain(self, leader: Endpoint, group: GroupId, timeout: float) -> None:
         """Order a leader to finish its requests, and wait until it has or the timeout passes."""
         deadline = self._clock() + timeout
@@ -161,7 +179,11 @@
             await asyncio.sleep(POLL_INTERVAL_SECONDS)
 
     async def _close(self, leader: Endpoint, group: GroupId, deadline: float) -> bool:
-        """Order a leader to finish its requests; return whether it has answered in time."""
+        """Order a leader to finish its requests; return whether it has answered in time.
+
+        One that is silent for longer than a sound one may be has most likely died.
+        """
+        deadline = min(deadline, self._clock() + MAX_PAUSE_SECONDS)
         while self._clock() < deadline:
             try:
                 await self._orders.send(leader, Close(group))
--- a/packages/gateway/src/thorncleat_gateway/groups/group_recovery.py
+++ b/packages/gateway/src/thorncleat_gateway/groups/group_recovery.py
@@ -20,7 +20,6 @@
 from ..store.roster import GroupId
 from ..store.roster import GroupState
 from .lost_endpoints import LostEndpoints
-from .orders import PROBE_INTERVAL_SECONDS
 from .orders import READY_STATES
 from .orders import Orders
 from .witnesses import ANSWER_SECONDS
@@ -30,8 +29,9 @@
 MAX_PAUSE_SECONDS = 1.5
 # Silence after which other daemons are asked; by the end of the pause they have answered.
 ASK_AFTER_SECONDS = MAX_PAUSE_SECONDS - ANSWER_SECONDS
-# Shortest interval between two rounds of probes.
-MIN_INTERVAL_SECONDS = 0.02
+# Interval between two rounds of probes. With the time-out of a probe it is short enough that a
+# probe meets an endpoint which goes on for a moment between two pauses.
+ROUND_INTERVAL_SECONDS = 0.05
 # How much of a silence the lateness of this daemon's own event loop may excuse.
 MAX_EXCUSED_SECONDS = 3.0
 
@@ -88,10 +88,6 @@
         """Return the ids of the members that have been silent for some time or longer."""
         return [key for key, at in self._began_at.items() if now - at >= seconds]
 
-    def left(self, seconds: float, now: float) -> float:
-        """Return the seconds until the first member will have been silent for some time."""
-        return min((at + seconds - now for at in self._began_at.values()), default=seconds)
-
 
 class GroupRecovery:
     """Probes the members of groups that are to be ended because members were silent."""
@@ -132,8 +128,7 @@
                 return True
             for member in silent:
                 silences.record_answer(member.id)
-            left = silences.left(ASK_AFTER_SECONDS, self._clock())
-            await asyncio.sleep(min(PROBE_INTERVAL_SECONDS, max(left, MIN_INTERVAL_SECONDS)))
+            await asyncio.sleep(ROUND_INTERVAL_SECONDS)
 
     async def is_recovered(self, group: GroupId, members: t.Sequence[Endpoint]) -> bool:
         """Return whether all members serve the group now."""
@@ -165,8 +160,12 @@
             report = await self._orders.fetch_member_report(member)
         except EndpointTimeoutError:
             return MemberState.SILENT
-        except (EndpointRefusedError, EndpointReplacedError):
+        except EndpointReplacedError:
             return MemberState.GONE
+        except EndpointRefusedError:
+            # Only this daemon's path to it may be reset.
+            is_lost = await self._witnesses.confirm_lost(member)
+            return MemberState.GONE if is_lost else MemberState.SILENT
         return state_of(
             report,
             group,
--- a/packages/gateway/src/thorncleat_gateway/groups/member_examination.py
+++ b/packages/gateway/src/thorncleat_gateway/groups/member_examination.py
@@ -23,8 +23,9 @@
 # How long a member may take to answer before other daemons are asked about it, so that those that
 # answer cost nobody else a probe.
 ASK_AFTER_SECONDS = 0.05
-# Longest silence of a group, before its members are probed, that counts as theirs.
-MAX_EARLIER_SILENCE_SECONDS = 0.6
+# Longest silence of a group, before its members are probed, that counts as theirs: the shortest one
+# for which it is suspected. It may have been quiet for longer before one of them fell silent.
+MAX_EARLIER_SILENCE_SECONDS = 0.3
 
 
 def silence_start(probed_at: float, last_contact_at: float, *, has_requests: bool) -> float:
--- a/packages/gateway/src/thorncleat_gateway/groups/orders.py
+++ b/packages/gateway/src/thorncleat_gateway/groups/orders.py
@@ -127,6 +127,14 @@
         listed = self._view.roster.endpoints.get(endpoint.id, endpoint)
         return listed.incarnation.is_superseded_by(Incarnation(endpoint.id, report.born))
 
+    def check_lease(self) -> None:
+        """Check that this daemon is the controller.
+
+        :raises LeaseError: if it may no longer be.
+        """
+        if not self._is_controller():
+            raise LeaseError("the lease of the controller is over")
+
     async def send(self, endpoint: Endpoint, order: Order, expected: int | None = None) -> Outcome:
         """Send an order once.
 
@@ -136,8 +144,7 @@
         :raises EndpointError: if there is no answer; the order may still be carried out.
         """
         async with self._calls.slot(order_urgency(order)):
-            if not self._is_controller():
-                raise LeaseError(f"{type(order).__name__} for {endpoint.id!r}: the lease is over")
+            self.check_lease()
             try:
                 outcome = await self._engines.order(
                     endpoint, order, expected, self._settings.order_timeout
--- a/tests/group_node.py
+++ b/tests/group_node.py
@@ -19,6 +19,7 @@
 from thorncleat_gateway.peers.failure_detector import FailureDetector
 from thorncleat_gateway.peers.load_reporter import MIN_CONTACT_TTL_SECONDS
 from thorncleat_gateway.peers.load_table import LoadTable
+from thorncleat_gateway.peers.messages import GroupKept
 from thorncleat_gateway.peers.messages import LoadReport
 from thorncleat_gateway.peers.messages import Probe
 from thorncleat_gateway.peers.messages import ProbeResult
@@ -88,6 +89,8 @@
         self.reads_refused = False
         # Seconds that the store takes to grant this daemon a lease.
         self.grant_delay = 0.0
+        # Number of notices that a group is kept which don't reach this daemon.
+        self.lost_notices = 0
         # The store's answer to the end of a lease is lost.
         self.end_unanswered = False
         # Ids of workers to which this daemon's connections are reset on the way.
@@ -167,6 +170,9 @@
         self._thaw.set()
 
     def receive(self, sender: "Node", message) -> None:
+        if isinstance(message, GroupKept) and self.lost_notices:
+            self.lost_notices -= 1
+            return
         for handler in self.peers.handlers:
             handler(sender.name, message)
         if isinstance(message, LoadReport):
--- a/tests/group_world.py
+++ b/tests/group_world.py
@@ -199,6 +199,10 @@
 
         self.later(seconds, end)
 
+    def set_requests(self, node: Node, worker: Worker, count: int) -> None:
+        """Set the number of a daemon's requests at a worker."""
+        self._requests[node.name][worker.id] = count
+
     def requests_of(self, node: Node) -> dict[str, int]:
         """Return a daemon's requests by worker."""
         return dict(self._requests[node.name])
--- a/tests/test_unlisted_groups.py
+++ b/tests/test_unlisted_groups.py
@@ -60,3 +60,23 @@
     world, seconds = virtual_time.run(_unlisted_leader_is_dead(unreachable))
     assert world.broken == []
     assert seconds < UNLISTED_AFTER_SECONDS + RELEASE_SECONDS
+
+
+async def _unlisted_member_pauses(seconds: float):
+    """Cut a member off from the store, and pause it once its entry has expired."""
+    world = await calm_world()
+    leader = large_leader(world)
+    member = world.workers[leader.members[1]]
+    world.cut_from_store(member, 60.0)
+    await world.pass_time(UNLISTED_AFTER_SECONDS + 2.0)
+    world.pause(member, seconds)
+    await world.pass_time(seconds + 3.0)
+    await world.stop()
+    return world
+
+
+@pytest.mark.parametrize("seconds", [1.0, 1.4])
+def test_unlisted_member_that_pauses_keeps_its_group(seconds):
+    world = virtual_time.run(_unlisted_member_pauses(seconds))
+    assert world.broken == []
+    assert world.ended_sound == []
