Gateway: other daemons are asked about a silent member once a pause is over, not before

Other daemons were asked after 1.3 s, so that 1.5 s was all the time that an endpoint had. They are asked after 1.5 s now; a silent member has lost its group after some 1.75 s at the earliest.

To pay for a part of that, the members are no longer asked once more between this answer and the order to leave; they are before each later order.

--- a/packages/gateway/src/thorncleat_gateway/groups/ending.py
+++ b/packages/gateway/src/thorncleat_gateway/groups/ending.py
@@ -92,7 +92,7 @@
     ) -> None:
         """Begin to end a group.
 
-        :param members: the members that are listed, for the log.
+        :param members: the members that are listed; all of them have to serve for it to be kept.
         :param drain_timeout: how long its requests may take to finish, if it is drained.
         """
         self._under_way.add(group)
@@ -133,7 +133,7 @@
     def _release(self, group: GroupId, how: Detached, requests: int, started_at: float) -> None:
         """Record that a group has ended, so that its members may be used.
 
-        :param requests: how many requests ran there when its end began.
+        :param requests: how many requests ran there, without those that a drain let finish.
         """
         self._records.end(group, how)
         seconds = round(self._clock() - started_at, 3)
@@ -209,8 +209,6 @@
             try:
                 # A silent leader gets no order.
                 await self._orders.fetch_member_report(leader)
-                if recoverable and await self._recovery.is_recovered(group, recoverable):
-                    return None
                 how = await self._order_to_leave(leader, group)
                 if how is not None:
                     return how
@@ -223,6 +221,8 @@
                 if await self._liveness.wait_dead(leader):
                     return Detached.DEAD
             await asyncio.sleep(PROBE_INTERVAL_SECONDS)
+            if recoverable and await self._recovery.is_recovered(group, recoverable):
+                return None
 
     async def _order_to_leave(self, leader: Endpoint, group: GroupId) -> Detached | None:
         """Order a leader to leave its group.
--- a/packages/gateway/src/thorncleat_gateway/groups/group_recovery.py
+++ b/packages/gateway/src/thorncleat_gateway/groups/group_recovery.py
@@ -22,13 +22,11 @@
 from .lost_endpoints import LostEndpoints
 from .orders import READY_STATES
 from .orders import Orders
-from .witnesses import ANSWER_SECONDS
 from .witnesses import Witnesses
 
-# Longest pause of a sound endpoint.
+# Longest pause of a sound endpoint. Only after it, other daemons are asked whether it answers them:
+# it takes some time to go on.
 MAX_PAUSE_SECONDS = 1.5
-# Silence after which other daemons are asked; by the end of the pause they have answered.
-ASK_AFTER_SECONDS = MAX_PAUSE_SECONDS - ANSWER_SECONDS
 # Interval between two rounds of probes. With the time-out of a probe it is short enough that a
 # probe meets an endpoint which goes on for a moment between two pauses.
 ROUND_INTERVAL_SECONDS = 0.05
@@ -116,7 +114,7 @@
             if MemberState.GONE in states:
                 return False
             self._record(silences, members, states, asked_at)
-            overdue = silences.over(ASK_AFTER_SECONDS, self._clock())
+            overdue = silences.over(MAX_PAUSE_SECONDS, self._clock())
             silent = [member for member in members if member.id in overdue]
             if await self._is_any_lost(silent):
                 return False
