Calls: what is read of a worker, the store or another daemon has a bound

What callers would see: all daemons of a fleet end together. One worker whose report has no end is asked for it by the controller several times a second.

Cause: adapters read whole answers (`response.read()`), bounded by the call's time alone. Interim heads (100 Continue) were read one after the other.

Change: `read_body` of thorncleat_core.bounded_answers reads up to a number of bytes that each caller names: 64 KiB for reports and orders, 16 MiB for the store and relays. A call that meets more fails as one whose answer can't be read, at once, and its connection is closed. `BoundedConnection` takes 16 interim heads.

Heads without end were bounded by the client library before.

--- a/packages/gateway/src/thorncleat_gateway/http_session.py
+++ b/packages/gateway/src/thorncleat_gateway/http_session.py
@@ -7,7 +7,14 @@
 Relies on: aiohttp, which retries an idempotent call if a pooled connection turns out to be closed.
 """
 
+import asyncio
+import functools
+import typing as t
+
 import aiohttp
+from aiohttp.client_proto import ResponseHandler
+
+from thorncleat_core.bounded_answers import BoundedConnection
 
 
 class LazySession:
@@ -27,6 +34,9 @@
             connector = aiohttp.TCPConnector(
                 limit=0, force_close=not self._keep_connections, happy_eyeballs_delay=None
             )
+            factory = functools.partial(BoundedConnection, asyncio.get_running_loop())
+            # The library has no public way to choose the class of connections.
+            connector._factory = t.cast(functools.partial[ResponseHandler], factory)
             self._session = aiohttp.ClientSession(connector=connector)
         return self._session
 
--- a/packages/gateway/src/thorncleat_gateway/store/relay_feed.py
+++ b/packages/gateway/src/thorncleat_gateway/store/relay_feed.py
@@ -8,6 +8,8 @@
 
 import aiohttp
 
+from thorncleat_core.bounded_answers import read_body
+
 from .. import events
 from ..exceptions import HistoryCompactedError
 from ..exceptions import RelayError
@@ -27,6 +29,8 @@
 MAX_SNAPSHOT_RELAYS = 2
 # The timeout is short, since after a power failure a relay may not have started yet.
 SNAPSHOT_CONNECT_TIMEOUT_SECONDS = 0.15
+# A snapshot names each endpoint of the fleet in a few hundred bytes.
+MAX_ANSWER_BYTES = 16 << 20
 
 
 class RelayFeed:
@@ -164,7 +168,7 @@
         )
         try:
             async with self._session.get().get(url, params=query, timeout=timeout) as response:
-                body = await response.read()
+                body = await read_body(response, MAX_ANSWER_BYTES)
         except (aiohttp.ClientError, OSError, TimeoutError) as error:
             raise RelayError(f"relay {relay.id}: {error!r}") from error
         answer = relay_answer.read(relay.id, response.status, body, self._settings.oldest)
--- a/tests/fleet_world.py
+++ b/tests/fleet_world.py
@@ -25,6 +25,7 @@
 from thorncleat_gateway.store.serving import ServingConfiguration
 from thorncleat_gateway.store.view import StoreView
 
+from .fake_bodies import WholeBody
 from .group_store import Store
 from .group_store import StoreClient
 
@@ -62,7 +63,8 @@
         self._params = params
         self._timeout = timeout
         self.status = 0
-        self._body = b""
+        self.content_length = None
+        self.content = WholeBody(b"")
 
     async def __aenter__(self):
         async with asyncio.timeout(self._timeout.total):
@@ -75,15 +77,12 @@
             request = _Request(self._url.path, dict(self._params), self._caller.host)
             response = await relay.server.handle(request)
             await asyncio.sleep(LATENCY_SECONDS)
-            self.status, self._body = response.status, bytes(response.body or b"")
+            self.status, self.content = response.status, WholeBody(bytes(response.body or b""))
         return self
 
     async def __aexit__(self, *_error) -> None:
         pass
 
-    async def read(self) -> bytes:
-        return self._body
-
 
 class _Connections:
     """The connections of one daemon to the others."""
