Requests: an answer without end takes no memory, no caller and no group with it

Cause: three reads without a bound (a whole answer, an event that doesn't end, interim heads); and any byte counted as life of a stream, of its group and, by reports, at other daemons, so nobody left an endpoint that sends no event.

Change: - An answer is held up to 1 MiB, all held answers up to an eighth of the memory (answer_budget), as without bound before; so a failed attempt leaves nothing at the caller. A larger one with a stated length is passed on as it comes, no faster than its caller reads, and ends as cut at 64 MiB or when the request's time is over. - A larger one without a stated length may have no end. If the request may run again and there is a token, it goes to another endpoint, and what comes then is passed on. Once a large answer of the service has come to its end, no further request does so: else each large sound answer would take a token. - More than 64 MiB are refused by the head that states them. An endpoint that exceeds a bound is avoided as one with a refused connection is (1 to 8 s); the attempt counts as one that may have run, so 502 and never 503. - An incomplete event is held up to 1 MiB within the same budget, and each byte of it is searched once. - Only whole events are life of a stream, and contacts with its endpoint.

Tests: `PlainForwarder.serve` passes the answer on itself, so the worlds in virtual time give it their caller; `test_failed_answer_is_passed_on_though...` compares what the caller got in place of what was returned.

--- a/packages/gateway/src/thorncleat_gateway/exceptions.py
+++ b/packages/gateway/src/thorncleat_gateway/exceptions.py
@@ -98,6 +98,7 @@
     :param is_own_fault: whether this daemon reaches no endpoint, so that the attempt says nothing
         of this one.
     :param is_hopeless: whether there is no way to any endpoint, so that no further attempt helps.
+    :param is_unbounded: whether the endpoint sent more than any sound answer has.
     """
 
     def __init__(
@@ -108,6 +109,7 @@
         sent: bool = True,
         is_own_fault: bool = False,
         is_hopeless: bool = False,
+        is_unbounded: bool = False,
         broken: ConnectionBreak | None = None,
         retry_after: float | None = None,
     ) -> None:
@@ -117,6 +119,7 @@
         self.sent = sent
         self.is_own_fault = is_own_fault
         self.is_hopeless = is_hopeless
+        self.is_unbounded = is_unbounded
         self.broken = broken
         self.retry_after = retry_after
 
--- a/packages/gateway/src/thorncleat_gateway/gateway.py
+++ b/packages/gateway/src/thorncleat_gateway/gateway.py
@@ -226,6 +226,8 @@
         self.metrics.add_utilization(self._control.controller.utilizations)
         add("relayed_answers", "Given to other daemons", lambda: self._relay_server.answered_count)
 
+        add("answer_bytes_held", "Of endpoints", self._answer_bytes_held)
+
         if self._settings.overload_control:
             self._add_overload_gauges()
 
@@ -253,6 +255,10 @@
     def _pool(self) -> ConnectionPool | None:
         return self._request_services.pool if self._request_services is not None else None
 
+    def _answer_bytes_held(self) -> int:
+        services = self._request_services
+        return services.answers.held if services is not None else 0
+
     @property
     def _bodies(self) -> BodyBudget | None:
         return self._frontend.bodies if self._frontend is not None else None
--- a/packages/gateway/src/thorncleat_gateway/requests/caller_response.py
+++ b/packages/gateway/src/thorncleat_gateway/requests/caller_response.py
@@ -11,6 +11,27 @@
 from ..ports import Headers
 
 
+class CallerStream(t.Protocol):
+    """The caller's side of a streamed answer."""
+
+    @property
+    def has_begun(self) -> bool:
+        """Whether the caller has got the head."""
+        ...
+
+    async def begin(self, status: int, headers: Headers) -> None:
+        """Send the status and the headers."""
+        ...
+
+    async def write(self, data: bytes) -> None:
+        """Send bytes."""
+        ...
+
+    async def end(self) -> None:
+        """Complete the answer."""
+        ...
+
+
 class CallerResponse:
     """An answer that is being sent to a caller.
 
--- a/packages/gateway/src/thorncleat_gateway/requests/endpoint_client.py
+++ b/packages/gateway/src/thorncleat_gateway/requests/endpoint_client.py
@@ -14,6 +14,7 @@
 import aiohttp
 from yarl import URL
 
+from thorncleat_core.bounded_answers import TooManyHeadsError
 from thorncleat_core.single_send import is_connection_lost
 
 from ..exceptions import AttemptError
@@ -28,6 +29,7 @@
 from ..tunnels.connector import AttemptPath
 from ..tunnels.connector import current_path
 from . import kept_connections
+from .answer_budget import HeldBytes
 from .connection_pool import ConnectionPool
 from .connection_pool import ConnectionUse
 from .endpoint_connection import EndpointConnection
@@ -45,6 +47,11 @@
 }
 # Answers with this status or a higher one carry no result, so they need no signature.
 MIN_UNSIGNED_STATUS = 400
+# Bytes of the body of one answer, which are passed on while they come.
+MAX_ANSWER_BYTES = 64 << 20
+# Logged causes of failed attempts.
+TOO_LARGE = "too large an answer"
+MIXED = "answer of another request"
 
 
 def create_session(connector: aiohttp.TCPConnector | None = None) -> aiohttp.ClientSession:
@@ -66,11 +73,16 @@
 
 @dataclasses.dataclass(frozen=True)
 class EndpointAnswer:
-    """An endpoint's complete answer."""
+    """An endpoint's answer.
+
+    :param body: the complete body, or the first part of a large one.
+    :param is_whole: whether the body is complete.
+    """
 
     status: int
     headers: Headers
     body: bytes
+    is_whole: bool = True
 
     @property
     def is_failure(self) -> bool:
@@ -83,6 +95,7 @@
 
     :param path: how the attempt was connected.
     :param use: the use of a connection of the pool, or None.
+    :ivar size: bytes of the body that were read.
     """
 
     def __init__(
@@ -96,6 +109,12 @@
         self._codec = codec
         self._path = path
         self._use = use
+        self.size = 0
+
+    @property
+    def stated_length(self) -> int | None:
+        """The bytes of the body that the head states; None if it doesn't."""
+        return self._response.content_length
 
     @property
     def status(self) -> int:
@@ -107,35 +126,41 @@
         """The endpoint's headers that the caller gets."""
         return self._codec.for_caller(self.status, list(self._response.headers.items()))
 
-    async def read_body(self) -> bytes:
-        """Return the complete body.
-
-        :raises AttemptError: if the connection broke before its end, or another answer came in it.
-        """
-        try:
-            body = await self._response.read()
-        except (aiohttp.ClientError, ConnectionError) as error:
-            raise _cut_error(error, self._path) from error
-        if self._use is not None and self._use.is_mixed:
-            raise AttemptError("answer of another request", Executed.MAYBE)
-        return body
-
-    async def read(self) -> EndpointAnswer:
-        """Return the complete answer.
+    async def read(self, held: HeldBytes) -> EndpointAnswer:
+        """Return the answer, with as much of its body as may be held.
 
-        :raises AttemptError: if the connection broke before its end.
+        :param held: the memory for it.
+        :raises AttemptError: as :meth:`read_chunk`.
         """
-        return EndpointAnswer(self.status, self.headers, await self.read_body())
+        chunks: list[bytes] = []
+        is_whole = False
+        while not is_whole and held.resize(self.size):
+            chunk = await self.read_chunk()
+            chunks.append(chunk)
+            is_whole = not chunk
+        return EndpointAnswer(self.status, self.headers, b"".join(chunks), is_whole)
 
     async def read_chunk(self) -> bytes:
         """Return the next bytes of the body as they arrive; none at its end.
 
-        :raises AttemptError: if the connection broke before its end.
+        :raises AttemptError: if the connection broke before its end, another answer came in it, or
+            there are more bytes than any answer has.
         """
         try:
-            return await self._response.content.readany()
+            chunk = await self._response.content.readany()
         except (aiohttp.ClientError, ConnectionError) as error:
             raise _cut_error(error, self._path) from error
+        if self._use is not None and self._use.is_mixed:
+            raise AttemptError(MIXED, Executed.MAYBE)
+        self.size += len(chunk)
+        if self.size > MAX_ANSWER_BYTES:
+            raise too_large()
+        return chunk
+
+
+def too_large() -> AttemptError:
+    """Return the error of an attempt whose answer is larger than it may be."""
+    return AttemptError(TOO_LARGE, Executed.MAYBE, is_unbounded=True)
 
 
 def _cut_error(error: Exception, path: AttemptPath) -> AttemptError:
@@ -292,7 +317,10 @@
             is_broken = is_connection_lost(error) and not path.is_carrier_lost
             broken = ConnectionBreak.BEFORE_HEAD if is_broken else None
             cause = f"no answer: {type(error).__name__}"
-            raise AttemptError(cause, Executed.MAYBE, broken=broken) from error
+            is_unbounded = isinstance(error, TooManyHeadsError)
+            raise AttemptError(
+                cause, Executed.MAYBE, broken=broken, is_unbounded=is_unbounded
+            ) from error
         finally:
             current_path.reset(token)
         self._count(use)
@@ -330,7 +358,7 @@
     ) -> None:
         meta = self._codec.read_answer(response.status, response.headers)
         if meta.request_id is not None and meta.request_id != request.meta.id:
-            raise AttemptError("answer of another request", Executed.MAYBE)
+            raise AttemptError(MIXED, Executed.MAYBE)
         # On a used connection, an answer without an id may be a second one to an earlier request.
         # What the endpoint says of itself holds nonetheless, but it doesn't end a limit.
         is_doubtful = use is not None and use.is_reused and meta.request_id is None
@@ -341,8 +369,7 @@
         if self._pool is not None and meta.request_id is None and not meta.misdirected:
             self._pool.record_missing_id(endpoint)
         if is_doubtful:
-            cause = "answer of another request"
-            raise AttemptError(cause, Executed.MAYBE, retry_after=meta.retry_after)
+            raise AttemptError(MIXED, Executed.MAYBE, retry_after=meta.retry_after)
         if meta.not_run:
             if use is not None:
                 self._settle(use, response, request)
@@ -350,6 +377,8 @@
             raise AttemptError(cause, Executed.NO, retry_after=meta.retry_after)
         if meta.encoded or (not meta.signed and response.status < MIN_UNSIGNED_STATUS):
             raise AttemptError("not the endpoint's own answer", Executed.MAYBE)
+        if request.method != "HEAD" and (response.content_length or 0) > MAX_ANSWER_BYTES:
+            raise too_large()
 
     def _settle(
         self, use: ConnectionUse, response: aiohttp.ClientResponse, request: Request
@@ -378,15 +407,3 @@
     return AttemptError(
         failure.cause, Executed.MAYBE, broken=broken, retry_after=failure.retry_after
     )
-
-
-async def complete_within(seconds: float, work: t.Awaitable[t.Any]) -> t.Any:
-    """Return the result of an attempt's work.
-
-    :param seconds: the timeout.
-    :raises AttemptError: if the work takes longer.
-    """
-    try:
-        return await asyncio.wait_for(work, max(0.0, seconds))
-    except TimeoutError:
-        raise AttemptError(f"no answer in {seconds:.3f} s", Executed.MAYBE) from None
--- a/packages/gateway/src/thorncleat_gateway/requests/endpoint_connection.py
+++ b/packages/gateway/src/thorncleat_gateway/requests/endpoint_connection.py
@@ -10,6 +10,7 @@
 import aiohttp
 from aiohttp.client_proto import ResponseHandler
 
+from thorncleat_core.bounded_answers import BoundedConnection
 from thorncleat_core.single_send import prevent_resend
 
 from ..socket_options import abort_with_reset
@@ -18,7 +19,7 @@
 SKIPPED_HEADERS = ("Accept", "Accept-Encoding", "User-Agent", "Content-Type")
 
 
-class EndpointConnection(ResponseHandler):
+class EndpointConnection(BoundedConnection):
     """A connection to an endpoint, which handles resets more strictly than the client library.
 
     A reset fails an answer without a length, which the library would take for complete. Closing the
--- a/packages/gateway/src/thorncleat_gateway/requests/event_stream.py
+++ b/packages/gateway/src/thorncleat_gateway/requests/event_stream.py
@@ -20,11 +20,15 @@
     """Extracts the whole events with rising ids.
 
     An attempt that resumes at another endpoint may repeat the last events; those are dropped.
+
+    :ivar whole_count: number of whole events, with the repeated ones.
+    :ivar event_count: number of events with rising ids.
     """
 
     def __init__(self) -> None:
-        self._incomplete = b""
+        self._incomplete = bytearray()
         self.last_id: str | None = None
+        self.whole_count = 0
         self.event_count = 0
 
     @property
@@ -32,14 +36,28 @@
         """Whether an incomplete event has been received."""
         return bool(self._incomplete)
 
+    @property
+    def incomplete_size(self) -> int:
+        """Bytes of the incomplete event."""
+        return len(self._incomplete)
+
     def feed(self, data: bytes) -> bytes:
         """Add bytes and return the whole events that may be passed on."""
-        *events, self._incomplete = (self._incomplete + data).split(BOUNDARY)
+        # What was searched before isn't searched again, but for the first byte of a boundary.
+        searched = max(0, len(self._incomplete) - len(BOUNDARY) + 1)
+        self._incomplete += data
+        end = self._incomplete.rfind(BOUNDARY, searched)
+        if end < 0:
+            return b""
+        whole = bytes(self._incomplete[:end])
+        del self._incomplete[: end + len(BOUNDARY)]
+        events = whole.split(BOUNDARY)
+        self.whole_count += len(events)
         return b"".join(event + BOUNDARY for event in events if self._is_next(event))
 
     def restart(self) -> None:
         """Drop an incomplete event before another attempt resumes."""
-        self._incomplete = b""
+        self._incomplete.clear()
 
     def _is_next(self, event: bytes) -> bool:
         new_id = event_id(event)
--- a/packages/gateway/src/thorncleat_gateway/requests/forwarder.py
+++ b/packages/gateway/src/thorncleat_gateway/requests/forwarder.py
@@ -13,6 +13,7 @@
 from ..store.roster import Endpoint
 from . import request_log
 from . import retry_policy
+from .answer_budget import AnswerBudget
 from .crash_watch import CrashWatch
 from .endpoint_client import EndpointClient
 from .endpoint_selector import EndpointSelector
@@ -26,6 +27,7 @@
 
     :param clock: monotonic, in seconds.
     :param overload_control: None to admit all requests.
+    :param answers: the memory for endpoints' answers; None for a budget of its own.
     """
 
     def __init__(
@@ -38,6 +40,7 @@
         crash_watch: CrashWatch,
         clock: t.Callable[[], float],
         overload_control: OverloadControl | None = None,
+        answers: AnswerBudget | None = None,
     ) -> None:
         self._endpoint_client = endpoint_client
         self._selector = selector
@@ -47,6 +50,7 @@
         self._crash_watch = crash_watch
         self._clock = clock
         self._overload_control = overload_control
+        self._answers = answers or AnswerBudget()
 
     def _count_request(self, request: Request) -> None:
         """Count a caller's request towards the retry budget of its service."""
--- a/packages/gateway/src/thorncleat_gateway/requests/frontend.py
+++ b/packages/gateway/src/thorncleat_gateway/requests/frontend.py
@@ -192,12 +192,7 @@
         if request.route.kind is RouteKind.STREAMING:
             await self._streams.serve(request, caller)
             return
-        answer = await self._plain.serve(request)
-        length = ("Content-Length", str(len(answer.body)))
-        await caller.begin(answer.status, [*answer.headers, length])
-        if answer.body:
-            await caller.write(answer.body)
-        await caller.end()
+        await self._plain.serve(request, caller)
 
 
 async def _read_body(request: web.BaseRequest, limit: int, held: HeldBody) -> bytes:
--- a/packages/gateway/src/thorncleat_gateway/requests/plain.py
+++ b/packages/gateway/src/thorncleat_gateway/requests/plain.py
@@ -1,12 +1,18 @@
-"""Forwards requests of routes without streams, and returns complete answers.
+"""Forwards requests of routes without streams, and passes complete answers on.
+
+An answer is held until it is whole, so that a failed attempt leaves nothing at the caller. One that
+is too large for that is passed on as it comes.
 
 Owns: nothing; the state of a request is in :mod:`.request`.
 Relies on: :mod:`.retry_policy` to decide after a failed attempt, and :mod:`.endpoint_selector` to
 choose the endpoint.
 """
 
+import asyncio
+import contextlib
 import typing as t
 
+from ..exceptions import AnswerAbortedError
 from ..exceptions import AttemptError
 from ..exceptions import EndpointNotAcceptingError
 from ..exceptions import Executed
@@ -14,9 +20,14 @@
 from ..store.roster import Endpoint
 from . import request_log
 from . import retry_policy
+from .answer_budget import HeldBytes
+from .caller_response import CallerStream
 from .endpoint_client import EndpointAnswer
-from .endpoint_client import complete_within
+from .endpoint_client import Exchange
+from .endpoint_client import too_large
 from .forwarder import Forwarder
+from .passing_on import pass_on_large
+from .passing_on import pass_on_whole
 from .refusal import Refusal
 from .request import Request
 from .retry_policy import NextStep
@@ -27,13 +38,31 @@
 class PlainForwarder(Forwarder):
     """Sends requests to the endpoints of plain services."""
 
-    async def serve(self, request: Request) -> EndpointAnswer:
-        """Return an endpoint's answer.
+    def __init__(self, *parts: t.Any, **options: t.Any) -> None:
+        super().__init__(*parts, **options)
+        # Services of which a large answer has come to its end.
+        self._large_answer_services: set[str] = set()
+
+    async def serve(self, request: Request, caller: CallerStream) -> None:
+        """Pass an endpoint's answer on.
 
         :raises RefusalError: if there is none, or the request is quarantined.
+        :raises AnswerAbortedError: if a part was passed on and the rest can't be.
         """
         self._admit(request)
         self._count_request(request)
+        with self._answers.hold() as held:
+            answer = await self._find_answer(request, caller, held)
+            if answer.is_whole:
+                await pass_on_whole(answer, caller)
+
+    async def _find_answer(
+        self, request: Request, caller: CallerStream, held: HeldBytes
+    ) -> EndpointAnswer:
+        """Make attempts until there is an answer; a large one has been passed on then.
+
+        :param held: the memory for the answer.
+        """
         answer: EndpointAnswer | None = None
         while True:
             if answer is not None and self._crash_watch.quarantine_seconds_left(request):
@@ -44,14 +73,9 @@
             if endpoint is None:
                 return self._resolve(self._without_endpoint(request, answer), answer)
             try:
-                answer = await self._attempt(request, endpoint)
-                self._detector.record_contact(endpoint.id, self._clock())
-                self._selector.record_result(endpoint, succeeded=not answer.is_failure)
-                self._crash_watch.record_answer_started(endpoint, request.sent_at)
-                if not answer.is_failure:
-                    self._record_served(request, endpoint, NO_MODEL)
-                    return answer
-                if not self._can_try_elsewhere(request):
+                answer = await self._attempt(request, endpoint, caller, held)
+                self._record_answer(request, endpoint, answer)
+                if not answer.is_failure or not self._can_try_elsewhere(request):
                     return answer
                 failure = AttemptError(f"status {answer.status}", Executed.MAYBE)
             except EndpointNotAcceptingError:
@@ -61,11 +85,12 @@
             except AttemptError as error:
                 failure = error
                 self._selector.record_result(endpoint, succeeded=False)
-                if not failure.sent and not failure.is_own_fault:
+                if failure.is_unbounded or (not failure.sent and not failure.is_own_fault):
                     self._selector.avoid(endpoint)
-            decision = self._after_failure(
-                request, endpoint, failure, has_failed_answer=answer is not None
-            )
+            self._record_failure(request, endpoint, failure)
+            if caller.has_begun:
+                raise AnswerAbortedError(failure.cause)
+            decision = self._after_failure(request, failure, has_failed_answer=answer is not None)
             if decision is not NextStep.RETRY:
                 return self._resolve(decision, answer)
 
@@ -108,18 +133,23 @@
             pause_left=endpoints.pause_left(),
         )
 
-    def _after_failure(
-        self,
-        request: Request,
-        endpoint: Endpoint,
-        failure: AttemptError,
-        *,
-        has_failed_answer: bool,
-    ) -> PlainDecision:
+    def _record_answer(self, request: Request, endpoint: Endpoint, answer: EndpointAnswer) -> None:
+        self._detector.record_contact(endpoint.id, self._clock())
+        self._selector.record_result(endpoint, succeeded=not answer.is_failure)
+        self._crash_watch.record_answer_started(endpoint, request.sent_at)
+        if not answer.is_failure:
+            self._record_served(request, endpoint, NO_MODEL)
+
+    def _record_failure(self, request: Request, endpoint: Endpoint, failure: AttemptError) -> None:
         # A plain service sends nothing before its answer, so every sent attempt counts.
         request.record_failure(endpoint, failure, counted=failure.sent)
         self._crash_watch.record_failure(request, endpoint, failure)
         request_log.failed(request, endpoint, failure, self._clock())
+
+    def _after_failure(
+        self, request: Request, failure: AttemptError, *, has_failed_answer: bool
+    ) -> PlainDecision:
+        """Decide how a request proceeds after a failed attempt."""
         return retry_policy.after_plain_failure(
             failure,
             request.attempts_used(self._clock()),
@@ -143,18 +173,54 @@
         is_late = self._clock() >= request.give_up_at
         return retry_policy.can_try_elsewhere(request.route, request.sends, is_late=is_late)
 
-    async def _attempt(self, request: Request, endpoint: Endpoint) -> EndpointAnswer:
+    async def _attempt(
+        self, request: Request, endpoint: Endpoint, caller: CallerStream, held: HeldBytes
+    ) -> EndpointAnswer:
+        """Return an answer; a large one has been passed on.
+
+        :raises AttemptError: if there is none in time.
+        """
         left = request.give_up_at - self._clock()
         elsewhere = self._can_try_elsewhere(request)
         seconds = retry_policy.attempt_seconds(request.route, left, elsewhere=elsewhere)
+        loop = asyncio.get_running_loop()
+        began_at = loop.time()
         with self._track(request, endpoint, NO_MODEL):
-            answer: EndpointAnswer = await complete_within(
-                seconds, self._exchange(request, endpoint)
-            )
-        return answer
-
-    async def _exchange(self, request: Request, endpoint: Endpoint) -> EndpointAnswer:
-        request.sent_at = self._clock()
-        meta = request.forward_meta(endpoint, request.sent_at, request.meta.last_event_id)
-        async with self._endpoint_client.open(endpoint, request, meta) as exchange:
-            return await exchange.read()
+            async with _attempt_timeout(seconds) as scope:
+                request.sent_at = self._clock()
+                meta = request.forward_meta(endpoint, request.sent_at, request.meta.last_event_id)
+                async with self._endpoint_client.open(endpoint, request, meta) as exchange:
+                    answer = await exchange.read(held)
+                    if answer.is_whole:
+                        return answer
+                    if answer.is_failure or (elsewhere and self._may_be_endless(request, exchange)):
+                        raise too_large()
+                    scope.reschedule(began_at + left)
+                    await pass_on_large(answer, exchange, caller)
+                    self._large_answer_services.add(request.service.name)
+                    return answer
+
+    def _may_be_endless(self, request: Request, exchange: Exchange) -> bool:
+        """Return whether a large answer may have no end, and reserve a retry if so.
+
+        A request that can't be sent again gets it as it comes.
+        """
+        if exchange.stated_length is not None:
+            return False
+        if request.service.name in self._large_answer_services:
+            return False
+        request.has_token = self._retry_budgets.take_token(request.service.name)
+        return request.has_token
+
+
+@contextlib.asynccontextmanager
+async def _attempt_timeout(seconds: float) -> t.AsyncIterator[asyncio.Timeout]:
+    """Bound the time of an attempt; what is returned may change it.
+
+    :raises AttemptError: if the time is over.
+    """
+    try:
+        async with asyncio.timeout(max(0.0, seconds)) as scope:
+            yield scope
+    except TimeoutError:
+        raise AttemptError(f"no answer in {seconds:.3f} s", Executed.MAYBE) from None
--- a/packages/gateway/src/thorncleat_gateway/requests/request_services.py
+++ b/packages/gateway/src/thorncleat_gateway/requests/request_services.py
@@ -21,6 +21,7 @@
 from ..tunnels.endpoint_paths import EndpointPaths
 from . import endpoint_client
 from . import kept_connections
+from .answer_budget import AnswerBudget
 from .connection_pool import ConnectionPool
 from .crash_reporter import CrashReporter
 from .crash_watch import CrashWatch
@@ -72,6 +73,7 @@
     """The services of the path of a request, created within a running event loop.
 
     :param pool: connections that carry several attempts; None without overload control.
+    :param answers: the memory for endpoints' answers.
     :param frontend: answers callers' requests.
     """
 
@@ -80,6 +82,7 @@
         connector = dependencies.paths.create_connector(**endpoint_client.CONNECTOR_OPTIONS)
         self._session = endpoint_client.create_session(connector)
         self.pool = self._create_pool() if dependencies.settings.overload_control else None
+        self.answers = AnswerBudget(dependencies.settings.memory)
         self.frontend = self._create_frontend()
 
     def _create_pool(self) -> ConnectionPool:
@@ -113,6 +116,7 @@
             self._create_crash_watch(),
             dependencies.clock,
             self._create_overload_control() if dependencies.settings.overload_control else None,
+            self.answers,
         )
         return Frontend(
             dependencies.settings,
--- a/packages/gateway/src/thorncleat_gateway/requests/streams.py
+++ b/packages/gateway/src/thorncleat_gateway/requests/streams.py
@@ -6,7 +6,6 @@
 """
 
 import asyncio
-import typing as t
 
 from ..exceptions import AttemptError
 from ..exceptions import ConnectionBreak
@@ -14,15 +13,19 @@
 from ..exceptions import Executed
 from ..exceptions import RefusalError
 from ..peers.failure_detector import StreamAttempt
-from ..ports import Headers
 from ..store.roster import Endpoint
 from . import request_log
 from . import retry_policy
 from . import service_endpoints
+from .answer_budget import HeldBytes
+from .caller_response import CallerStream
 from .endpoint_client import EndpointAnswer
 from .endpoint_client import Exchange
+from .endpoint_client import too_large
 from .event_stream import EventSplitter
 from .forwarder import Forwarder
+from .passing_on import pass_on_large
+from .passing_on import pass_on_whole
 from .request import Request
 from .retry_policy import NextStep
 from .retry_policy import StreamDecision
@@ -32,27 +35,6 @@
 GROUP_POLL_INTERVAL_SECONDS = 0.05
 
 
-class CallerStream(t.Protocol):
-    """The caller's side of a streamed answer."""
-
-    @property
-    def has_begun(self) -> bool:
-        """Whether the caller has got the head."""
-        ...
-
-    async def begin(self, status: int, headers: Headers) -> None:
-        """Send the status and the headers."""
-        ...
-
-    async def write(self, data: bytes) -> None:
-        """Send bytes."""
-        ...
-
-    async def end(self) -> None:
-        """Complete the answer."""
-        ...
-
-
 class StreamForwarder(Forwarder):
     """Serves streamed requests from the groups or the plain endpoints of a service."""
 
@@ -66,13 +48,14 @@
         self._admit(request, endpoints)
         self._count_request(request)
         failed_answers: list[EndpointAnswer] = []
-        try:
-            await self._serve(request, endpoints, caller, failed_answers)
-        except RefusalError:
-            if not failed_answers or caller.has_begun:
-                raise
-            # An endpoint's failed answer is more useful to the caller than a refusal.
-            await _pass_on(failed_answers[-1], caller)
+        with self._answers.hold() as held:
+            try:
+                await self._serve(request, endpoints, caller, held, failed_answers)
+            except RefusalError:
+                if not failed_answers or caller.has_begun:
+                    raise
+                # An endpoint's failed answer is more useful to the caller than a refusal.
+                await pass_on_whole(failed_answers[-1], caller)
 
     def _admit(self, request: Request, endpoints: ServiceEndpoints) -> None:
         """Check before the first attempt that the endpoints have capacity for a request.
@@ -89,10 +72,12 @@
         request: Request,
         endpoints: ServiceEndpoints,
         caller: CallerStream,
+        held: HeldBytes,
         failed_answers: list[EndpointAnswer],
     ) -> None:
         """Make attempts until an answer is passed on.
 
+        :param held: the memory for what isn't passed on yet.
         :param failed_answers: collects the answers with a failure status.
         """
         splitter = EventSplitter()
@@ -100,7 +85,7 @@
             endpoint = await self._choose_endpoint(request, endpoints, caller)
             request.expected = endpoints.expect(endpoint)
             try:
-                answer = await self._attempt(request, endpoint, endpoints, splitter, caller)
+                answer = await self._attempt(request, endpoint, endpoints, splitter, caller, held)
                 if answer is None:
                     self._selector.record_result(endpoint, succeeded=True)
                     self._record_served(request, endpoint, endpoints.model)
@@ -136,6 +121,8 @@
         if failure.is_own_fault:
             # The failure says nothing of the endpoint.
             pass
+        elif failure.is_unbounded:
+            self._selector.avoid(endpoint)
         elif not failure.sent:
             self._selector.avoid(endpoint)
             self._detector.suspect(endpoint, failure.cause)
@@ -208,6 +195,7 @@
         endpoints: ServiceEndpoints,
         splitter: EventSplitter,
         caller: CallerStream,
+        held: HeldBytes,
     ) -> EndpointAnswer | None:
         """Pass an answer on, or return it if it has a failure status."""
         loop = asyncio.get_running_loop()
@@ -224,7 +212,7 @@
                         allowance=endpoints.silence_allowance(),
                     )
                     self._detector.watch(attempt)
-                    return await self._exchange(request, attempt, splitter, caller)
+                    return await self._exchange(request, attempt, splitter, caller, held)
             except TimeoutError:
                 abort_cause = attempt.abort_cause if attempt is not None else ""
                 raise AttemptError(
@@ -253,6 +241,7 @@
         attempt: StreamAttempt,
         splitter: EventSplitter,
         caller: CallerStream,
+        held: HeldBytes,
     ) -> EndpointAnswer | None:
         endpoint = attempt.leader
         request.endpoint_id = endpoint.id
@@ -267,8 +256,8 @@
             self._detector.record_contact(endpoint.id, request.head_at)
             self._crash_watch.record_answer_started(endpoint, request.sent_at)
             if exchange.status != 200:
-                return await self._pass_on_whole(exchange, caller)
-            await self._relay(request, exchange, attempt, splitter, caller)
+                return await self._pass_on_other(exchange, caller, held)
+            await self._relay(request, exchange, attempt, splitter, caller, held)
             return None
 
     async def _relay(
@@ -278,14 +267,23 @@
         attempt: StreamAttempt,
         splitter: EventSplitter,
         caller: CallerStream,
+        held: HeldBytes,
     ) -> None:
+        """Pass events on as they come.
+
+        Only whole events show that the endpoint goes on with the stream; one that is out of order
+        may send bytes for as long as somebody reads them.
+        """
         gaps = GapMeter()
         while data := await exchange.read_chunk():
             now = self._clock()
-            attempt.record_event(now)
-            self._detector.record_contact(attempt.leader.id, now)
-            earlier_events = splitter.event_count
+            earlier_whole, earlier_events = splitter.whole_count, splitter.event_count
             events = splitter.feed(data)
+            if splitter.whole_count > earlier_whole:
+                attempt.record_event(now)
+                self._detector.record_contact(attempt.leader.id, now)
+            if not held.resize(splitter.incomplete_size):
+                raise too_large()
             if not events:
                 continue
             self._record_times(
@@ -316,8 +314,8 @@
         if gap is not None and engine is not None:
             self._selector.record_gap(attempt.leader, engine, model, gap)
 
-    async def _pass_on_whole(
-        self, exchange: Exchange, caller: CallerStream
+    async def _pass_on_other(
+        self, exchange: Exchange, caller: CallerStream, held: HeldBytes
     ) -> EndpointAnswer | None:
         """Pass on an answer that isn't a stream, or return it if it has a failure status.
 
@@ -325,14 +323,13 @@
         """
         if caller.has_begun:
             raise AttemptError(f"status {exchange.status}", Executed.MAYBE)
-        answer = await exchange.read()
+        answer = await exchange.read(held)
+        if answer.is_failure and not answer.is_whole:
+            raise too_large()
         if answer.is_failure:
             return answer
-        await _pass_on(answer, caller)
+        if answer.is_whole:
+            await pass_on_whole(answer, caller)
+        else:
+            await pass_on_large(answer, exchange, caller)
         return None
-
-
-async def _pass_on(answer: EndpointAnswer, caller: CallerStream) -> None:
-    await caller.begin(answer.status, answer.headers)
-    await caller.write(answer.body)
-    await caller.end()
--- a/packages/standins/src/thorncleat_standins/platform_worker.py
+++ b/packages/standins/src/thorncleat_standins/platform_worker.py
@@ -73,6 +73,8 @@
     :ivar end_within_event: number of the event within which streams end, without a length and as if
         they were whole, except resumed ones; None for never.
     :ivar reset_body: whether connections are reset in the middle of an answer without a length.
+    :ivar body: body of the answers without events; empty for one that repeats the request's.
+    :ivar is_chunked: whether it is sent in chunks.
     :ivar failure_status: HTTP status for all requests; 0 to serve them.
     :ivar refusal_retry_after: value of the Retry-After header of refusals, empty to omit the
         header; None to refuse nothing.
@@ -107,6 +109,8 @@
         self.cut_after: int | None = None
         self.end_within_event: int | None = None
         self.reset_body = False
+        self.body = b""
+        self.is_chunked = False
         self.failure_status = 0
         self.refusal_retry_after: str | None = None
         self.limit: str | None = None
@@ -332,7 +336,10 @@
             return await self._run_stream(request, headers)
         if self.reset_body:
             return await self._reset_midway(request, headers)
-        return web.Response(headers=headers, body=b"answer to " + body)
+        response = web.Response(headers=headers, body=self.body or b"answer to " + body)
+        if self.is_chunked:
+            response.enable_chunked_encoding()
+        return response
 
     async def _run_stream(
         self, request: web.BaseRequest, headers: dict[str, str]
--- a/tests/crash_world.py
+++ b/tests/crash_world.py
@@ -154,7 +154,10 @@
         self._number += 1
         return b"id: %d\ndata: x\n\n" % self._number
 
-    async def read(self) -> EndpointAnswer:
+    def may_hold_another_answer(self, data) -> bool:
+        return False
+
+    async def read(self, held) -> EndpointAnswer:
         return EndpointAnswer(200, (), b"whole")
 
 
@@ -255,12 +258,13 @@
         self.has_begun = False
         self.whole = False
         self.status = 0
+        self.body = b""
 
     async def begin(self, status, headers) -> None:
         self.has_begun, self.status = True, status
 
     async def write(self, data) -> None:
-        pass
+        self.body += data
 
     async def end(self) -> None:
         self.whole = True
@@ -315,7 +319,8 @@
         caller = Caller()
         try:
             if self.world.size.plain:
-                return (await self.plain.serve(request)).status
+                await self.plain.serve(request, caller)
+                return caller.status
             await self.streams.serve(request, caller)
             return caller.status
         except AnswerAbortedError:
--- a/tests/keeping_endpoint.py
+++ b/tests/keeping_endpoint.py
@@ -8,6 +8,7 @@
 
 from thorncleat_gateway.ports import RequestMeta
 from thorncleat_gateway.requests import kept_connections
+from thorncleat_gateway.requests.answer_budget import AnswerBudget
 from thorncleat_gateway.requests.connection_pool import ConnectionPool
 from thorncleat_gateway.requests.endpoint_client import EndpointClient
 from thorncleat_gateway.requests.endpoint_client import create_session
@@ -37,6 +38,10 @@
     return f"{head}Content-Length: {len(body)}\r\n\r\n".encode() + body
 
 
+# Events that an answer may carry with a stated length.
+EVENTS = b"".join(b"id: %d\ndata: event %d\n\n" % (number, number) for number in range(1, 41))
+
+
 class KeepingEndpoint:
     """Answers requests by the next of its actions, and plainly if there is none.
 
@@ -127,9 +132,19 @@
         """Send another answer between the head and the body of this one."""
         await self._send_parts(writer, id, answer("a"), b"")
 
-    async def _send_parts(self, writer, id, before: bytes, after: bytes) -> None:
+    async def _do_events(self, writer, number, id) -> None:
+        await self._send_parts(writer, id, b"", b"", EVENTS)
+
+    async def _do_interrupted_events(self, writer, number, id) -> None:
+        """Send another answer after an event of this one, and then nothing for a while."""
+        first = EVENTS[: EVENTS.index(b"id: 2")]
+        late = answer("a", b"id: 2\ndata: of another\n\n")
+        head, _, _ = answer(id, EVENTS).partition(b"\r\n\r\n")
+        writer.write(head + b"\r\n\r\n" + first + late)
+
+    async def _send_parts(self, writer, id, before: bytes, after: bytes, body=b"") -> None:
         """Send an answer's head, and once it was read, bytes before and after the body."""
-        head, _, body = answer(id).partition(b"\r\n\r\n")
+        head, _, body = answer(id, body).partition(b"\r\n\r\n")
         writer.write(head + b"\r\n\r\n")
         for _ in range(20):
             await asyncio.sleep(0)
@@ -189,6 +204,7 @@
         self.view = View()
         self.tokens = 10
         self.suspected = False
+        self.answers = AnswerBudget()
         self.pool: ConnectionPool | None = None
 
     async def start(self) -> None:
@@ -243,7 +259,8 @@
         async with asyncio.timeout(TIMEOUT_SECONDS):
             meta = request.forward_meta(self.endpoint, 0.0, None)
             async with self.client.open(self.endpoint, request, meta) as exchange:
-                return await exchange.read_body()
+                with self.answers.hold() as held:
+                    return (await exchange.read(held)).body
 
     async def until(self, is_true) -> None:
         deadline = time.monotonic() + TIMEOUT_SECONDS
--- a/tests/notice_endpoints.py
+++ b/tests/notice_endpoints.py
@@ -18,6 +18,8 @@
 from thorncleat_gateway.store.roster import GroupState
 from thorncleat_gateway.store.roster import Membership
 
+from .fake_bodies import WholeBody
+
 if t.TYPE_CHECKING:
     from .notice_world import NoticeWorld
 
@@ -192,14 +194,13 @@
 
 
 class Response:
+    content_length = None
+
     def __init__(self, status, headers, content) -> None:
         self.status = status
         self.headers = headers
         self.content = content
 
-    async def read(self) -> bytes:
-        return b"whole"
-
     def close(self) -> None:
         pass
 
@@ -247,7 +248,10 @@
                 await asyncio.sleep(PLAIN_RUN_SECONDS)
             signed = {**echo, "X-Thorncleat-Response-Stamp": "stamp"}
             answer_headers = worker.record_answer(self._daemon, 200, signed)
-            yield await self._respond(200, answer_headers, Content(worker, world.events()))
+            content = Content(worker, world.events())
+            if world.size.plain:
+                content = WholeBody(b"whole")
+            yield await self._respond(200, answer_headers, content)
         finally:
             worker.release_slot()
 
--- a/tests/notice_world.py
+++ b/tests/notice_world.py
@@ -222,8 +222,8 @@
         now = self.world.now
         try:
             if self.world.size.plain:
-                answer = await self.plain.serve(request)
-                return Outcome(answer.status, now(), headers=tuple(answer.headers))
+                await self.plain.serve(request, caller)
+                return Outcome(caller.status, now(), headers=tuple(caller.headers))
             await self.streams.serve(request, caller)
             return Outcome(caller.status, caller.first_at, headers=tuple(caller.headers))
         except AnswerAbortedError:
--- a/tests/test_crash_watch.py
+++ b/tests/test_crash_watch.py
@@ -18,6 +18,7 @@
 from thorncleat_gateway.store.roster import Incarnation
 
 from . import virtual_time
+from .crash_world import Caller
 from .crash_world import CrashWorld
 from .crash_world import Size
 
@@ -119,7 +120,7 @@
     daemon, request = world.daemons[0], world.request(b"body")
     failed = EndpointAnswer(500, (), b"failed")
 
-    async def fails(_request, _endpoint):
+    async def fails(_request, _endpoint, _caller, _held):
         for number in range(QUARANTINE_CRASHES):
             involved = {request.fingerprint: Involvement(RAN_POINTS, 0.0)}
             daemon.quarantine.record_crash(
@@ -128,9 +129,10 @@
         return failed
 
     daemon.plain._attempt = fails
-    answer = await daemon.plain.serve(request)
+    caller = Caller()
+    await daemon.plain.serve(request, caller)
     await world.end()
-    return answer is failed
+    return (caller.status, caller.body, caller.whole) == (failed.status, failed.body, True)
 
 
 def test_failed_answer_is_passed_on_though_the_request_is_quarantined():
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -72,6 +72,7 @@
         self.workers: list[PlatformWorker] = []
         self.frontends: list[str] = []
         self._bounds = ""
+        self._kind = PlatformWorker
         self.readiness = ""
         self.gateways: list[Gateway] = []
 
@@ -90,8 +91,9 @@
         metrics: str = "",
         daemons: int = 1,
         bounds: str = "",
+        kind: type[PlatformWorker] = PlatformWorker,
     ) -> None:
-        self._bounds = bounds
+        self._bounds, self._kind = bounds, kind
         address = await self.store.start()
         self.store.write("op/config", configuration())
         for number in range(domains * 2):
@@ -129,7 +131,7 @@
         )
 
     async def add(self, name: str, service: str, domain: str = "") -> PlatformWorker:
-        worker = PlatformWorker(self.store, name, service, domain)
+        worker = self._kind(self.store, name, service, domain)
         await worker.start()
         self.workers.append(worker)
         return worker
