Streams: another answer within a stream on a used connection is noticed

What callers would see: events of another request within their stream, if an endpoint sends a late answer on a connection that is used again, within an answer that states its length.

Cause: `ConnectionUse.is_mixed` tells it only at the end of the body, when the events have been passed on; the streams' path didn't ask it at all.

On a used connection whose answer states its length, an event that contains the beginning of an answer isn't passed on; the stream goes on elsewhere, on a new connection, where such text is an event like any other.

--- a/packages/gateway/src/thorncleat_gateway/requests/endpoint_client.py
+++ b/packages/gateway/src/thorncleat_gateway/requests/endpoint_client.py
@@ -126,6 +126,16 @@
         """The endpoint's headers that the caller gets."""
         return self._codec.for_caller(self.status, list(self._response.headers.items()))
 
+    def may_hold_another_answer(self, data: bytes) -> bool:
+        """Return whether a part of the body may be that of another answer.
+
+        On a used connection an endpoint may send an earlier answer late. Within chunks the client
+        library notices it; within a stated length it shows only at the end of the body.
+        """
+        is_reused = self._use is not None and self._use.is_reused
+        is_countable = is_reused and self.stated_length is not None
+        return is_countable and kept_connections.BEGIN_OF_ANSWER in data
+
     async def read(self, held: HeldBytes) -> EndpointAnswer:
         """Return the answer, with as much of its body as may be held.
 
@@ -235,6 +245,7 @@
         return (
             self._pool is not None
             and not is_cut_off
+            and not request.needs_new_connection
             and _may_use_kept(request)
             and self._pool.can_use(endpoint)
         )
--- a/packages/gateway/src/thorncleat_gateway/requests/request.py
+++ b/packages/gateway/src/thorncleat_gateway/requests/request.py
@@ -56,6 +56,7 @@
     :param expected: what was expected of the latest attempt; None if it isn't the first one, or
         isn't known.
     :param has_token: whether a token of the retry budget is reserved for its next attempt.
+    :param needs_new_connection: whether an earlier attempt met another answer on a used one.
     :param is_probe: whether it was let through a quarantine, for its first attempt.
     """
 
@@ -83,6 +84,7 @@
     level_priority: int | None = None
     expected: ExpectedTime | None = None
     has_token: bool = False
+    needs_new_connection: bool = False
     is_probe: bool = False
 
     @functools.cached_property
--- a/packages/gateway/src/thorncleat_gateway/requests/streams.py
+++ b/packages/gateway/src/thorncleat_gateway/requests/streams.py
@@ -19,6 +19,7 @@
 from . import service_endpoints
 from .answer_budget import HeldBytes
 from .caller_response import CallerStream
+from .endpoint_client import MIXED
 from .endpoint_client import EndpointAnswer
 from .endpoint_client import Exchange
 from .endpoint_client import too_large
@@ -286,6 +287,9 @@
                 raise too_large()
             if not events:
                 continue
+            if exchange.may_hold_another_answer(events):
+                request.needs_new_connection = True
+                raise AttemptError(MIXED, Executed.MAYBE)
             self._record_times(
                 request, attempt, gaps.record(now, splitter.event_count - earlier_events), now
             )
