thorncleatd: what is read of engines, the platform and the store has a bound

Whole answers, reports, the list of instances and the store's answers were read without a bound, an event that doesn't end was kept and searched anew at each read, and any byte counted as life of a stream, so that the time after which a silent engine is left never passed.

Change: `read_body` with 16 MiB for answers, 64 KiB for reports, 32 MiB for the list and the store; an event may have 1 MiB; only events of the request are life of its stream. Peers had a bound already (zmq.MAXMSGSIZE).

--- a/packages/daemon/src/thorncleat_daemon/completions.py
+++ b/packages/daemon/src/thorncleat_daemon/completions.py
@@ -12,6 +12,7 @@
 from aiohttp import web
 
 from thorncleat_core import clock
+from thorncleat_core.bounded_answers import read_body
 from thorncleat_core.daemon import routing
 from thorncleat_core.daemon.burn import GOOD
 from thorncleat_core.daemon.configuration import Configuration
@@ -38,6 +39,7 @@
 from .pieces import DONE
 from .pieces import find_answer_fault
 from .streams import Streams
+from .upstream import MAX_ANSWER_BYTES
 from .upstream import Upstream
 from .upstream import answer_lost_error
 
@@ -134,7 +136,7 @@
             timeout=caller.timeout(),
         ) as response:
             try:
-                text = await response.read()
+                text = await read_body(response, MAX_ANSWER_BYTES)
             except (aiohttp.ClientError, TimeoutError) as error:
                 raise answer_lost_error(url, error) from error
             check_status(response.status, text)
--- a/packages/daemon/src/thorncleat_daemon/engines.py
+++ b/packages/daemon/src/thorncleat_daemon/engines.py
@@ -5,10 +5,12 @@
 """
 
 import dataclasses
+import json
 
 import aiohttp
 
 from thorncleat_core import codec
+from thorncleat_core.bounded_answers import read_body
 from thorncleat_core.daemon.groups import InstanceReport
 from thorncleat_core.exceptions import DecodeError
 
@@ -17,6 +19,8 @@
 from .exceptions import StaleOrderError
 from .ports import Order
 
+MAX_REPORT_BYTES = 65_536
+
 
 class HttpEngines:
     """Probes engines and sends them orders over HTTP.
@@ -38,7 +42,8 @@
         try:
             async with self._session.get(url, timeout=self._timeout) as response:
                 response.raise_for_status()
-                return codec.validate(InstanceReport, await response.json())
+                body = await read_body(response, MAX_REPORT_BYTES)
+                return codec.validate(InstanceReport, json.loads(body))
         except TimeoutError as error:
             raise EndpointSilentError(f"probe of {address!r}: no answer in time") from error
         except (aiohttp.ClientError, ValueError, DecodeError) as error:
--- a/packages/daemon/src/thorncleat_daemon/pieces.py
+++ b/packages/daemon/src/thorncleat_daemon/pieces.py
@@ -12,6 +12,8 @@
 EVENT_SEPARATOR = b"\n\n"
 DATA_PREFIX = b"data: "
 DONE = b"data: [DONE]\n\n"
+# Bytes that may be held of an event which isn't complete.
+MAX_EVENT_BYTES = 1 << 20
 FINISH_MARKERS = (b'"finish_reason":"', b'"finish_reason": "')
 
 
@@ -25,7 +27,7 @@
         identity = f'"id":"chatcmpl-{request_id}"'
         self._prefix = (DATA_PREFIX + b"{" + identity.encode()).rstrip()
         self._identities = (identity.encode(), identity.replace(":", ": ", 1).encode())
-        self._partial_event = b""
+        self._partial_event = bytearray()
         # The usage event may follow the one with the finish reason, so two events are checked.
         self._last_event = b""
         self._previous_event = b""
@@ -33,6 +35,11 @@
         self.is_done = False
         self.dropped: collections.Counter[str] = collections.Counter()
 
+    @property
+    def is_too_large(self) -> bool:
+        """Whether more of an incomplete event came than any event has."""
+        return len(self._partial_event) > MAX_EVENT_BYTES
+
     def feed(self, chunk: bytes) -> bytes:
         """Check received bytes and return the complete events that belong to the request."""
         if (
@@ -48,7 +55,14 @@
         return self._feed_partial(chunk)
 
     def _feed_partial(self, chunk: bytes) -> bytes:
-        *whole, self._partial_event = (self._partial_event + chunk).split(EVENT_SEPARATOR)
+        # What was searched before isn't searched again, but for the first byte of a separator.
+        searched = max(0, len(self._partial_event) - len(EVENT_SEPARATOR) + 1)
+        self._partial_event += chunk
+        end = self._partial_event.rfind(EVENT_SEPARATOR, searched)
+        if end < 0:
+            return b""
+        whole = bytes(self._partial_event[:end]).split(EVENT_SEPARATOR)
+        del self._partial_event[: end + len(EVENT_SEPARATOR)]
         return b"".join(self._check_event(event + EVENT_SEPARATOR) for event in whole if event)
 
     def _check_event(self, event: bytes) -> bytes:
@@ -82,7 +96,7 @@
         """Drop an incomplete event before the answer is resumed in another group."""
         if self._partial_event:
             self.dropped["half_event"] += 1
-        self._partial_event = b""
+        self._partial_event.clear()
 
     @property
     def is_truncated(self) -> bool:
--- a/packages/daemon/src/thorncleat_daemon/plain.py
+++ b/packages/daemon/src/thorncleat_daemon/plain.py
@@ -12,6 +12,7 @@
 
 from thorncleat_core import clock
 from thorncleat_core import rendezvous
+from thorncleat_core.bounded_answers import read_body
 from thorncleat_core.daemon.burn import GOOD
 from thorncleat_core.daemon.configuration import Configuration
 from thorncleat_core.daemon.configuration import Service
@@ -25,6 +26,7 @@
 from .metrics import Metrics
 from .once import WholeAnswer
 from .once import run_once
+from .upstream import MAX_ANSWER_BYTES
 from .upstream import Upstream
 from .upstream import answer_lost_error
 from .upstream import end_to_end_headers
@@ -119,7 +121,7 @@
             timeout=caller.timeout(),
         ) as response:
             try:
-                body = await response.read()
+                body = await read_body(response, MAX_ANSWER_BYTES)
             except (aiohttp.ClientError, TimeoutError) as error:
                 raise answer_lost_error(url, error) from error
             content_type = response.headers.get("Content-Type", DEFAULT_CONTENT_TYPE)
--- a/packages/daemon/src/thorncleat_daemon/platform.py
+++ b/packages/daemon/src/thorncleat_daemon/platform.py
@@ -4,11 +4,13 @@
 Relies on: the platform's servers; the next one is used after a failure.
 """
 
+import json
 import typing as t
 
 import aiohttp
 import pydantic
 
+from thorncleat_core.bounded_answers import read_body
 from thorncleat_core.daemon.fleet import Instance
 from thorncleat_core.daemon.fleet import ListedInstance
 
@@ -16,6 +18,8 @@
 
 PATH = "/platform/instances"
 TIMEOUT_SECONDS = 3.0
+# The list names each instance of the fleet in a few hundred bytes.
+MAX_LIST_BYTES = 32 << 20
 NOT_MODIFIED = 304
 _ROWS = pydantic.TypeAdapter(list[ListedInstance])
 
@@ -63,7 +67,7 @@
                 if response.status == NOT_MODIFIED and cached:
                     return cached.rows
                 response.raise_for_status()
-                raw = await response.json()
+                raw = json.loads(await read_body(response, MAX_LIST_BYTES))
                 tag = response.headers.get("ETag", "")
             listed = _ROWS.validate_python(raw["instances"])
         except (aiohttp.ClientError, TimeoutError, ValueError, KeyError, TypeError) as error:
--- a/packages/daemon/src/thorncleat_daemon/splice.py
+++ b/packages/daemon/src/thorncleat_daemon/splice.py
@@ -88,7 +88,7 @@
 
     def data_received(self, data: bytes) -> None:
         """Forward the complete events that belong to the request."""
-        now = self.last_event_at = clock.now()
+        now = clock.now()
         if now >= self.until:
             permit_end = self._read_permit_end()
             if now >= permit_end:
@@ -98,6 +98,7 @@
             self.until = permit_end
         own_events = self._pieces.feed(data)
         if own_events:
+            self.last_event_at = now
             if self._sink.is_closed:
                 self._end()
                 return
@@ -105,7 +106,7 @@
             self.last_write_at = now
             if self._sink.waiting > HIGH_WATER_BYTES:
                 self._pause_engine()
-        if self._pieces.is_done:
+        if self._pieces.is_done or self._pieces.is_too_large:
             self._end()
 
     def connection_lost(self, exc: Exception | None) -> None:
--- a/packages/daemon/src/thorncleat_daemon/store.py
+++ b/packages/daemon/src/thorncleat_daemon/store.py
@@ -13,6 +13,7 @@
 import aiohttp
 
 from thorncleat_core import clock
+from thorncleat_core.bounded_answers import read_body
 from thorncleat_core.daemon.budget import Purpose
 from thorncleat_core.daemon.budget import StoreBudget
 
@@ -28,6 +29,8 @@
 
 # HTTP statuses of calls that the store did not carry out.
 REFUSED_STATUSES = frozenset({429, 503})
+# A listing of a large fleet has a few million bytes.
+MAX_ANSWER_BYTES = 32 << 20
 MAX_BUDGET_WAIT_SECONDS = 2.0
 Json = dict[str, t.Any]
 
@@ -184,7 +187,7 @@
             async with self._session.post(
                 url, json=body, timeout=self._timeout, headers=headers
             ) as response:
-                text = await response.text()
+                text = (await read_body(response, MAX_ANSWER_BYTES)).decode()
                 self._mark_answered()
                 return self._parse_answer(response.status, text)
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
--- a/packages/daemon/src/thorncleat_daemon/streams.py
+++ b/packages/daemon/src/thorncleat_daemon/streams.py
@@ -11,6 +11,8 @@
 from aiohttp import web
 
 from thorncleat_core import clock
+from thorncleat_core.bounded_answers import AnswerTooLargeError
+from thorncleat_core.bounded_answers import read_body
 from thorncleat_core.daemon.burn import GOOD
 
 from . import events
@@ -29,9 +31,11 @@
 from .invariants import Invariants
 from .metrics import Metrics
 from .pieces import DONE
+from .pieces import MAX_EVENT_BYTES
 from .pieces import Pieces
 from .splice import Sink
 from .splice import Splice
+from .upstream import MAX_ANSWER_BYTES
 from .upstream import Upstream
 from .upstream import answer_lost_error
 
@@ -143,7 +147,7 @@
             url, body, engine_headers(caller_stream.caller), call_timeout
         ) as response:
             if response.status != 200:
-                check_status(response.status, await response.read())
+                check_status(response.status, await read_body(response, MAX_ANSWER_BYTES))
             try:
                 await self._copy_first_events(caller_stream, slot, response)
                 await self._splice_connections(caller_stream, slot, response)
@@ -163,6 +167,8 @@
             # Checked before the events are counted, since unsent events must be requested again.
             self._attempts.check_permit(slot)
             own_events = caller_stream.pieces.feed(chunk)
+            if caller_stream.pieces.is_too_large:
+                raise AnswerTooLargeError(MAX_EVENT_BYTES)
             if own_events:
                 await caller_stream.write(own_events)
 
--- a/packages/daemon/src/thorncleat_daemon/upstream.py
+++ b/packages/daemon/src/thorncleat_daemon/upstream.py
@@ -15,6 +15,8 @@
 from .exceptions import RequestError
 
 CONNECT_TIMEOUT_SECONDS = 1.0
+# Bytes of an answer that is passed on as a whole.
+MAX_ANSWER_BYTES = 16 << 20
 HOP_BY_HOP = frozenset(
     {
         "connection",
--- a/tests/test_pieces.py
+++ b/tests/test_pieces.py
@@ -7,10 +7,12 @@
 from hypothesis import strategies as st
 
 from thorncleat_daemon.pieces import DONE
+from thorncleat_daemon.pieces import MAX_EVENT_BYTES
 from thorncleat_daemon.pieces import Pieces
 from thorncleat_daemon.pieces import find_answer_fault
 
 ID = "0123abcd"
+PIECE = b"x" * 65_536
 
 
 def _event(
@@ -77,6 +79,20 @@
         assert pieces.feed(_event("b")) == _event("b")
         assert pieces.dropped == {"half_event": 1}
 
+    def test_event_without_end_is_too_large(self):
+        """Guards against an engine whose bytes fill the memory."""
+        pieces = Pieces(ID)
+        for _ in range(MAX_EVENT_BYTES // len(PIECE) + 1):
+            assert not pieces.is_too_large
+            assert pieces.feed(PIECE) == b""
+        assert pieces.is_too_large
+
+    def test_separator_may_be_split(self):
+        pieces = Pieces(ID)
+        event = _event("a")
+        received = b"".join(pieces.feed(event[at : at + 1]) for at in range(len(event)))
+        assert received == event
+
 
 class TestWholeAnswer:
     @pytest.mark.parametrize(
--- a/tests/test_splice.py
+++ b/tests/test_splice.py
@@ -10,6 +10,7 @@
 from thorncleat_daemon.dispatch import Slot
 from thorncleat_daemon.exceptions import RequestError
 from thorncleat_daemon.invariants import Invariants
+from thorncleat_daemon.pieces import MAX_EVENT_BYTES
 from thorncleat_daemon.pieces import Pieces
 from thorncleat_daemon.splice import HIGH_WATER_BYTES
 from thorncleat_daemon.splice import Sink
@@ -113,6 +114,20 @@
         await asyncio.sleep(0.05)
         assert not pair.engine.paused
 
+    async def test_bytes_that_are_no_event_are_no_sign_of_life(self):
+        """An engine that sent them for as long as somebody read them wasn't left."""
+        pair = SplicedPair(clock.now() + 1.0)
+        pair.engine.protocol.data_received(b"x" * 100)
+        assert pair.splice.last_event_at == 0.0
+        pair.engine.protocol.data_received(b"\n\n" + EVENT)
+        assert pair.splice.last_event_at > 0.0
+
+    async def test_event_without_end_ends_the_answer(self):
+        pair = SplicedPair(clock.now() + 1.0)
+        pair.engine.protocol.data_received(b"x" * (MAX_EVENT_BYTES + 1))
+        assert pair.splice.ended.done()
+        assert pair.pieces.is_truncated
+
     @pytest.mark.parametrize("how", ["lost", "gone"])
     async def test_ends_when_a_side_ends(self, how):
         pair = SplicedPair(clock.now() + 60)
