Groups: unlisted endpoints that still serve finish their requests, and may pause

One whose entry had expired and that paused for 0.3 s was taken for gone.

Cause: "leader not listed" and "no member listed" weren't ended gracefully, though only a leader that answers gets there; and two unanswered probes ended the watch of an unlisted endpoint, without asking another daemon.

Change: such a leader is closed first. The watch ends for silence only after 1.5 s and when the witnesses confirm it, or when connections are refused and they confirm it; meanwhile the endpoint isn't used for new groups.

`test_only_a_group_that_may_work_may_finish_its_requests` names two reasons more.

--- a/packages/gateway/src/thorncleat_gateway/groups/ending.py
+++ b/packages/gateway/src/thorncleat_gateway/groups/ending.py
@@ -25,6 +25,7 @@
 from ..store.roster import Endpoint
 from ..store.roster import GroupId
 from ..store.roster import GroupState
+from ..store.roster import Membership
 from .ended import BROADCAST_INTERVAL_SECONDS
 from .ended import EndedGroups
 from .group_health import EndReason
@@ -173,10 +174,27 @@
             # The order to leave that follows determines the leader's state.
             return
         while self._clock() < deadline:
-            member = self._orders.listed_membership(leader)
-            if member is None or member.group != group or member.state is GroupState.READY:
+            is_listed = self._orders.is_listed(leader)
+            try:
+                member = await self._latest_membership(leader)
+            except EndpointTimeoutError:
+                # It may only pause.
+                pass
+            except EndpointError:
                 return
-            await asyncio.sleep(POLL_INTERVAL_SECONDS)
+            else:
+                if member is None or member.group != group or member.state is GroupState.READY:
+                    return
+            await asyncio.sleep(POLL_INTERVAL_SECONDS if is_listed else PROBE_INTERVAL_SECONDS)
+
+    async def _latest_membership(self, leader: Endpoint) -> Membership | None:
+        """Return a leader's membership as listed, or as it reports if it isn't listed.
+
+        :raises EndpointError: if it is asked and doesn't answer.
+        """
+        if self._orders.is_listed(leader):
+            return self._orders.listed_membership(leader)
+        return (await self._orders.fetch_member_report(leader)).membership
 
     async def _close(self, leader: Endpoint, group: GroupId, deadline: float) -> bool:
         """Order a leader to finish its requests; return whether it has answered in time.
--- a/packages/gateway/src/thorncleat_gateway/groups/group_health.py
+++ b/packages/gateway/src/thorncleat_gateway/groups/group_health.py
@@ -45,6 +45,8 @@
         return self in (
             EndReason.LEADER_CLOSING,
             EndReason.LEADER_DRAINING,
+            EndReason.LEADER_NOT_LISTED,
+            EndReason.NO_MEMBER_LISTED,
             EndReason.DOMAIN_MOVES,
         )
 
--- a/packages/gateway/src/thorncleat_gateway/groups/orders.py
+++ b/packages/gateway/src/thorncleat_gateway/groups/orders.py
@@ -101,6 +101,10 @@
         """Discard all reports, which are from an earlier term."""
         self._reports.clear()
 
+    def is_listed(self, endpoint: Endpoint) -> bool:
+        """Return whether an endpoint is listed."""
+        return endpoint.id in self._view.roster.endpoints
+
     def listed_membership(self, endpoint: Endpoint) -> Membership | None:
         """Return an endpoint's listed membership; the given one if it isn't listed."""
         return self._view.roster.endpoints.get(endpoint.id, endpoint).membership
--- a/packages/gateway/src/thorncleat_gateway/groups/term.py
+++ b/packages/gateway/src/thorncleat_gateway/groups/term.py
@@ -117,7 +117,7 @@
             lost=lost,
             slow=slow,
             examination=self._create_examination(lost, slow),
-            unlisted=UnlistedEndpoints(view, orders, clock, jobs.start),
+            unlisted=UnlistedEndpoints(view, orders, self._witnesses, clock, jobs.start),
             ending=ending,
             forming_state=state,
             forming=forming,
--- a/packages/gateway/src/thorncleat_gateway/groups/unlisted_endpoints.py
+++ b/packages/gateway/src/thorncleat_gateway/groups/unlisted_endpoints.py
@@ -4,19 +4,27 @@
 leads it.
 
 Owns: the unlisted endpoints that are polled, their latest reports, and which of them respond.
-Relies on: the roster's record of endpoints that were removed recently.
+Relies on: the roster's record of endpoints that were removed recently, and :mod:`.witnesses` for
+endpoints that answer other daemons.
 """
 
 import asyncio
 import dataclasses
 import typing as t
 
+from ..exceptions import EndpointError
+from ..exceptions import EndpointRefusedError
+from ..exceptions import EndpointReplacedError
+from ..ports import EngineReport
 from ..store.roster import Endpoint
 from ..store.roster import GroupId
 from ..store.roster import Membership
 from ..store.view import StoreView
+from .group_recovery import MAX_PAUSE_SECONDS
 from .jobs import Start
+from .orders import PROBE_INTERVAL_SECONDS
 from .orders import Orders
+from .witnesses import Witnesses
 
 # Interval between two probes of an unlisted endpoint.
 POLL_INTERVAL_SECONDS = 1.0
@@ -33,6 +41,7 @@
 class UnlistedEndpoints:
     """Polls endpoints that are no longer listed.
 
+    :param witnesses: asked about one that is silent for longer than a sound one may be.
     :param start: starts a background job of the term.
     """
 
@@ -40,11 +49,13 @@
         self,
         view: StoreView,
         orders: Orders,
+        witnesses: Witnesses,
         clock: t.Callable[[], float],
         start: Start,
     ) -> None:
         self._view = view
         self._orders = orders
+        self._witnesses = witnesses
         self._clock = clock
         self._start = start
         # The entries as last listed, updated from the endpoints' reports.
@@ -98,8 +109,8 @@
     async def _watch(self, endpoint: Endpoint) -> None:
         deadline = self._clock() + MAX_WATCH_SECONDS
         try:
-            while endpoint.id not in self._view.roster.endpoints and self._clock() < deadline:
-                report = await self._orders.probe(endpoint)
+            while not self._orders.is_listed(endpoint) and self._clock() < deadline:
+                report = await self._wait_report(endpoint, deadline)
                 if report is None:
                     return
                 self._watched[endpoint.id] = dataclasses.replace(
@@ -113,3 +124,28 @@
         finally:
             self._responding.discard(endpoint.id)
             self._watched.pop(endpoint.id, None)
+
+    async def _wait_report(self, endpoint: Endpoint, deadline: float) -> EngineReport | None:
+        """Return an endpoint's report; None once it has been silent for too long, or has ended.
+
+        One that is silent isn't used meanwhile, but its group isn't ended for a pause.
+        """
+        silent_since = self._clock()
+        while not self._orders.is_listed(endpoint) and self._clock() < deadline:
+            asked_at = self._clock()
+            try:
+                return await self._orders.fetch_member_report(endpoint)
+            except EndpointReplacedError:
+                return None
+            except EndpointRefusedError:
+                if await self._witnesses.confirm_lost(endpoint):
+                    return None
+            except EndpointError:
+                if self._orders.was_late_since(asked_at):
+                    silent_since += self._clock() - asked_at
+            self._responding.discard(endpoint.id)
+            is_overdue = self._clock() - silent_since >= MAX_PAUSE_SECONDS
+            if is_overdue and await self._witnesses.confirm_lost(endpoint):
+                return None
+            await asyncio.sleep(PROBE_INTERVAL_SECONDS)
+        return None
--- a/tests/test_group_health.py
+++ b/tests/test_group_health.py
@@ -117,8 +117,10 @@
 def test_only_a_group_that_may_work_may_finish_its_requests():
     """A leader that is closing finishes what it runs."""
     assert [reason for reason in EndReason if reason.is_graceful] == [
+        EndReason.LEADER_NOT_LISTED,
         EndReason.LEADER_CLOSING,
         EndReason.LEADER_DRAINING,
+        EndReason.NO_MEMBER_LISTED,
         EndReason.DOMAIN_MOVES,
     ]
 
