Tunnels: a daemon carries for others as soon as its own pause is over

What callers saw (KNOWN-RED, test_cut_off_daemons[others-silent]): four 503 in a row from a daemon that is cut off from its endpoints, after it stood still.

Their peers had stood still as well, and a daemon that was over 0.5 s late offered nothing for a second afterwards. A query that got no answer wasn't repeated while an attempt waited for an offer.

Change: only a pause that goes on keeps a daemon from offering; while one is recent it offers room for one tunnel, which is used if no other daemon has more.

Tests: two in test_tunnels, failed before.

--- a/packages/gateway/src/thorncleat_gateway/tunnels/offers.py
+++ b/packages/gateway/src/thorncleat_gateway/tunnels/offers.py
@@ -37,9 +37,10 @@
 FURTHER_ASKED_DAEMONS = 2
 # How long a daemon that failed a tunnel isn't used.
 AVOID_SECONDS = 1.0
-# Lateness of the own event loop from which on this daemon carries tunnels only if no other does,
-# and from which on it carries no further ones.
+# Lateness of the own event loop from which on this daemon carries tunnels only if no other does.
 LATE_SECONDS = 0.1
+# Lateness from which on it carries no further ones. A pause that is over doesn't count, since this
+# daemon may be the only one that carries any.
 MAX_CARRIER_LATENESS_SECONDS = 0.5
 # The room that a late daemon offers.
 LATE_ROOM = 1
@@ -152,7 +153,7 @@
             self.ask(service)
             self._has_offer.clear()
             with contextlib.suppress(TimeoutError):
-                async with asyncio.timeout(left):
+                async with asyncio.timeout(min(left, MIN_QUERY_INTERVAL_SECONDS)):
                     await self._has_offer.wait()
 
     def avoid(self, carrier: Carrier) -> None:
@@ -199,10 +200,10 @@
         since = self._clock() - RECENT_SECONDS
         if self._reach.is_doubtful(service) or not self._reach.succeeded_since(service, since):
             return 0
-        lateness = self._max_lateness(since)
-        if lateness > MAX_CARRIER_LATENESS_SECONDS:
+        if self._max_lateness(self._clock()) > MAX_CARRIER_LATENESS_SECONDS:
             return 0
-        return min(self._server.room, LATE_ROOM) if lateness > LATE_SECONDS else self._server.room
+        is_late = self._max_lateness(since) > LATE_SECONDS
+        return min(self._server.room, LATE_ROOM) if is_late else self._server.room
 
     def _on_message(self, sender: str, message: Message) -> None:
         match message:
--- a/tests/test_tunnels.py
+++ b/tests/test_tunnels.py
@@ -317,9 +317,15 @@
     other_daemons = frozenset({"edge-2"})
     domain_peers = frozenset({"edge-2"})
 
+    def __init__(self) -> None:
+        self.sent = []
+
     def on_message(self, handler) -> None:
         self.receive = handler
 
+    def send(self, receiver, message) -> None:
+        self.sent.append((receiver, message))
+
 
 def _offers(channel, now):
     peers = {"edge-2": Daemon("edge-2", "127.0.0.1", 1)}
@@ -347,6 +353,52 @@
     assert found.choose("desk") is None
 
 
+@pytest.mark.parametrize(
+    ("ago", "pending", "rooms"),
+    [
+        pytest.param(None, 0.0, [8], id="on time"),
+        pytest.param(0.3, 0.0, [1], id="its pause is over"),
+        pytest.param(0.3, 0.6, [], id="it stands still"),
+    ],
+)
+async def test_daemon_carries_for_others_once_its_pause_is_over(ago, pending, rooms):
+    """One that was cut off refused its callers for a second, until a peer offered again."""
+    now, channel = 100.0, Channel()
+    reach = Reach(lambda: now)
+    reach.record_success(Endpoint("i-1", "narrator", "127.0.0.1:1", "a"))
+
+    def max_lateness(since):
+        paused = 1.4 if ago is not None and now - ago >= since else 0.0
+        return max(paused, pending)
+
+    found = TunnelOffers(
+        channel,
+        lambda: {},
+        "a",
+        reach,
+        types.SimpleNamespace(room=8),
+        7355,
+        max_lateness,
+        lambda: now,
+        None,
+    )
+    await found._answer("edge-2", "narrator", 7355)
+    assert [offer.room for _, offer in channel.sent] == rooms
+
+
+async def test_daemon_without_an_offer_asks_until_one_comes():
+    """Guards against a lost query, and against one that its peer could not answer yet."""
+    channel = Channel()
+    loop = asyncio.get_running_loop()
+    peers = {"edge-2": Daemon("edge-2", "127.0.0.1", 1)}
+    reach = Reach(loop.time)
+    found = TunnelOffers(
+        channel, lambda: peers, "a", reach, None, None, lambda _: 0.0, loop.time, None
+    )
+    assert await found.wait_choice("narrator", 0.16) is None
+    assert len(channel.sent) >= 3
+
+
 class OneCarrier:
     """Offers of a single daemon."""
 
