--- a/packages/gateway/src/thorncleat_gateway/requests/passing_on.py
+++ b/packages/gateway/src/thorncleat_gateway/requests/passing_on.py
@@ -9,10 +9,17 @@
 from .endpoint_client import Exchange
 
 
-async def pass_on_whole(answer: EndpointAnswer, caller: CallerStream) -> None:
-    """Pass on an answer whose body is complete."""
-    length = ("Content-Length", str(len(answer.body)))
-    await caller.begin(answer.status, [*answer.headers, length])
+async def pass_on_whole(
+    answer: EndpointAnswer, caller: CallerStream, *, states_length: bool
+) -> None:
+    """Pass on an answer whose body is complete.
+
+    :param states_length: whether the head states its length; that of a streaming route doesn't.
+    """
+    headers = list(answer.headers)
+    if states_length:
+        headers.append(("Content-Length", str(len(answer.body))))
+    await caller.begin(answer.status, headers)
     if answer.body:
         await caller.write(answer.body)
     await caller.end()
--- a/packages/gateway/src/thorncleat_gateway/requests/plain.py
+++ b/packages/gateway/src/thorncleat_gateway/requests/plain.py
@@ -54,7 +54,7 @@
         with self._answers.hold() as held:
             answer = await self._find_answer(request, caller, held)
             if answer.is_whole:
-                await pass_on_whole(answer, caller)
+                await pass_on_whole(answer, caller, states_length=True)
 
     async def _find_answer(
         self, request: Request, caller: CallerStream, held: HeldBytes
--- a/packages/gateway/src/thorncleat_gateway/requests/streams.py
+++ b/packages/gateway/src/thorncleat_gateway/requests/streams.py
@@ -56,7 +56,7 @@
                 if not failed_answers or caller.has_begun:
                     raise
                 # An endpoint's failed answer is more useful to the caller than a refusal.
-                await pass_on_whole(failed_answers[-1], caller)
+                await pass_on_whole(failed_answers[-1], caller, states_length=False)
 
     def _admit(self, request: Request, endpoints: ServiceEndpoints) -> None:
         """Check before the first attempt that the endpoints have capacity for a request.
@@ -333,7 +333,7 @@
         if answer.is_failure:
             return answer
         if answer.is_whole:
-            await pass_on_whole(answer, caller)
+            await pass_on_whole(answer, caller, states_length=False)
         else:
             await pass_on_large(answer, exchange, caller)
         return None
