Crashes: the route tells whether a request without a head has run

`crash_points` asked whether the service has an engine for whether the head of an answer comes before it. On a streaming route of a plain service a request that may have waited scored as one that ran, so two such crashes less led to its quarantine.

Test: test_route_tells_whether_a_request_without_a_head_has_run, of whose four cases two failed before (a stream of a plain service, and an answer that is no stream of a service with an engine).

--- a/packages/gateway/src/thorncleat_gateway/requests/crash_watch.py
+++ b/packages/gateway/src/thorncleat_gateway/requests/crash_watch.py
@@ -14,6 +14,7 @@
 from ..peers.failure_detector import FailureDetector
 from ..store.roster import Endpoint
 from ..store.roster import Incarnation
+from ..store.serving import RouteKind
 from ..store.view import StoreView
 from . import request_log
 from .fingerprint import Fingerprint
@@ -35,9 +36,10 @@
 ) -> int:
     """Return the points that a failed attempt scores against its request; 0 if it is no crash.
 
-    An endpoint of a plain service sends the head together with the answer, so a request to it
-    counts as running also without a head.
+    An answer that isn't a stream has its head sent with it, so its request counts as running also
+    without a head.
 
+    :param streaming: whether the answer is a stream, whose head is sent when its request runs.
     :param expected: whether the endpoint was draining or no longer listed. A group that is being
         ended doesn't count, since the controller ends it right after a crash of its leader.
     :param silent: whether the endpoint had sent nothing for :data:`SILENCE_SECONDS`.
@@ -144,7 +146,7 @@
         now = self._clock()
         points = crash_points(
             failure.broken,
-            streaming=request.service.engine is not None,
+            streaming=request.route.kind is RouteKind.STREAMING,
             expected=self._is_leaving(endpoint),
             silent=not self._had_recent_contact(endpoint, request, now),
         )
--- a/tests/test_crash_watch.py
+++ b/tests/test_crash_watch.py
@@ -4,6 +4,7 @@
 """
 
 import dataclasses
+import types
 
 import pytest
 
@@ -12,10 +13,12 @@
 from thorncleat_gateway.exceptions import Executed
 from thorncleat_gateway.peers.messages import GroupEnded
 from thorncleat_gateway.requests.endpoint_client import EndpointAnswer
+from thorncleat_gateway.requests.quarantine import MAY_HAVE_WAITED_POINTS
 from thorncleat_gateway.requests.quarantine import QUARANTINE_CRASHES
 from thorncleat_gateway.requests.quarantine import RAN_POINTS
 from thorncleat_gateway.requests.quarantine import Involvement
 from thorncleat_gateway.store.roster import Incarnation
+from thorncleat_gateway.store.serving import RouteKind
 
 from . import virtual_time
 from .crash_world import Caller
@@ -62,6 +65,29 @@
     assert play(lambda scene: scene.fail())
 
 
+@pytest.mark.parametrize("has_engine", [True, False])
+@pytest.mark.parametrize(
+    ("kind", "points"),
+    [(RouteKind.STREAMING, MAY_HAVE_WAITED_POINTS), (RouteKind.REPEATABLE, RAN_POINTS)],
+)
+def test_route_tells_whether_a_request_without_a_head_has_run(has_engine, kind, points):
+    """Guards against the service telling it: streams of plain services counted as running."""
+
+    def break_before_head(scene):
+        request = scene.request
+        request.route = dataclasses.replace(request.route, kind=kind)
+        if not has_engine:
+            request.service = dataclasses.replace(request.service, engine=None)
+        reported = []
+        scene.watch._listener = types.SimpleNamespace(
+            report_crash=lambda _incarnation, _at, requests: reported.append(requests)
+        )
+        scene.fail(AttemptError("no answer: X", Executed.MAYBE, broken=ConnectionBreak.BEFORE_HEAD))
+        return reported[0][request.fingerprint].points
+
+    assert play(break_before_head) == points
+
+
 def test_silent_group_is_no_crash():
     assert not play(lambda scene: scene.fail(AttemptError("group silent", Executed.MAYBE)))
 
