--- a/bench/soaks/gateway.py
+++ b/bench/soaks/gateway.py
@@ -17,6 +17,7 @@
 import aiohttp
 import fire
 
+from . import gateway_endless_faults
 from . import gateway_fatal
 from . import gateway_limit_faults
 from . import gateway_notice_faults
@@ -92,6 +93,7 @@
     for worker in site.workers.values():
         worker.refusal_retry_after = None
         worker.limit = None
+        worker.form = ""
         if worker.proxy is not None:
             worker.proxy.mode = Mode.PASS
     for daemon in site.daemons:
@@ -118,7 +120,7 @@
     return served
 
 
-async def _wait_until_serving(site: SoakSite) -> None:
+async def wait_until_serving(site: SoakSite) -> None:
     """Wait until the groups are open and the daemons have read the store."""
     leader_count = 0
     while leader_count < 2:
@@ -148,7 +150,7 @@
     try:
         await site.start()
         async with asyncio.timeout(FORMATION_TIMEOUT_SECONDS):
-            await _wait_until_serving(site)
+            await wait_until_serving(site)
         ends_at = asyncio.get_running_loop().time() + minutes * 60
         result = GatewaySoak(
             rng=rng,
@@ -186,6 +188,8 @@
     coroutines += [caller.run(soak.ends_at) for caller in soak.callers]
     coroutines += [_watch_exits(soak), gateway_notice_faults.inject_notices(soak, seed)]
     coroutines.append(gateway_limit_faults.inject_limits(soak, seed))
+    coroutines.append(gateway_endless_faults.inject_endless_answers(soak, seed))
+    coroutines.append(gateway_endless_faults.watch_memory(soak, soak.site))
     coroutines.append(gateway_restores.inject_restores(soak, soak.site, seed))
     if older:
         coroutines.append(
--- a/bench/soaks/gateway_callers.py
+++ b/bench/soaks/gateway_callers.py
@@ -25,6 +25,8 @@
 MEAN_PAUSE_SECONDS = 0.05
 # Share of the requests that use a revoked key.
 REVOKED_KEY_SHARE = 0.1
+# Bytes that are kept of an answer; sound ones are much smaller.
+MAX_KEPT_BYTES = 1 << 20
 KINDS = (RequestKind.STREAM, RequestKind.NON_REPEATABLE, RequestKind.REPEATABLE)
 
 
@@ -136,5 +138,6 @@
             exchange.signed = "X-Thorncleat-Response-Stamp" in response.headers
             exchange.echoed = response.headers.get("X-Thorncleat-Attempt-Id", "")
             async for chunk in response.content.iter_any():
-                exchange.body += chunk
+                if len(exchange.body) <= MAX_KEPT_BYTES:
+                    exchange.body += chunk
             exchange.is_complete = True
--- a/bench/soaks/gateway_connections.py
+++ b/bench/soaks/gateway_connections.py
@@ -25,6 +25,7 @@
     """Forgets idle connections of one worker, and sends surplus answers on others.
 
     :param name: name of the worker, the seed of its faults.
+    :ivar is_active: whether there are any faults.
     :ivar forgotten: number of forgotten connections.
     :ivar surplus: number of surplus answers.
     """
@@ -34,6 +35,7 @@
         self._idle_since: weakref.WeakKeyDictionary[asyncio.Transport, float] = (
             weakref.WeakKeyDictionary()
         )
+        self.is_active = True
         self.forgotten = 0
         self.surplus = 0
 
@@ -43,7 +45,7 @@
         :raises ConnectionResetError: if it was reset; the request must not run.
         """
         transport = request.transport
-        if transport is None:
+        if transport is None or not self.is_active:
             return
         now = asyncio.get_running_loop().time()
         idle_since = self._idle_since.pop(transport, now)
@@ -55,7 +57,7 @@
     def record_end(self, request: web.BaseRequest) -> None:
         """Record that a request was answered, and send a second answer at times."""
         transport = request.transport
-        if transport is None:
+        if transport is None or not self.is_active:
             return
         self._idle_since[transport] = asyncio.get_running_loop().time()
         if self._random.random() < SURPLUS_PROBABILITY:
--- a/bench/soaks/gateway_workers.py
+++ b/bench/soaks/gateway_workers.py
@@ -10,12 +10,12 @@
 
 from aiohttp import web
 
+from thorncleat_standins.endless import EndlessWorker
 from thorncleat_standins.platform_store import PlatformStore
 from thorncleat_standins.platform_worker import ATTEMPT_ID
 from thorncleat_standins.platform_worker import EVENT_INTERVAL_SECONDS
 from thorncleat_standins.platform_worker import NOT_EXECUTED
 from thorncleat_standins.platform_worker import RETRY_AFTER
-from thorncleat_standins.platform_worker import PlatformWorker
 from thorncleat_standins.platform_worker import Run
 
 from .gateway_checks import Checks
@@ -57,7 +57,7 @@
         ...
 
 
-class SoakWorker(PlatformWorker):
+class SoakWorker(EndlessWorker):
     """A worker behind a proxy; as a leader it stalls while a member is missing.
 
     :ivar declined_share: share of the requests that it declines, without having run them.
--- a/packages/standins/src/thorncleat_standins/endless.py
+++ b/packages/standins/src/thorncleat_standins/endless.py
@@ -13,6 +13,7 @@
 from .platform_worker import ATTEMPT_ID
 from .platform_worker import RESPONSE_STAMP
 from .platform_worker import PlatformWorker
+from .platform_worker import Run
 
 # The head of an answer as a form gets it: header lines that make it look like a sound one.
 HeaderLines = str
@@ -139,11 +140,14 @@
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
         if not self.form or not request.path.startswith(self.paths):
             return await super()._handle(request)
-        await request.read()
+        body = await request.read()
+        attempt = request.headers.get(ATTEMPT_ID, "")
+        if attempt:
+            self.record_run(Run(self.id, attempt, request.raw_path, request.headers, body))
         lines = "".join(
             f"{name}: {value}\r\n"
             for name, value in {
-                ATTEMPT_ID: request.headers.get(ATTEMPT_ID, ""),
+                ATTEMPT_ID: attempt,
                 RESPONSE_STAMP: f"stamp-{self.id}",
                 **self.common_headers(),
             }.items()
