--- a/bench/endless_answers.py
+++ b/bench/endless_answers.py
@@ -23,6 +23,7 @@
 from .soaks.gateway_callers import Caller
 from .soaks.gateway_checks import RequestKind
 from .soaks.gateway_endless_faults import peak_memory_bytes
+from .soaks.gateway_retries import RETRY_WINDOW_SECONDS
 from .soaks.gateway_site import PATHS
 from .soaks.gateway_site import SERVICES
 from .soaks.gateway_site import SoakSite
@@ -31,6 +32,8 @@
 DAEMONS = 2
 CALLERS = 8
 MEASURED_SECONDS = 8.0
+# Until then a daemon that has just started has no share of the fixed number of retries.
+WARM_UP_SECONDS = RETRY_WINDOW_SECONDS + 3.0
 SMALL_PIECE_INTERVAL_SECONDS = 0.05
 
 
@@ -66,6 +69,7 @@
         try:
             await site.start()
             await wait_until_serving(site)
+            await asyncio.sleep(WARM_UP_SECONDS)
             for sound in site.workers.values():
                 sound.connection_faults.is_active = False
             before = _peaks_mb(site)
--- a/bench/soaks/gateway_endless_faults.py
+++ b/bench/soaks/gateway_endless_faults.py
@@ -39,22 +39,25 @@
     tasks: list[asyncio.Task[None]] = []
     while not soak.is_over:
         await asyncio.sleep(rng.uniform(0.3, 1.5))
-        sound = [
-            worker
-            for worker in soak.site.workers.values()
-            if worker.is_accepting and not worker.form
-        ]
-        chosen = rng.choice(sound)
         form, calls = rng.choice(forms), rng.choice(CALLS)
         interval, seconds = rng.choice(INTERVALS_SECONDS), rng.uniform(0.3, 2.5)
-        if sum(worker.service == chosen.service for worker in sound) <= MIN_SOUND_WORKERS:
+        service = rng.choice(("narrator", "desk"))
+        called = [worker for worker in soak.site.workers.values() if _is_called(worker, service)]
+        if len(called) <= MIN_SOUND_WORKERS:
             continue
+        chosen = rng.choice(called)
         soak.counts["trouble endless answers"] += 1
         task = asyncio.create_task(_speak_without_end(chosen, form, calls, interval, seconds))
         tasks.append(task)
     await asyncio.gather(*tasks)
 
 
+def _is_called(worker: SoakWorker, service: str) -> bool:
+    """Return whether a sound worker gets requests of a service."""
+    gets_requests = not worker.domain or worker.is_serving_leader
+    return worker.service == service and worker.is_accepting and gets_requests and not worker.form
+
+
 async def _speak_without_end(
     worker: SoakWorker, form: str, calls: tuple[str, ...], interval: float, seconds: float
 ) -> None:
