--- a/bench/soaks/gateway_workers.py
+++ b/bench/soaks/gateway_workers.py
@@ -10,7 +10,6 @@
 
 from aiohttp import web
 
-from thorncleat_standins.endless import EndlessWorker
 from thorncleat_standins.platform_store import PlatformStore
 from thorncleat_standins.platform_worker import ATTEMPT_ID
 from thorncleat_standins.platform_worker import EVENT_INTERVAL_SECONDS
@@ -27,6 +26,7 @@
 from .gateway_notices import NoticeChecks
 from .gateway_retries import RetryChecks
 from .proxy import Proxy
+from .stalling_worker import StallingWorker
 
 # Body of a request that crashes each group leader that runs it.
 FATAL_BODY = b"a request that no worker survives"
@@ -57,12 +57,15 @@
         ...
 
 
-class SoakWorker(EndlessWorker):
+class SoakWorker(StallingWorker):
     """A worker behind a proxy; as a leader it stalls while a member is missing.
 
     :ivar declined_share: share of the requests that it declines, without having run them.
     """
 
+    stall_timeout = STALL_TIMEOUT_SECONDS
+    event_interval = EVENT_INTERVAL_SECONDS
+
     def __init__(self, site: WorkerSite, name: str, service: str, domain: str = "") -> None:
         super().__init__(site.store, name, service, domain)
         self._site = site
@@ -134,10 +137,6 @@
         if self.is_alive:
             super().publish()
 
-    def event(self, request: web.BaseRequest, number: int) -> bytes:
-        """Return the data of an event, with the id of its request."""
-        return b"%s %d" % (request.headers["X-Thorncleat-Attempt-Id"].encode(), number)
-
     async def _serve(self, request: web.BaseRequest) -> web.StreamResponse:
         """Check whether a request may arrive, and serve it.
 
@@ -192,21 +191,6 @@
         own, other = self._group, member._group
         return own is not None and other is not None and own["epoch"] == other["epoch"]
 
-    async def delay_next_event(self) -> None:
-        """Stall while a member is missing.
-
-        :raises ConnectionResetError: after :data:`STALL_TIMEOUT_SECONDS`, to break the stream.
-        """
-        await asyncio.sleep(EVENT_INTERVAL_SECONDS)
-        stall_started_at = asyncio.get_running_loop().time()
-        while not self.is_group_complete:
-            if asyncio.get_running_loop().time() - stall_started_at > STALL_TIMEOUT_SECONDS:
-                if self._group is not None:
-                    self._group["state"] = "broken"
-                    self.publish()
-                raise ConnectionResetError("the group is broken")
-            await asyncio.sleep(EVENT_INTERVAL_SECONDS)
-
     def _join(self, order: dict[str, t.Any]) -> int:
         """Check that no other worker leads the former group while this one joins another."""
         former = self._group
--- a/bench/soaks/pausing_worker.py
+++ b/bench/soaks/pausing_worker.py
@@ -14,11 +14,10 @@
 import sys
 import typing as t
 
-from aiohttp import web
-
-from thorncleat_standins.platform_worker import PlatformWorker
 from thorncleat_standins.platform_worker import Run
 
+from .stalling_worker import StallingWorker
+
 EVENT_INTERVAL_SECONDS = 0.05
 EVENTS_PER_STREAM = 40
 # How long a leader stalls without a member before it breaks its group. The daemons' stall
@@ -43,7 +42,7 @@
         report("gone", key=key)
 
 
-class PausingWorker(PlatformWorker):
+class PausingWorker(StallingWorker):
     """A worker that breaks the streams of the group that it leaves, and ends no other stream.
 
     As a leader it stalls while a member stands still or has left the group.
@@ -52,6 +51,9 @@
     :ivar departed: ids of workers with the epochs of the groups that they left.
     """
 
+    stall_timeout = STALL_TIMEOUT_SECONDS
+    event_interval = EVENT_INTERVAL_SECONDS
+
     def __init__(self, name: str, service: str, domain: str, zone: str) -> None:
         super().__init__(ReportedEntries(), name, service, domain)
         self.zone = zone
@@ -68,25 +70,6 @@
             name in self.paused or (name, self._epoch) in self.departed for name in self._members
         )
 
-    def event(self, request: web.BaseRequest, number: int) -> bytes:
-        """Return the data of an event, with the id of its request."""
-        return b"%s %d" % (request.headers["X-Thorncleat-Attempt-Id"].encode(), number)
-
-    async def delay_next_event(self) -> None:
-        """Stall while a member is missing.
-
-        :raises ConnectionResetError: after :data:`STALL_TIMEOUT_SECONDS`, to break the stream.
-        """
-        await asyncio.sleep(EVENT_INTERVAL_SECONDS)
-        stall_started_at = asyncio.get_running_loop().time()
-        while not self.is_group_complete:
-            if asyncio.get_running_loop().time() - stall_started_at > STALL_TIMEOUT_SECONDS:
-                if self._group is not None:
-                    self._group["state"] = "broken"
-                    self.publish()
-                raise ConnectionResetError("the group is broken")
-            await asyncio.sleep(EVENT_INTERVAL_SECONDS)
-
     def record_run(self, run: Run) -> None:
         """Report the start of a run."""
         report("run", id=run.id, path=run.path, epoch=self._epoch)
--- a/packages/gateway/src/thorncleat_gateway/requests/passing_on.py
+++ b/packages/gateway/src/thorncleat_gateway/requests/passing_on.py
@@ -5,8 +5,8 @@
 """
 
 from .caller_response import CallerStream
-from .endpoint_client import EndpointAnswer
-from .endpoint_client import Exchange
+from .exchange import EndpointAnswer
+from .exchange import Exchange
 
 
 async def pass_on_whole(
--- a/packages/gateway/src/thorncleat_gateway/requests/plain.py
+++ b/packages/gateway/src/thorncleat_gateway/requests/plain.py
@@ -22,9 +22,9 @@
 from . import retry_policy
 from .answer_budget import HeldBytes
 from .caller_response import CallerStream
-from .endpoint_client import EndpointAnswer
-from .endpoint_client import Exchange
-from .endpoint_client import too_large
+from .exchange import EndpointAnswer
+from .exchange import Exchange
+from .exchange import too_large
 from .forwarder import Forwarder
 from .passing_on import pass_on_large
 from .passing_on import pass_on_whole
--- a/packages/gateway/src/thorncleat_gateway/requests/streams.py
+++ b/packages/gateway/src/thorncleat_gateway/requests/streams.py
@@ -19,11 +19,11 @@
 from . import service_endpoints
 from .answer_budget import HeldBytes
 from .caller_response import CallerStream
-from .endpoint_client import MIXED
-from .endpoint_client import EndpointAnswer
-from .endpoint_client import Exchange
-from .endpoint_client import too_large
 from .event_stream import EventSplitter
+from .exchange import MIXED
+from .exchange import EndpointAnswer
+from .exchange import Exchange
+from .exchange import too_large
 from .forwarder import Forwarder
 from .passing_on import pass_on_large
 from .passing_on import pass_on_whole
@@ -270,21 +270,12 @@
         caller: CallerStream,
         held: HeldBytes,
     ) -> None:
-        """Pass events on as they come.
-
-        Only whole events show that the endpoint goes on with the stream; one that is out of order
-        may send bytes for as long as somebody reads them.
-        """
+        """Pass events on as they come."""
         gaps = GapMeter()
         while data := await exchange.read_chunk():
             now = self._clock()
-            earlier_whole, earlier_events = splitter.whole_count, splitter.event_count
-            events = splitter.feed(data)
-            if splitter.whole_count > earlier_whole:
-                attempt.record_event(now)
-                self._detector.record_contact(attempt.leader.id, now)
-            if not held.resize(splitter.incomplete_size):
-                raise too_large()
+            earlier_events = splitter.event_count
+            events = self._split(data, attempt, splitter, held, now)
             if not events:
                 continue
             if exchange.may_hold_another_answer(events):
@@ -305,6 +296,30 @@
             raise AttemptError(cause, Executed.MAYBE, broken=ConnectionBreak.AFTER_HEAD)
         await caller.end()
 
+    def _split(
+        self,
+        data: bytes,
+        attempt: StreamAttempt,
+        splitter: EventSplitter,
+        held: HeldBytes,
+        now: float,
+    ) -> bytes:
+        """Return the whole events that may be passed on, and hold the rest.
+
+        Only whole events show that the endpoint goes on with the stream; one that is out of order
+        may send bytes for as long as somebody reads them.
+
+        :raises AttemptError: if the rest is larger than an event may be.
+        """
+        earlier_events = splitter.whole_count
+        events = splitter.feed(data)
+        if splitter.whole_count > earlier_events:
+            attempt.record_event(now)
+            self._detector.record_contact(attempt.leader.id, now)
+        if not held.resize(splitter.incomplete_size):
+            raise too_large()
+        return events
+
     def _record_times(
         self, request: Request, attempt: StreamAttempt, gap: float | None, now: float
     ) -> None:
--- a/tests/crash_world.py
+++ b/tests/crash_world.py
@@ -26,10 +26,10 @@
 from thorncleat_gateway.requests import retry_policy
 from thorncleat_gateway.requests.crash_reporter import CrashReporter
 from thorncleat_gateway.requests.crash_watch import CrashWatch
-from thorncleat_gateway.requests.endpoint_client import EndpointAnswer
 from thorncleat_gateway.requests.endpoint_limits import EndpointLimits
 from thorncleat_gateway.requests.endpoint_notices import EndpointNotices
 from thorncleat_gateway.requests.endpoint_selector import EndpointSelector
+from thorncleat_gateway.requests.exchange import EndpointAnswer
 from thorncleat_gateway.requests.plain import PlainForwarder
 from thorncleat_gateway.requests.quarantine import Quarantine
 from thorncleat_gateway.requests.request import Request
--- a/tests/test_crash_watch.py
+++ b/tests/test_crash_watch.py
@@ -12,7 +12,7 @@
 from thorncleat_gateway.exceptions import ConnectionBreak
 from thorncleat_gateway.exceptions import Executed
 from thorncleat_gateway.peers.messages import GroupEnded
-from thorncleat_gateway.requests.endpoint_client import EndpointAnswer
+from thorncleat_gateway.requests.exchange import EndpointAnswer
 from thorncleat_gateway.requests.quarantine import MAY_HAVE_WAITED_POINTS
 from thorncleat_gateway.requests.quarantine import QUARANTINE_CRASHES
 from thorncleat_gateway.requests.quarantine import RAN_POINTS
