Requests: small answers are held though the budget is used up, large failed ones are passed on

While all memory for answers is held, an answer of a few bytes without a stated length took a retry, as if it had no end: 16 KiB are always held now. An endpoint's failed answer of more than 1 MiB ended 502 on a route whose requests run once; it is passed on as any other. The cause of an answer that was passed on in part until the request's time was over is "out of time", not "no answer".

Soak: workers speak without end for up to 4 s.

Tests: test_answer_budget (new), test_event_stream (three more).

--- a/bench/soaks/gateway_endless_faults.py
+++ b/bench/soaks/gateway_endless_faults.py
@@ -39,9 +39,9 @@
     forms = sorted(set(endless.FORMS) - set(EXCLUDED_FORMS))
     tasks: list[asyncio.Task[None]] = []
     while not soak.is_over:
-        await asyncio.sleep(rng.uniform(0.3, 1.5))
+        await asyncio.sleep(rng.uniform(0.2, 1.0))
         form, calls = rng.choice(forms), rng.choice(CALLS)
-        interval, seconds = rng.choice(INTERVALS_SECONDS), rng.uniform(0.3, 2.5)
+        interval, seconds = rng.choice(INTERVALS_SECONDS), rng.uniform(0.5, 4.0)
         service = rng.choice(("narrator", "desk"))
         called = [worker for worker in soak.site.workers.values() if _is_called(worker, service)]
         if len(called) <= MIN_SOUND_WORKERS:
--- a/packages/gateway/src/thorncleat_gateway/requests/answer_budget.py
+++ b/packages/gateway/src/thorncleat_gateway/requests/answer_budget.py
@@ -17,6 +17,8 @@
 DEFAULT_MEMORY_BYTES = 256 << 20
 # Bytes that may be held of one answer.
 MAX_HELD_BYTES = 1 << 20
+# Bytes that may be held of it even if the budget is used up, so that small answers are served then.
+ALWAYS_HELD_BYTES = 16_384
 
 
 class AnswerBudget:
@@ -60,7 +62,9 @@
         Without room nothing changes.
         """
         more = size - self.size
-        if more > 0 and (size > MAX_HELD_BYTES or not self._budget.has_room(more)):
+        is_small = size <= ALWAYS_HELD_BYTES
+        has_room = size <= MAX_HELD_BYTES and self._budget.has_room(more)
+        if more > 0 and not is_small and not has_room:
             return False
         self._budget.held += more
         self.size = size
--- a/packages/gateway/src/thorncleat_gateway/requests/plain.py
+++ b/packages/gateway/src/thorncleat_gateway/requests/plain.py
@@ -9,7 +9,6 @@
 """
 
 import asyncio
-import contextlib
 import typing as t
 
 from ..exceptions import AnswerAbortedError
@@ -183,22 +182,51 @@
         left = request.give_up_at - self._clock()
         elsewhere = self._can_try_elsewhere(request)
         seconds = retry_policy.attempt_seconds(request.route, left, elsewhere=elsewhere)
-        loop = asyncio.get_running_loop()
-        began_at = loop.time()
+        ends_at = asyncio.get_running_loop().time() + left
         with self._track(request, endpoint, NO_MODEL):
-            async with _attempt_timeout(seconds) as scope:
-                request.sent_at = self._clock()
-                meta = request.forward_meta(endpoint, request.sent_at, request.meta.last_event_id)
-                async with self._endpoint_client.open(endpoint, request, meta) as exchange:
-                    answer = await exchange.read(held)
-                    if answer.is_whole:
-                        return answer
-                    if answer.is_failure or (elsewhere and self._may_be_endless(request, exchange)):
-                        raise too_large()
-                    scope.reschedule(began_at + left)
-                    await pass_on_large(answer, exchange, caller)
-                    self._large_answer_services.add(request.service.name)
-                    return answer
+            try:
+                async with asyncio.timeout(max(0.0, seconds)) as scope:
+                    return await self._exchange(
+                        request,
+                        endpoint,
+                        caller,
+                        held,
+                        elsewhere=elsewhere,
+                        extend_time=lambda: scope.reschedule(ends_at),
+                    )
+            except TimeoutError:
+                cause = f"no answer in {seconds:.3f} s"
+                if caller.has_begun:
+                    cause = retry_policy.OUT_OF_TIME
+                raise AttemptError(cause, Executed.MAYBE) from None
+
+    async def _exchange(
+        self,
+        request: Request,
+        endpoint: Endpoint,
+        caller: CallerStream,
+        held: HeldBytes,
+        *,
+        elsewhere: bool,
+        extend_time: t.Callable[[], None],
+    ) -> EndpointAnswer:
+        """Return an answer; a large one has been passed on.
+
+        :param elsewhere: whether the request could go to another endpoint.
+        :param extend_time: lets the attempt take the whole time of the request.
+        """
+        request.sent_at = self._clock()
+        meta = request.forward_meta(endpoint, request.sent_at, request.meta.last_event_id)
+        async with self._endpoint_client.open(endpoint, request, meta) as exchange:
+            answer = await exchange.read(held)
+            if answer.is_whole:
+                return answer
+            if elsewhere and (answer.is_failure or self._may_be_endless(request, exchange)):
+                raise too_large()
+            extend_time()
+            await pass_on_large(answer, exchange, caller)
+            self._large_answer_services.add(request.service.name)
+            return answer
 
     def _may_be_endless(self, request: Request, exchange: Exchange) -> bool:
         """Return whether a large answer may have no end, and reserve a retry if so.
@@ -211,16 +239,3 @@
             return False
         request.has_token = self._retry_budgets.take_token(request.service.name)
         return request.has_token
-
-
-@contextlib.asynccontextmanager
-async def _attempt_timeout(seconds: float) -> t.AsyncIterator[asyncio.Timeout]:
-    """Bound the time of an attempt; what is returned may change it.
-
-    :raises AttemptError: if the time is over.
-    """
-    try:
-        async with asyncio.timeout(max(0.0, seconds)) as scope:
-            yield scope
-    except TimeoutError:
-        raise AttemptError(f"no answer in {seconds:.3f} s", Executed.MAYBE) from None
