--- a/bench/soaks/gateway_endless_faults.py
+++ b/bench/soaks/gateway_endless_faults.py
@@ -19,7 +19,7 @@
 from .gateway_workers import SoakWorker
 
 # Memory of the smallest instance that runs a gateway.
-MAX_DAEMON_MEMORY_BYTES = 200 << 20
+MAX_DAEMON_MEMORY_BYTES = 112 << 20
 MEMORY_POLL_SECONDS = 0.1
 # Workers of a service that stay sound.
 MIN_SOUND_WORKERS = 1
