Soak: a planned stop may cut an answer that has no end

Nothing can complete such a request. The check excuses it only if its latest run is the one without end (test_stop_may_cut_only_requests_whose_latest_run_has_no_end).

--- a/bench/soaks/gateway_troubles.py
+++ b/bench/soaks/gateway_troubles.py
@@ -10,6 +10,8 @@
 import typing as t
 
 from thorncleat_core.daemon.registry import Registry
+from thorncleat_standins.endless import EndlessWorker
+from thorncleat_standins.platform_worker import Run
 
 from .gateway_callers import Caller
 from .gateway_checks import Exchange
@@ -245,6 +247,14 @@
     return exchange.ended_at - exchange.sent_at >= OUT_OF_TIME_SECONDS
 
 
+def is_endless(runs: t.Sequence[Run], workers: t.Mapping[str, EndlessWorker]) -> bool:
+    """Return whether the latest run of a request has no end, so that it can't be completed.
+
+    :param runs: the runs of the request, in their order.
+    """
+    return bool(runs) and runs[-1].id in workers[runs[-1].worker].endless_ids
+
+
 async def _stop_and_check(soak: GatewaySoak, daemon: Daemon) -> None:
     """Stop a daemon gracefully and check that its running requests are completed."""
     current_exchanges = [caller.current_exchange for caller in soak.callers]
@@ -260,6 +270,8 @@
             continue
         if is_out_of_time(exchange):
             soak.counts["requests out of time in a planned stop"] += 1
+        elif is_endless(checks.runs(exchange.id), soak.site.workers):
+            soak.counts["endless answers cut in a planned stop"] += 1
         else:
             checks.violations.append(
                 f"LOST {exchange.id} was cut by a planned stop of {daemon.name}: "
--- a/packages/standins/src/thorncleat_standins/endless.py
+++ b/packages/standins/src/thorncleat_standins/endless.py
@@ -12,6 +12,7 @@
 
 from .platform_worker import ATTEMPT_ID
 from .platform_worker import RESPONSE_STAMP
+from .platform_worker import EntryStore
 from .platform_worker import PlatformWorker
 from .platform_worker import Run
 
@@ -125,6 +126,7 @@
     :ivar form: what it sends; empty to answer as a sound worker.
     :ivar paths: beginnings of the paths that it answers so.
     :ivar interval: seconds between two pieces; 0 to send as fast as they are read.
+    :ivar endless_ids: ids of the requests that it answered so.
     :ivar sent: bytes sent in this way.
     :ivar answers: number of answers begun in this way.
     :ivar open_answers: number of those whose connection is still open.
@@ -137,12 +139,17 @@
     answers = 0
     open_answers = 0
 
+    def __init__(self, store: EntryStore, name: str, service: str, domain: str = "") -> None:
+        super().__init__(store, name, service, domain)
+        self.endless_ids: set[str] = set()
+
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
         if not self.form or not request.path.startswith(self.paths):
             return await super()._handle(request)
         body = await request.read()
         attempt = request.headers.get(ATTEMPT_ID, "")
         if attempt:
+            self.endless_ids.add(attempt)
             self.record_run(Run(self.id, attempt, request.raw_path, request.headers, body))
         lines = "".join(
             f"{name}: {value}\r\n"
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -18,6 +18,7 @@
 from bench.soaks.gateway_limits import LimitChecks
 from bench.soaks.gateway_notices import NoticeChecks
 from bench.soaks.gateway_retries import RetryChecks
+from bench.soaks.gateway_troubles import is_endless
 from bench.soaks.gateway_troubles import is_out_of_time
 from bench.soaks.proxy import Mode
 from bench.soaks.proxy import Proxy
@@ -346,6 +347,17 @@
     assert is_out_of_time(exchange) is is_allowed
 
 
+@pytest.mark.parametrize(
+    ("ran_at", "is_allowed"),
+    [([], False), (["w1"], False), (["w2"], True), (["w1", "w2"], True), (["w2", "w1"], False)],
+)
+def test_stop_may_cut_only_requests_whose_latest_run_has_no_end(ran_at, is_allowed):
+    """A request that was answered so before must still be completed by its next endpoint."""
+    sound, endless = (types.SimpleNamespace(endless_ids=ids) for ids in (set(), {"r"}))
+    runs = [Run(worker, "r", "/", {}, b"") for worker in ran_at]
+    assert is_endless(runs, {"w1": sound, "w2": endless}) is is_allowed
+
+
 @pytest.mark.parametrize(
     ("only", "chosen"),
     [
