--- a/packages/gateway/src/thorncleat_gateway/requests/caller_response.py
+++ b/packages/gateway/src/thorncleat_gateway/requests/caller_response.py
@@ -12,7 +12,7 @@
 
 
 class CallerStream(t.Protocol):
-    """The caller's side of a streamed answer."""
+    """The caller's side of an answer that is passed on, in parts if need be."""
 
     @property
     def has_begun(self) -> bool:
--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -11,6 +11,7 @@
 import pytest
 
 from thorncleat_gateway.exceptions import EndpointTimeoutError
+from thorncleat_gateway.exceptions import HistoryCompactedError
 from thorncleat_gateway.exceptions import RelayError
 from thorncleat_gateway.exceptions import StoreOutcomeUnknownError
 from thorncleat_gateway.exceptions import StoreUnavailableError
@@ -262,6 +263,17 @@
         await store.close()
 
 
+@pytest.mark.parametrize("endless_address", ["body in chunks"], indirect=True)
+async def test_changes_that_exceed_an_answer_are_read_anew(endless_address):
+    """The same call would exceed it again, so the copy would never be current."""
+    store = KeyValueStore("{}:{}".format(*endless_address))
+    try:
+        with pytest.raises(HistoryCompactedError):
+            await store.changes(Position(0, 9), 0.0)
+    finally:
+        await store.close()
+
+
 class _NoStore:
     async def changes(self, since, wait):
         raise StoreUnavailableError("the store is not asked")
