--- a/packages/gateway/src/thorncleat_gateway/requests/forwarder.py
+++ b/packages/gateway/src/thorncleat_gateway/requests/forwarder.py
@@ -51,6 +51,8 @@
         self._clock = clock
         self._overload_control = overload_control
         self._answers = answers or AnswerBudget()
+        # Services of which a large answer without a stated length has come to its end.
+        self._large_answer_services: set[str] = set()
 
     def _count_request(self, request: Request) -> None:
         """Count a caller's request towards the retry budget of its service."""
--- a/packages/gateway/src/thorncleat_gateway/requests/plain.py
+++ b/packages/gateway/src/thorncleat_gateway/requests/plain.py
@@ -37,11 +37,6 @@
 class PlainForwarder(Forwarder):
     """Sends requests to the endpoints of plain services."""
 
-    def __init__(self, *parts: t.Any, **options: t.Any) -> None:
-        super().__init__(*parts, **options)
-        # Services of which a large answer has come to its end.
-        self._large_answer_services: set[str] = set()
-
     async def serve(self, request: Request, caller: CallerStream) -> None:
         """Pass an endpoint's answer on.
 
