--- a/bench/soaks/gateway_daemons.py
+++ b/bench/soaks/gateway_daemons.py
@@ -74,6 +74,11 @@
         """Whether its build honours evacuations."""
         return self.running_program == PROGRAM
 
+    @property
+    def bounds_answers(self) -> bool:
+        """Whether its build bounds what it reads of workers."""
+        return self.running_program == PROGRAM
+
     @property
     def interrupted_at(self) -> float:
         """Time of the latest start or signal, on the loop's clock."""
--- a/bench/soaks/gateway_endless_faults.py
+++ b/bench/soaks/gateway_endless_faults.py
@@ -73,7 +73,8 @@
     while not soak.is_over:
         for daemon in site.daemons:
             process = _process_id(daemon)
-            if process is None or (daemon.name, process) in exceeded:
+            is_known = (daemon.name, process) in exceeded
+            if process is None or is_known or not daemon.bounds_answers:
                 continue
             size = peak_memory_bytes(process)
             soak.counts["most memory of a daemon in MB"] = max(
