--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -63,15 +63,18 @@
     tracemalloc.stop()
 
 
-async def _add_endless(cluster, form, service="desk", **more):
-    """Have one more worker, which speaks without end; the plain service streams too."""
+async def _add_endless(cluster, form, *, streams=False):
+    """Add a worker of the plain service that answers without end; return it.
+
+    :param streams: whether the others of the service answer with streams.
+    """
     changed = configuration(2)
     changed["routes"].append(
         _route("brief", "/brief/", "streaming", "desk", resumable=True, max_attempts=2)
     )
-    for worker in cluster.workers:
-        worker.streams = True
-    worker = EndlessWorker(cluster.store, "endless", service, **more)
+    for sound in cluster.workers:
+        sound.streams = streams
+    worker = EndlessWorker(cluster.store, "endless", "desk")
     worker.form = form
     await worker.start()
     cluster.workers.append(worker)
@@ -110,8 +113,6 @@
 async def test_repeatable_request_is_served_elsewhere(tmp_path, growth, form):
     async with site(tmp_path, domains=0) as cluster:
         worker = await _add_endless(cluster, form)
-        for worker_ in cluster.workers:
-            worker_.streams = False
         results = await _meet(cluster, worker, "/ack/x")
         assert {status for status, _, _ in results} == {200}
         assert {headers["X-Thorncleat-Response-Stamp"] for _, headers, _ in results} <= {
@@ -125,7 +126,7 @@
 @pytest.mark.parametrize("form", sorted(endless.FORMS))
 async def test_stream_is_served_by_another_plain_endpoint(tmp_path, growth, form):
     async with site(tmp_path, domains=0) as cluster:
-        worker = await _add_endless(cluster, form)
+        worker = await _add_endless(cluster, form, streams=True)
         worker.interval = SMALL_INTERVAL_SECONDS if "small pieces" in form else 0.0
         results = await _meet(cluster, worker, "/brief/x")
         assert {(status, body) for status, _, body in results} == {(200, ALL_EVENTS)}
@@ -138,8 +139,6 @@
     """One endpoint out of order took all memory of each daemon in turn."""
     async with site(tmp_path, domains=0) as cluster:
         worker = await _add_endless(cluster, form)
-        for worker_ in cluster.workers:
-            worker_.streams = False
         for _ in range(MAX_REQUESTS):
             status, _, is_whole = await asyncio.wait_for(
                 _discard(cluster, "/status/x"), CALL_SECONDS
@@ -202,8 +201,6 @@
 async def test_endpoint_that_speaks_without_end_is_avoided(tmp_path):
     async with site(tmp_path, domains=0) as cluster:
         worker = await _add_endless(cluster, "body in chunks")
-        for worker_ in cluster.workers:
-            worker_.streams = False
         await _meet(cluster, worker, "/ack/x")
         before = worker.answers
         for number in range(CALLS):
