--- a/review/5/world.py
+++ b/review/5/world.py
@@ -1,7 +1,8 @@
 """Stand-ins for one small deployment: store, workers of one group service, and clients.
 
-A worker can be replaced as planned without saying `draining`: its entry goes, it serves on for
-`drain_ms` and a little longer, and then stops listening and ends once its work is done.
+A worker's machine can be cut off from everything: its entry lapses in the store three heartbeats
+after its last write, its open connections go silent, and connections to it hang. Its process goes
+on, and so does its group until `stall_ms` is over.
 """
 
 import asyncio
@@ -23,15 +24,13 @@
 HERE = pathlib.Path(__file__).resolve().parent
 ROOT = HERE.parent.parent
 HEARTBEAT_SECONDS = 1.2
-SERVE_ON_SECONDS = 2.1
-FREEZE_SECONDS = 4.0
+STALL_SECONDS = 5.0
 LOAD_SECONDS = 1.6
 WARM_SECONDS = 1.1
 SAME_MODEL_SECONDS = 0.2
 FORM_SECONDS = 0.3
-# Events of a short and of a long answer, and the pause between two.
-SHORT, LONG = 5, 27
-EVENT_SECONDS = 0.24
+EVENTS = 27
+EVENT_SECONDS = 0.03
 MODEL, SIZE, SERVICE, KEY, HOST = "m0", 2, "llm", "key-one", "one.example"
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 
@@ -62,12 +61,14 @@
 
     def __init__(self, store: Store, name: str) -> None:
         self.store, self.id, self.address = store, name, ""
+        self.cut_at: float | None = None
         self.group: dict | None = None
         self.members: list[str] = []
         self.model, self.staged, self.epoch, self.seq = "", [], 0, 0
         self.written_at = 0.0
         self.streams = 0
-        self.leaving = False
+        self._pumps: set[asyncio.Task] = set()
+        self._dummies: list[socket.socket] = []
 
     async def start(self) -> None:
         """Listen, and write the entry at each heartbeat."""
@@ -75,27 +76,61 @@
         await runner.setup()
         site = web.TCPSite(runner, "127.0.0.1", 0)
         await site.start()
-        self.address = f"127.0.0.1:{runner.addresses[0][1]}"
-        self._site = site
+        self._inner = runner.addresses[0][1]
+        self._socket = socket.socket()
+        self._socket.setblocking(False)
+        self._socket.bind(("127.0.0.1", 0))
+        self._socket.listen(1)
+        self.address = f"127.0.0.1:{self._socket.getsockname()[1]}"
+        self._accepting = asyncio.create_task(self._accept())
         self._beating = asyncio.create_task(self._beat())
 
+    async def _accept(self) -> None:
+        loop = asyncio.get_running_loop()
+        while True:
+            connection, _ = await loop.sock_accept(self._socket)
+            task = asyncio.create_task(self._pump(connection))
+            self._pumps.add(task)
+            task.add_done_callback(self._pumps.discard)
+
+    async def _pump(self, connection: socket.socket) -> None:
+        reader, writer = await asyncio.open_connection(sock=connection)
+        inner_reader, inner_writer = await asyncio.open_connection("127.0.0.1", self._inner)
+
+        async def copy(source: asyncio.StreamReader, target: asyncio.StreamWriter) -> None:
+            while data := await source.read(65536):
+                if self.cut_at is not None:
+                    await asyncio.sleep(3600)
+                target.write(data)
+                await target.drain()
+            if self.cut_at is not None:
+                await asyncio.sleep(3600)
+
+        copies = [
+            asyncio.create_task(copy(reader, inner_writer)),
+            asyncio.create_task(copy(inner_reader, writer)),
+        ]
+        try:
+            await asyncio.wait(copies, return_when=asyncio.FIRST_COMPLETED)
+            if self.cut_at is not None:
+                await asyncio.sleep(3600)
+        finally:
+            for copied in copies:
+                copied.cancel()
+            writer.close()
+            inner_writer.close()
+
     async def _beat(self) -> None:
-        while not self.leaving:
+        while self.cut_at is None:
             self.publish()
             await asyncio.sleep(HEARTBEAT_SECONDS)
-
-    async def end_as_planned(self) -> None:
-        """Leave the list, serve on for a while, and stop listening."""
-        self.leaving = True
+        await asyncio.sleep(self.written_at + 3 * HEARTBEAT_SECONDS - now())
+        note(f"store: the entry of {self.id} has lapsed, three heartbeats after its last write")
         self.store.delete(f"servers/{self.id}")
-        note(f"{self.id}, the head of {self.group['name']}, leaves as planned: its entry goes")
-        await asyncio.sleep(SERVE_ON_SECONDS)
-        await self._site.stop()
-        note(f"{self.id} has stopped listening, with {self.streams} requests at work")
 
     def publish(self) -> None:
         """Write the entry."""
-        if self.leaving:
+        if self.cut_at is not None:
             return
         self.written_at = now()
         self.store.write(
@@ -124,6 +159,17 @@
             "group": dict(self.group) if self.group else None,
         }
 
+    def cut_off(self) -> None:
+        """Cut the machine off: nothing comes in or goes out any more."""
+        self.cut_at = now()
+        self._accepting.cancel()
+        # A full queue of connections drops further ones, as a cut does.
+        for _ in range(4):
+            dummy = socket.socket()
+            dummy.setblocking(False)
+            dummy.connect_ex(self._socket.getsockname())
+            self._dummies.append(dummy)
+
     def later(self, seconds: float, change, group: dict) -> None:
         """Change the group after some time if it is still the same."""
 
@@ -175,7 +221,7 @@
                 return 200 if group["state"] == "open" else 409
             self.later(FORM_SECONDS, lambda same: same.update(state="open"), group)
         elif op == "close":
-            group["state"] = "closing" if self.streams else "ready"
+            group["state"] = "ready"
         elif op == "leave":
             self.group = None
         return 202
@@ -223,20 +269,11 @@
         response = web.StreamResponse(headers=headers)
         response.enable_chunked_encoding()
         await response.prepare(request)
-        events = int(request.headers["X-Thorncleat-Token-Usage"].split(",")[1]) // 5
-        self.streams += 1
-        try:
-            first = int(request.headers.get("Last-Event-Id", "0"))
-            for number in range(first + 1, events + 1):
-                await response.write(b"id: %d\ndata: event\n\n" % number)
-                await asyncio.sleep(EVENT_SECONDS)
-            await response.write_eof()
-        finally:
-            self.streams -= 1
-            group = self.group
-            if not self.streams and group is not None and group["state"] == "closing":
-                group["state"] = "ready"
-            note(f"run {attempt} at {self.id} has ended")
+        first = int(request.headers.get("Last-Event-Id", "0"))
+        for number in range(first + 1, EVENTS + 1):
+            await response.write(b"id: %d\ndata: event\n\n" % number)
+            await asyncio.sleep(EVENT_SECONDS)
+        await response.write_eof()
         return response
 
 
@@ -244,7 +281,10 @@
 
 
 def check_two(worker: Worker, order: dict) -> None:
-    """Note a join of another group while the head of the group that wasn't left is open."""
+    """Note a join of another group while the head of the group that wasn't left is open.
+
+    A head that is cut off from its members stands still, and is broken after `stall_ms`.
+    """
     former = worker.group
     if former is None or former["name"] == order["group"] or former["rank"] == 0:
         return
@@ -253,9 +293,14 @@
         return
     if head.group["state"] not in ("open", "closing"):
         return
+    still = None if head.cut_at is None else now() - head.cut_at
+    if still is not None and still >= STALL_SECONDS:
+        note(f"{worker.id} joins {order['group']}; {former['name']} is broken since its stall")
+        return
     text = (
         f"TWO: {worker.id} takes a join of {order['group']} while {head.id}, the head of its"
-        f" group {former['name']}, is {head.group['state']} with {head.streams} requests at work"
+        f" group {former['name']}, is {head.group['state']}"
+        + ("" if still is None else f" and has stood still for {still:.3f} s of {STALL_SECONDS} s")
     )
     note(text)
     broken_rules.append(text)
@@ -377,20 +422,20 @@
     return ports
 
 
-async def client(session: aiohttp.ClientSession, port: int, events: int) -> None:
+async def client(session: aiohttp.ClientSession, port: int) -> None:
     """Send a request and note how it ended."""
     attempt = uuid.uuid4().hex[:16]
     headers = {
         "Host": HOST,
         "X-Thorncleat-Attempt-Id": attempt,
         "X-Thorncleat-Model": MODEL,
-        "X-Thorncleat-Token-Usage": f"700,{5 * events}",
-        "X-Thorncleat-Deadline-Ms": "8000",
+        "X-Thorncleat-Token-Usage": "700,130",
+        "X-Thorncleat-Deadline-Ms": "6000",
         "Authorization": f"Token {KEY}",
     }
     note(f"sent {attempt}")
     url = f"http://127.0.0.1:{port}/chat/x"
-    timeout = aiohttp.ClientTimeout(total=8)
+    timeout = aiohttp.ClientTimeout(total=6)
     try:
         async with session.post(url, data=b"prompt", headers=headers, timeout=timeout) as answer:
             body = await answer.read()
@@ -404,8 +449,7 @@
     tasks: set[asyncio.Task] = set()
     number = 0
     while True:
-        port = ports[number % len(ports)]
-        task = asyncio.create_task(client(session, port, LONG if port == ports[2] else SHORT))
+        task = asyncio.create_task(client(session, ports[number % len(ports)]))
         tasks.add(task)
         task.add_done_callback(tasks.discard)
         number += 1
@@ -472,17 +516,11 @@
         async with aiohttp.ClientSession(connector=connector) as session:
             sending = asyncio.create_task(traffic(session, frontends))
             await asyncio.sleep(4)
-            head = heads()[0]
-            if TROUBLE:
-                note("edge-2 stands still")
-                gateways[2].send_signal(signal.SIGSTOP)
-            leaving = asyncio.create_task(head.end_as_planned())
-            await asyncio.sleep(FREEZE_SECONDS)
             if TROUBLE:
-                gateways[2].send_signal(signal.SIGCONT)
-                note("edge-2 goes on")
-            await asyncio.sleep(3)
-            await leaving
+                head = heads()[0]
+                note(f"{head.id}, the head of {head.group['name']}, is cut off from all others")
+                head.cut_off()
+            await asyncio.sleep(9)
             sending.cancel()
         note("the rule was broken" if broken_rules else "the rule held")
         return 1 if broken_rules else 0
