Streams: a silent attempt whose own time has just expired is left alone

Callers saw a gateway that answered 404 on each route added later, for good. Cause: the failure detector lets the time of a silent attempt be over with Timeout.reschedule(). If it had expired in the same turn of the event loop, asyncio raises RuntimeError ('Cannot change state of expiring Timeout'), which ended the detector's loop and with it all others. The time of a large plain answer was moved in the same way. Change: both go through timeouts.reschedule(), which leaves an expired scope alone.

--- a/packages/gateway/src/thorncleat_gateway/requests/plain.py
+++ b/packages/gateway/src/thorncleat_gateway/requests/plain.py
@@ -17,6 +17,7 @@
 from ..exceptions import Executed
 from ..model_key import NO_MODEL
 from ..store.roster import Endpoint
+from ..timeouts import reschedule
 from . import request_log
 from . import retry_policy
 from .answer_budget import HeldBytes
@@ -187,7 +188,7 @@
                         caller,
                         held,
                         elsewhere=elsewhere,
-                        extend_time=lambda: scope.reschedule(ends_at),
+                        extend_time=lambda: reschedule(scope, ends_at),
                     )
             except TimeoutError:
                 cause = f"no answer in {seconds:.3f} s"
--- a/packages/gateway/src/thorncleat_gateway/requests/streams.py
+++ b/packages/gateway/src/thorncleat_gateway/requests/streams.py
@@ -14,6 +14,7 @@
 from ..exceptions import RefusalError
 from ..peers.failure_detector import StreamAttempt
 from ..store.roster import Endpoint
+from ..timeouts import reschedule
 from . import request_log
 from . import retry_policy
 from . import service_endpoints
@@ -209,7 +210,7 @@
                         endpoint,
                         self._clock(),
                         reserve_retry=lambda: self._reserve_retry(request, endpoints),
-                        abort=lambda: scope.reschedule(loop.time()),
+                        abort=lambda: reschedule(scope, loop.time()),
                         allowance=endpoints.silence_allowance(),
                     )
                     self._detector.watch(attempt)
