Services live on when a task or a future of theirs fails

Callers saw a gateway that followed nothing any more and said that it was ready. Cause: mode marks a service whose task raises as crashed, with its parents and all their children. Each loop that asks should_stop then ends: the view of the store, election, controller, registration, reports. The process waits for SIGTERM alone. Change: the gateway's services derive from service.Service. A new metric, unexpected_errors, counts all of them. Ruled out: an end of the process, which ends its callers' requests as well; a daemon that isn't ready, since data that fails at one daemon fails at all.

--- a/packages/gateway/src/thorncleat_gateway/gateway.py
+++ b/packages/gateway/src/thorncleat_gateway/gateway.py
@@ -11,9 +11,8 @@
 import socket
 import typing as t
 
-import mode
-
 from . import events
+from .failures import FailureLog
 from .groups.control_services import ControlDependencies
 from .groups.control_services import ControlServices
 from .groups.election import Election
@@ -46,6 +45,7 @@
 from .requests.request_services import RequestServices
 from .requests.retry_budget import RetryBudgets
 from .requests.retry_reporter import RetryReporter
+from .service import Service
 from .settings import GatewaySettings
 from .store.registration import RELAYS
 from .store.registration import Registration
@@ -66,7 +66,7 @@
 LATENESS_WINDOW_SECONDS = 1.0
 
 
-class Gateway(mode.Service):
+class Gateway(Service):
     """One daemon of the gateway.
 
     :param feed: changes of the platform's store.
@@ -227,6 +227,7 @@
         add("relayed_answers", "Given to other daemons", lambda: self._relay_server.answered_count)
 
         add("answer_bytes_held", "Of endpoints", self._answer_bytes_held)
+        add("unexpected_errors", "Since the start", lambda: FailureLog.total)
 
         if self._settings.overload_control:
             self._add_overload_gauges()
--- a/packages/gateway/src/thorncleat_gateway/groups/controller.py
+++ b/packages/gateway/src/thorncleat_gateway/groups/controller.py
@@ -13,11 +13,10 @@
 import contextlib
 import typing as t
 
-import mode
-
-from .. import events
 from ..peers.failure_detector import FailureDetector
 from ..peers.messages import Suspicion
+from ..service import Service
+from ..service import background_task
 from ..store.view import StoreView
 from .domain_sizes import DomainSizes
 from .election import Election
@@ -35,7 +34,7 @@
 PLAN_PAUSE_FACTOR = 3.0
 
 
-class Controller(mode.Service):
+class Controller(Service):
     """Plans and carries out plans while this daemon holds the controller's lease.
 
     :param before_requests: returns whether no caller has sent a request yet since the system's
@@ -79,7 +78,7 @@
             return {}
         return {key: found.utilization for key, found in self.term.moves.demands().items()}
 
-    @mode.Service.task
+    @background_task
     async def _plan_task(self) -> None:
         while not self.should_stop:
             with contextlib.suppress(TimeoutError):
@@ -95,7 +94,7 @@
             try:
                 self._plan(planner)
             except Exception as error:
-                events.TASK_FAILED.log(task="plan", reason=repr(error))
+                self._failures.record("plan", error)
             await asyncio.sleep(PLAN_PAUSE_FACTOR * (self._clock() - started_at))
 
     def _observe(self) -> None:
--- a/packages/gateway/src/thorncleat_gateway/groups/election.py
+++ b/packages/gateway/src/thorncleat_gateway/groups/election.py
@@ -11,8 +11,6 @@
 import asyncio
 import typing as t
 
-import mode
-
 from thorncleat_core import rendezvous
 
 from .. import events
@@ -23,6 +21,8 @@
 from ..ports import Lease
 from ..ports import Position
 from ..ports import RecordStore
+from ..service import Service
+from ..service import background_task
 from ..settings import GatewaySettings
 from ..store.view import StoreView
 
@@ -96,7 +96,7 @@
     return cut_off_seconds >= HAND_OVER_SECONDS and others_reach_endpoints
 
 
-class Election(mode.Service):
+class Election(Service):
     """Tries to become controller whenever there is none, and renews the lease.
 
     :param capacities: returns the capacity of each known daemon, including this one.
@@ -165,7 +165,7 @@
             self._reach.cut_off_seconds, others_reach_endpoints=self._others_reach_endpoints()
         )
 
-    @mode.Service.task
+    @background_task
     async def _campaign_task(self) -> None:
         while not self.should_stop:
             try:
--- a/packages/gateway/src/thorncleat_gateway/groups/jobs.py
+++ b/packages/gateway/src/thorncleat_gateway/groups/jobs.py
@@ -12,6 +12,7 @@
 from thorncleat_core.exceptions import ThorncleatError
 
 from .. import events
+from ..failures import FailureLog
 
 Work = t.Coroutine[t.Any, t.Any, None]
 # Starts a coroutine as a background job of a term.
@@ -27,6 +28,7 @@
     def __init__(self, wake: t.Callable[[], None]) -> None:
         self._wake = wake
         self._tasks: set[asyncio.Task[None]] = set()
+        self._failures = FailureLog()
 
     def start(self, work: Work) -> None:
         """Start a coroutine as a background job."""
@@ -48,5 +50,5 @@
         except ThorncleatError as error:
             events.TASK_FAILED.log(task="orders", reason=str(error))
         except Exception as error:
-            events.TASK_FAILED.log(task="orders", reason=repr(error))
+            self._failures.record("orders", error)
         self._wake()
--- a/packages/gateway/src/thorncleat_gateway/peers/datagrams.py
+++ b/packages/gateway/src/thorncleat_gateway/peers/datagrams.py
@@ -9,9 +9,9 @@
 import asyncio
 import typing as t
 
-import mode
-
 from .. import events
+from ..callbacks import Callbacks
+from ..service import Service
 from ..settings import GatewaySettings
 from . import domain_loads
 from .message_codec import decode
@@ -38,7 +38,7 @@
     return MIN_REPORT_INTERVAL_SECONDS * max(1.0, daemons / MAX_DAEMONS_AT_MIN_INTERVAL)
 
 
-class PeerChannel(mode.Service):
+class PeerChannel(Service):
     """Sends messages to other daemons and dispatches theirs.
 
     :param addresses: returns the address of each registered daemon, by id.
@@ -56,7 +56,7 @@
         self._listen = settings.peers
         self._addresses = addresses
         self._domain_peers = domain_peers
-        self._handlers: list[Handler] = []
+        self._handlers = Callbacks[[str, Message]]("message")
         self._transport: asyncio.DatagramTransport | None = None
         self.rejected_count = 0
 
@@ -101,7 +101,7 @@
 
     def on_message(self, handler: Handler) -> None:
         """Call a function for each message with the id of its sender."""
-        self._handlers.append(handler)
+        self._handlers.add(handler)
 
     def broadcast(self, message: Message) -> None:
         """Send a message to all other daemons."""
@@ -144,8 +144,7 @@
                     source=f"{source[0]}:{source[1]}", count=self.rejected_count
                 )
             return
-        for handler in self._handlers:
-            handler(datagram.sender, datagram.message)
+        self._handlers.call(datagram.sender, datagram.message)
 
 
 class _Receiver(asyncio.DatagramProtocol):
--- a/packages/gateway/src/thorncleat_gateway/peers/failure_detector.py
+++ b/packages/gateway/src/thorncleat_gateway/peers/failure_detector.py
@@ -11,9 +11,10 @@
 import dataclasses
 import typing as t
 
-import mode
-
 from .. import events
+from ..callbacks import Callbacks
+from ..service import Service
+from ..service import background_task
 from ..settings import StreamSettings
 from ..store.roster import Endpoint
 from . import silence
@@ -86,7 +87,7 @@
             self.last_at = now
 
 
-class FailureDetector(mode.Service):
+class FailureDetector(Service):
     """Watches this daemon's streams in all groups and determines which groups are suspected.
 
     :param is_full: returns whether the slots of a leader's group are all taken.
@@ -114,7 +115,7 @@
         self._shared_silence = SharedSilence()
         self._reported_at: dict[str, float] = {}
         self._others_reached_at = float("-inf")
-        self._listeners: list[t.Callable[[Suspicion], None]] = []
+        self._listeners = Callbacks[[Suspicion]]("suspicion")
         self.lateness = OwnLateness(clock, POLL_INTERVAL_SECONDS)
         self.reach = reach or Reach(clock)
         self.reach.on_loss(self._forget_own_suspicions)
@@ -122,7 +123,7 @@
 
     def on_suspicion(self, listener: t.Callable[[Suspicion], None]) -> None:
         """Call a function for each suspicion, whether local or reported by another daemon."""
-        self._listeners.append(listener)
+        self._listeners.add(listener)
 
     def watch(self, attempt: StreamAttempt) -> None:
         """Start watching an attempt."""
@@ -238,8 +239,7 @@
         return self.lateness.max_lateness_since(since) >= MIN_OWN_PAUSE_SECONDS
 
     def _notify(self, suspicion: Suspicion) -> None:
-        for listener in self._listeners:
-            listener(suspicion)
+        self._listeners.call(suspicion)
 
     def _on_message(self, sender: str, message: Message) -> None:
         now = self._clock()
@@ -258,7 +258,7 @@
                 self._suspicions.add(message.leader, message.group, is_local=False)
             self._notify(message)
 
-    @mode.Service.task
+    @background_task
     async def _poll_task(self) -> None:
         while not self.should_stop:
             await asyncio.sleep(POLL_INTERVAL_SECONDS)
--- a/packages/gateway/src/thorncleat_gateway/peers/load_reporter.py
+++ b/packages/gateway/src/thorncleat_gateway/peers/load_reporter.py
@@ -6,8 +6,8 @@
 
 import asyncio
 
-import mode
-
+from ..service import Service
+from ..service import background_task
 from . import domain_loads
 from .datagrams import PeerChannel
 from .failure_detector import FailureDetector
@@ -33,7 +33,7 @@
     return max(MIN_CONTACT_TTL_SECONDS, CONTACT_TTL_REPORTS * interval)
 
 
-class LoadReporter(mode.Service):
+class LoadReporter(Service):
     """Sends this daemon's load reports at the interval of the channel.
 
     :param failure_domain: the failure domain of this daemon.
@@ -82,7 +82,7 @@
         if counts:
             self._has_seen_remote_requests = True
 
-    @mode.Service.task
+    @background_task
     async def _report_task(self) -> None:
         empty_reports = 0
         while not self.should_stop:
@@ -98,7 +98,7 @@
             else:
                 self._peers.broadcast_to_domain(report)
 
-    @mode.Service.task
+    @background_task
     async def _sum_task(self) -> None:
         empty_sums = 0
         while not self.should_stop:
--- a/packages/gateway/src/thorncleat_gateway/peers/probe_answers.py
+++ b/packages/gateway/src/thorncleat_gateway/peers/probe_answers.py
@@ -9,8 +9,7 @@
 
 import typing as t
 
-import mode
-
+from ..service import Service
 from ..store.roster import Endpoint
 from ..store.view import StoreView
 from .datagrams import PeerChannel
@@ -20,7 +19,7 @@
 from .messages import ProbeResult
 
 
-class ProbeAnswers(mode.Service):
+class ProbeAnswers(Service):
     """Calls the endpoint that a probe names, and reports to the controller if it answers.
 
     :param endpoint_answers: asks an endpoint for a report and returns whether it answered.
--- a/packages/gateway/src/thorncleat_gateway/peers/reach.py
+++ b/packages/gateway/src/thorncleat_gateway/peers/reach.py
@@ -15,6 +15,7 @@
 import typing as t
 
 from .. import events
+from ..callbacks import Callbacks
 from ..store.roster import Endpoint
 
 # Endpoints of a service to which connections must fail in a row.
@@ -58,7 +59,7 @@
         self._count_endpoints = count_endpoints
         self._services: dict[str, _ServiceReach] = {}
         self._has_doubt = asyncio.Event()
-        self._listeners: list[t.Callable[[str], None]] = []
+        self._listeners = Callbacks[[str]]("loss of a service")
 
     @property
     def doubtful_services(self) -> list[str]:
@@ -112,7 +113,7 @@
 
     def on_loss(self, listener: t.Callable[[str], None]) -> None:
         """Call a function with each service from which this daemon finds itself cut off."""
-        self._listeners.append(listener)
+        self._listeners.add(listener)
 
     async def wait_doubtful(self) -> None:
         """Wait until there is a doubtful service."""
@@ -141,8 +142,7 @@
         if found.lost_at is None and len(found.failed) >= needed and is_silent:
             found.lost_at = self._clock()
             events.CUT_OFF.log(service=service, failed=sorted(found.failed))
-            for listener in self._listeners:
-                listener(service)
+            self._listeners.call(service)
 
     def forget_unlisted(self, services: t.Container[str]) -> None:
         """Forget services of which no endpoint is listed any more."""
--- a/packages/gateway/src/thorncleat_gateway/peers/reach_check.py
+++ b/packages/gateway/src/thorncleat_gateway/peers/reach_check.py
@@ -11,8 +11,8 @@
 import random
 import typing as t
 
-import mode
-
+from ..service import Service
+from ..service import background_task
 from ..store.roster import Endpoint
 from ..store.view import StoreView
 from .reach import MIN_FAILED_ENDPOINTS
@@ -24,7 +24,7 @@
 CHECK_INTERVAL_SECONDS = 0.25
 
 
-class ReachCheck(mode.Service):
+class ReachCheck(Service):
     """Connects to a few endpoints while it is doubtful whether this daemon reaches any.
 
     :param connect: connects to an endpoint and returns whether the connection came up in time.
@@ -41,7 +41,7 @@
         self._view = view
         self._connect = connect
 
-    @mode.Service.task
+    @background_task
     async def _check_task(self) -> None:
         while not self.should_stop:
             await self._reach.wait_doubtful()
--- a/packages/gateway/src/thorncleat_gateway/peers/workspace_loads.py
+++ b/packages/gateway/src/thorncleat_gateway/peers/workspace_loads.py
@@ -11,9 +11,9 @@
 import contextlib
 import typing as t
 
-import mode
-
 from ..model_key import ModelKey
+from ..service import Service
+from ..service import background_task
 from . import domain_loads
 from .datagrams import PeerChannel
 from .load_reporter import MAX_EMPTY_REPORTS
@@ -86,7 +86,7 @@
         return self._tables[key]
 
 
-class WorkspaceReporter(mode.Service):
+class WorkspaceReporter(Service):
     """Sends this daemon's running requests by workspace, and records those of the others.
 
     As with load reports, few daemons form a full mesh; otherwise daemons report to their failure
@@ -113,7 +113,7 @@
             # The daemons of the own domain send their reports to this one directly.
             self._loads.report_domain(message.failure_domain, message.loads)
 
-    @mode.Service.task
+    @background_task
     async def _report_task(self) -> None:
         while not self.should_stop:
             await asyncio.sleep(REPORT_INTERVAL_SECONDS)
--- a/packages/gateway/src/thorncleat_gateway/requests/crash_reporter.py
+++ b/packages/gateway/src/thorncleat_gateway/requests/crash_reporter.py
@@ -8,8 +8,6 @@
 import random
 import typing as t
 
-import mode
-
 from .. import events
 from ..peers.datagrams import PeerChannel
 from ..peers.messages import CrashReport
@@ -17,6 +15,8 @@
 from ..peers.messages import Message
 from ..peers.messages import ReportedCrash
 from ..peers.messages import ReportedRequest
+from ..service import Service
+from ..service import background_task
 from ..store.roster import Incarnation
 from .fingerprint import Fingerprint
 from .quarantine import RAN_POINTS
@@ -35,7 +35,7 @@
 MAX_REPORT_ENTRIES = 40
 
 
-class CrashReporter(mode.Service):
+class CrashReporter(Service):
     """Reports this daemon's crashes to the others and records those that they report.
 
     :param clock: monotonic, in seconds.
@@ -105,7 +105,7 @@
         if new and not is_recorded:
             _log_crash(incarnation, sender, len(new))
 
-    @mode.Service.task
+    @background_task
     async def _report_task(self) -> None:
         while not self.should_stop:
             await self._has_unreported.wait()
@@ -120,7 +120,7 @@
         for report in self._reports(crashes):
             self._peers.broadcast(report)
 
-    @mode.Service.task
+    @background_task
     async def _repeat_task(self) -> None:
         while not self.should_stop:
             await asyncio.sleep(REPEAT_INTERVAL_SECONDS)
--- a/packages/gateway/src/thorncleat_gateway/requests/endpoint_limits.py
+++ b/packages/gateway/src/thorncleat_gateway/requests/endpoint_limits.py
@@ -13,6 +13,7 @@
 import typing as t
 
 from .. import events
+from ..callbacks import Callbacks
 from ..exceptions import EndpointNotAcceptingError
 from ..ports import AnswerMeta
 from ..store.fleet_knowledge import FleetKnowledge
@@ -116,7 +117,7 @@
         self._limited: dict[str, _LimitedEndpoint] = {}
         # The latest notices of endpoints without a limit.
         self._unlimited: dict[Incarnation, RateNotice] = {}
-        self._listeners: list[Listener] = []
+        self._listeners = Callbacks[[Incarnation, RateNotice]]("change of a limit")
 
     @property
     def notices(self) -> dict[Incarnation, RateNotice]:
@@ -125,7 +126,7 @@
 
     def on_change(self, listener: Listener) -> None:
         """Call a function when an answer changes the limit of an endpoint."""
-        self._listeners.append(listener)
+        self._listeners.add(listener)
 
     def record_answer(self, endpoint: Endpoint, meta: AnswerMeta, sent_at: float | None) -> None:
         """Record the limit that an answer states, or that it states none.
@@ -144,8 +145,7 @@
         else:
             return
         if self.record_notice(endpoint.incarnation, notice):
-            for listener in self._listeners:
-                listener(endpoint.incarnation, notice)
+            self._listeners.call(endpoint.incarnation, notice)
 
     def record_notice(self, incarnation: Incarnation, new: RateNotice) -> bool:
         """Record a notice and return whether it changes the limit of an endpoint."""
--- a/packages/gateway/src/thorncleat_gateway/requests/evacuations.py
+++ b/packages/gateway/src/thorncleat_gateway/requests/evacuations.py
@@ -13,6 +13,7 @@
 import typing as t
 
 from .. import events
+from ..callbacks import Callbacks
 from ..exceptions import EndpointNotAcceptingError
 from ..store.evacuated_domains import evacuated_domains
 from ..store.roster import Endpoint
@@ -26,12 +27,12 @@
         self._view = view
         self._records_version = -1
         self._failure_domains: frozenset[str] = frozenset()
-        self._end_listeners: list[t.Callable[[str], None]] = []
+        self._end_listeners = Callbacks[[str]]("end of an evacuation")
         view.on_change(self._update)
 
     def on_end(self, listener: t.Callable[[str], None]) -> None:
         """Call a function with each failure domain whose evacuation ends."""
-        self._end_listeners.append(listener)
+        self._end_listeners.add(listener)
 
     def count(self) -> int:
         """Return the number of evacuated failure domains."""
@@ -77,5 +78,4 @@
             events.EVACUATED.log(failure_domain=failure_domain, age=age)
         for failure_domain in sorted(before - self._failure_domains):
             events.EVACUATION_ENDED.log(failure_domain=failure_domain, age=age)
-            for listener in self._end_listeners:
-                listener(failure_domain)
+            self._end_listeners.call(failure_domain)
--- a/packages/gateway/src/thorncleat_gateway/requests/limit_reporter.py
+++ b/packages/gateway/src/thorncleat_gateway/requests/limit_reporter.py
@@ -9,12 +9,12 @@
 import random
 import typing as t
 
-import mode
-
 from ..peers.datagrams import PeerChannel
 from ..peers.messages import LimitReport
 from ..peers.messages import Message
 from ..peers.messages import ReportedLimit
+from ..service import Service
+from ..service import background_task
 from ..store.roster import Incarnation
 from ..store.view import StoreView
 from .endpoint_limits import EndpointLimits
@@ -30,7 +30,7 @@
 MAX_REPORT_ENTRIES = 25
 
 
-class LimitReporter(mode.Service):
+class LimitReporter(Service):
     """Reports limits to the other daemons and records those that they report.
 
     A daemon that has just started, or has no share of a limit, gets no answers that state it.
@@ -73,7 +73,7 @@
             notice = RateNotice(reported.limit, now - reported.sent_age, now - reported.heard_age)
             self._limits.record_notice(Incarnation(reported.endpoint_id, reported.born), notice)
 
-    @mode.Service.task
+    @background_task
     async def _repeat_task(self) -> None:
         while not self.should_stop:
             await asyncio.sleep(REPEAT_INTERVAL_SECONDS)
--- a/packages/gateway/src/thorncleat_gateway/requests/retry_budget.py
+++ b/packages/gateway/src/thorncleat_gateway/requests/retry_budget.py
@@ -15,6 +15,7 @@
 import math
 import typing as t
 
+from ..callbacks import Callbacks
 from ..peers.messages import RetryUse
 
 # Fraction of the budget that is used; the rest covers requests and retries in different windows.
@@ -208,7 +209,7 @@
         self._budgets: dict[str, RetryBudget] = collections.defaultdict(
             lambda: RetryBudget(settings, self._counted_since)
         )
-        self._listeners: list[t.Callable[[], None]] = []
+        self._listeners = Callbacks[[]]("retry")
         self._taken = 0
         self._denied = 0
 
@@ -239,7 +240,7 @@
 
     def on_retry(self, listener: t.Callable[[], None]) -> None:
         """Call a function after each token that is taken."""
-        self._listeners.append(listener)
+        self._listeners.add(listener)
 
     def record_request(self, service: str) -> None:
         """Count a caller's request to a service."""
@@ -259,8 +260,7 @@
             self._denied += 1
             return False
         self._taken += 1
-        for listener in self._listeners:
-            listener()
+        self._listeners.call()
         return True
 
     def account(self, service: str) -> RetryAccount:
--- a/packages/gateway/src/thorncleat_gateway/requests/retry_reporter.py
+++ b/packages/gateway/src/thorncleat_gateway/requests/retry_reporter.py
@@ -12,8 +12,6 @@
 import dataclasses
 import typing as t
 
-import mode
-
 from thorncleat_core import rendezvous
 
 from .. import events
@@ -22,6 +20,8 @@
 from ..peers.messages import RetryQuery
 from ..peers.messages import RetryRecall
 from ..peers.messages import RetryReport
+from ..service import Service
+from ..service import background_task
 from .retry_budget import RetryBudgets
 
 # Daemons that keep what one has used, so that one is left in most cases if nine in ten end at once.
@@ -48,7 +48,7 @@
     at: float
 
 
-class RetryReporter(mode.Service):
+class RetryReporter(Service):
     """Reports what this daemon has used, and remembers what others have reported.
 
     :param clock: monotonic, in seconds.
@@ -86,7 +86,7 @@
         if age <= MAX_REPORT_AGE_SECONDS:
             self._peers.send(daemon, RetryRecall(age, kept.report))
 
-    @mode.Service.task
+    @background_task
     async def _query_task(self) -> None:
         asks_until = self._clock() + QUERY_SECONDS
         while not self.should_stop and self._clock() < asks_until and not self._budgets.is_complete:
@@ -118,7 +118,7 @@
             has_share=report.has_share,
         )
 
-    @mode.Service.task
+    @background_task
     async def _report_task(self) -> None:
         while not self.should_stop:
             await self._has_unreported.wait()
@@ -126,7 +126,7 @@
             self._has_unreported.clear()
             self.report()
 
-    @mode.Service.task
+    @background_task
     async def _repeat_task(self) -> None:
         while not self.should_stop:
             await asyncio.sleep(REPEAT_INTERVAL_SECONDS)
--- a/packages/gateway/src/thorncleat_gateway/store/complete_era_writer.py
+++ b/packages/gateway/src/thorncleat_gateway/store/complete_era_writer.py
@@ -8,10 +8,10 @@
 import random
 import typing as t
 
-import mode
-
 from ..exceptions import StoreError
 from ..ports import RecordStore
+from ..service import Service
+from ..service import background_task
 from .complete_era import COMPLETE_ERA_KEY
 from .complete_era import encode
 from .complete_era import recorded_era
@@ -25,7 +25,7 @@
 OTHERS_DELAY_SECONDS = (3.0, 9.0)
 
 
-class CompleteEraWriter(mode.Service):
+class CompleteEraWriter(Service):
     """Records the present era once the configuration is complete in it.
 
     :param is_controller: returns whether this daemon is the controller.
@@ -47,7 +47,7 @@
         # When this daemon writes though it isn't the controller; None while nothing is missing.
         self._write_at: float | None = None
 
-    @mode.Service.task
+    @background_task
     async def _write_task(self) -> None:
         while not self.should_stop:
             await self._view.wait_change(CHECK_INTERVAL_SECONDS)
--- a/packages/gateway/src/thorncleat_gateway/store/registration.py
+++ b/packages/gateway/src/thorncleat_gateway/store/registration.py
@@ -11,7 +11,6 @@
 import random
 import typing as t
 
-import mode
 import msgpack
 
 from ..exceptions import LeaseExpiredError
@@ -19,6 +18,8 @@
 from ..ports import Lease
 from ..ports import RecordChanged
 from ..ports import RecordStore
+from ..service import Service
+from ..service import background_task
 from ..settings import GatewaySettings
 from .fleet_knowledge import FleetKnowledge
 from .fleet_knowledge import fleet_knowledge
@@ -42,7 +43,7 @@
 SPREAD_SECONDS_PER_DAEMON = 0.01
 
 
-class Registration(mode.Service):
+class Registration(Service):
     """Keeps this daemon's record and reads those of all daemons."""
 
     def __init__(
@@ -165,7 +166,7 @@
             return ()
         return order_by_proximity(relays.values(), self.own)
 
-    @mode.Service.task
+    @background_task
     async def _registration_task(self) -> None:
         while not self.should_stop:
             try:
--- a/packages/gateway/src/thorncleat_gateway/store/view.py
+++ b/packages/gateway/src/thorncleat_gateway/store/view.py
@@ -10,9 +10,8 @@
 import contextlib
 import typing as t
 
-import mode
-
 from .. import events
+from ..callbacks import Callbacks
 from ..exceptions import HistoryCompactedError
 from ..exceptions import StoreError
 from ..ports import Change
@@ -24,6 +23,8 @@
 from ..ports import Position
 from ..ports import RecordChanged
 from ..ports import SettlingTimes
+from ..service import Service
+from ..service import background_task
 from .acknowledged_age import AcknowledgedAge
 from .complete_era import recorded_era
 from .former_eras import FormerEras
@@ -42,7 +43,7 @@
 RETURN_TOLERANCE_SECONDS = 0.5
 
 
-class StoreView(mode.Service):
+class StoreView(Service):
     """Keeps a copy of the store up to date by following its changes.
 
     :param wait: how long a call for changes waits for one, in seconds.
@@ -73,8 +74,8 @@
         self._entries_age = AcknowledgedAge()
         # Ids of endpoints whose entries were written since the store's last return.
         self._rewritten_ids: set[str] = set()
-        self._listeners: list[t.Callable[[], None]] = []
-        self._batch_listeners: list[t.Callable[[Position | None, Changes], None]] = []
+        self._listeners = Callbacks[[]]("change")
+        self._batch_listeners = Callbacks[[Position | None, Changes]]("batch of changes")
         self._freshness = Freshness()
         self.roster = Roster()
         self._evacuations = RetainedEvacuations()
@@ -190,16 +191,16 @@
 
     def on_change(self, listener: t.Callable[[], None]) -> None:
         """Call a function after each batch of changes."""
-        self._listeners.append(listener)
+        self._listeners.add(listener)
 
     def on_batch(self, listener: t.Callable[[Position | None, Changes], None]) -> None:
         """Call a function with each answer, and with the position that its changes follow.
 
         The position is None for a snapshot, which replaces the whole copy.
         """
-        self._batch_listeners.append(listener)
+        self._batch_listeners.add(listener)
 
-    @mode.Service.task
+    @background_task
     async def _follow_task(self) -> None:
         backoff = MIN_BACKOFF_SECONDS
         while not self.should_stop:
@@ -222,7 +223,7 @@
             if changed:
                 await asyncio.sleep(self._coalesce())
 
-    @mode.Service.task
+    @background_task
     async def _expire_task(self) -> None:
         while not self.should_stop:
             await asyncio.sleep(self._seconds_until_due())
@@ -255,11 +256,10 @@
             answer = await self._feed.changes(self._position, self._wait)
             restored = self._record_answer(sent_at, answer)
             for change in answer.changes:
-                self._apply(change)
+                self._apply_logged(change)
         self._record_proof(sent_at + answer.proven_seconds, answer, restored=restored)
         since, self._position = self._position, answer.position
-        for listener in self._batch_listeners:
-            listener(since, answer)
+        self._batch_listeners.call(since, answer)
         if answer.changes:
             self._notify_listeners()
         if answer.configuration > self.configuration_version():
@@ -307,8 +307,7 @@
         self.version += 1
         self._changed.set()
         self._changed = asyncio.Event()
-        for listener in self._listeners:
-            listener()
+        self._listeners.call()
 
     def _replace(self, changes: t.Sequence[Change], *, restored: bool) -> None:
         """Replace this copy with a snapshot.
@@ -326,7 +325,14 @@
         self.records_version += 1
         for change in changes:
             if not isinstance(change, EndpointListed):
-                self._apply(change)
+                self._apply_logged(change)
+
+    def _apply_logged(self, change: Change) -> None:
+        """Apply a change; one that fails is logged and left out, so that later ones are applied."""
+        try:
+            self._apply(change)
+        except Exception as error:
+            self._failures.record("apply a change", error)
 
     def _apply(self, change: Change) -> None:
         match change:
--- a/packages/gateway/src/thorncleat_gateway/tunnels/offers.py
+++ b/packages/gateway/src/thorncleat_gateway/tunnels/offers.py
@@ -14,13 +14,13 @@
 import random
 import typing as t
 
-import mode
-
 from ..peers.datagrams import PeerChannel
 from ..peers.messages import Message
 from ..peers.messages import TunnelOffer
 from ..peers.messages import TunnelQuery
 from ..peers.reach import Reach
+from ..service import Service
+from ..service import background_task
 from ..store.relays import Daemon
 from .server import TunnelServer
 
@@ -81,7 +81,7 @@
     return min(drawn, key=lambda carrier: running.get(carrier.daemon_id, 0), default=None)
 
 
-class TunnelOffers(mode.Service):
+class TunnelOffers(Service):
     """The daemons that carry tunnels for this one.
 
     :param daemons: returns the registered daemons, by id.
@@ -231,7 +231,7 @@
         )
         self._has_offer.set()
 
-    @mode.Service.task
+    @background_task
     async def _ask_task(self) -> None:
         while not self.should_stop:
             await self._reach.wait_doubtful()
--- a/tests/test_architecture.py
+++ b/tests/test_architecture.py
@@ -73,3 +73,12 @@
 @pytest.mark.parametrize("name", [name for name in modules() if not name.startswith("bench/")])
 def test_module_tells_no_story_of_its_tuning(name):
     assert STORY.findall((ROOT / name).read_text(encoding="utf-8")) == []
+
+
+def test_services_of_the_gateway_survive_their_tasks():
+    """A service of the library ends all others with it when one of its tasks raises."""
+    for path in sorted(GATEWAY.rglob("*.py")):
+        source = path.read_text(encoding="utf-8")
+        if path.name != "service.py":
+            assert "mode.Service" not in source, path
+            assert "Service.task" not in source, path
