Attempts that were never connected have not run, and no request ends unlogged

Callers saw 500 without a log line, or 502 within a millisecond, where a sound endpoint stood ready. Cause: an endpoint's URL was built before the attempt began, so that its error ended the request in the web library. An error other than the network's while connecting counted as an attempt that may have run; failing fast and holding no load, the endpoint was chosen again and again. Change: whether an attempt was connected is noted when the request is about to be sent; any error before that is one of an attempt that hasn't run, and the endpoint is avoided for a time. An error that no class expects ends a request with 500, or cuts it, and is logged with the request's id; those of other listeners are logged too.

--- a/packages/gateway/src/thorncleat_gateway/listeners.py
+++ b/packages/gateway/src/thorncleat_gateway/listeners.py
@@ -9,6 +9,8 @@
 
 from aiohttp import web
 
+from .failures import FailureLog
+
 # How long a caller's connection may be idle.
 KEEP_ALIVE_TIMEOUT_SECONDS = 75.0
 # Limit of a request line and of one header.
@@ -26,6 +28,7 @@
 
     def __init__(self) -> None:
         self._runners: list[web.ServerRunner] = []
+        self._failures = FailureLog()
 
     async def open(
         self, handler: Handler, address: Address, bound_socket: socket.socket | None = None
@@ -37,7 +40,7 @@
         :raises OSError: if the address is in use.
         """
         server = web.Server(
-            handler,
+            self._logged(handler),
             access_log=None,
             keepalive_timeout=KEEP_ALIVE_TIMEOUT_SECONDS,
             max_line_size=MAX_LINE_BYTES,
@@ -57,6 +60,20 @@
             site = web.TCPSite(runner, *address, backlog=ACCEPT_BACKLOG, reuse_address=True)
         await site.start()
 
+    def _logged(self, handler: Handler) -> Handler:
+        """Return a handler that logs its errors, which the server answers with a status of 500."""
+
+        async def handle(request: web.BaseRequest) -> web.StreamResponse:
+            try:
+                return await handler(request)
+            except (web.HTTPException, ConnectionError):
+                raise
+            except Exception as error:
+                self._failures.record("listener", error)
+                raise
+
+        return handle
+
     async def close(self) -> None:
         """Close all listeners."""
         for runner in reversed(self._runners):
--- a/packages/gateway/src/thorncleat_gateway/requests/endpoint_client.py
+++ b/packages/gateway/src/thorncleat_gateway/requests/endpoint_client.py
@@ -20,6 +20,7 @@
 from ..exceptions import ConnectionBreak
 from ..exceptions import EndpointNotAcceptingError
 from ..exceptions import Executed
+from ..failures import FailureLog
 from ..peers.reach import Reach
 from ..ports import ForwardMeta
 from ..ports import HeaderCodec
@@ -46,6 +47,8 @@
     "force_close": True,
     "happy_eyeballs_delay": None,
 }
+# Errors by which a connection or an answer fails; any other is a fault of this program.
+EXPECTED_ERRORS = (aiohttp.ClientError, OSError, TimeoutError, ValueError)
 # Answers with this status or a higher one carry no result, so they need no signature.
 MIN_UNSIGNED_STATUS = 400
 
@@ -94,6 +97,7 @@
         self._timeout = aiohttp.ClientTimeout(total=None, sock_connect=connect_timeout)
         self._pool = pool
         self._reach = reach
+        self._failures = FailureLog()
 
     def has_idle_connection(self, endpoint: Endpoint) -> bool:
         """Return whether there is an idle connection to an endpoint."""
@@ -191,22 +195,27 @@
         self._notices.check(endpoint)
         reservation = self._limits.reserve(endpoint)
         has_body = request.body or request.method not in ("GET", "HEAD")
-        call = functools.partial(
-            self._client.request if use is None else use.request,
-            request.method,
-            URL(f"http://{endpoint.address}{request.path}", encoded=True),
-            data=request.body if has_body else None,
-            headers=self._codec.for_endpoint(request.headers, meta),
-            timeout=self._timeout,
-            allow_redirects=False,
-        )
+        path.is_connected = False
         token = current_path.set(path)
         try:
+            call = functools.partial(
+                self._client.request if use is None else use.request,
+                request.method,
+                URL(f"http://{endpoint.address}{request.path}", encoded=True),
+                data=request.body if has_body else None,
+                headers=self._codec.for_endpoint(request.headers, meta),
+                timeout=self._timeout,
+                allow_redirects=False,
+            )
             response = await stack.enter_async_context(call())
-        except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
-            self._limits.cancel(reservation)
-            raise self._unsent_error(path, error) from error
-        except (aiohttp.ClientError, ConnectionError, ValueError) as error:
+        except Exception as error:
+            if not isinstance(error, EXPECTED_ERRORS):
+                self._failures.record(
+                    "attempt", error, request=request.meta.id, endpoint=endpoint.id
+                )
+            if not path.is_connected:
+                self._limits.cancel(reservation)
+                raise self._unsent_error(path, error) from error
             self._count(use)
             raise _unanswered_error(path, error) from error
         finally:
--- a/packages/gateway/src/thorncleat_gateway/requests/endpoint_connection.py
+++ b/packages/gateway/src/thorncleat_gateway/requests/endpoint_connection.py
@@ -14,6 +14,7 @@
 from thorncleat_core.single_send import prevent_resend
 
 from ..socket_options import abort_with_reset
+from ..tunnels.connector import current_path
 
 # Headers that the client library would add by itself; only the caller's own are sent.
 SKIPPED_HEADERS = ("Accept", "Accept-Encoding", "User-Agent", "Content-Type")
@@ -34,6 +35,13 @@
             payload.set_exception(aiohttp.ClientPayloadError(repr(exc)))
         super().connection_lost(exc)
 
+    def set_response_params(self, **parameters: t.Any) -> None:
+        """Prepare for the answer to a request that is about to be sent."""
+        path = current_path.get()
+        if path is not None:
+            path.is_connected = True
+        super().set_response_params(**parameters)
+
     def close(self) -> None:
         """Close the connection, with a reset if the answer is incomplete."""
         transport = self.transport
--- a/packages/gateway/src/thorncleat_gateway/requests/exchange.py
+++ b/packages/gateway/src/thorncleat_gateway/requests/exchange.py
@@ -115,7 +115,7 @@
         """
         try:
             chunk = await self._response.content.readany()
-        except (aiohttp.ClientError, ConnectionError) as error:
+        except (aiohttp.ClientError, OSError, ValueError) as error:
             raise _cut_error(error, self._path) from error
         if self._use is not None and self._use.is_mixed:
             raise AttemptError(MIXED, Executed.MAYBE)
--- a/packages/gateway/src/thorncleat_gateway/requests/frontend.py
+++ b/packages/gateway/src/thorncleat_gateway/requests/frontend.py
@@ -12,6 +12,7 @@
 
 from ..exceptions import AnswerAbortedError
 from ..exceptions import RefusalError
+from ..failures import FailureLog
 from ..ports import HeaderCodec
 from ..ports import RequestMeta
 from ..settings import GatewaySettings
@@ -35,6 +36,8 @@
 DEADLINE_MARGIN_SECONDS = 0.05
 # Deadline for callers that send none.
 DEFAULT_DEADLINE_SECONDS = 60.0
+# Logged cause of a request that a fault of this program ended.
+INTERNAL_ERROR = "internal error"
 
 
 class Frontend:
@@ -71,6 +74,7 @@
         self.requests = 0
         self.running = 0
         self._was_ready = False
+        self._failures = FailureLog()
 
     @property
     def is_known(self) -> bool:
@@ -92,9 +96,10 @@
         self.requests += 1
         self.running += 1
         received_at = self._clock()
-        meta = self._codec.read_request(request.headers)
         caller = CallerResponse(request, lambda: self.stopping)
+        meta = RequestMeta(id="", key=None, deadline=None, model="")
         try:
+            meta = self._codec.read_request(request.headers)
             return await self._serve(request, meta, caller, received_at)
         except AnswerAbortedError as error:
             request_log.cut(meta.id, error.cause)
@@ -107,6 +112,13 @@
                 meta.id, self._clock() - received_at, has_begun=caller.has_begun
             )
             raise
+        except Exception as error:
+            self._failures.record("request", error, request=meta.id)
+            if not caller.has_begun:
+                return self._refusal_response(meta, RefusalError(500, INTERNAL_ERROR), received_at)
+            request_log.cut(meta.id, INTERNAL_ERROR)
+            caller.cut()
+            return caller.sent
         finally:
             self.running -= 1
 
--- a/packages/gateway/src/thorncleat_gateway/tunnels/connector.py
+++ b/packages/gateway/src/thorncleat_gateway/tunnels/connector.py
@@ -48,6 +48,7 @@
     :ivar is_carrier_lost: whether the carrier was lost before the endpoint's connection ended.
     :ivar is_endpoints_fault: whether another daemon that reaches endpoints doesn't reach this one.
     :ivar has_carrier: whether another daemon has offered to carry it.
+    :ivar is_connected: whether a connection was up; without one nothing was sent.
     :ivar uses: counts it at its carrier until it is closed.
     """
 
@@ -57,6 +58,7 @@
     is_carrier_lost: bool = False
     is_endpoints_fault: bool = False
     has_carrier: bool = False
+    is_connected: bool = False
     uses: contextlib.ExitStack = dataclasses.field(default_factory=contextlib.ExitStack)
 
 
