Datagrams: a socket that an error has closed is opened again

Callers and other daemons saw a daemon that sends and hears nothing any more: no load reports, suspicions, probes or tunnels, for good, while it says that it is ready. Cause: an address that asyncio's transport can't send to with anything but an OSError (a port of 70000, of -1 or of 2**63, a host with a zero byte), from one odd record of a daemon, is a fatal error of the transport, which closes it. No log line of this program told of it.

The loss is logged (7004, "datagram socket") and a task opens the socket again.

--- a/packages/gateway/src/thorncleat_gateway/peers/datagrams.py
+++ b/packages/gateway/src/thorncleat_gateway/peers/datagrams.py
@@ -2,7 +2,8 @@
 
 Datagrams that do not come from the registered address of their sender are rejected.
 
-Owns: the socket, and the count of rejected datagrams.
+Owns: the socket, which is opened again after an error that closes it, and the count of rejected
+datagrams.
 Relies on: the addresses of the registered daemons (:mod:`..store.registration`).
 """
 
@@ -12,6 +13,7 @@
 from .. import events
 from ..callbacks import Callbacks
 from ..service import Service
+from ..service import background_task
 from ..settings import GatewaySettings
 from . import domain_loads
 from .message_codec import decode
@@ -28,6 +30,8 @@
 # Weight of a domain peer in the interval of reports that go to domain peers only, so that each
 # daemon receives at most 80 reports a second.
 DOMAIN_PEER_WEIGHT = 2
+# Minimum time between two openings of a socket that errors close.
+REOPEN_INTERVAL_SECONDS = 0.1
 
 
 def report_interval(daemons: int) -> float:
@@ -58,6 +62,7 @@
         self._domain_peers = domain_peers
         self._handlers = Callbacks[[str, Message]]("message")
         self._transport: asyncio.DatagramTransport | None = None
+        self._is_lost = asyncio.Event()
         self.rejected_count = 0
 
     @property
@@ -88,12 +93,28 @@
 
     async def on_start(self) -> None:
         """Open the socket."""
+        await self._open()
+
+    async def _open(self) -> None:
         loop = asyncio.get_running_loop()
-        receiver = _Receiver(self._on_datagram)
+        receiver = _Receiver(self._on_datagram, self._on_loss)
         self._transport, _ = await loop.create_datagram_endpoint(
             lambda: receiver, local_addr=self._listen
         )
 
+    def _on_loss(self, error: Exception) -> None:
+        """Note that an error has closed the socket."""
+        self._failures.record("datagram socket", error)
+        self._is_lost.set()
+
+    @background_task
+    async def _reopen_task(self) -> None:
+        while not self.should_stop:
+            await self._is_lost.wait()
+            await self._open()
+            self._is_lost.clear()
+            await asyncio.sleep(REOPEN_INTERVAL_SECONDS)
+
     async def on_stop(self) -> None:
         """Close the socket."""
         if self._transport:
@@ -148,10 +169,22 @@
 
 
 class _Receiver(asyncio.DatagramProtocol):
-    """Calls a function with each datagram and its source address."""
+    """Calls a function with each datagram and its source address.
+
+    :param on_loss: called with the error that has closed the socket.
+    """
 
-    def __init__(self, handler: t.Callable[[bytes, tuple[str, int]], None]) -> None:
+    def __init__(
+        self,
+        handler: t.Callable[[bytes, tuple[str, int]], None],
+        on_loss: t.Callable[[Exception], None],
+    ) -> None:
         self._handler = handler
+        self._on_loss = on_loss
 
     def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
         self._handler(data, (addr[0], addr[1]))
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        if exc is not None:
+            self._on_loss(exc)
--- a/tests/test_failing_tasks.py
+++ b/tests/test_failing_tasks.py
@@ -178,13 +178,13 @@
             call = cluster.call("POST", "/status/x", daemon=daemon, number=f"p{number}", Host=host)
             assert (await call)[0] == 200
         assert (await cluster.chat(number=f"s{daemon}", daemon=daemon))[0] == 200
-    await _check_loads_arrive(cluster)
+    await check_loads_arrive(*cluster.gateways, cluster)
 
 
-async def _check_loads_arrive(cluster) -> None:
-    first, second = cluster.gateways
-    with first.load_table.track_request("desk0"):
-        await cluster.until(lambda: second.load_table.request_count("desk0") > 0)
+async def check_loads_arrive(sender, receiver, cluster) -> None:
+    """Check that one daemon's count of requests arrives at another one."""
+    with sender.load_table.track_request("desk0"):
+        await cluster.until(lambda: receiver.load_table.request_count("desk0") > 0)
 
 
 @pytest.mark.parametrize("task", _find_tasks())
