Registration: a daemon's address is an IPv4 address and a port from 1 on

A record of a daemon with any text as its host and any number as its port was taken for a registered daemon.

--- a/packages/gateway/src/thorncleat_gateway/store/registration.py
+++ b/packages/gateway/src/thorncleat_gateway/store/registration.py
@@ -7,6 +7,7 @@
 """
 
 import asyncio
+import ipaddress
 import math
 import random
 import typing as t
@@ -38,6 +39,7 @@
 # lost the store for 9 s would expire.
 RENEWAL_RETRY_SECONDS = 1.0
 REGISTRATION_RETRY_SECONDS = 0.3
+MAX_PORT = 65_535
 # Spreads the writes after the end of an era, when all daemons register again with two writes each;
 # they take half of the store's rate.
 SPREAD_SECONDS_PER_DAEMON = 0.01
@@ -279,5 +281,15 @@
         return None
     match parts:
         case [str(host), int(port), str(failure_domain), float() | int() as capacity]:
-            return Daemon(daemon_id, host, port, failure_domain, capacity)
+            if _is_usable(host, port):
+                return Daemon(daemon_id, host, port, failure_domain, capacity)
     return None
+
+
+def _is_usable(host: str, port: int) -> bool:
+    """Return whether datagrams can be sent to an address; others may end the socket."""
+    try:
+        ipaddress.IPv4Address(host)
+    except ValueError:
+        return False
+    return not isinstance(port, bool) and 0 < port <= MAX_PORT
--- a/tests/test_odd_daemons.py
+++ b/tests/test_odd_daemons.py
@@ -11,7 +11,8 @@
 from .test_failing_tasks import check_loads_arrive
 from .test_gateway import site
 
-ODD_KEY = f"{DAEMONS}a-odd"
+ODD_ID = "a-odd"
+ODD_KEY = DAEMONS + ODD_ID
 SETTLING_SECONDS = 0.3
 ODD_ADDRESSES = {
     "large port": ("127.0.0.1", 70_000),
@@ -36,6 +37,7 @@
         await cluster.until(
             lambda: all(ODD_KEY in gateway.view.records for gateway in cluster.gateways)
         )
+        assert not any(ODD_ID in gateway._registration.daemons() for gateway in cluster.gateways)
         # The reports that follow are sent to the odd address as well.
         await asyncio.sleep(SETTLING_SECONDS)
         first, second = cluster.gateways
