Checks of one endpoint or stream that fail don't end those of the others

The failure detector looks at the streams of all endpoints in one pass; an exception at one of them (its retry can't be reserved, its scope can't be ended) kept the others from being looked at, at each pass, and the task paused for up to 5 s between passes: streams at silent endpoints stayed there. The check of this daemon's reach gathers connections to several endpoints; one that raised ended the whole check, so that the daemon learnt nothing of the sound ones, offered no tunnels, and confirmed no probe.

FailureLog.contain logs an error within a context, and Callbacks uses it as well.

--- a/packages/gateway/src/thorncleat_gateway/callbacks.py
+++ b/packages/gateway/src/thorncleat_gateway/callbacks.py
@@ -31,7 +31,5 @@
     def call(self, *args: Parameters.args, **kwargs: Parameters.kwargs) -> None:
         """Call all functions."""
         for function in self._functions:
-            try:
+            with self._failures.contain(self._name):
                 function(*args, **kwargs)
-            except Exception as error:
-                self._failures.record(self._name, error)
--- a/packages/gateway/src/thorncleat_gateway/failures.py
+++ b/packages/gateway/src/thorncleat_gateway/failures.py
@@ -9,6 +9,7 @@
 
 import asyncio
 import collections
+import contextlib
 import dataclasses
 import traceback
 import typing as t
@@ -78,6 +79,17 @@
             endpoint=endpoint,
         )
 
+    @contextlib.contextmanager
+    def contain(self, task: str) -> t.Iterator[None]:
+        """Log an error within the context, so that what follows goes on.
+
+        :param task: as for :meth:`record`.
+        """
+        try:
+            yield
+        except Exception as error:
+            self.record(task, error)
+
 
 class LoopErrors:
     """Logs the errors of callbacks and forgotten tasks, which nobody awaits."""
--- a/packages/gateway/src/thorncleat_gateway/peers/failure_detector.py
+++ b/packages/gateway/src/thorncleat_gateway/peers/failure_detector.py
@@ -268,9 +268,12 @@
                 self._excuse_silences(now)
             if late_seconds <= MAX_LATENESS_SECONDS:
                 # After a pause of this daemon, answers may be waiting unread in the sockets.
-                self._shared_silence.update(now, self._activities())
+                with self._failures.contain("shared silence"):
+                    self._shared_silence.update(now, self._activities())
                 for leader_id in list(self._attempts):
-                    self._check_leader(leader_id, now)
+                    # Streams elsewhere are still watched if a check fails.
+                    with self._failures.contain("silence check"):
+                        self._check_leader(leader_id, now)
 
     def _excuse_silences(self, now: float) -> None:
         """Let the silences of all groups count from the end of this daemon's pause on."""
@@ -304,7 +307,7 @@
         if not attempts:
             return
         alone = [attempt for attempt in attempts if self._is_silent_alone(attempt, now)]
-        _abort_attempts(alone, silence.ENDPOINT_SILENT_CAUSE)
+        self._abort(alone, silence.ENDPOINT_SILENT_CAUSE)
         in_group = [attempt for attempt in attempts if attempt.allowance is None]
         if in_group:
             self._check_group(in_group, now)
@@ -333,7 +336,7 @@
             stalled = [
                 attempt for attempt in attempts if silence.is_stalled(attempt, latest_event_at)
             ]
-            _abort_attempts(stalled, silence.STREAM_SILENT_CAUSE)
+            self._abort(stalled, silence.STREAM_SILENT_CAUSE)
             return
         if not self.reach.is_doubtful(leader.service):
             # Otherwise this daemon may be the one that is cut off; its streams leave all the same.
@@ -344,12 +347,12 @@
         overdue = [
             attempt for attempt in attempts if silence.is_overdue(now, attempt, self._settings)
         ]
-        _abort_attempts(overdue, silence.GROUP_SILENT_CAUSE)
-
-
-def _abort_attempts(attempts: t.Iterable[StreamAttempt], cause: str) -> None:
-    """Abort the running attempts whose streams can resume on another group."""
-    for attempt in attempts:
-        if not attempt.abort_cause and attempt.reserve_retry():
-            attempt.abort_cause = cause
-            attempt.abort()
+        self._abort(overdue, silence.GROUP_SILENT_CAUSE)
+
+    def _abort(self, attempts: t.Iterable[StreamAttempt], cause: str) -> None:
+        """Abort the running attempts whose streams can resume on another group."""
+        for attempt in attempts:
+            with self._failures.contain("abort of an attempt"):
+                if not attempt.abort_cause and attempt.reserve_retry():
+                    attempt.abort_cause = cause
+                    attempt.abort()
--- a/packages/gateway/src/thorncleat_gateway/peers/reach_check.py
+++ b/packages/gateway/src/thorncleat_gateway/peers/reach_check.py
@@ -93,7 +93,11 @@
         return random.sample(untried, min(MIN_FAILED_ENDPOINTS - 1, len(untried)))
 
     async def _check(self, endpoint: Endpoint) -> None:
-        if await self._connect(endpoint):
+        """Connect to an endpoint; a fault of the check doesn't end those of the others."""
+        comes_up = False
+        with self._failures.contain("reach check"):
+            comes_up = await self._connect(endpoint)
+        if comes_up:
             self._reach.record_success(endpoint)
         else:
             self._reach.record_failure(endpoint)
--- /dev/null
+++ b/tests/test_failing_parts.py
@@ -0,0 +1,84 @@
+"""Faults in one item of many, or after the work for a caller is done."""
+
+import asyncio
+
+import pytest
+
+from thorncleat_gateway import events
+from thorncleat_gateway.peers.failure_detector import FailureDetector
+from thorncleat_gateway.peers.failure_detector import StreamAttempt
+from thorncleat_gateway.peers.reach import Reach
+from thorncleat_gateway.peers.reach_check import ReachCheck
+from thorncleat_gateway.peers.silence import Allowance
+from thorncleat_gateway.settings import StreamSettings
+from thorncleat_gateway.store.roster import Endpoint
+
+from . import virtual_time
+from .test_failure_detector import PeerChannel
+from .test_reach import View
+
+# Seconds within which a stream must leave a silent endpoint, beside those that it is allowed.
+LEAVING_SECONDS = 0.2
+ALLOWANCE = Allowance(1.0, 1.0)
+
+
+@pytest.fixture
+def logged(monkeypatch):
+    lines = []
+    monkeypatch.setattr(
+        type(events.TASK_FAILED),
+        "log",
+        lambda event, **fields: lines.append(fields) if event is events.TASK_FAILED else None,
+    )
+    return lines
+
+
+def _fail(*_args, **_named):
+    raise LookupError("injected")
+
+
+@pytest.mark.parametrize("others_endpoint", ["w0", "w1"], ids=["same endpoint", "another"])
+@pytest.mark.parametrize("part", ["reserve_retry", "abort"])
+def test_stream_leaves_a_silent_endpoint_though_the_check_of_another_fails(
+    logged, part, others_endpoint
+):
+    """Guards against streams that nobody watches, since one before them can't be aborted."""
+
+    async def play():
+        loop = asyncio.get_running_loop()
+        detector = FailureDetector(StreamSettings(), PeerChannel(), loop.time)
+        left_at = []
+        sound = {"reserve_retry": lambda: True, "abort": lambda: left_at.append(loop.time())}
+        began_at = loop.time()
+        for endpoint_id, more in (("w0", {part: _fail}), (others_endpoint, {})):
+            endpoint = Endpoint(endpoint_id, "desk", "", "a")
+            for _ in range(4):
+                detector.watch(
+                    StreamAttempt(endpoint, began_at, **{**sound, **more}, allowance=ALLOWANCE)
+                )
+        await detector.start()
+        allowed = max(StreamSettings().first_event, ALLOWANCE.first_event)
+        await asyncio.sleep(allowed + LEAVING_SECONDS)
+        await detector.stop()
+        return len(left_at)
+
+    assert virtual_time.run(play()) == 4
+    assert {line["task"] for line in logged} == {"abort of an attempt"}
+
+
+def test_check_of_one_endpoint_that_fails_does_not_end_those_of_others(logged):
+    """Guards against a daemon that learns nothing, as long as one odd endpoint is listed."""
+
+    async def play():
+        reach = Reach(asyncio.get_running_loop().time)
+        odd, sound = (Endpoint(name, "desk", "", "a") for name in ("odd", "sound"))
+
+        async def connect(endpoint):
+            await asyncio.sleep(0.0 if endpoint is odd else 0.01)
+            return _fail() if endpoint is odd else True
+
+        since = asyncio.get_running_loop().time()
+        return await ReachCheck(reach, View(odd, sound), connect).confirms_reach("desk", since)
+
+    assert virtual_time.run(play())
+    assert [line["task"] for line in logged] == ["reach check"]
