Tunnels: a carrier whose connecting fails by a fault ends the tunnel at once

Any exception but those of the network ended the task that connects to the endpoint, and the daemon that had asked got no word: it waited for the whole time of a tunnel, 0.3 s of the 0.45 s that an attempt has to connect. A tunnel is also forgotten first of all when its connection is lost, so that a fault in what follows doesn't take one of the 256 places.

--- a/packages/gateway/src/thorncleat_gateway/tunnels/server.py
+++ b/packages/gateway/src/thorncleat_gateway/tunnels/server.py
@@ -11,6 +11,7 @@
 import typing as t
 
 from .. import events
+from ..failures import FailureLog
 from ..peers.reach import Reach
 from ..socket_options import abort_with_reset
 from ..store.relays import Daemon
@@ -111,9 +112,18 @@
         if isinstance(endpoint, Failure):
             self._fail(endpoint)
             return
-        connecting = self._connect(endpoint)
+        connecting = self._connect_or_abort(endpoint)
         self._connecting = asyncio.get_running_loop().create_task(connecting)
 
+    async def _connect_or_abort(self, endpoint: Endpoint) -> None:
+        """Connect to an endpoint; after a fault, the caller isn't left waiting for a word."""
+        has_ended = False
+        with self._server.failures.contain("tunnel"):
+            await self._connect(endpoint)
+            has_ended = True
+        if not has_ended:
+            self.abort()
+
     async def _connect(self, endpoint: Endpoint) -> None:
         host, _, port = endpoint.address.rpartition(":")
         loop = asyncio.get_running_loop()
@@ -181,13 +191,13 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Abort the endpoint's connection, so that it gets nothing of an abandoned attempt."""
         self._is_over = True
+        self._server.discard(self)
         if self._timer is not None:
             self._timer.cancel()
         if self._connecting is not None:
             self._connecting.cancel()
         if self._endpoint is not None:
             _abort(self._endpoint.transport)
-        self._server.discard(self)
 
 
 class TunnelServer:
@@ -198,6 +208,7 @@
     :param reach: whether this daemon's connections to endpoints come up.
     :param clock: monotonic, in seconds.
     :param confirms_reach: returns whether this daemon has reached a service since an instant.
+    :ivar failures: logs the faults of its connections.
     :ivar stopping: set when this daemon stops, so that it carries no further tunnels.
     :ivar carried_count: how many tunnels came up since the start.
     :ivar refused_count: how many were refused.
@@ -219,6 +230,7 @@
         self._reach = reach
         self.now = clock
         self._tunnels: set[_CallerSide] = set()
+        self.failures = FailureLog()
         self._server: asyncio.Server | None = None
         self.stopping = False
         self.carried_count = 0
--- a/tests/test_failing_parts.py
+++ b/tests/test_failing_parts.py
@@ -1,10 +1,12 @@
 """Faults in one item of many, or after the work for a caller is done."""
 
 import asyncio
+import time
 
 import pytest
 
 from thorncleat_gateway import events
+from thorncleat_gateway.exceptions import TunnelError
 from thorncleat_gateway.peers.failure_detector import FailureDetector
 from thorncleat_gateway.peers.failure_detector import StreamAttempt
 from thorncleat_gateway.peers.reach import Reach
@@ -13,6 +15,7 @@
 from thorncleat_gateway.settings import StreamSettings
 from thorncleat_gateway.store.roster import Endpoint
 
+from . import test_tunnels
 from . import virtual_time
 from .test_failure_detector import PeerChannel
 from .test_reach import View
@@ -82,3 +85,24 @@
 
     assert virtual_time.run(play())
     assert [line["task"] for line in logged] == ["reach check"]
+
+
+async def test_tunnel_whose_endpoint_cannot_be_connected_to_ends_at_once(logged, monkeypatch):
+    """Guards against a daemon that waits for the whole time of a tunnel."""
+    async with test_tunnels.Fleet(test_tunnels._answer) as fleet:
+        loop = asyncio.get_running_loop()
+        connect = loop.create_connection
+
+        async def create_connection(factory, host=None, port=None, **named):
+            if (host, port) != fleet.address[:2]:
+                _fail()
+            return await connect(factory, host, port, **named)
+
+        monkeypatch.setattr(loop, "create_connection", create_connection)
+        began_at = time.monotonic()
+        with pytest.raises(TunnelError) as caught:
+            await fleet.open()
+        assert time.monotonic() - began_at < test_tunnels.TIMEOUT_SECONDS / 2
+        assert not caught.value.is_endpoints
+        await test_tunnels._until(lambda: not fleet.server.running)
+    assert [line["task"] for line in logged] == ["tunnel"]
