Kept connections: a fault in keeping one doesn't end the answered request

What decides whether a connection is kept runs after the answer was read. A fault there replaced the whole answer by a 500, or was taken for a fault of a stream that was complete.

Measured: test_answer_is_whole_though_its_connection_cannot_be_kept failed before on the repeatable and the streaming route (500 for 200; the third route keeps no connection), passes now: tests/test_failing_parts.py, 9 passed.

--- a/packages/gateway/src/thorncleat_gateway/requests/endpoint_client.py
+++ b/packages/gateway/src/thorncleat_gateway/requests/endpoint_client.py
@@ -124,7 +124,9 @@
             stack.callback(self._pool.end, use)
             response = await self._send_on_kept(stack, self._pool, use, request, meta, path)
             yield Exchange(response, self._codec, path, use)
-            self._settle(use, response, request)
+            # The caller has the answer already; a fault here must not end it.
+            with self._failures.contain("kept connection"):
+                self._settle(use, response, request)
 
     def _may_use_pool(self, request: Request, endpoint: Endpoint) -> bool:
         """Return whether a request may use a kept connection, which is always direct."""
--- a/tests/test_failing_parts.py
+++ b/tests/test_failing_parts.py
@@ -12,12 +12,19 @@
 from thorncleat_gateway.peers.reach import Reach
 from thorncleat_gateway.peers.reach_check import ReachCheck
 from thorncleat_gateway.peers.silence import Allowance
+from thorncleat_gateway.requests.connection_pool import ConnectionPool
 from thorncleat_gateway.settings import StreamSettings
 from thorncleat_gateway.store.roster import Endpoint
 
 from . import test_tunnels
 from . import virtual_time
+from .recording import Answer
 from .test_failure_detector import PeerChannel
+from .test_forms_refusals import EVENTS
+from .test_forms_refusals import PATHS
+from .test_forms_refusals import STAMP
+from .test_forms_refusals import call
+from .test_forms_refusals import endpoints
 from .test_reach import View
 
 # Seconds within which a stream must leave a silent endpoint, beside those that it is allowed.
@@ -106,3 +113,16 @@
         assert not caught.value.is_endpoints
         await test_tunnels._until(lambda: not fleet.server.running)
     assert [line["task"] for line in logged] == ["tunnel"]
+
+
+@pytest.mark.parametrize("kind", PATHS)
+async def test_answer_is_whole_though_its_connection_cannot_be_kept(logged, monkeypatch, kind):
+    """Guards against an answered request that ends in 500, or is cut."""
+    monkeypatch.setattr(ConnectionPool, "settle", _fail)
+    answers = [Answer(body=EVENTS, headers=STAMP) for _ in range(2)]
+    async with endpoints(*answers, overload_control=True) as (daemon, _):
+        for _ in range(2):
+            found = await call(daemon, PATHS[kind])
+            assert (found["status"], found["whole"]) == (200, True)
+    assert {line["task"] for line in logged} <= {"kept connection"}
+    assert bool(logged) == (kind != "once")
