Retry budget: a retry counts for a window from when it is sent

Cause: a token was counted at the time at which it was taken. A stream that has begun takes it when its attempt fails and may then wait for a group, for 2 s, or during a pause for up to half of its time left. Its retry arrives seconds later, but had left the account a window after the token was taken. So two breaks of all streams, somewhat more than a window apart, put both their retries into one window of arrivals.

Change: while a retry waits it counts, however long; it counts for a window from its sending on; if it is never sent, it doesn't count any more. Reports to other daemons give waiting retries the age 0; no wire form changes. Callers see fewer retries shortly after such a wait, and more after one that led nowhere. Whether a waiting stream was under way at a crash is now asked at each look for a group, not once.

--- a/packages/gateway/src/thorncleat_gateway/requests/retry_budget.py
+++ b/packages/gateway/src/thorncleat_gateway/requests/retry_budget.py
@@ -5,12 +5,16 @@
 uses: no part of the fixed number, and a small part of the ratio. It has the whole after a window,
 or once other daemons have told what its predecessor had used (:mod:`.retry_reporter`).
 
+A retry may wait for an endpoint after it took its token. It counts for as long as it waits, and for
+a window from its sending, since that is when it arrives.
+
 Owns: this daemon's requests and retries within the window, for each service.
 Relies on: the number of listed daemons, and on :mod:`..store.fleet_knowledge` for whether the
 others count this one.
 """
 
 import collections
+import contextlib
 import dataclasses
 import math
 import typing as t
@@ -48,7 +52,7 @@
     """What a daemon may retry at a service, and what it has used of that, within the window.
 
     :param requests: callers' requests.
-    :param retries: retries that took a token.
+    :param retries: retries that took a token, with those that wait.
     :param allowed: retries that the daemon may send.
     :param daemons: daemons that share the fixed number of retries; None without a share of it.
     :param uptime: seconds since the daemon's process started.
@@ -73,6 +77,8 @@
         self._counted_since = counted_since
         self._requests: collections.deque[float] = collections.deque()
         self._retries: collections.deque[float] = collections.deque()
+        # Retries that took a token and wait for an endpoint.
+        self._waiting = 0
 
     @property
     def requests(self) -> int:
@@ -81,8 +87,8 @@
 
     @property
     def retries(self) -> int:
-        """Number of retries in the window, as of the latest call."""
-        return len(self._retries)
+        """Number of retries in the window, as of the latest call, and of those that wait."""
+        return len(self._retries) + self._waiting
 
     def record_request(self, now: float) -> None:
         """Count a caller's request."""
@@ -108,7 +114,7 @@
 
         :param daemons: as for :meth:`allowed`.
         """
-        return self.allowed(now, daemons) - len(self._retries)
+        return self.allowed(now, daemons) - self.retries
 
     def take_token(self, now: float, daemons: int | None) -> bool:
         """Count a retry if the budget allows one; return whether it does."""
@@ -117,10 +123,24 @@
         self._retries.append(now)
         return True
 
+    def begin_wait(self) -> None:
+        """Count the latest retry until its wait ends, however long that is."""
+        if self._retries:
+            self._retries.pop()
+        self._waiting += 1
+
+    def end_wait(self, now: float, *, is_sent: bool) -> None:
+        """End the wait of a retry, which counts from now on if it is sent, and no more if not."""
+        self._waiting -= 1
+        if is_sent:
+            self._retries.append(now)
+
     def use(self, service: str, now: float) -> RetryUse:
         """Return what was used within the window."""
         self._forget(now)
-        return RetryUse(service, self._ages(self._requests, now), self._ages(self._retries, now))
+        # Retries that wait may be sent at any moment.
+        retries = [*self._retries, *[now] * self._waiting]
+        return RetryUse(service, self._ages(self._requests, now), self._ages(retries, now))
 
     def inherit(self, use: RetryUse | None, now: float) -> None:
         """Count also what an earlier process had used.
@@ -263,6 +283,22 @@
         self._listeners.call()
         return True
 
+    @contextlib.contextmanager
+    def waiting(self, service: str) -> t.Iterator[None]:
+        """Count a retry that has just taken its token as long as the context is open.
+
+        It counts for a window from its end on, or no more if an exception ends it.
+        """
+        budget = self._budgets[service]
+        budget.begin_wait()
+        is_sent = False
+        try:
+            yield
+            is_sent = True
+        finally:
+            budget.end_wait(self._clock(), is_sent=is_sent)
+            self._listeners.call()
+
     def account(self, service: str) -> RetryAccount:
         """Return this daemon's account for a service."""
         now = self._clock()
--- a/packages/gateway/src/thorncleat_gateway/requests/streams.py
+++ b/packages/gateway/src/thorncleat_gateway/requests/streams.py
@@ -149,17 +149,38 @@
         :raises AnswerAbortedError: in these cases, if the caller has got the head of the answer.
         """
         started_at = self._clock()
+        endpoint = self._find_endpoint(request, endpoints, caller, started_at)
+        if endpoint is not None:
+            return endpoint
+        with self._retry_budgets.waiting(request.service.name):
+            while endpoint is None:
+                await asyncio.sleep(GROUP_POLL_INTERVAL_SECONDS)
+                endpoint = self._find_endpoint(request, endpoints, caller, started_at)
+        return endpoint
+
+    def _find_endpoint(
+        self,
+        request: Request,
+        endpoints: ServiceEndpoints,
+        caller: CallerStream,
+        started_at: float,
+    ) -> Endpoint | None:
+        """Return the endpoint of the next attempt; None if the stream goes on waiting for one.
+
+        :param started_at: when it began to wait.
+        :raises RefusalError: if nothing of the answer was passed on.
+        :raises AnswerAbortedError: if a part was passed on, and the wait is over.
+        """
+        self._check_quarantine(request, has_begun=caller.has_begun)
+        is_denied = self._crash_watch.is_denied_last_endpoint(request, endpoints.accepting)
         # Requests that a crash broke go to random groups, so that they don't meet its cause again.
         randomize = self._crash_watch.is_suspect(request)
-        while True:
-            self._check_quarantine(request, has_begun=caller.has_begun)
-            is_denied = self._crash_watch.is_denied_last_endpoint(request, endpoints.accepting)
-            endpoint = endpoints.choose(self._clock(), randomize=randomize)
-            if endpoint is not None and not is_denied:
-                return endpoint
-            cause = retry_policy.DENIED_LAST_ENDPOINT if is_denied else endpoints.missing_cause()
-            self._check_wait(request, endpoints, caller, cause, started_at)
-            await asyncio.sleep(GROUP_POLL_INTERVAL_SECONDS)
+        endpoint = endpoints.choose(self._clock(), randomize=randomize)
+        if endpoint is not None and not is_denied:
+            return endpoint
+        cause = retry_policy.DENIED_LAST_ENDPOINT if is_denied else endpoints.missing_cause()
+        self._check_wait(request, endpoints, caller, cause, started_at)
+        return None
 
     def _check_wait(
         self,
