Retry budget: a retry counts until no window holds its arrival

Cause: a token left the account a window after it was taken, but its retry arrives later by the time that the connection takes (up to 0.25 s) and the way. While callers' failures use the budget up, tokens are taken again in the very moment in which earlier ones leave; a burst whose connections were slower than those of the burst a window later was in one window of arrivals with it.

Change: retries count for half a second longer than the window. Requests count as before. In reports they have the age of the window's last second, so no wire form changes, and a successor counts them somewhat longer. Callers get the budget's retries each 10.5 s in place of each 10 s while it is used up.

--- a/packages/gateway/src/thorncleat_gateway/requests/retry_budget.py
+++ b/packages/gateway/src/thorncleat_gateway/requests/retry_budget.py
@@ -6,7 +6,7 @@
 or once other daemons have told what its predecessor had used (:mod:`.retry_reporter`).
 
 A retry may wait for an endpoint after it took its token. It counts for as long as it waits, and for
-a window from its sending, since that is when it arrives.
+a window from its arrival, which is some time after its sending.
 
 Owns: this daemon's requests and retries within the window, for each service.
 Relies on: the number of listed daemons, and on :mod:`..store.fleet_knowledge` for whether the
@@ -28,6 +28,9 @@
 # may have used just before its end, this is the whole.
 FIRST_WINDOW_FRACTION = 1.0 - USED_FRACTION
 
+# How long after it was sent a retry may arrive: twice the time within which a connection is up.
+ARRIVAL_SECONDS = 0.5
+
 # How long a daemon counts after it was last listed; longer than records take to expire in an outage
 # of the store and to be written again.
 UNLISTED_DAEMON_TTL_SECONDS = 60.0
@@ -166,9 +169,13 @@
 
     def _forget(self, now: float) -> None:
         begin = now - self._settings.window
-        for times in (self._requests, self._retries):
-            while times and times[0] < begin:
-                times.popleft()
+        _drop_before(self._requests, begin)
+        _drop_before(self._retries, begin - ARRIVAL_SECONDS)
+
+
+def _drop_before(times: collections.deque[float], begin: float) -> None:
+    while times and times[0] < begin:
+        times.popleft()
 
 
 def _times(counts: t.Sequence[int], newest: float) -> t.Iterator[float]:
@@ -287,7 +294,7 @@
     def waiting(self, service: str) -> t.Iterator[None]:
         """Count a retry that has just taken its token as long as the context is open.
 
-        It counts for a window from its end on, or no more if an exception ends it.
+        It counts as sent when the context ends, or no more if an exception ends it.
         """
         budget = self._budgets[service]
         budget.begin_wait()
