Leaders that refuse connections work on while a daemon says nothing

Cause: a leader that refuses connections and isn't listed counted as ended once no report named a request there. Reports of a daemon that stands still expire after a second, so its silence counted as "no requests", and the members were ordered into another group while the leader was at work for it.

Change: each registered daemon has to report, after the first refusal, that it has no request there. One that doesn't is waited for until the leader has refused for 10 s (the platform lets it work for so long) and two rounds of questions more; that its registration ends meanwhile shows nothing. Callers saw nothing wrong; the rule that a worker serves one group was broken.

--- a/packages/gateway/src/thorncleat_gateway/groups/ending.py
+++ b/packages/gateway/src/thorncleat_gateway/groups/ending.py
@@ -33,6 +33,7 @@
 from .group_recovery import GroupRecovery
 from .jobs import Start
 from .leader_liveness import LeaderLiveness
+from .leader_liveness import Refusal
 from .lost_endpoints import LostEndpoints
 from .orders import ACCEPTED
 from .orders import POLL_INTERVAL_SECONDS
@@ -223,6 +224,7 @@
         """
         if recoverable and await self._recovery.wait_recovered(group, recoverable):
             return None
+        refusal: Refusal | None = None
         while True:
             try:
                 # A silent leader gets no order.
@@ -230,12 +232,15 @@
                 how = await self._order_to_leave(leader, group)
                 if how is not None:
                     return how
+                refusal = None
             except EndpointReplacedError:
                 return Detached.PROCESS_ENDED
             except EndpointRefusedError:
-                if await self._liveness.has_ended(leader):
+                refusal = refusal or Refusal(leader, self._clock())
+                if await self._liveness.has_ended(refusal):
                     return Detached.DEAD
             except EndpointError:
+                refusal = None
                 if await self._liveness.wait_dead(leader):
                     return Detached.DEAD
             await asyncio.sleep(PROBE_INTERVAL_SECONDS)
--- a/packages/gateway/src/thorncleat_gateway/groups/leader_liveness.py
+++ b/packages/gateway/src/thorncleat_gateway/groups/leader_liveness.py
@@ -5,7 +5,9 @@
 
 One that refuses connections may have ended, may be finishing its requests, or may be cut off from
 some daemons or from all of them, whatever they report. While its entry is renewed it lives: it has
-ended only once a recent list lacks it, no daemon has requests there, and none gets an answer.
+ended only once a recent list lacks it, each daemon has reported no requests there, and none gets an
+answer. A daemon that doesn't report may have requests there for as long as a leader that refuses
+connections may work.
 
 Owns: no state.
 Relies on: the other daemons to report at once when they get a :class:`.Probe`, and again when the
@@ -33,6 +35,9 @@
 # How long the other daemons may take to report their requests under way: a datagram each way and
 # one turn of the other daemon's event loop.
 REPORT_ROUND_SECONDS = 0.1
+# How long an endpoint that has stopped listening may finish requests: 10 s by the platform's rules,
+# and two rounds of questions after the one in which it did.
+MAX_FINISH_SECONDS = 10.0 + 2 * PROBE_ROUND_SECONDS
 
 
 def is_unlisted(listed: bool, list_age: float) -> bool:
@@ -62,6 +67,41 @@
     return unlisted and requests == 0
 
 
+def may_finish_requests(*, has_silent_daemon: bool, refused_seconds: float) -> bool:
+    """Return whether a leader may still work on requests that no daemon reports.
+
+    :param has_silent_daemon: whether a daemon has not reported since that it has none there.
+    :param refused_seconds: seconds for which the leader has refused connections.
+    """
+    return has_silent_daemon and refused_seconds < MAX_FINISH_SECONDS
+
+
+class Refusal:
+    """Time since which a leader refuses connections, and which daemons have no requests there.
+
+    Such a daemon gets none there later either. One that is no longer registered may still run.
+
+    :param since: when it refused first, in seconds on the gateway's clock.
+    """
+
+    def __init__(self, leader: Endpoint, since: float) -> None:
+        self.leader = leader
+        self.since = since
+        self._silent: set[str] = set()
+        self._idle: set[str] = set()
+
+    @property
+    def has_silent_daemon(self) -> bool:
+        """Whether a daemon has not reported since that it has no requests there."""
+        return bool(self._silent)
+
+    def update(self, daemons: t.Iterable[str], idle: t.Iterable[str]) -> None:
+        """Add the daemons that are registered and those that have reported no requests there."""
+        self._idle.update(idle)
+        self._silent.update(daemons)
+        self._silent -= self._idle
+
+
 class LeaderLiveness:
     """Determines whether a silent leader is dead."""
 
@@ -98,8 +138,9 @@
                 return False
             await asyncio.sleep(PROBE_INTERVAL_SECONDS)
 
-    async def has_ended(self, leader: Endpoint) -> bool:
+    async def has_ended(self, refusal: Refusal) -> bool:
         """Return whether a leader that refuses connections has ended."""
+        leader = refusal.leader
         if not self._is_unlisted(leader):
             return False
         requested_at = self._request_probes(leader)
@@ -108,6 +149,13 @@
         if not has_stopped(unlisted=self._is_unlisted(leader), requests=requests):
             return False
         await asyncio.sleep(PROBE_ROUND_SECONDS)
+        idle = self._load_table.idle_reporters(leader.id, requested_at)
+        refusal.update(self._peers.other_daemons, idle)
+        if may_finish_requests(
+            has_silent_daemon=refusal.has_silent_daemon,
+            refused_seconds=self._clock() - refusal.since,
+        ):
+            return False
         return self._is_dead(leader, requested_at)
 
     def _request_probes(self, leader: Endpoint) -> float:
--- a/packages/gateway/src/thorncleat_gateway/peers/load_table.py
+++ b/packages/gateway/src/thorncleat_gateway/peers/load_table.py
@@ -72,6 +72,17 @@
             daemon_id for daemon_id, report in self._daemon_reports.items() if report.at >= since
         }
 
+    def idle_reporters(self, endpoint_id: str, since: float) -> set[str]:
+        """Return the ids of the daemons that have reported no requests at an endpoint.
+
+        :param since: a report that arrived before this instant says nothing.
+        """
+        return {
+            daemon_id
+            for daemon_id in self.reporters_since(since)
+            if not self._daemon_reports[daemon_id].counts.get(endpoint_id)
+        }
+
     def report_age(self) -> float:
         """Return the seconds since the oldest report that the counts include; 0 without reports."""
         reports = (*self._daemon_reports.values(), *self._domain_reports.values())
--- a/tests/group_node.py
+++ b/tests/group_node.py
@@ -216,6 +216,7 @@
 
     def report_load(self) -> None:
         """Send a load report as each daemon does that has heard endpoints."""
+        self.load_table.remove_expired()
         report = self._load_report()
         if report.heard:
             self.peers.broadcast(report)
--- a/tests/test_group_ends.py
+++ b/tests/test_group_ends.py
@@ -22,6 +22,8 @@
 FAULT_SECONDS = 40.0
 ENOUGH_WORKERS = 14
 SEEDS = range(12)
+# How long a daemon stands still, which is longer than its reports are used.
+FREEZE_SECONDS = 4.0
 # Share of the endpoints whose connections are reset.
 RESET_SHARE = 0.35
 
@@ -209,6 +211,40 @@
     assert running["large"] == 1
 
 
+async def _leader_leaves_while_a_daemon_stands_still(*, is_controller: bool):
+    """Have a leader stop listening and finish a request of a daemon that stands still."""
+    world = await calm_world()
+    leader, node = large_leader(world), controller_node(world)
+    if not is_controller:
+        node = next(other for other in world.nodes if other is not node)
+    world.stalled_workers.add(leader.id)
+    world.set_requests(node, leader, 1)
+    world.cut_from_store(leader, 60.0)
+    await world.pass_time(UNLISTED_AFTER_SECONDS - 0.1)
+    node.freeze(FREEZE_SECONDS)
+    leader.refuses = True
+
+    def end() -> None:
+        world.set_requests(node, leader, 0)
+        world.kill(leader, unreachable=False)
+
+    world.later(FREEZE_SECONDS + 1.0, end)
+    await world.pass_time(FREEZE_SECONDS + 7.0)
+    running = world.running_groups()
+    await world.stop()
+    return world, running
+
+
+@pytest.mark.parametrize("is_controller", [False, True], ids=["another daemon", "the controller"])
+def test_leader_at_work_for_a_daemon_that_stands_still_keeps_its_members(is_controller):
+    """Its requests are reported by nobody meanwhile."""
+    world, running = virtual_time.run(
+        _leader_leaves_while_a_daemon_stands_still(is_controller=is_controller)
+    )
+    assert world.broken == []
+    assert running["large"] == 1
+
+
 # Leaders that were taken for dead
 
 
--- a/tests/test_leader_liveness.py
+++ b/tests/test_leader_liveness.py
@@ -3,7 +3,10 @@
 import pytest
 
 from thorncleat_gateway.groups import leader_liveness
+from thorncleat_gateway.groups.leader_liveness import MAX_FINISH_SECONDS
 from thorncleat_gateway.groups.leader_liveness import MAX_LIST_AGE_SECONDS
+from thorncleat_gateway.groups.leader_liveness import Refusal
+from thorncleat_gateway.store.roster import Endpoint
 
 
 @pytest.mark.parametrize(
@@ -32,6 +35,32 @@
     assert leader_liveness.has_stopped(unlisted=unlisted, requests=requests) is stopped
 
 
+@pytest.mark.parametrize(
+    ("silent", "refused_seconds", "may_finish"),
+    [
+        pytest.param(False, 0.0, False, id="all daemons have none"),
+        pytest.param(True, MAX_FINISH_SECONDS - 0.1, True, id="a daemon says nothing"),
+        pytest.param(True, MAX_FINISH_SECONDS, False, id="it has had the time to finish"),
+    ],
+)
+def test_may_finish_requests(silent, refused_seconds, may_finish):
+    result = leader_liveness.may_finish_requests(
+        has_silent_daemon=silent, refused_seconds=refused_seconds
+    )
+    assert result is may_finish
+
+
+def test_silent_daemon_counts_until_it_reports_no_requests():
+    refusal = Refusal(Endpoint("w0", "narrator", "w0", "a"), 0.0)
+    refusal.update({"a", "b"}, {"a"})
+    assert refusal.has_silent_daemon
+    # Its registration has expired, which doesn't show that it has ended.
+    refusal.update({"a"}, {"a"})
+    assert refusal.has_silent_daemon
+    refusal.update({"a", "b"}, {"b"})
+    assert not refusal.has_silent_daemon
+
+
 @pytest.mark.parametrize(
     ("listed", "contacted", "dead"),
     [
