Attempts whose time ends while they are connected have not run

An attempt that was still being connected when the time of its request, its own share of it or its group's silence ended was taken for one that may have run: a caller of a request that may run once got 502 though not one byte was sent, and the request counted as sent; a stream's count likewise. The reservation under an endpoint's rate limit was kept, too, also when the caller left meanwhile. EndpointClient now tells the request whether any part of it may have been sent, over both sendings where a kept connection was closed, and cancels the reservation.

The end says nothing of the endpoint, as before: it is neither avoided nor suspected for it.

--- a/packages/gateway/src/thorncleat_gateway/exceptions.py
+++ b/packages/gateway/src/thorncleat_gateway/exceptions.py
@@ -95,8 +95,8 @@
         it did not.
     :param retry_after: seconds for which the endpoint wants no requests of this daemon; None if it
         didn't say.
-    :param is_own_fault: whether this daemon reaches no endpoint, so that the attempt says nothing
-        of this one.
+    :param is_own_fault: whether the attempt says nothing of the endpoint, since this daemon reaches
+        none, or the time was over before a connection was up.
     :param is_hopeless: whether there is no way to any endpoint, so that no further attempt helps.
     :param is_unbounded: whether the endpoint sent more than any sound answer has.
     """
--- a/packages/gateway/src/thorncleat_gateway/requests/endpoint_client.py
+++ b/packages/gateway/src/thorncleat_gateway/requests/endpoint_client.py
@@ -116,6 +116,7 @@
         async with contextlib.AsyncExitStack() as stack:
             path = AttemptPath(endpoint, request.meta.id)
             stack.callback(path.uses.close)
+            request.is_sent = False
             if self._pool is None or not self._may_use_pool(request, endpoint):
                 response = await self._send(stack, request, meta, path)
                 yield Exchange(response, self._codec, path)
@@ -210,6 +211,10 @@
                 allow_redirects=False,
             )
             response = await stack.enter_async_context(call())
+        except asyncio.CancelledError:
+            if not path.is_connected:
+                self._limits.cancel(reservation)
+            raise
         except Exception as error:
             if not isinstance(error, EXPECTED_ERRORS):
                 self._failures.record(
@@ -222,6 +227,8 @@
             raise _unanswered_error(path, error) from error
         finally:
             current_path.reset(token)
+            # An earlier sending of the same attempt, on a kept connection, counts too.
+            request.is_sent |= path.is_connected
         self._count(use)
         if self._reach is not None and use is not None and not use.is_reused:
             self._reach.record_success(endpoint)
--- a/packages/gateway/src/thorncleat_gateway/requests/forwarder.py
+++ b/packages/gateway/src/thorncleat_gateway/requests/forwarder.py
@@ -8,6 +8,8 @@
 import contextlib
 import typing as t
 
+from ..exceptions import AttemptError
+from ..exceptions import Executed
 from ..peers.failure_detector import FailureDetector
 from ..peers.load_table import LoadTable
 from ..store.roster import Endpoint
@@ -71,6 +73,17 @@
             with self._overload_control.track_request(request, model):
                 yield
 
+    @staticmethod
+    def _timeout_error(request: Request, cause: str) -> AttemptError:
+        """Return the error of an attempt whose time is over.
+
+        One that was never connected hasn't run. Its end says nothing of the endpoint, which may
+        have had less time than a connection takes.
+        """
+        if request.is_sent:
+            return AttemptError(cause, Executed.MAYBE)
+        return AttemptError(cause, Executed.NO, sent=False, is_own_fault=True)
+
     def _record_served(self, request: Request, endpoint: Endpoint, model: str) -> None:
         """Record an attempt that was answered without a failure.
 
--- a/packages/gateway/src/thorncleat_gateway/requests/plain.py
+++ b/packages/gateway/src/thorncleat_gateway/requests/plain.py
@@ -194,7 +194,7 @@
                 cause = f"no answer in {seconds:.3f} s"
                 if caller.has_begun:
                     cause = retry_policy.OUT_OF_TIME
-                raise AttemptError(cause, Executed.MAYBE) from None
+                raise self._timeout_error(request, cause) from None
 
     async def _exchange(
         self,
--- a/packages/gateway/src/thorncleat_gateway/requests/request.py
+++ b/packages/gateway/src/thorncleat_gateway/requests/request.py
@@ -50,6 +50,7 @@
     :param longest_pause: longest time between two events of the answer, in seconds.
     :param endpoint_id: the endpoint of the latest attempt of a streamed request.
     :param sent_at: when the latest attempt began.
+    :param is_sent: whether any part of the latest attempt may have been sent.
     :param head_at: when the head of the latest attempt's answer came; 0 before that.
     :param level_priority: the priority for engines by the level of the request; None without
         overload control.
@@ -80,6 +81,7 @@
     longest_pause: float = 0.0
     endpoint_id: str = ""
     sent_at: float = 0.0
+    is_sent: bool = True
     head_at: float = 0.0
     level_priority: int | None = None
     expected: ExpectedTime | None = None
--- a/packages/gateway/src/thorncleat_gateway/requests/streams.py
+++ b/packages/gateway/src/thorncleat_gateway/requests/streams.py
@@ -217,9 +217,8 @@
                     return await self._exchange(request, attempt, splitter, caller, held)
             except TimeoutError:
                 abort_cause = attempt.abort_cause if attempt is not None else ""
-                raise AttemptError(
-                    abort_cause or retry_policy.OUT_OF_TIME, Executed.MAYBE
-                ) from None
+                cause = abort_cause or retry_policy.OUT_OF_TIME
+                raise self._timeout_error(request, cause) from None
             finally:
                 if attempt is not None:
                     self._detector.unwatch(attempt)
--- a/tests/notice_endpoints.py
+++ b/tests/notice_endpoints.py
@@ -17,6 +17,7 @@
 from thorncleat_gateway.store.roster import GroupId
 from thorncleat_gateway.store.roster import GroupState
 from thorncleat_gateway.store.roster import Membership
+from thorncleat_gateway.tunnels.connector import current_path
 
 from .fake_bodies import WholeBody
 
@@ -205,6 +206,13 @@
         pass
 
 
+def _mark_connected() -> None:
+    """Tell what the class of connections tells as soon as one is up."""
+    path = current_path.get()
+    assert path is not None
+    path.is_connected = True
+
+
 class Session:
     """The connections of one daemon to the endpoints."""
 
@@ -220,6 +228,7 @@
         worker = world.at(f"{url.host}:{url.port}")
         if worker is None:
             raise aiohttp.ConnectionTimeoutError("nobody")
+        _mark_connected()
         await asyncio.sleep(ONE_WAY_SECONDS)
         request_id = headers["X-Thorncleat-Attempt-Id"]
         echo = {"X-Thorncleat-Attempt-Id": request_id}
