View: an answer that can't be applied as a whole doesn't count as read

The position and the freshness of an answer were recorded before its changes were applied. If that failed, the daemon took itself for current on a copy that it didn't have (the election asks this), its copy's age stayed low, and the answer that was read again didn't count any more as the first one of a new era, so that evacuations weren't retained. Both are put back now, and the failure counts as one of the store, after which entries that are missing may still be written again.

--- a/packages/gateway/src/thorncleat_gateway/store/view.py
+++ b/packages/gateway/src/thorncleat_gateway/store/view.py
@@ -247,6 +247,18 @@
 
     async def _fetch_changes(self) -> bool:
         """Read the next changes or a snapshot, and return whether there were any changes."""
+        position, freshness = self._answered_position, self._freshness
+        try:
+            return await self._read_changes()
+        except StoreError:
+            raise
+        except Exception:
+            # What wasn't applied as a whole counts as unread, and is read again.
+            self._answered_position = position
+            self._freshness = freshness.after_failure(self._clock())
+            raise
+
+    async def _read_changes(self) -> bool:
         sent_at = self._clock()
         if self._position is None:
             answer = await self._feed.snapshot()
