Retries: a daemon that can't take a recall ends its questions in time

A recall that can't be taken made the task begin again with a whole time to ask, and so on: the daemon never began to report its retries, so that the next process of it would spend them again. The end of the questions is kept now.

Measured: test_daemon_that_cannot_take_a_recall_reports_its_retries_all_the_same failed before (0 reports in 9 virtual seconds), passes now.

--- a/packages/gateway/src/thorncleat_gateway/requests/retry_reporter.py
+++ b/packages/gateway/src/thorncleat_gateway/requests/retry_reporter.py
@@ -64,6 +64,8 @@
         self._kept: dict[str, _KeptReport] = {}
         self._recalls: list[RetryRecall] = []
         self._is_asking = True
+        # Until when it asks at most; None before the first question.
+        self._asks_until: float | None = None
         self._has_unreported = asyncio.Event()
         budgets.on_retry(self._has_unreported.set)
         peers.on_message(self._on_message)
@@ -88,8 +90,13 @@
 
     @background_task
     async def _query_task(self) -> None:
-        asks_until = self._clock() + QUERY_SECONDS
-        while not self.should_stop and self._clock() < asks_until and not self._budgets.is_complete:
+        if self._asks_until is None:
+            self._asks_until = self._clock() + QUERY_SECONDS
+        while (
+            not self.should_stop
+            and self._clock() < self._asks_until
+            and not self._budgets.is_complete
+        ):
             self.ask()
             await asyncio.sleep(QUERY_INTERVAL_SECONDS)
             self.take_best_recall()
