Election: a candidate or controller that fails ends its lease

An exception in the election left the lease, and with it the record of a controller that doesn't lead: no daemon planned until the lease expired. A failure of the store's calls is treated as before.

--- a/packages/gateway/src/thorncleat_gateway/groups/election.py
+++ b/packages/gateway/src/thorncleat_gateway/groups/election.py
@@ -193,6 +193,20 @@
         control = self._settings.control
         sent_at = self._clock()
         lease = await self._records.grant(control.lease)
+        try:
+            await self._lead(lease, sent_at)
+        except StoreError:
+            raise
+        except Exception:
+            # Nobody would lead until the lease expires.
+            await self._records.end(lease)
+            raise
+
+    async def _lead(self, lease: Lease, sent_at: float) -> None:
+        """Create the controller's record under a lease, and lead until the term ends.
+
+        :param sent_at: when the call for the lease was sent.
+        """
         term = await self._create_record(lease)
         if term is None:
             return
--- a/tests/test_half_done_tasks.py
+++ b/tests/test_half_done_tasks.py
@@ -5,6 +5,7 @@
 import pytest
 
 from thorncleat_gateway import events
+from thorncleat_gateway.groups.election import Election
 from thorncleat_gateway.peers.messages import RetryQuery
 from thorncleat_gateway.peers.messages import RetryRecall
 from thorncleat_gateway.peers.messages import RetryReport
@@ -17,7 +18,12 @@
 from thorncleat_gateway.store.view import StoreView
 
 from . import virtual_time
+from .test_forms_refusals import configuration
 from .test_store_view import _Feed
+from .wire_forms import OWN_SETTINGS
+from .wire_forms import FixedFeed
+from .wire_forms import RecordedRecords
+from .wire_forms import running_view
 
 FAILING_SECONDS = 20.0
 REPORT_SECONDS = 2.0
@@ -66,6 +72,47 @@
         assert {line["task"] for line in logged} == {"StoreView._follow_task"}
 
 
+class Records(RecordedRecords):
+    """Records of which one kind of call fails.
+
+    :param fails: the kind of call.
+    """
+
+    def __init__(self, fails) -> None:
+        super().__init__()
+        self._fails = fails
+        self.election = None
+        self.led_at_end = []
+
+    def _record(self, *call) -> None:
+        super()._record(*call)
+        if call[0] == "end":
+            self.led_at_end.append(self.election.is_controller)
+        if call[0] == self._fails:
+            _fail()
+
+
+@pytest.mark.parametrize("fails", ["create", "renew"])
+def test_candidate_that_fails_hands_over_at_once(fails, logged):
+    """Guards against groups without a controller until the lease of one that failed expires."""
+
+    async def play():
+        clock = asyncio.get_running_loop().time
+        records = Records(fails)
+        async with running_view(FixedFeed([configuration()]), clock) as view:
+            election = Election(OWN_SETTINGS, records, view, clock, lambda: {OWN_SETTINGS.id: 1.0})
+            records.election = election
+            await election.start()
+            await asyncio.sleep(OWN_SETTINGS.control.lease)
+            await election.stop()
+        return records
+
+    records = virtual_time.run(play())
+    assert records.led_at_end
+    assert not any(records.led_at_end)
+    assert {line["task"] for line in logged} == {"Election._campaign_task"}
+
+
 class Peers:
     """A keeper that answers each question with a report that can't be taken."""
 
