--- a/packages/gateway/src/thorncleat_gateway/requests/connection_pool.py
+++ b/packages/gateway/src/thorncleat_gateway/requests/connection_pool.py
@@ -362,8 +362,9 @@
     def _sweep(self) -> None:
         """Close the connections to endpoints that must not be used any more."""
         self._sweep_timer = None
+        if self._idle_connections:
+            # Before the checks, so that the next sweep comes also if one of them fails.
+            self._sweep_timer = self._loop.call_later(SWEEP_INTERVAL_SECONDS, self._sweep)
         for key, connections in list(self._idle_connections.items()):
             if not all(self._can_keep(endpoint) for endpoint in connections.values()):
                 self._close_all(key)
-        if self._idle_connections:
-            self._sweep_timer = self._loop.call_later(SWEEP_INTERVAL_SECONDS, self._sweep)
--- a/tests/test_failing_callbacks.py
+++ b/tests/test_failing_callbacks.py
@@ -18,12 +18,14 @@
 from thorncleat_gateway.peers.messages import Probe
 from thorncleat_gateway.peers.messages import TunnelQuery
 from thorncleat_gateway.peers.probe_answers import ProbeAnswers
+from thorncleat_gateway.requests import connection_pool
 from thorncleat_gateway.requests.frontend import Frontend
 from thorncleat_gateway.store.relay_server import RelayServer
 from thorncleat_gateway.tunnels import server as tunnel_server
 from thorncleat_gateway.tunnels.offers import TunnelOffers
 from thorncleat_platform.headers import READINESS_PATH
 
+from . import test_connection_pool
 from .test_failing_tasks import InjectedError
 from .test_failing_tasks import check_sound
 from .test_gateway import site
@@ -125,6 +127,23 @@
     assert {line["task"] for line in logged} == {task}
 
 
+async def test_sweep_that_fails_is_followed_by_others(monkeypatch):
+    """Guards against idle connections that nothing closes any more."""
+    monkeypatch.setattr(connection_pool, "SWEEP_INTERVAL_SECONDS", 0.01)
+    async with test_connection_pool.site() as it:
+        await it.send("a")
+        results = [InjectedError("sweep"), InjectedError("sweep")]
+
+        def can_keep(_endpoint):
+            if results:
+                raise results.pop()
+            return False
+
+        it.pool._can_keep = can_keep
+        async with asyncio.timeout(1.0):
+            await it.until(lambda: not it.pool.idle)
+
+
 async def test_opening_that_cannot_be_handled_ends_its_tunnel_alone(monkeypatch):
     async with Fleet(_answer) as fleet:
         other = await fleet.open()
