Tests: a daemon whose tasks fail at each pass serves or is not ready

With the view's failure the daemon is not ready after revoke_within; with the others' it is ready and serves every request, on the new route too. Few lines are logged. So readiness is left as it is.

--- a/tests/test_failing_tasks.py
+++ b/tests/test_failing_tasks.py
@@ -1,10 +1,12 @@
 """Daemons whose background tasks fail: what callers, the store and the endpoints see."""
 
+import asyncio
 import collections
 import dataclasses
 import importlib
 import pkgutil
 
+import aiohttp
 import pytest
 from mode.services import ServiceTask
 
@@ -13,6 +15,7 @@
 from thorncleat_gateway import service
 from thorncleat_gateway.service import Service
 from thorncleat_platform import settings
+from thorncleat_platform.headers import READINESS_PATH
 
 from .test_gateway import HOST
 from .test_gateway import configuration
@@ -26,6 +29,12 @@
 MIN_FAILURES = FAILED_BEGINS
 DAEMONS = 2
 LATER_HOST = "later.example"
+# How old a configuration may be by the bounds of the site, and how long a call for changes waits.
+REVOKE_SECONDS = 2.0
+VIEW_WAIT_SECONDS = 1.5
+REQUESTS = 6
+# Of two places each, in which the count doubles.
+MAX_LINES_PER_TASK = 20
 
 
 def _subclasses(parent):
@@ -54,9 +63,9 @@
 class _FailingWaits:
     """Runs a coroutine, in which some of the things that it waits for raise."""
 
-    def __init__(self, work, failed_waits) -> None:
+    def __init__(self, work, is_failed) -> None:
         self._work = work
-        self._failed_waits = failed_waits
+        self._is_failed = is_failed
 
     def __await__(self):
         running = self._work.__await__()
@@ -69,50 +78,43 @@
             try:
                 yield waited_for
                 step, value = running.send, None
-                if self._is_next_failed():
+                if self._is_failed():
                     step, value = running.throw, InjectedError("wait")
             except BaseException as error:
                 step, value = running.throw, error
 
-    def _is_next_failed(self) -> bool:
-        self._failed_waits[0] -= 1
-        if self._failed_waits[0]:
-            return False
-        del self._failed_waits[0]
-        return True
-
 
 class Faults:
     """Lets a background task of all daemons fail, in its begin and while it waits.
 
     :ivar begins: how often each task has begun, by name.
     :ivar task: the one that fails.
-    :ivar always: whether it fails each time it begins.
+    :ivar always: those that fail at each pass, in the daemon that was started last.
     """
 
     def __init__(self) -> None:
         self.begins = collections.Counter()
         self.lines = []
         self.task = ""
-        self.always = False
+        self.always = set()
         self._waits = {}
+        self._last_owners = {}
 
     def install(self, monkeypatch) -> None:
         run_task = Service.run_task
 
         async def run_failing(owner, name, run):
             begins = 0
+            self._last_owners[name] = owner
 
             async def begin():
                 nonlocal begins
                 begins += 1
                 self.begins[name] += 1
-                if name != self.task:
-                    return await run()
-                if self.always or begins <= FAILED_BEGINS:
+                fails_first = name == self.task and begins <= FAILED_BEGINS
+                if fails_first or self._is_always(owner, name):
                     raise InjectedError("begin")
-                waits = self._waits.setdefault(owner, [*FAILED_WAITS, -1])
-                return await _FailingWaits(run(), waits)
+                await _FailingWaits(run(), lambda: self._is_failed_wait(owner, name))
 
             await run_task(owner, name, begin)
 
@@ -123,6 +125,19 @@
         monkeypatch.setattr(service, "MIN_RESTART_SECONDS", 0.005)
         monkeypatch.setattr(service, "MAX_RESTART_SECONDS", 0.04)
 
+    def _is_always(self, owner, name) -> bool:
+        return name in self.always and self._last_owners[name] is owner
+
+    def _is_failed_wait(self, owner, name) -> bool:
+        if name != self.task:
+            return self._is_always(owner, name)
+        waits = self._waits.setdefault(owner, [*FAILED_WAITS, -1])
+        waits[0] -= 1
+        if waits[0]:
+            return False
+        del waits[0]
+        return True
+
     def _log(self, event, fields) -> None:
         if event is events.TASK_FAILED:
             self.lines.append(fields)
@@ -204,3 +219,46 @@
     async with site(tmp_path, daemons=DAEMONS):
         assert set(faults.begins) == set(_find_tasks())
         assert not faults.lines
+
+
+async def _is_ready(gateway) -> bool:
+    host, port = gateway._settings.readiness
+    url = f"http://{host}:{port}{READINESS_PATH}"
+    async with aiohttp.ClientSession() as client, client.get(url) as response:
+        return response.status == 200
+
+
+@pytest.mark.parametrize(
+    ("tasks", "ready"),
+    [
+        pytest.param({"StoreView._follow_task"}, False, id="view"),
+        pytest.param(set(_find_tasks()) - {"StoreView._follow_task"}, True, id="all others"),
+    ],
+)
+@pytest.mark.usefixtures("_workspaces")
+async def test_daemon_whose_tasks_always_fail_serves_or_is_not_ready(
+    tmp_path, faults, tasks, ready
+):
+    """Guards against a daemon that says that it is ready and refuses its callers for good."""
+    async with site(tmp_path, daemons=DAEMONS) as cluster:
+        faults.always = tasks
+        cluster.store.write("op/config", _later_configuration())
+        await asyncio.sleep(REVOKE_SECONDS + VIEW_WAIT_SECONDS)
+        first, last = cluster.gateways
+        assert (await _is_ready(first), await _is_ready(last)) == (True, ready)
+        for number in range(REQUESTS):
+            found = [
+                await cluster.call(
+                    "POST", "/status/x", daemon=daemon, number=f"a{number}", Host=host
+                )
+                for daemon in range(1 + ready)
+                for host in (HOST, LATER_HOST)
+            ]
+            found += [
+                await cluster.chat(daemon=daemon, number=f"b{number}")
+                for daemon in range(1 + ready)
+            ]
+            assert {status for status, _, _ in found} == {200}
+        assert faults.logged() <= tasks
+        # Each failure counts, but few are logged.
+        assert len(faults.lines) <= MAX_LINES_PER_TASK * len(tasks)
