--- a/tests/test_retry_reporter.py
+++ b/tests/test_retry_reporter.py
@@ -1,5 +1,6 @@
 """What daemons remember of each other's retries, for the time after a restart."""
 
+import asyncio
 import heapq
 import itertools
 import random
@@ -16,6 +17,7 @@
 from thorncleat_gateway.requests.retry_reporter import BATCH_SECONDS
 from thorncleat_gateway.requests.retry_reporter import QUERY_INTERVAL_SECONDS
 from thorncleat_gateway.requests.retry_reporter import RetryReporter
+from thorncleat_gateway.service import Service
 from thorncleat_gateway.store.fleet_knowledge import has_share_of_window
 
 SERVICE = "narrator"
@@ -261,6 +263,48 @@
     assert world.spend(0) == 0
 
 
+class RecordedPeers:
+    """The channel of a daemon with one other daemon; it records what is sent."""
+
+    id = "edge-0"
+    is_full_mesh = True
+    other_daemons = frozenset({"edge-1"})
+
+    def __init__(self):
+        self.sent = []
+
+    def on_message(self, handler):
+        pass
+
+    def send(self, daemon, message):
+        self.sent.append(message)
+
+
+async def test_reports_go_on_after_another_service_of_the_daemon_has_failed():
+    """Guards against retries that nobody knows of, whose daemon is killed soon after.
+
+    It served on without its loops, and its successor used the same tokens again.
+    """
+    clock, peers = asyncio.get_running_loop().time, RecordedPeers()
+    budgets = RetryBudgets(SETTINGS, clock, lambda: 2, has_predecessor=False)
+    reporter = RetryReporter(budgets, peers, clock)
+    daemon, offers = Service(), Service()
+    await daemon.start()
+    await daemon.add_runtime_dependency(reporter)
+    await daemon.add_runtime_dependency(offers)
+
+    async def connect():
+        raise UnicodeError("label too long")
+
+    offers.add_future(connect())
+    await asyncio.sleep(3 * BATCH_SECONDS)
+    peers.sent.clear()
+    assert budgets.take_token(SERVICE)
+    await asyncio.sleep(3 * BATCH_SECONDS)
+    await daemon.stop()
+    assert {sum(message.uses[0].retries) for message in peers.sent} == {1}
+
+
 class TestAnswers:
     """One daemon that has just started, and the answers to its question."""
 
