Members of a silent leader are used once their group is broken

Cause: a leader that was neither listed nor heard counted as dead, and its members were ordered into another group at once. One cut takes away both signs; the leader was open all the time for members that reached it.

Change: stall_ms is read (5,000 ms if absent). Members of such a leader that answer are ordered to leave and aren't used until one has left for the stall and 0.3 s (groups/separation). If no member is listed or answers, the group is marked: none of its members is free, its record stays for the next term, and a member that comes back leaves first. An ended process (another endpoint at its address, connections refused) is known as fast as before.

Open: a controller that follows within the stall doesn't know the members that have left, and may use them; they report no group by then.

--- a/packages/gateway/src/thorncleat_gateway/groups/__init__.py
+++ b/packages/gateway/src/thorncleat_gateway/groups/__init__.py
@@ -13,6 +13,7 @@
 Which models are loaded onto spares             :mod:`.model_loader`, :mod:`.spare_warming`
 Why a group is ended, and how                   :mod:`.group_health`, :mod:`.ending`
 Whether a leader is dead                        :mod:`.leader_liveness`
+When the members of a silent leader are free    :mod:`.separation`
 Whether a group may still answer                :mod:`.records`
 Whether an order is safe to send                :mod:`.orders`, :mod:`.join_rules`
 Which endpoints and domains are paused          :mod:`.forming_state`, :mod:`.lost_endpoints`
--- a/packages/gateway/src/thorncleat_gateway/groups/ending.py
+++ b/packages/gateway/src/thorncleat_gateway/groups/ending.py
@@ -1,8 +1,9 @@
 """Ends groups: ensures that a group no longer answers before its members are released.
 
-Only leaders are ordered to leave; a group has ended once its leader has left or is dead. One whose
-members were only silent is kept if all of them serve it again before that. No order is sent to a
-leader while it is silent, since a paused one would carry it out when it goes on.
+A group has ended once its leader has left or its process has ended, or once it is broken because
+members have left a leader that is neither listed nor heard. One whose members were only silent is
+kept if all of them serve it again before that. No order is sent to a leader while it is silent,
+since a paused one would carry it out when it goes on.
 
 :mod:`.group_health` decides which groups are ended and why.
 
@@ -41,6 +42,9 @@
 from .orders import Orders
 from .records import Detached
 from .records import GroupRecords
+from .separation import MemberSeparator
+from .separation import Separated
+from .separation import Separation
 
 # How long the requests of a draining group may take to finish.
 DRAIN_TIMEOUT_SECONDS = 6.0
@@ -61,6 +65,7 @@
         ended: EndedGroups,
         liveness: LeaderLiveness,
         recovery: GroupRecovery,
+        separator: MemberSeparator,
         lost: LostEndpoints,
         load_table: LoadTable,
         clock: t.Callable[[], float],
@@ -71,6 +76,7 @@
         self._ended = ended
         self._liveness = liveness
         self._recovery = recovery
+        self._separator = separator
         self._lost = lost
         self._load_table = load_table
         self._clock = clock
@@ -224,6 +230,17 @@
         """
         if recoverable and await self._recovery.wait_recovered(group, recoverable):
             return None
+        separation = self._separator.begin(group, leader)
+        try:
+            return await self._wait_detached(separation, recoverable)
+        finally:
+            self._separator.end(separation)
+
+    async def _wait_detached(
+        self, separation: Separation, recoverable: t.Sequence[Endpoint]
+    ) -> Detached | None:
+        """Order a leader to leave until it has; return None if the group is kept."""
+        group, leader = separation.group, separation.leader
         refusal: Refusal | None = None
         while True:
             try:
@@ -241,12 +258,28 @@
                     return Detached.DEAD
             except EndpointError:
                 refusal = None
-                if await self._liveness.wait_dead(leader):
-                    return Detached.DEAD
+                how = await self._separate_silent(separation)
+                if how is not None:
+                    return how
             await asyncio.sleep(PROBE_INTERVAL_SECONDS)
             if recoverable and await self._recovery.is_recovered(group, recoverable):
                 return None
 
+    async def _separate_silent(self, separation: Separation) -> Detached | None:
+        """Take the members away from a silent leader.
+
+        :returns: None if the group may still answer with them, or the leader isn't silent.
+        """
+        if not await self._liveness.wait_dead(separation.leader):
+            return None
+        match await self._separator.separate(separation):
+            case Separated.BROKEN:
+                return Detached.DEAD
+            case Separated.ALL_SILENT:
+                self._records.mark_silent(separation.group)
+                return Detached.DEAD
+        return None
+
     async def _order_to_leave(self, leader: Endpoint, group: GroupId) -> Detached | None:
         """Order a leader to leave its group.
 
--- a/packages/gateway/src/thorncleat_gateway/groups/group_inspector.py
+++ b/packages/gateway/src/thorncleat_gateway/groups/group_inspector.py
@@ -76,9 +76,11 @@
         return self._term.records.can_answer(group)
 
     def _end_returned(self, group: Group) -> None:
-        """End a group whose leader was taken for dead and is listed again."""
+        """End a group whose leader was taken for dead, once it or a member is listed again."""
         self._term.records.restore(group)
-        self._term.ending.end(group.id, EndReason.LEADER_IS_BACK, list(group.members.values()))
+        is_back = group.leader is not None
+        reason = EndReason.LEADER_IS_BACK if is_back else EndReason.LEADER_NOT_LISTED
+        self._term.ending.end(group.id, reason, list(group.members.values()))
 
     def _check_health(self, group: Group, model: EngineModel) -> bool:
         """Return whether a group is healthy; begin to end it if not."""
--- a/packages/gateway/src/thorncleat_gateway/groups/planner.py
+++ b/packages/gateway/src/thorncleat_gateway/groups/planner.py
@@ -151,7 +151,9 @@
 
     def _is_available(self, endpoint: Endpoint) -> bool:
         term = self.term
-        if endpoint in term.lost or not term.forming_state.is_available(endpoint.id):
+        if endpoint in term.lost or endpoint in term.separator:
+            return False
+        if not term.forming_state.is_available(endpoint.id):
             return False
         member = term.orders.listed_membership(endpoint)
         return member is None or term.records.is_over(member.group)
--- a/packages/gateway/src/thorncleat_gateway/groups/term.py
+++ b/packages/gateway/src/thorncleat_gateway/groups/term.py
@@ -31,6 +31,7 @@
 from .orders import Orders
 from .placement_records import PlacementRecords
 from .records import GroupRecords
+from .separation import MemberSeparator
 from .slow_endpoints import SlowEndpoints
 from .spare_warming import SpareWarming
 from .term_number import term_number
@@ -54,6 +55,7 @@
     slow: SlowEndpoints
     examination: MemberExamination
     unlisted: UnlistedEndpoints
+    separator: MemberSeparator
     ending: GroupEnding
     forming_state: FormingState
     forming: GroupForming
@@ -105,7 +107,8 @@
         jobs = Jobs(wake)
         lost = LostEndpoints(view, orders, jobs.start, wake, clock)
         slow = SlowEndpoints(view, orders, jobs.start, wake)
-        ending = self._create_ending(lost, jobs)
+        separator = MemberSeparator(view, orders, self._settings.stall, clock)
+        ending = self._create_ending(lost, separator, jobs)
         state = FormingState(self._term_number(position), clock)
         forming = self._create_forming(state, lost, ending, jobs)
         jobs.start(records.rewrite_lost_records())
@@ -118,6 +121,7 @@
             slow=slow,
             examination=self._create_examination(lost, slow),
             unlisted=UnlistedEndpoints(view, orders, self._witnesses, clock, jobs.start),
+            separator=separator,
             ending=ending,
             forming_state=state,
             forming=forming,
@@ -126,7 +130,9 @@
             moves=self._create_moves(ending, state, jobs),
         )
 
-    def _create_ending(self, lost: LostEndpoints, jobs: Jobs) -> GroupEnding:
+    def _create_ending(
+        self, lost: LostEndpoints, separator: MemberSeparator, jobs: Jobs
+    ) -> GroupEnding:
         """Return what ends groups, with what decides on their leaders and silent members."""
         liveness = LeaderLiveness(
             self._view, self._orders, self._detector, self._load_table, self._peers, self._clock
@@ -137,6 +143,7 @@
             self._ended,
             liveness,
             GroupRecovery(self._orders, lost, self._witnesses, self._clock),
+            separator,
             lost,
             self._load_table,
             self._clock,
--- a/packages/gateway/src/thorncleat_gateway/settings.py
+++ b/packages/gateway/src/thorncleat_gateway/settings.py
@@ -23,6 +23,7 @@
     :param form_timeout: timeout of the formation of a group whose hosts hold the model.
     :param load_window: window in which the weight store counts started loads.
     :param load_overage: the loads that may start in this window, as a multiple of the store's rate.
+    :param stall: time after which a group that lacks a member is broken.
     """
 
     lease: float = 2.0
@@ -32,6 +33,7 @@
     form_timeout: float = 5.0
     load_window: float = 5.0
     load_overage: float = 1.1
+    stall: float = 5.0
 
 
 @dataclasses.dataclass(frozen=True)
--- a/tests/test_forms_settings.py
+++ b/tests/test_forms_settings.py
@@ -112,6 +112,11 @@
     assert as_plain_data(load(tmp_path, text)) == snapshot
 
 
+@pytest.mark.parametrize(("text", "seconds"), [(MINIMAL, 5.0), (FULL, 3.5)], ids=["least", "full"])
+def test_time_after_which_a_group_is_broken(tmp_path, text, seconds):
+    assert load(tmp_path, text).gateway.control.stall == seconds
+
+
 @pytest.mark.parametrize("place", ["", "9464/metrics", "9464", "/metrics"])
 def test_place_of_metrics(tmp_path, place, snapshot):
     assert load(tmp_path, MINIMAL, place).gateway.metrics == snapshot
--- a/tests/test_group_ends.py
+++ b/tests/test_group_ends.py
@@ -267,6 +267,58 @@
     assert running["large"] == 1
 
 
+async def _leader_is_isolated(seconds: float):
+    """Cut a leader off from the store and all daemons; its members reach it."""
+    world = await calm_world()
+    leader = large_leader(world)
+    world.isolate(leader, seconds)
+    world.later(0.3, lambda: world.suspect(leader))
+    await world.pass_time(seconds + 12.0)
+    running = world.running_groups()
+    await world.stop()
+    return world, running
+
+
+@pytest.mark.parametrize("seconds", [6.0, 12.0, 30.0])
+def test_members_of_an_isolated_leader_are_used_after_its_group_is_broken(seconds):
+    """It is neither listed nor heard, but it is open as long as its members stay."""
+    world, running = virtual_time.run(_leader_is_isolated(seconds))
+    assert world.broken == []
+    assert running["large"] == 1
+
+
+async def _member_returns_before_its_leader(*, replaces_controller: bool):
+    """Cut a group off, and let a member come back while its leader is still cut off."""
+    world = await calm_world()
+    leader = large_leader(world)
+    first, *others = [world.workers[name] for name in leader.members if name != leader.id]
+    world.isolate(first, 12.0)
+    for member in (leader, *others):
+        world.isolate(member, 40.0)
+    world.later(0.3, lambda: world.suspect(leader))
+    # Enough for another group of the model together with the member that comes back.
+    for _ in range(3):
+        world.add_worker(leader.domain, staged=STAGED)
+    if replaces_controller:
+        await world.pass_time(9.0)
+        controller_node(world).freeze(6.0)
+    await world.pass_time(24.0)
+    group = first.group
+    await world.stop()
+    return world, first, group
+
+
+@pytest.mark.parametrize("replaces_controller", [False, True], ids=["one term", "two terms"])
+def test_member_that_returns_before_its_leader_leaves_their_group_first(replaces_controller):
+    """Both reached each other meanwhile, so the group was open all the time."""
+    world, member, former = virtual_time.run(
+        _member_returns_before_its_leader(replaces_controller=replaces_controller)
+    )
+    assert world.broken == []
+    assert member.group is not None
+    assert member.group != former or member.group == member.former
+
+
 # The controller's lease
 
 
