--- a/bench/soaks/gateway.py
+++ b/bench/soaks/gateway.py
@@ -21,6 +21,7 @@
 from . import gateway_fatal
 from . import gateway_limit_faults
 from . import gateway_notice_faults
+from . import gateway_odd_entries
 from . import gateway_restores
 from . import gateway_retry_faults
 from . import gateway_upgrade
@@ -190,6 +191,7 @@
     coroutines.append(gateway_limit_faults.inject_limits(soak, seed))
     coroutines.append(gateway_endless_faults.inject_endless_answers(soak, seed))
     coroutines.append(gateway_endless_faults.watch_memory(soak, soak.site))
+    coroutines.append(gateway_odd_entries.inject_odd_entries(soak, seed))
     coroutines.append(gateway_restores.inject_restores(soak, soak.site, seed))
     if older:
         coroutines.append(
--- a/bench/soaks/gateway_site.py
+++ b/bench/soaks/gateway_site.py
@@ -174,7 +174,9 @@
         for worker in self.workers.values():
             worker.publish()
         for key in self.store.keys(ENTRY_PREFIX):
-            if not self.workers[key.removeprefix(ENTRY_PREFIX)].is_alive:
+            owner = self.workers.get(key.removeprefix(ENTRY_PREFIX))
+            # Entries that another writer has left stay.
+            if owner is not None and not owner.is_alive:
                 self.store.delete(key)
 
     async def stop(self) -> None:
