Planned stop: what can't end before the stop is refused, not passed on

A retry that began late was cut in the same way, and a body that never ended got no answer.

Cause: a request was judged only before its body was read. Nothing asked again before an attempt, and at the end of the grace period the listeners were closed under what had no answer yet.

Change: requests/stop_window.py holds the one rule, may_send: until the load balancer has noticed the stop everything is sent; after that an attempt is sent only if its request is given up (the caller's deadline, the route's timeout) 0.1 s before the daemon stops. Both forwarders ask before each attempt. A body that is still read when its request can't be sent any more is refused at that moment: 503, Retry-After 0.05, closed connection, not run. Two go on: a stream whose caller has a part of it, since a cut now is no better than one at the stop, and a retry of a plain request that may have run, since its refusal would promise nothing. 0.1 s before the stop every request without an answer is told: 503 if its body was being read, 502 if it was passed on; nothing ends without an answer but answers that have begun.

--- a/packages/gateway/src/thorncleat_gateway/planned_stop.py
+++ b/packages/gateway/src/thorncleat_gateway/planned_stop.py
@@ -77,6 +77,7 @@
             ordered_at = self._clock()
         was_known = self._frontend.is_known
         self._frontend.stopping = True
+        self._frontend.ends_at = ordered_at + self._grace - STOP_MARGIN_SECONDS
         if self._tunnels is not None:
             self._tunnels.stopping = True
         # Another daemon takes over as controller while this one still serves requests.
--- a/packages/gateway/src/thorncleat_gateway/requests/forwarder.py
+++ b/packages/gateway/src/thorncleat_gateway/requests/forwarder.py
@@ -20,6 +20,7 @@
 from .overload.control import OverloadControl
 from .request import Request
 from .retry_budget import RetryBudgets
+from .stop_window import StopWindow
 
 
 class Forwarder:
@@ -28,6 +29,7 @@
     :param clock: monotonic, in seconds.
     :param overload_control: None to admit all requests.
     :param answers: the memory for endpoints' answers; None for a budget of its own.
+    :param stop_window: the time that a planned stop leaves; None for no stop.
     """
 
     def __init__(
@@ -41,6 +43,7 @@
         clock: t.Callable[[], float],
         overload_control: OverloadControl | None = None,
         answers: AnswerBudget | None = None,
+        stop_window: StopWindow | None = None,
     ) -> None:
         self._endpoint_client = endpoint_client
         self._selector = selector
@@ -51,6 +54,7 @@
         self._clock = clock
         self._overload_control = overload_control
         self._answers = answers or AnswerBudget()
+        self._stop_window = stop_window or StopWindow(clock)
         # Services of which a large answer without a stated length has come to its end.
         self._large_answer_services: set[str] = set()
 
@@ -94,6 +98,15 @@
             )
             raise decision.error()
 
+    def _check_stop(self, request: Request, *, must_go_on: bool) -> None:
+        """Check before an attempt that a planned stop leaves time for it.
+
+        :param must_go_on: see :func:`.stop_window.may_send`.
+        :raises RefusalError: if it doesn't.
+        """
+        if not self._stop_window.may_send(request, must_go_on=must_go_on):
+            raise retry_policy.refuse_stopping(may_have_run=request.may_have_run).error()
+
     def _token_source(self, request: Request) -> t.Callable[[], bool]:
         """Return a function that takes a token of the retry budget for a request."""
         return lambda: self._take_token(request)
--- a/packages/gateway/src/thorncleat_gateway/requests/frontend.py
+++ b/packages/gateway/src/thorncleat_gateway/requests/frontend.py
@@ -21,6 +21,7 @@
 from . import admission
 from . import body_budget
 from . import request_log
+from . import retry_policy
 from .admission import Admitted
 from .admission import NotReady
 from .body_budget import BodyBudget
@@ -29,7 +30,10 @@
 from .plain import PlainForwarder
 from .refusal import Refusal
 from .request import Request
+from .retry_policy import CutAnswer
 from .route_split import service_for
+from .stop_window import StopWindow
+from .stop_window import WatchedRequest
 from .streams import StreamForwarder
 
 # How long before its deadline a request is given up, so that the refusal arrives in time.
@@ -44,7 +48,7 @@
     """Answers callers' requests.
 
     :param stopping: whether this daemon is about to stop.
-    :param closed: whether it accepts no more requests.
+    :param stop_window: the time that a planned stop leaves; None for one of its own.
     :param requests: number of requests since the start.
     :param running: number of requests that are being answered.
     :param bodies: the memory for callers' bodies.
@@ -60,6 +64,7 @@
         streams: StreamForwarder,
         clock: t.Callable[[], float],
         has_way: t.Callable[[], bool] = lambda: True,
+        stop_window: StopWindow | None = None,
     ) -> None:
         self._settings = settings
         self._view = view
@@ -69,13 +74,31 @@
         self._clock = clock
         self._has_way = has_way
         self.bodies = BodyBudget(settings.memory if settings.overload_control else None)
+        self._stop_window = stop_window or StopWindow(clock)
         self.stopping = False
-        self.closed = False
         self.requests = 0
         self.running = 0
         self._was_ready = False
         self._failures = FailureLog()
 
+    @property
+    def closed(self) -> bool:
+        """Whether this daemon accepts no more requests."""
+        return self._stop_window.is_closed
+
+    @closed.setter
+    def closed(self, closed: bool) -> None:
+        self._stop_window.is_closed = closed
+
+    @property
+    def ends_at(self) -> float:
+        """When this daemon stops, on its clock; infinite without an order to stop."""
+        return self._stop_window.ends_at
+
+    @ends_at.setter
+    def ends_at(self, ends_at: float) -> None:
+        self._stop_window.ends_at = ends_at
+
     @property
     def is_known(self) -> bool:
         """Whether a load balancer may send requests, as it was told that this daemon is ready."""
@@ -164,6 +187,31 @@
         )
         if isinstance(admitted, Refusal):
             raise admitted.error()
+        give_up_at = _give_up_at(meta, admitted, received_at)
+        scope = asyncio.timeout(None)
+        with self._stop_window.watch(scope, give_up_at, lambda: caller.has_begun) as watched:
+            try:
+                async with scope:
+                    forwarded = await self._read_and_forward(
+                        request, meta, admitted, caller, received_at, watched
+                    )
+            except TimeoutError:
+                if not scope.expired():
+                    raise
+                raise _stopped(watched).error() from None
+        request_log.done(forwarded, caller.sent.status, self._clock(), self._view.age())
+        return caller.sent
+
+    async def _read_and_forward(
+        self,
+        request: web.BaseRequest,
+        meta: RequestMeta,
+        admitted: Admitted,
+        caller: CallerResponse,
+        received_at: float,
+        watched: WatchedRequest,
+    ) -> Request:
+        """Read the body and pass an answer on; return the request."""
         with self.bodies.hold(
             lambda: body_budget.is_most_urgent(
                 admitted.configuration, admitted.route, admitted.workspace
@@ -171,10 +219,10 @@
         ) as held:
             limit = admitted.configuration.limits.body_bytes
             body = await _read_body(request, limit, held)
+            watched.is_read = True
             forwarded = self._create_request(request, meta, admitted, body, received_at)
             await self._forward(forwarded, caller)
-        request_log.done(forwarded, caller.sent.status, self._clock(), self._view.age())
-        return caller.sent
+        return forwarded
 
     def _create_request(
         self,
@@ -185,7 +233,6 @@
         received_at: float,
     ) -> Request:
         route = admitted.route
-        deadline_at = received_at + (meta.deadline or DEFAULT_DEADLINE_SECONDS)
         return Request(
             meta=meta,
             method=request.method,
@@ -196,8 +243,8 @@
             service=service_for(admitted.configuration, route, self.requests),
             workspace=admitted.workspace,
             received_at=received_at,
-            give_up_at=min(deadline_at, received_at + route.timeout) - DEADLINE_MARGIN_SECONDS,
-            deadline_at=deadline_at,
+            give_up_at=_give_up_at(meta, admitted, received_at),
+            deadline_at=_deadline_at(meta, received_at),
         )
 
     async def _forward(self, request: Request, caller: CallerResponse) -> None:
@@ -207,6 +254,24 @@
         await self._plain.serve(request, caller)
 
 
+def _deadline_at(meta: RequestMeta, received_at: float) -> float:
+    """Return when the caller gives a request up."""
+    return received_at + (meta.deadline or DEFAULT_DEADLINE_SECONDS)
+
+
+def _give_up_at(meta: RequestMeta, admitted: Admitted, received_at: float) -> float:
+    """Return when the gateway gives a request up."""
+    ends_at = min(_deadline_at(meta, received_at), received_at + admitted.route.timeout)
+    return ends_at - DEADLINE_MARGIN_SECONDS
+
+
+def _stopped(watched: WatchedRequest) -> Refusal | CutAnswer:
+    """Return how a request ends to which the planned stop leaves no time."""
+    if watched.has_begun():
+        return CutAnswer(admission.STOPPING.cause)
+    return retry_policy.refuse_stopping(may_have_run=watched.is_read)
+
+
 async def _read_body(request: web.BaseRequest, limit: int, held: HeldBody) -> bytes:
     """Return the complete body.
 
--- a/packages/gateway/src/thorncleat_gateway/requests/plain.py
+++ b/packages/gateway/src/thorncleat_gateway/requests/plain.py
@@ -64,6 +64,7 @@
                 # An endpoint's failed answer is more useful to the caller than a refusal.
                 return answer
             self._check_quarantine(request, has_begun=False)
+            self._check_stop(request, must_go_on=request.may_have_run)
             endpoint = self._choose_endpoint(request)
             if endpoint is None:
                 return self._resolve(self._without_endpoint(request, answer), answer)
--- a/packages/gateway/src/thorncleat_gateway/requests/request_services.py
+++ b/packages/gateway/src/thorncleat_gateway/requests/request_services.py
@@ -38,6 +38,7 @@
 from .quarantine import Quarantine
 from .retry_budget import RetryBudgets
 from .slow_groups import SlowGroups
+from .stop_window import StopWindow
 from .streams import StreamForwarder
 
 
@@ -107,6 +108,7 @@
     def _create_frontend(self) -> Frontend:
         dependencies = self._dependencies
         client = self._create_client()
+        stop_window = StopWindow(dependencies.clock)
         shared = (
             client,
             self._create_selector(client),
@@ -117,6 +119,7 @@
             dependencies.clock,
             self._create_overload_control() if dependencies.settings.overload_control else None,
             self.answers,
+            stop_window,
         )
         return Frontend(
             dependencies.settings,
@@ -126,6 +129,7 @@
             StreamForwarder(*shared),
             dependencies.clock,
             dependencies.paths.has_way,
+            stop_window,
         )
 
     def _create_client(self) -> EndpointClient:
--- a/packages/gateway/src/thorncleat_gateway/requests/retry_policy.py
+++ b/packages/gateway/src/thorncleat_gateway/requests/retry_policy.py
@@ -32,6 +32,7 @@
 EVACUATED = "failure domain evacuated"
 NO_GROUP_LEFT = "no group to go on in"
 CRASHES_ENDPOINTS = "it ends its endpoints"
+STOPPING = "stopping"
 DENIED_LAST_ENDPOINT = "it may end the last endpoint"
 
 
@@ -225,6 +226,11 @@
     return Refusal(429, CRASHES_ENDPOINTS, seconds)
 
 
+def refuse_stopping(*, may_have_run: bool) -> Refusal:
+    """Return the refusal of a request to which a planned stop leaves no time."""
+    return give_up(STOPPING, retry_after.STOPPING_SECONDS, may_have_run=may_have_run)
+
+
 def can_try_elsewhere(route: Route, sends: int, *, is_late: bool) -> bool:
     """Return whether a plain request could go to another endpoint if its next attempt fails.
 
--- a/packages/gateway/src/thorncleat_gateway/requests/streams.py
+++ b/packages/gateway/src/thorncleat_gateway/requests/streams.py
@@ -85,6 +85,7 @@
         splitter = EventSplitter()
         while True:
             endpoint = await self._choose_endpoint(request, endpoints, caller)
+            self._check_stop(request, must_go_on=caller.has_begun)
             request.expected = endpoints.expect(endpoint)
             try:
                 answer = await self._attempt(request, endpoint, endpoints, splitter, caller, held)
