--- a/bench/soaks/gateway.py
+++ b/bench/soaks/gateway.py
@@ -19,6 +19,7 @@
 
 from . import gateway_endless_faults
 from . import gateway_fatal
+from . import gateway_late_bodies
 from . import gateway_limit_faults
 from . import gateway_notice_faults
 from . import gateway_restores
@@ -190,6 +191,7 @@
     coroutines.append(gateway_limit_faults.inject_limits(soak, seed))
     coroutines.append(gateway_endless_faults.inject_endless_answers(soak, seed))
     coroutines.append(gateway_endless_faults.watch_memory(soak, soak.site))
+    coroutines.append(gateway_late_bodies.send_late_bodies(soak, seed))
     coroutines.append(gateway_restores.inject_restores(soak, soak.site, seed))
     if older:
         coroutines.append(
--- a/bench/soaks/gateway_callers.py
+++ b/bench/soaks/gateway_callers.py
@@ -113,6 +113,10 @@
         self._site.checks.check_answer(exchange)
         return exchange
 
+    def body_of(self, exchange: Exchange) -> bytes | t.AsyncIterator[bytes]:
+        """Return the body of a request, or its pieces."""
+        return exchange.request_body
+
     async def _send(
         self,
         client: aiohttp.ClientSession,
@@ -133,7 +137,7 @@
             headers["X-Thorncleat-Prompt-Prefix"] = prompt
         url = f"http://{daemon.callers_address}{PATHS[exchange.kind]}{path}"
         # POST, since the client library retries GET by itself.
-        async with client.post(url, data=exchange.request_body, headers=headers) as response:
+        async with client.post(url, data=self.body_of(exchange), headers=headers) as response:
             exchange.status = response.status
             exchange.signed = "X-Thorncleat-Response-Stamp" in response.headers
             exchange.echoed = response.headers.get("X-Thorncleat-Attempt-Id", "")
--- a/bench/soaks/gateway_troubles.py
+++ b/bench/soaks/gateway_troubles.py
@@ -47,6 +47,7 @@
     """The state of one seed of the gateway's soak.
 
     :param fault_slots: limits the number of concurrent faults.
+    :param watched: the daemon in a watched stop; None between two.
     """
 
     site: SoakSite
@@ -54,6 +55,7 @@
     fault_slots: asyncio.Semaphore = dataclasses.field(
         default_factory=lambda: asyncio.Semaphore(MAX_CONCURRENT_FAULTS)
     )
+    watched: Daemon | None = None
 
     def pick_daemon(self) -> Daemon:
         """Return a random daemon."""
@@ -262,7 +264,10 @@
         exchange for exchange in current_exchanges if exchange and exchange.daemon == daemon.name
     ]
     checks = soak.site.checks
-    if not await daemon.end(signal.SIGTERM):
+    soak.watched = daemon
+    has_stopped = await daemon.end(signal.SIGTERM)
+    soak.watched = None
+    if not has_stopped:
         checks.violations.append(f"LOST {daemon.name} did not stop within its grace period")
     await asyncio.sleep(RECORD_DELAY_SECONDS)
     for exchange in exchanges:
