Tests: endpoints of the worlds have addresses that could be connected to

Cause: endpoints of the fleet world had addresses 'a:0' and so on, those of the group world their ids; nothing there connects to them. With decoders that check addresses in relays' answers and leaders' records too, such endpoints are left out: 5 of 17 tests of test_store_restores and 1 of 14 of test_restored_groups failed. Shown by: pytest on the files that use the fleet world, and on restored, unlisted, ended and recovered groups, spoilt records, epochs and taken addresses: all pass.

--- a/tests/fleet_world.py
+++ b/tests/fleet_world.py
@@ -206,7 +206,7 @@
         return self.configuration.configuration.version
 
     def add_endpoint(self) -> Endpoint:
-        made = Endpoint(f"w{self._added:03}", "desk", f"a:{self._added}", "z0")
+        made = Endpoint(f"w{self._added:03}", "desk", f"10.0.0.1:{1 + self._added}", "z0")
         self._added += 1
         self.endpoints[made.id] = made
         self.publish(made)
--- a/tests/group_engines.py
+++ b/tests/group_engines.py
@@ -113,7 +113,7 @@
         return Endpoint(
             id=self.id,
             service=SERVICE,
-            address=self.id,
+            address="10.0.0.1:1",
             failure_domain=self.domain[0],
             draining=self.draining,
             fabric_domain=self.domain,
