Documents: odd values of entries, reports and configurations are rejected at the edge

Cause: pydantic takes NaN, infinity and integers beyond 64 bits, and any text as a name. Such an entry passed the edge and failed behind it: no relay answer with it could be encoded, no header held its id, no opening of a tunnel an id of 70,000 signs. In a configuration a model of negative size forms groups without end, a pace, chunk or stride of 0 divides by zero, and a route without a service raises. Relays' answers weren't checked so at all, so an entry that a daemon of the earlier build let in came in by its relay. Change: the documents, the store's answers and the data classes that relays send use the types of thorncleat_core.values. Wire forms are unchanged. Tests: the endpoint of test_relays had the address 'a:1', which the edge has left out since; it is 10.0.0.1:1 now, and nothing else in that file changed.

--- a/packages/gateway/src/thorncleat_gateway/ports/store_changes.py
+++ b/packages/gateway/src/thorncleat_gateway/ports/store_changes.py
@@ -7,6 +7,8 @@
 import dataclasses
 import typing as t
 
+from thorncleat_core.values import Natural
+
 from ..store.roster import Endpoint
 from ..store.serving import ServingConfiguration
 from ..store.store_era import StoreEra
@@ -65,8 +67,8 @@
 
     key: str
     value: bytes | None
-    revision: int
-    created: int = 0
+    revision: Natural
+    created: Natural = 0
 
 
 Change = ConfigurationChanged | EndpointListed | EndpointRemoved | RecordChanged
--- a/packages/gateway/src/thorncleat_gateway/store/change_codec.py
+++ b/packages/gateway/src/thorncleat_gateway/store/change_codec.py
@@ -12,7 +12,9 @@
 
 from thorncleat_core import codec
 from thorncleat_core.exceptions import DecodeError
+from thorncleat_core.values import MAX_INTEGER
 
+from .. import events
 from ..ports import Change
 from ..ports import ConfigurationChanged
 from ..ports import EndpointListed
@@ -49,7 +51,7 @@
     """
     try:
         match codec.unpack(_decompress(data)):
-            case [int(revision), list(forms)]:
+            case [int(revision), list(forms)] if 0 <= revision <= MAX_INTEGER:
                 return revision, [_decode_change(form) for form in forms]
     except (zlib.error, ValueError, TypeError) as error:
         raise DecodeError(f"{len(data)} bytes of changes: {error}") from error
@@ -117,9 +119,31 @@
         case ["configuration", configuration]:
             return ConfigurationChanged(codec.validate(ServingConfiguration, configuration))
         case ["listed", endpoint]:
-            return EndpointListed(codec.validate(Endpoint, endpoint))
+            return _decode_endpoint(endpoint)
         case ["gone", str(endpoint_id)]:
             return EndpointRemoved(endpoint_id)
         case ["record", record]:
             return codec.validate(RecordChanged, record)
     raise DecodeError(f"{form!r} is no change")
+
+
+def _decode_endpoint(form: t.Any) -> Change:
+    """Return the change for an entry; one with an invalid value is logged and removes its endpoint.
+
+    A relay of an earlier build may pass on entries that this build leaves out.
+
+    :raises DecodeError: if it isn't the form of an entry.
+    """
+    try:
+        return EndpointListed(codec.validate(Endpoint, form))
+    except DecodeError as error:
+        match form:
+            case {
+                "id": str(endpoint_id),
+                "service": str(),
+                "address": str(),
+                "failure_domain": str(),
+            }:
+                events.BAD_DOCUMENT.log(key=endpoint_id, reason=str(error))
+                return EndpointRemoved(endpoint_id)
+        raise
--- a/packages/gateway/src/thorncleat_gateway/store/roster.py
+++ b/packages/gateway/src/thorncleat_gateway/store/roster.py
@@ -10,6 +10,15 @@
 import enum
 import typing as t
 
+from thorncleat_core.values import NOT_EMPTY
+from thorncleat_core.values import Address
+from thorncleat_core.values import Amount
+from thorncleat_core.values import Epoch
+from thorncleat_core.values import Id
+from thorncleat_core.values import Integer
+from thorncleat_core.values import Name
+from thorncleat_core.values import Natural
+
 # How long a removed endpoint is remembered.
 REMOVED_TTL_SECONDS = 60.0
 # How long an entry stays in the store without heartbeats.
@@ -33,8 +42,8 @@
     :param epoch: rises with each formation.
     """
 
-    epoch: int
-    name: str
+    epoch: Epoch
+    name: t.Annotated[Name, NOT_EMPTY]
 
 
 @dataclasses.dataclass(frozen=True)
@@ -42,7 +51,7 @@
     """An endpoint's place in a group; the member of rank 0 is the leader and answers requests."""
 
     group: GroupId
-    rank: int
+    rank: Natural
     state: GroupState
 
     def is_at(self, group: GroupId, rank: int) -> bool:
@@ -87,19 +96,19 @@
     :param cold_for: seconds for which it was still cold when it wrote its entry; 0 if it is warm.
     """
 
-    id: str
-    service: str
-    address: str
-    failure_domain: str
+    id: Id
+    service: Name
+    address: Address
+    failure_domain: Name
     draining: bool = False
-    order_count: int = 0
-    fabric_domain: str = ""
-    models: tuple[str, ...] = ()
-    staged: tuple[str, ...] = ()
+    order_count: Integer = 0
+    fabric_domain: Name = ""
+    models: tuple[Name, ...] = ()
+    staged: tuple[Name, ...] = ()
     membership: Membership | None = None
-    slots: int = 1
-    born: int | None = None
-    cold_for: float = 0.0
+    slots: Natural = 1
+    born: Natural | None = None
+    cold_for: Amount = 0.0
 
     @property
     def incarnation(self) -> Incarnation:
--- a/packages/gateway/src/thorncleat_gateway/store/serving.py
+++ b/packages/gateway/src/thorncleat_gateway/store/serving.py
@@ -4,7 +4,7 @@
 configuration is replaced only by one with a higher version.
 
 Owns: the lookup tables of each configuration.
-Relies on: nothing.
+Relies on: :mod:`thorncleat_core.values` for the types by which data of other daemons is checked.
 """
 
 import dataclasses
@@ -13,6 +13,14 @@
 import hmac
 import typing as t
 
+from thorncleat_core.values import NOT_EMPTY
+from thorncleat_core.values import Amount
+from thorncleat_core.values import Count
+from thorncleat_core.values import Divisor
+from thorncleat_core.values import Integer
+from thorncleat_core.values import Name
+from thorncleat_core.values import Number
+
 
 class RouteKind(enum.Enum):
     """Whether a request on a route may run more than once, and whether its answer is a stream."""
@@ -29,8 +37,8 @@
     :param weight: weight relative to the other splits of the route.
     """
 
-    service: str
-    weight: float
+    service: Name
+    weight: Amount
 
 
 @dataclasses.dataclass(frozen=True)
@@ -46,16 +54,16 @@
     :param resumable: whether a stream may resume at another endpoint.
     """
 
-    name: str
+    name: Name
     host: str
     prefix: str
     kind: RouteKind
-    timeout: float
-    target: float
-    gap_target: float
-    priority: int
-    splits: tuple[Split, ...]
-    max_attempts: int = 1
+    timeout: Number
+    target: Number
+    gap_target: Number
+    priority: Integer
+    splits: t.Annotated[tuple[Split, ...], NOT_EMPTY]
+    max_attempts: Count = 1
     public: bool = False
     resumable: bool = False
 
@@ -69,9 +77,9 @@
 class DomainDelay:
     """The one-way delay between two failure domains, in seconds; the same in both directions."""
 
-    first: str
-    second: str
-    seconds: float
+    first: Name
+    second: Name
+    seconds: Amount
 
 
 @dataclasses.dataclass(frozen=True)
@@ -92,15 +100,15 @@
     :param delays: the delays between the failure domains.
     """
 
-    step: float
-    per_request: float
-    per_context_token: float
-    read_rate: float
-    per_token_pair: float
-    chunk: int
-    stride: int
-    usual_prompt: float
-    usual_answer: float
+    step: Amount
+    per_request: Amount
+    per_context_token: Amount
+    read_rate: Divisor
+    per_token_pair: Amount
+    chunk: Count
+    stride: Count
+    usual_prompt: Amount
+    usual_answer: Amount
     delays: tuple[DomainDelay, ...] = ()
 
 
@@ -115,12 +123,12 @@
     :param warm: seconds to load the model from the host.
     """
 
-    name: str
-    size: int
-    share: float = 1.0
-    pace: float = 1.0
-    load: float = 60.0
-    warm: float = 5.0
+    name: Name
+    size: Count
+    share: Amount = 1.0
+    pace: Divisor = 1.0
+    load: Amount = 60.0
+    warm: Amount = 5.0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -133,10 +141,10 @@
     :param times: what its passes cost; None if the configuration doesn't say.
     """
 
-    slots: int
+    slots: Count
     models: tuple[EngineModel, ...]
-    loads_per_second: float = 1.0
-    loads_at_once: int = 1
+    loads_per_second: Amount = 1.0
+    loads_at_once: Count = 1
     times: EngineTimes | None = None
 
     def model(self, name: str) -> EngineModel | None:
@@ -156,12 +164,12 @@
         configuration doesn't say.
     """
 
-    name: str
+    name: Name
     health_path: str = "/"
     engine: Engine | None = None
-    cold_start: float = 0.0
-    cold_rate: float = 0.0
-    max_connections: int = 0
+    cold_start: Amount = 0.0
+    cold_rate: Amount = 0.0
+    max_connections: Integer = 0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -176,10 +184,10 @@
     :param idle_timeout: timeout of an idle connection between two requests.
     """
 
-    header_bytes: int = 16_384
-    body_bytes: int = 4_194_304
-    header_timeout: float = 3.0
-    idle_timeout: float = 15.0
+    header_bytes: Integer = 16_384
+    body_bytes: Integer = 4_194_304
+    header_timeout: Number = 3.0
+    idle_timeout: Number = 15.0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -189,16 +197,16 @@
     :param priority: 0 is the highest.
     """
 
-    name: str
+    name: Name
     keys: tuple[str, ...]
-    priority: int = 5
+    priority: Integer = 5
 
 
 @dataclasses.dataclass(frozen=True)
 class ServingConfiguration:
     """The routes, services, workspaces and limits of one version."""
 
-    version: int
+    version: Integer
     routes: tuple[Route, ...] = ()
     services: t.Mapping[str, Service] = dataclasses.field(default_factory=dict)
     workspaces: tuple[Workspace, ...] = ()
--- a/tests/test_relays.py
+++ b/tests/test_relays.py
@@ -53,7 +53,7 @@
     (Workspace("growers", ("k",), 1),),
 )
 MEMBER = Endpoint(
-    "i-1", "desk", "a:1", "z", membership=Membership(GroupId(3, "g"), 1, GroupState.OPEN)
+    "i-1", "desk", "10.0.0.1:1", "z", membership=Membership(GroupId(3, "g"), 1, GroupState.OPEN)
 )
 SETTLED = SettlingTimes(0.5, 0.25)
 CHANGES = [
