Datagrams: a field that is infinite, negative or too large is rejected

Cause: int(inf) raises OverflowError, which the decoder didn't expect, so the exception left it in the receiver of datagrams; negative counts were added to loads; contacts of any type became keys of a dictionary. Change: the decoder expects OverflowError, counts, epochs and starts are natural numbers of 64 bits, ages are bounded, contacts are text. Forms are unchanged.

--- a/packages/gateway/src/thorncleat_gateway/peers/message_codec.py
+++ b/packages/gateway/src/thorncleat_gateway/peers/message_codec.py
@@ -12,6 +12,9 @@
 
 import msgpack
 
+from thorncleat_core.values import MAX_INTEGER
+from thorncleat_core.values import MAX_PORT
+
 from ..store.roster import GroupId
 from .messages import CrashReport
 from .messages import CrashWithdrawal
@@ -39,7 +42,8 @@
 # The first field of each datagram; :func:`decode` accepts this version only.
 FORMAT_VERSION = 1
 MILLISECONDS_PER_SECOND = 1000
-MAX_PORT = 65_535
+# Greatest age; a float of as many seconds is still exact to a millisecond.
+MAX_MILLISECONDS = 2**42
 
 Fields = list[t.Any]
 Encoder = t.Callable[[t.Any], Fields]
@@ -71,7 +75,7 @@
             case [1, str(sender), str(kind), *fields] if kind in _decoders:
                 message = _decoders[kind](fields)
                 return None if message is None else Datagram(sender, message)
-    except (ValueError, TypeError, msgpack.UnpackException):
+    except (ValueError, TypeError, OverflowError, msgpack.UnpackException):
         # Any process can send to this socket; the channel counts what it rejects.
         return None
     return None
@@ -90,7 +94,8 @@
 def _decodes(kind: str) -> t.Callable[[Decoder], Decoder]:
     """Register the decoder of a kind.
 
-    It returns None, or raises a :class:`TypeError` or :class:`ValueError`, for malformed fields.
+    It returns None, or raises a :class:`TypeError`, :class:`ValueError` or :class:`OverflowError`,
+    for malformed fields.
     """
 
     def register(decoder: Decoder) -> Decoder:
@@ -109,7 +114,7 @@
 def _decode_load(fields: Fields) -> Message | None:
     match fields:
         case [dict(counts), list(heard)]:
-            return LoadReport(_parse_counts(counts), heard)
+            return LoadReport(_parse_counts(counts), [str(endpoint) for endpoint in heard])
     return None
 
 
@@ -136,7 +141,7 @@
 def _decode_suspicion(fields: Fields) -> Message | None:
     match fields:
         case [str(leader), int(epoch), str(name), str(fault)]:
-            return Suspicion(leader, GroupId(epoch, name), fault)
+            return Suspicion(leader, GroupId(_parse_natural(epoch), name), fault)
     return None
 
 
@@ -175,7 +180,7 @@
 def _decode_ended(fields: Fields) -> Message | None:
     match fields:
         case [int(epoch), str(name)]:
-            return GroupEnded(GroupId(epoch, name))
+            return GroupEnded(GroupId(_parse_natural(epoch), name))
     return None
 
 
@@ -188,7 +193,7 @@
 def _decode_kept(fields: Fields) -> Message | None:
     match fields:
         case [int(epoch), str(name), str(leader)]:
-            return GroupKept(GroupId(epoch, name), leader)
+            return GroupKept(GroupId(_parse_natural(epoch), name), leader)
     return None
 
 
@@ -215,7 +220,7 @@
 def _decode_withdrawal(fields: Fields) -> Message | None:
     match fields:
         case [str(endpoint_id), born, bytes(digest), int(age)]:
-            seconds = _parse_natural(age) / MILLISECONDS_PER_SECOND
+            seconds = _parse_seconds(age)
             return CrashWithdrawal(endpoint_id, _parse_born(born), digest, seconds)
     return None
 
@@ -277,7 +282,7 @@
 def _decode_retry_recall(fields: Fields) -> Message | None:
     match fields:
         case [int(age), list(report)]:
-            seconds = _parse_natural(age) / MILLISECONDS_PER_SECOND
+            seconds = _parse_seconds(age)
             return RetryRecall(seconds, _parse_retries(*report))
     return None
 
@@ -309,7 +314,7 @@
 
 
 def _parse_counts(counts: t.Mapping[t.Any, t.Any]) -> dict[str, int]:
-    return {str(endpoint): int(count) for endpoint, count in counts.items()}
+    return {str(endpoint): _parse_natural(count) for endpoint, count in counts.items()}
 
 
 def _parse_workspace_counts(service: t.Any, model: t.Any, counts: t.Any) -> WorkspaceCounts:
@@ -365,14 +370,14 @@
         ReportedRequest(
             _parse_digest(digest),
             _parse_natural(points),
-            _parse_natural(ran) / MILLISECONDS_PER_SECOND,
+            _parse_seconds(ran),
         )
         for digest, points, ran in requests
     ]
     return ReportedCrash(
         str(endpoint_id),
         _parse_born(born),
-        _parse_natural(age) / MILLISECONDS_PER_SECOND,
+        _parse_seconds(age),
         reported,
     )
 
@@ -390,8 +395,8 @@
     :raises TypeError, ValueError: if a field has another type or value.
     """
     sent, heard = (
-        _parse_natural(sent_age) / MILLISECONDS_PER_SECOND,
-        _parse_natural(heard_age) / MILLISECONDS_PER_SECOND,
+        _parse_seconds(sent_age),
+        _parse_seconds(heard_age),
     )
     return ReportedLimit(str(endpoint_id), _parse_born(born), _parse_rate(limit), sent, heard)
 
@@ -407,13 +412,20 @@
 
 def _parse_natural(value: t.Any) -> int:
     number = int(value)
-    if number < 0:
-        raise ValueError(f"{value!r} is negative")
+    if not 0 <= number <= MAX_INTEGER:
+        raise ValueError(f"{value!r} is not from 0 to {MAX_INTEGER}")
     return number
 
 
+def _parse_seconds(milliseconds: t.Any) -> float:
+    number = _parse_natural(milliseconds)
+    if number > MAX_MILLISECONDS:
+        raise ValueError(f"{number} ms are more than {MAX_MILLISECONDS} ms")
+    return number / MILLISECONDS_PER_SECOND
+
+
 def _parse_born(value: t.Any) -> int | None:
-    return None if value is None else int(value)
+    return None if value is None else _parse_natural(value)
 
 
 def _parse_digest(value: t.Any) -> bytes:
