Records: registrations, leaders and placements that can't be used are unreadable

Cause: a daemon's record was taken with any host, port and capacity. A datagram to a port beyond 65535 or to a host that can't be encoded raises in sendto, where the event loop ends the socket; a name is looked up. A key of a group with 5,000 digits raised in the controller, one with '007' or digits of other scripts named the group of another key, and after a version of 2**64-1 no placement could be encoded. Change: a registration has an IPv4 address and a finite capacity; a key names the group whose key it is, of an epoch after which others fit into 64 bits; versions are bounded so too; a leader's record needs an address and an id for a header. That the loop ends the socket is read in asyncio's source, not shown by a run.

--- a/packages/gateway/src/thorncleat_gateway/groups/placement_records.py
+++ b/packages/gateway/src/thorncleat_gateway/groups/placement_records.py
@@ -23,6 +23,8 @@
 
 PLACEMENT_PREFIX = "thorncleat/placement/"
 _FORMAT = 1
+# Higher versions follow, and fit into 64 bits too.
+MAX_VERSION = 2**62
 
 
 @dataclasses.dataclass(frozen=True)
@@ -55,7 +57,9 @@
         except (ValueError, msgpack.exceptions.UnpackException):
             return None
         match fields:
-            case [1, int(era), int(version), dict(domains), encoded]:
+            case [1, int(era), int(version), dict(domains), encoded] if (
+                max(abs(era), abs(version)) <= MAX_VERSION
+            ):
                 names = [*domains, *domains.values()]
                 is_valid = all(isinstance(name, str) for name in names)
                 move = _decode_move(encoded)
--- a/packages/gateway/src/thorncleat_gateway/groups/records.py
+++ b/packages/gateway/src/thorncleat_gateway/groups/records.py
@@ -11,9 +11,14 @@
 import asyncio
 import dataclasses
 import enum
+import re
 
 import msgpack
 
+from thorncleat_core.values import MAX_EPOCH
+from thorncleat_core.values import is_address
+from thorncleat_core.values import is_id
+
 from .. import events
 from ..exceptions import StoreError
 from ..ports import RecordStore
@@ -28,6 +33,8 @@
 from .formation import GroupPlan
 
 GROUPS_PREFIX = "thorncleat/groups/"
+# The form in which :func:`_key` writes an epoch, of 64 bits at most.
+_EPOCH = re.compile(r"0|[1-9][0-9]{0,18}")
 MAX_REMOVALS_PER_WRITE = 24
 MAX_RECORDS_PER_WRITE = 24
 # Pause after a write without an answer.
@@ -41,7 +48,9 @@
 def _group_of(key: str) -> GroupId | None:
     """Return the group of a record's key; None if the key names no group."""
     epoch, _, name = key.removeprefix(GROUPS_PREFIX).partition("/")
-    return GroupId(int(epoch), name) if epoch.isdecimal() and name else None
+    if not _EPOCH.fullmatch(epoch) or int(epoch) > MAX_EPOCH or not name:
+        return None
+    return GroupId(int(epoch), name)
 
 
 class Detached(enum.Enum):
@@ -78,7 +87,9 @@
         except (ValueError, msgpack.exceptions.UnpackException):
             return None
         match fields:
-            case [str(endpoint_id), str(service), str(address)]:
+            case [str(endpoint_id), str(service), str(address)] if is_id(
+                endpoint_id
+            ) and is_address(address):
                 return cls(endpoint_id, service, address)
         return None
 
--- a/packages/gateway/src/thorncleat_gateway/store/registration.py
+++ b/packages/gateway/src/thorncleat_gateway/store/registration.py
@@ -13,6 +13,8 @@
 
 import msgpack
 
+from thorncleat_core.values import is_address
+
 from ..exceptions import LeaseExpiredError
 from ..exceptions import StoreError
 from ..ports import Lease
@@ -278,6 +280,8 @@
     except (ValueError, msgpack.exceptions.UnpackException):
         return None
     match parts:
-        case [str(host), int(port), str(failure_domain), float() | int() as capacity]:
+        case [str(host), int(port), str(failure_domain), float() | int() as capacity] if (
+            is_address(f"{host}:{port}") and 0 <= capacity < math.inf
+        ):
             return Daemon(daemon_id, host, port, failure_domain, capacity)
     return None
