--- a/packages/gateway/src/thorncleat_gateway/store/relay_answer.py
+++ b/packages/gateway/src/thorncleat_gateway/store/relay_answer.py
@@ -19,6 +19,7 @@
 from ..ports import Position
 from ..ports import SettlingTimes
 from . import change_codec
+from .store_era import MAX_ERA
 
 # Daemons of earlier builds answer 404 to these two paths.
 CHANGES_PATH = "/2/changes"
@@ -95,6 +96,8 @@
     age, era, settled_in, rewritten_in, configuration = _HEAD.unpack(body[: _HEAD.size])
     if not 0.0 <= age <= oldest:
         raise RelayError(f"relay {relay_id} is itself {age:.3f} s behind")
+    if not 0 <= era <= MAX_ERA:
+        raise RelayError(f"relay {relay_id} names era {era}")
     for seconds in (settled_in, rewritten_in):
         if not 0.0 <= seconds <= MAX_SETTLING_SECONDS:
             raise RelayError(f"relay {relay_id} keeps missing endpoints for {seconds:.3f} s")
--- a/packages/gateway/src/thorncleat_gateway/store/relay_server.py
+++ b/packages/gateway/src/thorncleat_gateway/store/relay_server.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import math
 import typing as t
 
 from aiohttp import web
@@ -15,6 +16,7 @@
 from . import relay_answer
 from .change_log import ChangeLog
 from .relays import Daemon
+from .store_era import MAX_ERA
 from .view import StoreView
 
 MAX_WAIT_SECONDS = 5.0
@@ -164,9 +166,15 @@
 
 
 def _read_position(query: t.Mapping[str, str]) -> Position:
-    return Position(int(query["era"]), int(query["since"]))
+    era, revision = int(query["era"]), int(query["since"])
+    if era > MAX_ERA:
+        raise ValueError(f"era {era} is more than {MAX_ERA}")
+    return Position(era, revision)
 
 
 def _read_wait(query: t.Mapping[str, str]) -> float:
     """Return the seconds that the requesting daemon waits for a change."""
-    return min(float(query["wait"]), MAX_WAIT_SECONDS)
+    seconds = float(query["wait"])
+    if math.isnan(seconds):
+        raise ValueError(f"a wait of {seconds} s")
+    return min(seconds, MAX_WAIT_SECONDS)
--- a/packages/gateway/src/thorncleat_gateway/store/store_era.py
+++ b/packages/gateway/src/thorncleat_gateway/store/store_era.py
@@ -9,6 +9,9 @@
 
 from .. import events
 
+# The numbers of terms and the epochs of groups are made from eras, and fit into 64 bits.
+MAX_ERA = 2**29
+
 
 class StoreEra:
     """Tracks the newest era.
