Headers: a deadline that is infinite or no number is treated like a missing one

Callers got 500 without a log line for X-Thorncleat-Deadline-Ms of inf, 1e400 or 400 nines: int(inf) raises OverflowError when the header for the endpoint is written.

--- /dev/null
+++ b/tests/test_odd_headers.py
@@ -0,0 +1,51 @@
+"""Odd headers of callers and of endpoints' answers."""
+
+import asyncio
+import math
+
+import pytest
+
+from thorncleat_gateway.ports import ForwardMeta
+from thorncleat_platform.headers import PlatformHeaders
+
+from .odd_values import ODD_TEXT
+from .odd_values import check_headers
+
+DAY_SECONDS = 86_400
+
+
+@pytest.mark.parametrize("text", ODD_TEXT)
+@pytest.mark.parametrize(
+    "name",
+    [
+        "X-Thorncleat-Deadline-Ms",
+        "X-Thorncleat-Token-Usage",
+        "X-Thorncleat-Length-Hint",
+        "X-Thorncleat-Prompt-Prefix",
+        "Authorization",
+    ],
+)
+def test_odd_headers_of_callers(name, text):
+    """Guards against a request that is answered 500 because of one of its headers."""
+    meta = PlatformHeaders().read_request({name: text})
+    if meta.deadline is not None:
+        check_headers(
+            PlatformHeaders().for_endpoint([], ForwardMeta(meta.deadline, "i-1", None, 0))
+        )
+        assert 0 <= meta.deadline <= DAY_SECONDS
+        asyncio.Timeout(meta.deadline)
+
+
+@pytest.mark.parametrize("text", ["inf", "1e400", "9" * 400, "nan", "x"])
+def test_invalid_deadline_is_treated_like_a_missing_one(text):
+    meta = PlatformHeaders().read_request({"X-Thorncleat-Deadline-Ms": text})
+    assert meta.deadline is None
+
+
+@pytest.mark.parametrize("text", ODD_TEXT)
+@pytest.mark.parametrize("status", [200, 421, 503])
+def test_odd_headers_of_answers(text, status):
+    names = ("Retry-After", "Server-Limit", "X-Thorncleat-Cold-Ms", "Server-Leaving")
+    meta = PlatformHeaders().read_answer(status, dict.fromkeys(names, text))
+    for number in (meta.retry_after, meta.rate_limit, meta.cold_for):
+        assert number is None or 0 <= number < math.inf
