Headers: a Connection header can't take the request's id off

A caller whose Connection header names X-Thorncleat-Attempt-Id got 502 as after an attempt that may have run: the endpoint got no id, so that its answer couldn't be matched.

--- a/tests/test_odd_headers.py
+++ b/tests/test_odd_headers.py
@@ -8,6 +8,7 @@
 from thorncleat_gateway.ports import ForwardMeta
 from thorncleat_platform.headers import PlatformHeaders
 
+from .odd_values import FORWARDED
 from .odd_values import ODD_TEXT
 from .odd_values import check_headers
 
@@ -49,3 +50,12 @@
     meta = PlatformHeaders().read_answer(status, dict.fromkeys(names, text))
     for number in (meta.retry_after, meta.rate_limit, meta.cold_for):
         assert number is None or 0 <= number < math.inf
+
+
+@pytest.mark.parametrize("name", ["X-Thorncleat-Attempt-Id", "x-thorncleat-attempt-id"])
+def test_connection_header_cannot_remove_the_id_of_the_request(name):
+    """Guards against an answer that can't be matched, as its request had no id."""
+    headers = [("Connection", f"close, {name}, X-Hop"), ("X-Hop", "1"), (name, "r1")]
+    found = PlatformHeaders().for_endpoint(headers, FORWARDED)
+    assert (name, "r1") in found
+    assert "X-Hop" not in dict(found)
