--- a/tests/test_decoders.py
+++ b/tests/test_decoders.py
@@ -342,3 +342,23 @@
                         check_configuration(found.configuration)
                     else:
                         check_relayed(found)
+
+
+ODD_CONFIGURATIONS = {
+    "route": {"routes": [CONFIGURATION["routes"][0] | {"timeout_ms": math.nan}]},
+    "one route of two": {
+        "routes": [CONFIGURATION["routes"][0], CONFIGURATION["routes"][0] | {"timeout_ms": 1e999}]
+    },
+    "service": {"services": [{"name": "a\nb"}]},
+    "model": {"services": [{"name": "desk", "engine": ENGINE | {"models": [{"name": "m\0"}]}}]},
+    "workspace": {"tenants": [{"name": "a\r\nb: c", "api_keys": ["k"]}]},
+    "version": {"version": 2**64},
+}
+
+
+@pytest.mark.parametrize("kind", ODD_CONFIGURATIONS)
+def test_configuration_with_an_odd_value_changes_nothing(kind, caplog):
+    """Guards against a configuration that is taken in half, or that no relay can pass on."""
+    odd = json.dumps(CONFIGURATION | ODD_CONFIGURATIONS[kind]).encode()
+    assert store._translate_items([item("op/config", odd)]) == []
+    assert [record.message for record in caplog.records] == [events.BAD_DOCUMENT.text]
--- a/tests/test_odd_headers.py
+++ b/tests/test_odd_headers.py
@@ -11,6 +11,12 @@
 from .odd_values import FORWARDED
 from .odd_values import ODD_TEXT
 from .odd_values import check_headers
+from .recording import Answer
+from .test_forms_refusals import EVENTS
+from .test_forms_refusals import PATHS
+from .test_forms_refusals import STAMP
+from .test_forms_refusals import call
+from .test_forms_refusals import endpoints
 
 DAY_SECONDS = 86_400
 
@@ -59,3 +65,22 @@
     found = PlatformHeaders().for_endpoint(headers, FORWARDED)
     assert (name, "r1") in found
     assert "X-Hop" not in dict(found)
+
+
+@pytest.mark.parametrize("kind", PATHS)
+@pytest.mark.parametrize("text", ["inf", "1e400", "9" * 400, "nan", "1e300"])
+async def test_request_with_an_odd_deadline_is_served(text, kind):
+    """Guards against a request that is answered 500 because of its deadline."""
+    async with endpoints(Answer(body=EVENTS, headers=STAMP)) as (daemon, _):
+        answer = await call(daemon, PATHS[kind], **{"X-Thorncleat-Deadline-Ms": text})
+        assert (answer["status"], answer["whole"]) == (200, True)
+
+
+@pytest.mark.parametrize("kind", PATHS)
+async def test_request_whose_connection_header_names_its_id_is_served(kind):
+    """Guards against 502 for an answer that can't be matched."""
+    async with endpoints(Answer(body=EVENTS, headers=STAMP)) as (daemon, server):
+        answer = await call(daemon, PATHS[kind], Connection="X-Thorncleat-Attempt-Id")
+        assert (answer["status"], answer["whole"]) == (200, True)
+        forwarded = {name.lower(): value for name, value in server.calls[0]["headers"]}
+        assert forwarded["x-thorncleat-attempt-id"] == "r1"
