Failures: an error without a text is logged by its kind

Cause: the log line of an unexpected error holds its repr. An error whose repr raises (it names a value nested too deeply, or memory is short) raised out of the line that was to log it, out of Service.run_task too, and ended the task unseen.

Change: such an error is logged by the name of its class. Callers saw nothing of it so far; no case of it is known from a record.

tests/test_service.py::test_error_that_has_no_text_ends_no_task failed before (TimeoutError: the task never ran again) and passes.

--- a/packages/gateway/src/thorncleat_gateway/failures.py
+++ b/packages/gateway/src/thorncleat_gateway/failures.py
@@ -69,10 +69,9 @@
         if not has_doubled and now - kind.logged_at < LOG_INTERVAL_SECONDS:
             return
         kind.logged_at = now
-        reason = repr(error)[:MAX_REASON_CHARACTERS]
         events.TASK_FAILED.log(
             task=task,
-            reason=reason,
+            reason=_reason(error),
             place=place,
             count=kind.count,
             request=request,
@@ -103,6 +102,15 @@
         self._failures.record("event loop", error)
 
 
+def _reason(error: BaseException) -> str:
+    """Return an error's text, or its kind if the value that it holds has no text."""
+    try:
+        return repr(error)[:MAX_REASON_CHARACTERS]
+    except Exception:
+        # The logging of an error must not end what the error itself doesn't end.
+        return type(error).__name__
+
+
 def _place(error: BaseException) -> str:
     """Return the innermost calls in which an error was raised, the innermost one last."""
     calls = traceback.extract_tb(error.__traceback__)[-MAX_LOGGED_CALLS:]
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -92,6 +92,18 @@
     assert [line["reason"] for line in logged] == ["UnicodeError('label empty')"]
 
 
+async def test_error_that_has_no_text_ends_no_task(tree, logged):
+    class NoTextError(Exception):
+        def __repr__(self):
+            raise RecursionError("deep")
+
+    parent, _ = tree
+    failing = Loop(NoTextError())
+    await parent.add_runtime_dependency(failing)
+    await asyncio.wait_for(failing.ran.wait(), 1)
+    assert [line["reason"] for line in logged] == ["NoTextError"]
+
+
 async def test_task_that_fails_at_each_pass_pauses_and_logs_little(tree, logged):
     parent, _ = tree
     failing = Loop(*(ValueError(str(number)) for number in range(64)))
