Jobs and futures whose awaited call is cancelled are logged

Cause: a CancelledError that is not the own one of a task ended a job of the controller without a line and without the next plan, and a future of a service with a line of the library alone, without a number. Background tasks distinguish the two already (Service.run_task).

--- a/packages/gateway/src/thorncleat_gateway/groups/jobs.py
+++ b/packages/gateway/src/thorncleat_gateway/groups/jobs.py
@@ -13,6 +13,7 @@
 
 from .. import events
 from ..failures import FailureLog
+from ..service import is_being_cancelled
 
 Work = t.Coroutine[t.Any, t.Any, None]
 # Starts a coroutine as a background job of a term.
@@ -49,6 +50,11 @@
             pass
         except ThorncleatError as error:
             events.TASK_FAILED.log(task="orders", reason=str(error))
+        except asyncio.CancelledError as error:
+            if is_being_cancelled():
+                raise
+            # Something that the job waited for was cancelled, not the job.
+            self._failures.record("orders", error)
         except Exception as error:
             self._failures.record("orders", error)
         self._wake()
--- a/packages/gateway/src/thorncleat_gateway/service.py
+++ b/packages/gateway/src/thorncleat_gateway/service.py
@@ -38,6 +38,19 @@
         """Log an exception of a future; the service goes on."""
         self._failures.record(type(self).__name__, reason)
 
+    def add_future(self, coro: t.Awaitable[t.Any]) -> asyncio.Future[t.Any]:
+        """Run something in the background; an exception of it is logged."""
+        return super().add_future(self._log_cancelled(coro))
+
+    async def _log_cancelled(self, work: t.Awaitable[t.Any]) -> None:
+        """Await a future, and log if what it waits for is cancelled, which the library hides."""
+        try:
+            await work
+        except asyncio.CancelledError as error:
+            if is_being_cancelled():
+                raise
+            self._failures.record(type(self).__name__, error)
+
     async def run_task(self, name: str, run: t.Callable[[], t.Awaitable[None]]) -> None:
         """Run a background task until it returns or this service stops.
 
@@ -52,7 +65,7 @@
                 await run()
                 return
             except asyncio.CancelledError as error:
-                if _is_being_cancelled():
+                if is_being_cancelled():
                     raise
                 # Something that the task waited for was cancelled, not the task.
                 self._failures.record(name, error)
@@ -64,7 +77,8 @@
             pause = min(2 * pause, MAX_RESTART_SECONDS)
 
 
-def _is_being_cancelled() -> bool:
+def is_being_cancelled() -> bool:
+    """Return whether the running task is to end, rather than something that it waits for."""
     task = asyncio.current_task()
     return task is not None and task.cancelling() > 0
 
--- a/tests/test_jobs.py
+++ b/tests/test_jobs.py
@@ -68,3 +68,16 @@
     await asyncio.wait_for(cleaned.wait(), 1)
     assert not woken.is_set()
     assert logged == []
+
+
+async def test_job_whose_awaited_call_is_cancelled_is_logged_and_planned_again(logged):
+    woken = asyncio.Event()
+    awaited = asyncio.get_running_loop().create_future()
+    awaited.cancel()
+    Jobs(woken.set).start(_wait(awaited))
+    await asyncio.wait_for(woken.wait(), 1)
+    assert [fields["reason"] for _, fields in logged] == ["CancelledError()"]
+
+
+async def _wait(awaited):
+    await awaited
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -104,6 +104,14 @@
     assert [line["reason"] for line in logged] == ["NoTextError"]
 
 
+async def test_future_whose_awaited_call_is_cancelled_is_logged(tree, logged):
+    parent, _ = tree
+    awaited = asyncio.get_running_loop().create_future()
+    awaited.cancel()
+    await parent.add_future(awaited)
+    assert [line["reason"] for line in logged] == ["CancelledError()"]
+
+
 async def test_task_that_fails_at_each_pass_pauses_and_logs_little(tree, logged):
     parent, _ = tree
     failing = Loop(*(ValueError(str(number)) for number in range(64)))
