Documents: the group of a worker without a name is ignored as a whole again

Cause: the bounds of epoch and rank held for a group without a name too, whose other fields mean nothing, as its comment says.

tests/test_platform_documents.py::test_optional_fields (two new cases) failed before with "group.epoch: Input should be greater than or equal to 0", and passes; test_decoders and test_platform_engines pass.

--- a/tests/test_platform_documents.py
+++ b/tests/test_platform_documents.py
@@ -39,6 +39,8 @@
     "seq": 1,
 }
 GROUP = {"name": "g", "epoch": 3, "rank": 2, "state": "open"}
+# Of a worker without a group; the other fields mean nothing.
+NO_GROUP = {"name": "", "epoch": -1, "rank": -1, "state": ""}
 
 
 def encode(document):
@@ -104,6 +106,8 @@
         (lambda: documents.report(encode({"born": 5, "seq": 7})).born, 5),
         (lambda: documents.report(b"{}").born, None),
         (lambda: documents.report(encode({"seq": 7})).order_count, 7),
+        (lambda: endpoint(group=NO_GROUP).membership, None),
+        (lambda: documents.report(encode({"group": NO_GROUP})).membership, None),
         (lambda: documents.report(b"{}").order_count, 0),
     ],
 )
