--- a/tests/test_platform_documents.py
+++ b/tests/test_platform_documents.py
@@ -109,6 +109,8 @@
         (lambda: endpoint(group=NO_GROUP).membership, None),
         (lambda: documents.report(encode({"group": NO_GROUP})).membership, None),
         (lambda: documents.report(b"{}").order_count, 0),
+        # One that has computed nothing yet.
+        (lambda: documents.report(encode({"pace": 0})).pace, 1.0),
     ],
 )
 def test_optional_fields(found, wanted):
