Configuration: a figure out of range counts as the least possible one

Cause: an engine's slots, chunk or stride below 1, a pace of 0, or a negative weight or time rejected the whole configuration since its values are bounded, though took it: routes and removed keys would have stayed as they were.

--- a/tests/test_platform_documents.py
+++ b/tests/test_platform_documents.py
@@ -242,3 +242,25 @@
 def test_connections_that_workers_accept(stated, read):
     service = configuration(services=[{"name": "desk", **stated}]).services["desk"]
     assert service.max_connections == read
+
+
+@pytest.mark.parametrize(
+    "engine",
+    [
+        pytest.param({"slots": 0}, id="no slots"),
+        pytest.param({"chunk": 0, "stride": -1}, id="no chunk"),
+        pytest.param({"read_per_s": -1, "loads_per_s": -2.5}, id="negative rates"),
+        pytest.param({"models": [{"name": "large", "pace": 0}]}, id="no pace"),
+        pytest.param({"models": [{"name": "large", "share": -1, "load_s": -5}]}, id="negative"),
+    ],
+)
+def test_configuration_with_a_number_out_of_range_is_in_force(engine):
+    """Guards against routes and keys that stay as they were for the sake of one engine's figure."""
+    service = {"name": "desk", "engine": {**ENGINE, **engine}}
+    found = documents.configuration(
+        json.dumps({"version": 2, "routes": [ROUTE], "services": [service]}).encode()
+    )
+    assert found.version == 2
+    found_engine = found.services["desk"].engine
+    assert found_engine.slots >= 1
+    assert all(model.pace > 0 and model.share >= 0 for model in found_engine.models)
