View: no cancellation is lost in a wait for a change, and no configuration left out

Cause: asyncio.wait_for() of Python 3.11 returns its result in place of a cancellation that comes with it, so a loop goes on that was cancelled. A change of the configuration that can't be applied was left out like any other, and the copy counted as current without it. Change: the waits use asyncio.timeout(); a failed configuration fails the pass, so that the copy ages.

--- a/packages/gateway/src/thorncleat_gateway/groups/controller.py
+++ b/packages/gateway/src/thorncleat_gateway/groups/controller.py
@@ -82,7 +82,8 @@
     async def _plan_task(self) -> None:
         while not self.should_stop:
             with contextlib.suppress(TimeoutError):
-                await asyncio.wait_for(self._wake.wait(), PLAN_INTERVAL_SECONDS)
+                async with asyncio.timeout(PLAN_INTERVAL_SECONDS):
+                    await self._wake.wait()
             self._wake.clear()
             is_active = self._election.is_controller and self._election.is_caught_up
             if is_active or self._clock() - self._observed_at >= PLAN_INTERVAL_SECONDS:
--- a/packages/gateway/src/thorncleat_gateway/store/view.py
+++ b/packages/gateway/src/thorncleat_gateway/store/view.py
@@ -128,8 +128,10 @@
         :param seconds: the timeout.
         :returns: whether a batch came in time.
         """
+        # Unlike wait_for(), this lets no cancellation pass unseen when a batch comes with it.
         with contextlib.suppress(TimeoutError):
-            return await asyncio.wait_for(self._changed.wait(), seconds)
+            async with asyncio.timeout(max(0.0, seconds)):
+                return await self._changed.wait()
         return False
 
     def snapshot_changes(self) -> list[Change]:
@@ -344,6 +346,9 @@
         try:
             self._apply(change)
         except Exception as error:
+            if isinstance(change, ConfigurationChanged):
+                # Without it, this copy would count as current though keys may have been revoked.
+                raise
             self._failures.record("apply a change", error)
 
     def _apply(self, change: Change) -> None:
--- a/tests/test_store_view.py
+++ b/tests/test_store_view.py
@@ -255,3 +255,20 @@
 def test_restored_keys_are_not_trusted_until_the_operator_may_have_written_again():
     """The store may have lost the revocation of a key."""
     assert virtual_time.run(_age_after_the_first_read_of_a_restored_store()) > ENTRY_REWRITE_SECONDS
+
+
+@pytest.mark.parametrize("turns", range(4))
+async def test_cancelled_wait_ends_though_a_change_comes_with_it(turns):
+    """Guards against a loop that goes on after it was cancelled."""
+    view = StoreView(_Feed(), lambda: 0.0, WAIT_SECONDS, lambda: 0.0)
+    waiting = asyncio.ensure_future(view.wait_change(60.0))
+    await asyncio.sleep(0)
+    await asyncio.sleep(0)
+    view._notify_listeners()
+    for _ in range(turns):
+        await asyncio.sleep(0)
+    if waiting.cancel():
+        with pytest.raises(asyncio.CancelledError):
+            await waiting
+    else:
+        assert await waiting
