Report the end of a limit to daemons that still know the limit

Cause: a daemon that never knew an endpoint's limit (it started, or the report was lost) and got answers without one kept its notice apart from those that are repeated. It ignored the older limit that others reported, rightly, and never told them. Where it held the only share, no other daemon got an answer, and limits of listed endpoints don't expire: callers at the other daemons got 503 "every endpoint wants no requests for a time" for as long as that daemon served.

Change: a notice that refutes a reported limit is kept among the notices that are repeated, as any other end of a limit. Endpoints of which no report told a limit are still not reported. The wire form stays.

--- a/packages/gateway/src/thorncleat_gateway/requests/endpoint_limits.py
+++ b/packages/gateway/src/thorncleat_gateway/requests/endpoint_limits.py
@@ -115,13 +115,13 @@
         self._cold = cold
         self._allowances: dict[str, _Allowance] = {}
         self._limited: dict[str, _LimitedEndpoint] = {}
-        # The latest notices of endpoints without a limit.
+        # The latest notices of endpoints of which no daemon has reported a limit.
         self._unlimited: dict[Incarnation, RateNotice] = {}
         self._listeners = Callbacks[[Incarnation, RateNotice]]("change of a limit")
 
     @property
     def notices(self) -> dict[Incarnation, RateNotice]:
-        """The current notice of each endpoint that has set a limit."""
+        """The current notice of each endpoint that has set a limit, also of those that ended it."""
         return {limited.incarnation: limited.notice for limited in self._limited.values()}
 
     def on_change(self, listener: Listener) -> None:
@@ -152,9 +152,10 @@
         limited = self._limited.get(incarnation.endpoint_id)
         if limited is None:
             notice = merge_notices(self._unlimited.get(incarnation), new)
-            if notice.limit is None:
+            if new.limit is None and notice.limit is None:
                 self._unlimited[incarnation] = notice
                 return False
+            # Kept also if the limit has ended, since another daemon may not know that.
             self._limited[incarnation.endpoint_id] = _LimitedEndpoint(incarnation, notice)
             return _log_change(incarnation, None, notice)
         if limited.incarnation.is_superseded_by(incarnation):
--- a/tests/test_endpoint_limits.py
+++ b/tests/test_endpoint_limits.py
@@ -17,6 +17,7 @@
 from thorncleat_gateway.requests import rate_shares
 from thorncleat_gateway.requests.endpoint_limits import NOTICE_TTL_SECONDS
 from thorncleat_gateway.requests.endpoint_limits import EndpointLimits
+from thorncleat_gateway.requests.limit_reporter import REPEAT_INTERVAL_SECONDS
 from thorncleat_gateway.requests.rate_notice import RateNotice
 from thorncleat_gateway.store.fleet_knowledge import FleetKnowledge
 from thorncleat_gateway.store.relays import Daemon
@@ -119,6 +120,43 @@
         assert rate > GROUPS.rate / GROUPS.endpoints / 2
 
 
+async def _play_end_at_a_daemon_that_never_knew_it(seed):
+    """The only daemon with a share of the only endpoint's limit knows nothing of it."""
+    world = NoticeWorld(dataclasses.replace(PLAIN, daemons=4, endpoints=1), seed)
+    await world.begin()
+    endpoint = world.workers[0].endpoint
+    await asyncio.sleep(0.5)
+    limited = RateNotice(0.5, world.now() - 0.2, world.now() - 0.1)
+    holder = next(daemon for daemon in world.daemons if _has_share(daemon, endpoint, 0.5))
+    others = [daemon for daemon in world.daemons if daemon is not holder]
+    await world.call("first", holder)
+    for daemon in others:
+        daemon.limits.record_notice(endpoint.incarnation, limited)
+    before = [(await world.call(f"before {daemon.peers.id}", daemon)).status for daemon in others]
+    await asyncio.sleep(REPEAT_INTERVAL_SECONDS)
+    await world.call("second", holder)
+    await asyncio.sleep(2 * REPEAT_INTERVAL_SECONDS)
+    after = [(await world.call(f"after {daemon.peers.id}", daemon)).status for daemon in others]
+    await world.end()
+    return before, after
+
+
+def _has_share(daemon, endpoint, limit):
+    fleet = daemon.fleet
+    return rate_shares.share(limit, endpoint, fleet.own, fleet.daemons(), FleetKnowledge.RECENT)
+
+
+def test_daemons_without_a_share_do_not_refuse_all_requests_after_an_ended_limit():
+    """Guards against the end of a limit that is known only to a daemon that missed its beginning.
+
+    That daemon holds the only share, so no other daemon gets an answer.
+    """
+    for seed in SEEDS:
+        before, after = virtual_time.run(_play_end_at_a_daemon_that_never_knew_it(seed))
+        assert before == [503] * 3
+        assert after == [200] * 3
+
+
 async def _play_reordered_answers():
     """An answer to a request sent before the limit was named arrives after the limit."""
     world = NoticeWorld(Size(daemons=1, endpoints=1), 1)
--- a/tests/test_limit_reporter.py
+++ b/tests/test_limit_reporter.py
@@ -113,6 +113,28 @@
     assert scene.peers.sent == []
 
 
+def test_daemon_that_never_knew_a_limit_reports_its_end_to_those_that_know_it(scene):
+    """Guards against daemons without a share that are never told of the end of a limit.
+
+    The daemon with the share starts, or misses the broadcast, and gets answers without a limit.
+    """
+    scene.receive_answer(None)
+    scene.receive_report(ReportedLimit("i-1", 5, 0.5, 9.0, 8.0))
+    assert not scene.limits.is_limited(ENDPOINT)
+    scene.now += 1
+    scene.receive_answer(None)
+    scene.reporter.repeat()
+    reports = [message.limits for _, message in scene.peers.sent]
+    assert reports == [[ReportedLimit("i-1", 5, None, 0.25, 0.0)]] * limit_reporter.REPEAT_FANOUT
+
+
+def test_endpoints_of_which_no_daemon_knows_a_limit_are_not_reported(scene):
+    scene.receive_answer(None)
+    scene.receive_report(ReportedLimit("i-1", 5, None, 9.0, 8.0))
+    scene.reporter.repeat()
+    assert scene.peers.sent == []
+
+
 def test_report_of_many_endpoints_fits_into_a_datagram(scene):
     for number in range(200):
         scene.receive_answer(
