Ignore reports of limits that waited while this daemon stood still

Cause: a report tells ages, and its receiver counts them back from its own clock. Reports that waited in the socket of a stopped process looked as new as the end of its pause. So a limit that had ended meanwhile replaced its end, there and at all daemons to which it was repeated, and holds until a daemon with a share gets the next answer; without callers there, that may be never. (The reverse follows from the same times: an old end can lift a newer limit until the next answer.)

FailureDetector.has_just_paused becomes public for that. The wire form stays. Callers saw 503 with "every endpoint wants no requests for a time", or "paused", after a limit that had ended.

--- a/packages/gateway/src/thorncleat_gateway/gateway.py
+++ b/packages/gateway/src/thorncleat_gateway/gateway.py
@@ -148,7 +148,9 @@
         self._quarantine = Quarantine(self._clock)
         self._crash_reporter = CrashReporter(self._quarantine, self._peers, self._clock)
         self._released_requests = ReleasedRequests(self.view, self._quarantine)
-        self._limit_reporter = LimitReporter(self._limits, self.view, self._peers, self._clock)
+        self._limit_reporter = LimitReporter(
+            self._limits, self.view, self._peers, self._clock, self._detector.has_just_paused
+        )
 
     def _has_retry_share(self, had_share: bool) -> bool:
         """Return whether this daemon has a share of the fixed number of retries."""
--- a/packages/gateway/src/thorncleat_gateway/peers/failure_detector.py
+++ b/packages/gateway/src/thorncleat_gateway/peers/failure_detector.py
@@ -151,7 +151,7 @@
 
         :param max_age: seconds since the earliest of these contacts.
         """
-        if self._has_just_paused():
+        if self.has_just_paused():
             # The report may have waited in the socket.
             return
         since = self._clock() - max_age
@@ -207,7 +207,7 @@
 
         :param cause: the logged cause.
         """
-        if self._has_just_paused():
+        if self.has_just_paused():
             return
         now = self._clock()
         group = leader.membership.group if leader.membership else None
@@ -233,7 +233,7 @@
         """Forget what this daemon suspected when it was most likely cut off already."""
         self._suspicions.forget_own_since(service, self.reach.succeeded_at(service))
 
-    def _has_just_paused(self) -> bool:
+    def has_just_paused(self) -> bool:
         """Return whether this daemon paused, and may still meet what waited meanwhile."""
         since = self._clock() - AFTER_OWN_PAUSE_SECONDS
         return self.lateness.max_lateness_since(since) >= MIN_OWN_PAUSE_SECONDS
@@ -252,7 +252,7 @@
         elif isinstance(message, Suspicion):
             last_contact_at = self._contacts.get(message.leader, 0.0)
             is_credible = silence.is_credible(now, last_contact_at, self._settings)
-            if is_credible and not self._has_just_paused():
+            if is_credible and not self.has_just_paused():
                 # A suspicion that waited in the socket may have been disproved since. If it still
                 # holds, it is sent again.
                 self._suspicions.add(message.leader, message.group, is_local=False)
--- a/packages/gateway/src/thorncleat_gateway/requests/limit_reporter.py
+++ b/packages/gateway/src/thorncleat_gateway/requests/limit_reporter.py
@@ -36,6 +36,8 @@
     A daemon that has just started, or has no share of a limit, gets no answers that state it.
 
     :param clock: monotonic, in seconds.
+    :param has_just_paused: returns whether this daemon paused, and may still meet datagrams that
+        waited meanwhile.
     """
 
     def __init__(
@@ -44,12 +46,14 @@
         view: StoreView,
         peers: PeerChannel,
         clock: t.Callable[[], float],
+        has_just_paused: t.Callable[[], bool] = lambda: False,
     ) -> None:
         super().__init__()
         self._limits = limits
         self._view = view
         self._peers = peers
         self._clock = clock
+        self._has_just_paused = has_just_paused
         limits.on_change(self._on_change)
         peers.on_message(self._on_message)
 
@@ -66,6 +70,11 @@
     def _on_message(self, sender: str, message: Message) -> None:
         if not isinstance(message, LimitReport):
             return
+        if self._has_just_paused():
+            # The ages in a report that waited in the socket are too low: a limit would replace its
+            # later end, here and at the daemons to which it is repeated. What still holds is
+            # repeated by the others.
+            return
         now = self._clock()
         for reported in message.limits:
             if reported.heard_age > MAX_REPORTED_AGE_SECONDS:
--- a/tests/test_limit_reporter.py
+++ b/tests/test_limit_reporter.py
@@ -48,7 +48,10 @@
         self.peers = Peers()
         self.limits = EndpointLimits(None, lambda: self.now)
         view = types.SimpleNamespace(roster=types.SimpleNamespace(endpoints={"i-1": ENDPOINT}))
-        self.reporter = LimitReporter(self.limits, view, self.peers, lambda: self.now)
+        self.has_just_paused = False
+        self.reporter = LimitReporter(
+            self.limits, view, self.peers, lambda: self.now, lambda: self.has_just_paused
+        )
 
     def receive_answer(self, limit, endpoint=ENDPOINT):
         self.limits.record_answer(endpoint, named(limit), self.now - 0.25)
@@ -135,6 +138,38 @@
     assert scene.peers.sent == []
 
 
+def test_daemon_that_stood_still_does_not_restore_a_limit_that_has_ended(scene):
+    """Guards against reports that wait in the socket of a stopped process.
+
+    When the process goes on, their ages are too low by the time for which it stood still.
+    """
+    stopped = Scene()
+    scene.receive_answer(0.5)
+    scene.now += 1
+    scene.receive_answer(None)
+    waiting = [message for _, message in scene.peers.sent]
+    assert [message.limits[0].limit for message in waiting] == [0.5, None]
+    scene.now = stopped.now = scene.now + 5
+    stopped.has_just_paused = True
+    for message in waiting:
+        stopped.receive_report(*message.limits)
+    stopped.has_just_paused = False
+    stopped.reporter.repeat()
+    for _, message in stopped.peers.sent:
+        scene.receive_report(*message.limits)
+    assert not scene.limits.is_limited(ENDPOINT)
+    assert not stopped.limits.is_limited(ENDPOINT)
+
+
+def test_limit_that_was_reported_during_a_pause_is_recorded_from_its_repetition(scene):
+    scene.has_just_paused = True
+    scene.receive_report(ReportedLimit("i-1", 5, 2.0, 1.0, 0.5))
+    assert not scene.limits.is_limited(ENDPOINT)
+    scene.has_just_paused = False
+    scene.receive_report(ReportedLimit("i-1", 5, 2.0, 1.0, 0.5))
+    assert scene.limits.is_limited(ENDPOINT)
+
+
 def test_report_of_many_endpoints_fits_into_a_datagram(scene):
     for number in range(200):
         scene.receive_answer(
