--- a/packages/core/src/thorncleat_core/values.py
+++ b/packages/core/src/thorncleat_core/values.py
@@ -13,7 +13,7 @@
 import pydantic
 
 MAX_PORT = 65_535
-# All encodings hold signed integers of 64 bits.
+# The largest and the least integer that each encoding holds: signed, 64 bits.
 MAX_INTEGER = 2**63 - 1
 MIN_INTEGER = -(2**63)
 # Epochs of later groups are higher, and fit into 64 bits too.
@@ -44,6 +44,7 @@
 
 Integer = t.Annotated[int, pydantic.Field(ge=MIN_INTEGER, le=MAX_INTEGER)]
 Natural = t.Annotated[int, pydantic.Field(ge=0, le=MAX_INTEGER)]
+# Port 0 lets the system choose one, so it is no port of an address of others.
 Port = t.Annotated[int, pydantic.Field(ge=0, le=MAX_PORT)]
 # An integer by which others are divided.
 Count = t.Annotated[int, pydantic.Field(ge=1, le=MAX_INTEGER)]
--- a/packages/gateway/src/thorncleat_gateway/failures.py
+++ b/packages/gateway/src/thorncleat_gateway/failures.py
@@ -42,7 +42,7 @@
     """Counts and logs unexpected errors.
 
     :param clock: a clock that never goes back, in seconds.
-    :cvar total: number of errors of all logs of this process.
+    :cvar total: number of errors of all logs of this process, logged or not, for its metric.
     """
 
     total: t.ClassVar[int] = 0
--- a/packages/gateway/src/thorncleat_gateway/groups/ending.py
+++ b/packages/gateway/src/thorncleat_gateway/groups/ending.py
@@ -268,6 +268,9 @@
     async def _separate_silent(self, separation: Separation) -> Detached | None:
         """Take the members away from a silent leader.
 
+        The group counts as dead when it is broken, and also when no member can be reached: then
+        none of them is used before it has left.
+
         :returns: None if the group may still answer with them, or the leader isn't silent.
         """
         if not await self._liveness.wait_dead(separation.leader):
--- a/packages/gateway/src/thorncleat_gateway/requests/endpoint_client.py
+++ b/packages/gateway/src/thorncleat_gateway/requests/endpoint_client.py
@@ -197,36 +197,18 @@
             self._evacuations.check(endpoint)
         self._notices.check(endpoint)
         reservation = self._limits.reserve(endpoint)
-        has_body = request.body or request.method not in ("GET", "HEAD")
         path.is_connected = False
-        token = current_path.set(path)
         try:
-            call = functools.partial(
-                self._client.request if use is None else use.request,
-                request.method,
-                URL(f"http://{endpoint.address}{request.path}", encoded=True),
-                data=request.body if has_body else None,
-                headers=self._codec.for_endpoint(request.headers, meta),
-                timeout=self._timeout,
-                allow_redirects=False,
-            )
-            response = await stack.enter_async_context(call())
+            response = await self._call(stack, request, meta, path, use)
         except asyncio.CancelledError:
             if not path.is_connected:
                 self._limits.cancel(reservation)
             raise
         except Exception as error:
-            if not isinstance(error, EXPECTED_ERRORS):
-                self._failures.record(
-                    "attempt", error, request=request.meta.id, endpoint=endpoint.id
-                )
             if not path.is_connected:
                 self._limits.cancel(reservation)
-                raise self._unsent_error(path, error) from error
-            self._count(use)
-            raise _unanswered_error(path, error) from error
+            raise self._failure(request, path, use, error) from error
         finally:
-            current_path.reset(token)
             # An earlier sending of the same attempt, on a kept connection, counts too.
             request.is_sent |= path.is_connected
         self._count(use)
@@ -236,6 +218,44 @@
         self._check_answer(response, endpoint, request, use)
         return response
 
+    async def _call(
+        self,
+        stack: contextlib.AsyncExitStack,
+        request: Request,
+        meta: ForwardMeta,
+        path: AttemptPath,
+        use: ConnectionUse | None,
+    ) -> aiohttp.ClientResponse:
+        """Connect to an endpoint, send a request, and return the answer; as :meth:`_send`."""
+        send = self._client.request if use is None else use.request
+        has_body = request.body or request.method not in ("GET", "HEAD")
+        token = current_path.set(path)
+        try:
+            response = send(
+                request.method,
+                URL(f"http://{path.endpoint.address}{request.path}", encoded=True),
+                data=request.body if has_body else None,
+                headers=self._codec.for_endpoint(request.headers, meta),
+                timeout=self._timeout,
+                allow_redirects=False,
+            )
+            return await stack.enter_async_context(response)
+        finally:
+            current_path.reset(token)
+
+    def _failure(
+        self, request: Request, path: AttemptPath, use: ConnectionUse | None, error: Exception
+    ) -> AttemptError:
+        """Return the error of an attempt that got no head of an answer."""
+        if not isinstance(error, EXPECTED_ERRORS):
+            self._failures.record(
+                "attempt", error, request=request.meta.id, endpoint=path.endpoint.id
+            )
+        if not path.is_connected:
+            return self._unsent_error(path, error)
+        self._count(use)
+        return _unanswered_error(path, error)
+
     def _unsent_error(self, path: AttemptPath, error: Exception) -> AttemptError:
         """Return the error of an attempt that was never connected."""
         is_own_fault = False
--- a/packages/gateway/src/thorncleat_gateway/service.py
+++ b/packages/gateway/src/thorncleat_gateway/service.py
@@ -35,7 +35,11 @@
         self._failures = FailureLog()
 
     async def crash(self, reason: BaseException) -> None:
-        """Log an exception of a future; the service goes on."""
+        """Log an exception of a future; the service goes on.
+
+        Overrides the library, which would end the whole tree of services. An error of a start is
+        raised to whoever starts the service, and doesn't come here.
+        """
         self._failures.record(type(self).__name__, reason)
 
     def add_future(self, coro: t.Awaitable[t.Any]) -> asyncio.Future[t.Any]:
@@ -52,7 +56,7 @@
             self._failures.record(type(self).__name__, error)
 
     async def run_task(self, name: str, run: t.Callable[[], t.Awaitable[None]]) -> None:
-        """Run a background task until it returns or this service stops.
+        """Run a background task until it returns, which ends it for good, or this service stops.
 
         :param name: the task's name in the log.
         :param run: runs the task from its begin.
