--- a/bench/soaks/worker_processes.py
+++ b/bench/soaks/worker_processes.py
@@ -14,7 +14,6 @@
 
 from .gateway_daemons import exit_with_parent
 
-MODULE = "bench.soaks.pausing_worker"
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 
 
@@ -72,12 +71,15 @@
     """A worker in a process of its own.
 
     :param zone: its failure domain.
+    :cvar module: the program, a Python module.
     :ivar entry: the entry that it reported last; empty before the first.
     :ivar is_paused: whether the process stands still.
     :ivar continued_at: time of the end of its latest pause, on the loop's clock.
     :ivar died_at: time of its death, on the loop's clock; None while it lives.
     """
 
+    module: t.ClassVar[str] = "bench.soaks.pausing_worker"
+
     def __init__(
         self, observer: ProcessObserver, name: str, service: str, domain: str, zone: str
     ) -> None:
@@ -118,7 +120,7 @@
             self._process = await asyncio.create_subprocess_exec(
                 sys.executable,
                 "-m",
-                MODULE,
+                self.module,
                 self.id,
                 self.service,
                 self.domain,
@@ -163,9 +165,10 @@
     async def _read_lines(self, process: asyncio.subprocess.Process) -> None:
         assert process.stdout is not None
         while line := await process.stdout.readline():
-            self._record(json.loads(line))
+            self.record(json.loads(line))
 
-    def _record(self, message: dict[str, t.Any]) -> None:
+    def record(self, message: dict[str, t.Any]) -> None:
+        """Record a line of the process."""
         if message["kind"] == "entry":
             self.entry = message["document"]
             self._observer.record_entry(message["key"], message["document"])
