Retry budget: what was sent and not answered counts until it can't arrive any more

What callers saw: not known; the users' machines counted more repeats at endpoints than the budget allows.

Cause: a token counted for a window and half a second from its taking. A request that a kernel holds for an endpoint that stands still arrives when the endpoint goes on, however long ago its attempt was given up, and a reset doesn't take it back. So two windows of tokens arrived in one.

Change: the token of a retry is held until both the attempt that it leaves and its own have arrived or can't any more, and counts for a window from then on. What shows that: the endpoint answers an attempt that was sent later, it has ended the connection, or another incarnation of it is listed (requests/unanswered_attempts; 60 s if it shows nothing more). A lapsed entry, refused connections and silence show nothing. Half of the account is kept for retries that leave nothing behind, so that endpoints that stand still don't take the retries of the others. A retry that is never sent gives its token back in all cases.

test_retry_budget_waiting drives the new calls in place of the wait that is gone, with the same checks.

--- a/packages/gateway/src/thorncleat_gateway/events.py
+++ b/packages/gateway/src/thorncleat_gateway/events.py
@@ -129,6 +129,9 @@
 RETRIES_INHERITED = _event(
     7325, "retries_inherited", INFO, "other daemons told what this one had used of its retry budget"
 )
+UNANSWERED_SETTLED = _event(
+    7327, "unanswered_settled", INFO, "attempts that were given up can't arrive any more"
+)
 CUT_OFF = _event(
     7318, "endpoints_cut_off", WARNING, "no connection of this daemon to an endpoint comes up"
 )
--- a/packages/gateway/src/thorncleat_gateway/gateway.py
+++ b/packages/gateway/src/thorncleat_gateway/gateway.py
@@ -45,6 +45,7 @@
 from .requests.request_services import RequestServices
 from .requests.retry_budget import RetryBudgets
 from .requests.retry_reporter import RetryReporter
+from .requests.unanswered_attempts import UnansweredAttempts
 from .service import Service
 from .settings import GatewaySettings
 from .store.registration import RELAYS
@@ -142,7 +143,10 @@
             self._has_retry_share,
             has_predecessor=not self._first_start,
         )
-        self._retry_reporter = RetryReporter(self._retry_budgets, self._peers, self._clock)
+        self._unanswered = UnansweredAttempts(lambda: self.view.roster, self._clock)
+        self._retry_reporter = RetryReporter(
+            self._retry_budgets, self._peers, self._clock, self._unanswered
+        )
         self._workspace_loads = WorkspaceLoads(self._clock)
         self._ended_groups = EndedGroups(self._peers, self._clock)
         self._quarantine = Quarantine(self._clock)
@@ -221,6 +225,7 @@
         add("requests_quarantined", "Held back", lambda: len(self._quarantine.quarantined))
         add("retries_sent", "With a token, since the start", lambda: self._retry_budgets.taken)
         add("retries_denied", "Without one, since the start", lambda: self._retry_budgets.denied)
+        add("attempts_unanswered", "Given up, may arrive", lambda: self._unanswered.count)
         if self._evacuations is not None:
             add("failure_domains_evacuated", "Get no requests", self._evacuations.count)
         if self._cold is not None:
@@ -330,6 +335,7 @@
             await self._listeners.open(self.metrics.handle, self._settings.metrics)
         await self._listeners.open(frontend.readiness, self._settings.readiness)
         await self._wait_for_first_configuration()
+        await self.add_runtime_dependency(self._unanswered)
         await self.add_runtime_dependency(self._retry_reporter)
         await self._listeners.open(frontend.handle, self._settings.callers, self._callers)
         await self.add_runtime_dependency(self._reporter)
@@ -364,6 +370,7 @@
                 limits=self._limits,
                 evacuations=self._evacuations,
                 retry_budgets=self._retry_budgets,
+                unanswered=self._unanswered,
                 quarantine=self._quarantine,
                 crash_reporter=self._crash_reporter,
                 metrics=self.metrics,
--- a/packages/gateway/src/thorncleat_gateway/peers/message_codec.py
+++ b/packages/gateway/src/thorncleat_gateway/peers/message_codec.py
@@ -7,6 +7,7 @@
 Relies on: :mod:`.messages` for the types.
 """
 
+import dataclasses
 import math
 import typing as t
 
@@ -24,6 +25,7 @@
 from .messages import LimitReport
 from .messages import LoadReport
 from .messages import Message
+from .messages import OwedRetries
 from .messages import Probe
 from .messages import ProbeResult
 from .messages import ReportedCrash
@@ -42,6 +44,8 @@
 # The first field of each datagram; :func:`decode` accepts this version only.
 FORMAT_VERSION = 1
 MILLISECONDS_PER_SECOND = 1000
+# Greatest number of owed retries in a report, each of which takes memory at the receiver.
+MAX_OWED_RETRIES = 1_000
 # Greatest age; a float of as many seconds is still exact to a millisecond.
 MAX_MILLISECONDS = 2**42
 
@@ -255,6 +259,8 @@
 
 @_encodes(RetryReport)
 def _encode_retries(message: RetryReport) -> Fields:
+    if message.owed:
+        return ["owed retries", *_pack_retries(message), _pack_owed(message.owed)]
     return ["retries", *_pack_retries(message)]
 
 
@@ -263,6 +269,11 @@
     return _parse_retries(*fields)
 
 
+@_decodes("owed retries")
+def _decode_owed_retries(fields: Fields) -> Message | None:
+    return _parse_owed_retries(*fields)
+
+
 @_encodes(RetryQuery)
 def _encode_retry_query(_: RetryQuery) -> Fields:
     return ["ask retries"]
@@ -275,7 +286,11 @@
 
 @_encodes(RetryRecall)
 def _encode_retry_recall(message: RetryRecall) -> Fields:
-    return ["recall retries", _to_milliseconds(message.age), _pack_retries(message.report)]
+    report, age = message.report, _to_milliseconds(message.age)
+    if report.owed:
+        fields = [*_pack_retries(report), _pack_owed(report.owed)]
+        return ["recall owed retries", age, fields]
+    return ["recall retries", age, _pack_retries(report)]
 
 
 @_decodes("recall retries")
@@ -287,6 +302,15 @@
     return None
 
 
+@_decodes("recall owed retries")
+def _decode_owed_recall(fields: Fields) -> Message | None:
+    match fields:
+        case [int(age), list(report)]:
+            seconds = _parse_seconds(age)
+            return RetryRecall(seconds, _parse_owed_retries(*report))
+    return None
+
+
 @_encodes(TunnelQuery)
 def _encode_tunnel_query(message: TunnelQuery) -> Fields:
     return ["ask tunnel", message.service]
@@ -349,6 +373,32 @@
     return RetryReport(bool(is_complete), bool(has_share), parsed)
 
 
+def _pack_owed(owed: t.Iterable[OwedRetries]) -> Fields:
+    return [[one.service, one.endpoint_id, one.born, one.count] for one in owed]
+
+
+def _parse_owed_retries(
+    is_complete: t.Any, has_share: t.Any, uses: t.Any, owed: t.Any
+) -> RetryReport:
+    """Return a report with retries that may still arrive, from its unpacked fields.
+
+    :raises TypeError, ValueError: if a field has another type or value.
+    """
+    parsed = [
+        OwedRetries(
+            str(service),
+            str(endpoint_id),
+            None if born is None else _parse_natural(born),
+            _parse_natural(count),
+        )
+        for service, endpoint_id, born, count in owed
+    ]
+    if sum(one.count for one in parsed) > MAX_OWED_RETRIES:
+        raise ValueError(f"more than {MAX_OWED_RETRIES} owed retries")
+    report = _parse_retries(is_complete, has_share, uses)
+    return dataclasses.replace(report, owed=parsed)
+
+
 def _to_milliseconds(seconds: float) -> int:
     return round(seconds * MILLISECONDS_PER_SECOND)
 
--- a/packages/gateway/src/thorncleat_gateway/peers/messages.py
+++ b/packages/gateway/src/thorncleat_gateway/peers/messages.py
@@ -203,6 +203,21 @@
     retries: t.Sequence[int]
 
 
+@dataclasses.dataclass(frozen=True)
+class OwedRetries:
+    """Retries that may still arrive, though attempts at an endpoint were given up.
+
+    :param endpoint_id: id of the endpoint.
+    :param born: of its incarnation; None if not reported.
+    :param count: number of retries.
+    """
+
+    service: str
+    endpoint_id: str
+    born: int | None
+    count: int
+
+
 @dataclasses.dataclass(frozen=True)
 class RetryReport:
     """What the sender has used of its retry budgets within the window; it may be nothing.
@@ -211,11 +226,14 @@
 
     :param is_complete: whether this includes what the sender's predecessor had used.
     :param has_share: whether the sender has a share of the fixed number of retries.
+    :param owed: retries that may still arrive, which the uses don't contain; daemons of earlier
+        builds reject a report with any.
     """
 
     is_complete: bool
     has_share: bool
     uses: t.Sequence[RetryUse]
+    owed: t.Sequence[OwedRetries] = ()
 
 
 @dataclasses.dataclass(frozen=True)
--- a/packages/gateway/src/thorncleat_gateway/requests/endpoint_client.py
+++ b/packages/gateway/src/thorncleat_gateway/requests/endpoint_client.py
@@ -116,7 +116,7 @@
         async with contextlib.AsyncExitStack() as stack:
             path = AttemptPath(endpoint, request.meta.id)
             stack.callback(path.uses.close)
-            request.is_sent = False
+            request.begin_attempt(endpoint)
             if self._pool is None or not self._may_use_pool(request, endpoint):
                 response = await self._send(stack, request, meta, path)
                 yield Exchange(response, self._codec, path)
@@ -210,7 +210,8 @@
             raise self._failure(request, path, use, error) from error
         finally:
             # An earlier sending of the same attempt, on a kept connection, counts too.
-            request.is_sent |= path.is_connected
+            if path.is_connected:
+                request.record_sent()
         self._count(use)
         if self._reach is not None and use is not None and not use.is_reused:
             self._reach.record_success(endpoint)
@@ -296,6 +297,7 @@
             self._pool.record_missing_id(endpoint)
         if is_doubtful:
             raise AttemptError(MIXED, Executed.MAYBE, retry_after=meta.retry_after)
+        request.record_answer(endpoint)
         if meta.not_run:
             if use is not None:
                 self._settle(use, response, request)
--- a/packages/gateway/src/thorncleat_gateway/requests/forwarder.py
+++ b/packages/gateway/src/thorncleat_gateway/requests/forwarder.py
@@ -13,6 +13,7 @@
 from ..peers.failure_detector import FailureDetector
 from ..peers.load_table import LoadTable
 from ..store.roster import Endpoint
+from ..store.roster import Roster
 from . import request_log
 from . import retry_policy
 from .answer_budget import AnswerBudget
@@ -21,8 +22,10 @@
 from .endpoint_selector import EndpointSelector
 from .overload.control import OverloadControl
 from .request import Request
+from .request_retries import RequestRetries
 from .retry_budget import RetryBudgets
 from .stop_window import StopWindow
+from .unanswered_attempts import UnansweredAttempts
 
 
 class Forwarder:
@@ -32,6 +35,7 @@
     :param overload_control: None to admit all requests.
     :param answers: the memory for endpoints' answers; None for a budget of its own.
     :param stop_window: the time that a planned stop leaves; None for no stop.
+    :param unanswered: the attempts that may still arrive; None to keep none of others.
     """
 
     def __init__(
@@ -46,7 +50,9 @@
         overload_control: OverloadControl | None = None,
         answers: AnswerBudget | None = None,
         stop_window: StopWindow | None = None,
+        unanswered: UnansweredAttempts | None = None,
     ) -> None:
+        self._unanswered = unanswered or UnansweredAttempts(Roster, clock)
         self._endpoint_client = endpoint_client
         self._selector = selector
         self._load_table = load_table
@@ -60,9 +66,23 @@
         # Services of which a large answer without a stated length has come to its end.
         self._large_answer_services: set[str] = set()
 
-    def _count_request(self, request: Request) -> None:
-        """Count a caller's request towards the retry budget of its service."""
+    @contextlib.contextmanager
+    def _count_request(self, request: Request) -> t.Iterator[None]:
+        """Count a caller's request towards the retry budget of its service, and its retries."""
         self._retry_budgets.record_request(request.service.name)
+        retries = self._retries(request)
+        try:
+            yield
+        finally:
+            retries.close()
+
+    def _retries(self, request: Request) -> RequestRetries:
+        """Return the retries of a request."""
+        if request.retries is None:
+            request.retries = RequestRetries(
+                self._retry_budgets, self._unanswered, request.service.name
+            )
+        return request.retries
 
     @contextlib.contextmanager
     def _track(self, request: Request, endpoint: Endpoint, model: str) -> t.Iterator[None]:
@@ -126,11 +146,8 @@
 
     def _take_token(self, request: Request) -> bool:
         """Take a token for a retry of a request, or use the reserved one; log a denial."""
-        if request.has_token:
-            request.has_token = False
-            return True
-        service = request.service.name
-        if self._retry_budgets.take_token(service):
+        if self._retries(request).take():
             return True
-        request_log.retry_denied(request, self._retry_budgets.account(service))
+        account = self._retry_budgets.account(request.service.name)
+        request_log.retry_denied(request, account)
         return False
--- a/packages/gateway/src/thorncleat_gateway/requests/plain.py
+++ b/packages/gateway/src/thorncleat_gateway/requests/plain.py
@@ -45,8 +45,7 @@
         :raises AnswerAbortedError: if a part was passed on and the rest can't be.
         """
         self._admit(request)
-        self._count_request(request)
-        with self._answers.hold() as held:
+        with self._count_request(request), self._answers.hold() as held:
             answer = await self._find_answer(request, caller, held)
             if answer.is_whole:
                 await pass_on_whole(answer, caller, states_length=True)
@@ -234,5 +233,4 @@
             return False
         if request.service.name in self._large_answer_services:
             return False
-        request.has_token = self._retry_budgets.take_token(request.service.name)
-        return request.has_token
+        return self._retries(request).reserve()
--- a/packages/gateway/src/thorncleat_gateway/requests/request.py
+++ b/packages/gateway/src/thorncleat_gateway/requests/request.py
@@ -21,6 +21,7 @@
 from . import fingerprint
 from .fingerprint import Fingerprint
 from .first_event_offsets import ExpectedTime
+from .request_retries import RequestRetries
 from .retry_policy import AttemptsUsed
 
 # Priority of the least urgent requests; engines accept 0 to 9.
@@ -56,7 +57,7 @@
         overload control.
     :param expected: what was expected of the latest attempt; None if it isn't the first one, or
         isn't known.
-    :param has_token: whether a token of the retry budget is reserved for its next attempt.
+    :param retries: the tokens of the retry budget that it holds; None before it is forwarded.
     :param needs_new_connection: whether an earlier attempt met another answer on a used one.
     :param is_probe: whether it was let through a quarantine, for its first attempt.
     """
@@ -85,7 +86,7 @@
     head_at: float = 0.0
     level_priority: int | None = None
     expected: ExpectedTime | None = None
-    has_token: bool = False
+    retries: RequestRetries | None = None
     needs_new_connection: bool = False
     is_probe: bool = False
 
@@ -150,6 +151,23 @@
             last_event_id=last_event_id,
         )
 
+    def begin_attempt(self, endpoint: Endpoint) -> None:
+        """Record that an attempt begins, of which nothing has been sent yet."""
+        self.is_sent = False
+        if self.retries is not None:
+            self.retries.begin_attempt(endpoint, self.sent_at)
+
+    def record_sent(self) -> None:
+        """Record that a part of the latest attempt may have been sent."""
+        self.is_sent = True
+        if self.retries is not None:
+            self.retries.record_sent()
+
+    def record_answer(self, endpoint: Endpoint) -> None:
+        """Record that an endpoint has answered the latest attempt."""
+        if self.retries is not None:
+            self.retries.record_answer(endpoint)
+
     def record_failure(self, endpoint: Endpoint, failure: AttemptError, *, counted: bool) -> None:
         """Record a failed attempt.
 
@@ -163,6 +181,8 @@
             self.unsent += 1
         if failure.ran is Executed.MAYBE:
             self.may_have_run = True
+        if self.retries is not None:
+            self.retries.record_failure(is_ended=failure.broken is not None)
 
     def attempts_used(self, now: float) -> AttemptsUsed:
         """Return the attempts used so far."""
--- a/packages/gateway/src/thorncleat_gateway/requests/request_log.py
+++ b/packages/gateway/src/thorncleat_gateway/requests/request_log.py
@@ -53,6 +53,7 @@
         service=request.service.name,
         requests=account.requests,
         retries=account.retries,
+        owed=account.owed,
         allowed=account.allowed,
         daemons=account.daemons,
         uptime=round(account.uptime, 3),
--- a/packages/gateway/src/thorncleat_gateway/requests/request_services.py
+++ b/packages/gateway/src/thorncleat_gateway/requests/request_services.py
@@ -40,6 +40,7 @@
 from .slow_groups import SlowGroups
 from .stop_window import StopWindow
 from .streams import StreamForwarder
+from .unanswered_attempts import UnansweredAttempts
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -64,6 +65,7 @@
     limits: EndpointLimits
     evacuations: Evacuations | None
     retry_budgets: RetryBudgets
+    unanswered: UnansweredAttempts
     quarantine: Quarantine
     crash_reporter: CrashReporter
     metrics: Metrics
@@ -120,6 +122,7 @@
             self._create_overload_control() if dependencies.settings.overload_control else None,
             self.answers,
             stop_window,
+            dependencies.unanswered,
         )
         return Frontend(
             dependencies.settings,
--- a/packages/gateway/src/thorncleat_gateway/requests/retry_budget.py
+++ b/packages/gateway/src/thorncleat_gateway/requests/retry_budget.py
@@ -5,8 +5,10 @@
 uses: no part of the fixed number, and a small part of the ratio. It has the whole after a window,
 or once other daemons have told what its predecessor had used (:mod:`.retry_reporter`).
 
-A retry may wait for an endpoint after it took its token. It counts for as long as it waits, and for
-a window from its arrival, which is some time after its sending.
+A retry counts for as long as anything of it may arrive, and for a window from then on: while it
+waits for an endpoint, until the endpoint answers, and if it never does until nothing can arrive any
+more (:mod:`.unanswered_attempts`). So endpoints that stand still take up the account; a part of it
+is kept for retries that leave nothing behind.
 
 Owns: this daemon's requests and retries within the window, for each service.
 Relies on: the number of listed daemons, and on :mod:`..store.fleet_knowledge` for whether the
@@ -14,7 +16,6 @@
 """
 
 import collections
-import contextlib
 import dataclasses
 import math
 import typing as t
@@ -30,6 +31,9 @@
 
 # How long after it was sent a retry may arrive: twice the time within which a connection is up.
 ARRIVAL_SECONDS = 0.5
+# Fraction of the allowed retries that may leave attempts which can still arrive; the rest is for
+# requests that were declined or whose connections broke.
+MAX_OWED_FRACTION = 0.5
 
 # How long a daemon counts after it was last listed; longer than records take to expire in an outage
 # of the store and to be written again.
@@ -55,7 +59,8 @@
     """What a daemon may retry at a service, and what it has used of that, within the window.
 
     :param requests: callers' requests.
-    :param retries: retries that took a token, with those that wait.
+    :param retries: retries that took a token, with those that may still arrive.
+    :param owed: those of them that were given up, or left an attempt that was.
     :param allowed: retries that the daemon may send.
     :param daemons: daemons that share the fixed number of retries; None without a share of it.
     :param uptime: seconds since the daemon's process started.
@@ -63,6 +68,7 @@
 
     requests: int
     retries: int
+    owed: int
     allowed: int
     daemons: int | None
     uptime: float
@@ -80,8 +86,9 @@
         self._counted_since = counted_since
         self._requests: collections.deque[float] = collections.deque()
         self._retries: collections.deque[float] = collections.deque()
-        # Retries that took a token and wait for an endpoint.
-        self._waiting = 0
+        # Retries that may still arrive, and those of them that were given up.
+        self._held = 0
+        self._owed = 0
 
     @property
     def requests(self) -> int:
@@ -90,8 +97,13 @@
 
     @property
     def retries(self) -> int:
-        """Number of retries in the window, as of the latest call, and of those that wait."""
-        return len(self._retries) + self._waiting
+        """Number of retries in the window, as of the latest call, and of those that may arrive."""
+        return len(self._retries) + self._held
+
+    @property
+    def owed(self) -> int:
+        """Number of retries that may arrive though they, or attempts before, were given up."""
+        return self._owed
 
     def record_request(self, now: float) -> None:
         """Count a caller's request."""
@@ -126,23 +138,29 @@
         self._retries.append(now)
         return True
 
-    def begin_wait(self) -> None:
-        """Count the latest retry until its wait ends, however long that is."""
-        if self._retries:
-            self._retries.pop()
-        self._waiting += 1
+    def hold(self) -> None:
+        """Count a retry until :meth:`release`."""
+        self._held += 1
 
-    def end_wait(self, now: float, *, is_sent: bool) -> None:
-        """End the wait of a retry, which counts from now on if it is sent, and no more if not."""
-        self._waiting -= 1
+    def release(self, now: float, *, is_sent: bool) -> None:
+        """Count a retry that was held from now on if it was sent, and no more if it was not."""
+        self._held -= 1
         if is_sent:
             self._retries.append(now)
 
+    def record_owed(self, change: int) -> None:
+        """Change the number of retries that are owed."""
+        self._owed += change
+
+    def can_leave_unanswered(self, now: float, daemons: int | None) -> bool:
+        """Return whether a retry may leave an attempt that can still arrive."""
+        return self._owed < MAX_OWED_FRACTION * self.allowed(now, daemons)
+
     def use(self, service: str, now: float) -> RetryUse:
         """Return what was used within the window."""
         self._forget(now)
-        # Retries that wait may be sent at any moment.
-        retries = [*self._retries, *[now] * self._waiting]
+        # Retries that are held may arrive at any moment; those that are owed are told apart.
+        retries = [*self._retries, *[now] * (self._held - self._owed)]
         return RetryUse(service, self._ages(self._requests, now), self._ages(retries, now))
 
     def inherit(self, use: RetryUse | None, now: float) -> None:
@@ -201,6 +219,53 @@
         return self._seen[0][1]
 
 
+class RetryToken:
+    """The place of one retry in the account of a service.
+
+    It counts while something holds it, and for a window from then on.
+    """
+
+    def __init__(
+        self,
+        budget: RetryBudget,
+        clock: t.Callable[[], float],
+        on_change: t.Callable[[], None],
+    ) -> None:
+        self._budget = budget
+        self._clock = clock
+        self._on_change = on_change
+        self._holders = 1
+        self._owed = 0
+
+    def release(self) -> None:
+        """End one hold, since what it was for has arrived or can't any more."""
+        self._end_hold(is_sent=True)
+
+    def cancel(self) -> None:
+        """End the only hold of a retry of which nothing was sent."""
+        self._end_hold(is_sent=False)
+
+    def hold_owed(self) -> None:
+        """Hold it also for an attempt that was given up and may still arrive."""
+        self._holders += 1
+        self._owed += 1
+        if self._owed == 1:
+            self._budget.record_owed(1)
+
+    def release_owed(self) -> None:
+        """End a hold by :meth:`hold_owed`."""
+        self._owed -= 1
+        if not self._owed:
+            self._budget.record_owed(-1)
+        self.release()
+
+    def _end_hold(self, *, is_sent: bool) -> None:
+        self._holders -= 1
+        if not self._holders:
+            self._budget.release(self._clock(), is_sent=is_sent)
+            self._on_change()
+
+
 class RetryBudgets:
     """This daemon's share of the retry budget of each service.
 
@@ -275,13 +340,8 @@
         self._sharing_daemons(now)
         self._budgets[service].record_request(now)
 
-    def has_token(self, service: str) -> bool:
-        """Return whether the budget allows a retry to a service now."""
-        now = self._clock()
-        return self._budgets[service].retries_left(now, self._sharing_daemons(now)) >= 1
-
     def take_token(self, service: str) -> bool:
-        """Count a retry to a service if the budget allows one; return whether it does."""
+        """Count a retry that arrives at once, if the budget allows one; return whether it does."""
         now = self._clock()
         if not self._budgets[service].take_token(now, self._sharing_daemons(now)):
             self._denied += 1
@@ -290,21 +350,36 @@
         self._listeners.call()
         return True
 
-    @contextlib.contextmanager
-    def waiting(self, service: str) -> t.Iterator[None]:
-        """Count a retry that has just taken its token as long as the context is open.
+    def can_hold_token(self, service: str, *, leaves_unanswered: bool) -> bool:
+        """Return whether :meth:`hold_token` returns one now."""
+        now = self._clock()
+        daemons, budget = self._sharing_daemons(now), self._budgets[service]
+        if leaves_unanswered and not budget.can_leave_unanswered(now, daemons):
+            return False
+        return budget.retries_left(now, daemons) >= 1
+
+    def hold_token(self, service: str, *, leaves_unanswered: bool = False) -> "RetryToken | None":
+        """Count a retry to a service until its token is released; None if there is no token.
 
-        It counts as sent when the context ends, or no more if an exception ends it.
+        :param leaves_unanswered: whether it leaves an attempt that may still arrive.
         """
+        if not self.can_hold_token(service, leaves_unanswered=leaves_unanswered):
+            self._denied += 1
+            return None
+        budget = self._budgets[service]
+        budget.hold()
+        self._taken += 1
+        self._listeners.call()
+        return RetryToken(budget, self._clock, self._listeners.call)
+
+    def owe_token(self, service: str) -> "RetryToken":
+        """Count a retry that an earlier process had given up, until it is released."""
         budget = self._budgets[service]
-        budget.begin_wait()
-        is_sent = False
-        try:
-            yield
-            is_sent = True
-        finally:
-            budget.end_wait(self._clock(), is_sent=is_sent)
-            self._listeners.call()
+        budget.hold()
+        token = RetryToken(budget, self._clock, self._listeners.call)
+        token.hold_owed()
+        token.release()
+        return token
 
     def account(self, service: str) -> RetryAccount:
         """Return this daemon's account for a service."""
@@ -312,14 +387,14 @@
         budget, daemons = self._budgets[service], self._sharing_daemons(now)
         allowed = budget.allowed(now, daemons)
         return RetryAccount(
-            budget.requests, budget.retries, allowed, daemons, now - self._started_at
+            budget.requests, budget.retries, budget.owed, allowed, daemons, now - self._started_at
         )
 
     def uses(self) -> list[RetryUse]:
         """Return what was used within the window, for the services with retries."""
         now = self._clock()
         uses = [budget.use(service, now) for service, budget in self._budgets.items()]
-        return [use for use in uses if any(use.retries)]
+        return [use for use in uses if any(use.retries) or self._budgets[use.service].owed]
 
     def inherit(self, uses: t.Iterable[RetryUse], age: float, *, had_share: bool) -> None:
         """Count also what the predecessor of this process had used; all of it is known then.
--- a/packages/gateway/src/thorncleat_gateway/requests/retry_reporter.py
+++ b/packages/gateway/src/thorncleat_gateway/requests/retry_reporter.py
@@ -17,12 +17,16 @@
 from .. import events
 from ..peers.datagrams import PeerChannel
 from ..peers.messages import Message
+from ..peers.messages import OwedRetries
 from ..peers.messages import RetryQuery
 from ..peers.messages import RetryRecall
 from ..peers.messages import RetryReport
 from ..service import Service
 from ..service import background_task
+from ..store.roster import Incarnation
+from ..store.roster import Roster
 from .retry_budget import RetryBudgets
+from .unanswered_attempts import UnansweredAttempts
 
 # Daemons that keep what one has used, so that one is left in most cases if nine in ten end at once.
 KEEPERS = 8
@@ -52,12 +56,18 @@
     """Reports what this daemon has used, and remembers what others have reported.
 
     :param clock: monotonic, in seconds.
+    :param unanswered: the attempts that may still arrive; None to report none.
     """
 
     def __init__(
-        self, budgets: RetryBudgets, peers: PeerChannel, clock: t.Callable[[], float]
+        self,
+        budgets: RetryBudgets,
+        peers: PeerChannel,
+        clock: t.Callable[[], float],
+        unanswered: UnansweredAttempts | None = None,
     ) -> None:
         super().__init__()
+        self._unanswered = unanswered or UnansweredAttempts(Roster, clock)
         self._budgets = budgets
         self._peers = peers
         self._clock = clock
@@ -119,12 +129,22 @@
             return
         report = latest.report
         self._budgets.inherit(report.uses, latest.age, had_share=report.has_share)
+        self._inherit_owed(report.owed)
         events.RETRIES_INHERITED.log(
             age=round(latest.age, 3),
             retries=sum(sum(use.retries) for use in report.uses),
             has_share=report.has_share,
         )
 
+    def _inherit_owed(self, owed: t.Iterable[OwedRetries]) -> None:
+        """Count what the predecessor had given up until it has arrived or can't any more."""
+        now = self._clock()
+        for retries in owed:
+            incarnation = Incarnation(retries.endpoint_id, retries.born)
+            for _ in range(retries.count):
+                token = self._budgets.owe_token(retries.service)
+                self._unanswered.add(retries.service, incarnation, now, token)
+
     @background_task
     async def _report_task(self) -> None:
         while not self.should_stop:
@@ -145,7 +165,13 @@
         if self._is_asking:
             return
         budgets = self._budgets
-        self._send_to_keepers(RetryReport(budgets.is_complete, budgets.has_share, budgets.uses()))
+        report = RetryReport(
+            budgets.is_complete, budgets.has_share, budgets.uses(), self._unanswered.owed()
+        )
+        if report.owed:
+            # Keepers of an earlier build reject the report. What they know is out of date.
+            self._send_to_keepers(dataclasses.replace(report, is_complete=False, owed=()))
+        self._send_to_keepers(report)
 
     def _forget_old(self) -> None:
         begin = self._clock() - MAX_REPORT_AGE_SECONDS
--- a/packages/gateway/src/thorncleat_gateway/requests/streams.py
+++ b/packages/gateway/src/thorncleat_gateway/requests/streams.py
@@ -48,9 +48,8 @@
         """
         endpoints = service_endpoints.of(request, self._selector)
         self._admit(request, endpoints)
-        self._count_request(request)
         failed_answers: list[EndpointAnswer] = []
-        with self._answers.hold() as held:
+        with self._count_request(request), self._answers.hold() as held:
             try:
                 await self._serve(request, endpoints, caller, held, failed_answers)
             except RefusalError:
@@ -153,10 +152,9 @@
         endpoint = self._find_endpoint(request, endpoints, caller, started_at)
         if endpoint is not None:
             return endpoint
-        with self._retry_budgets.waiting(request.service.name):
-            while endpoint is None:
-                await asyncio.sleep(GROUP_POLL_INTERVAL_SECONDS)
-                endpoint = self._find_endpoint(request, endpoints, caller, started_at)
+        while endpoint is None:
+            await asyncio.sleep(GROUP_POLL_INTERVAL_SECONDS)
+            endpoint = self._find_endpoint(request, endpoints, caller, started_at)
         return endpoint
 
     def _find_endpoint(
@@ -250,13 +248,9 @@
 
         Without one it stays: its answer would be cut, though the endpoint may go on.
         """
-        service = request.service.name
         can_leave = retry_policy.can_leave_group(request.route, request.sends)
-        can_migrate = can_leave and endpoints.has_other()
-        if not can_migrate or not self._retry_budgets.has_token(service):
-            return False
-        request.has_token = self._retry_budgets.take_token(service)
-        return request.has_token
+        retries = self._retries(request)
+        return can_leave and endpoints.has_other() and retries.can_reserve() and retries.reserve()
 
     async def _exchange(
         self,
--- a/tests/test_forms_datagrams.py
+++ b/tests/test_forms_datagrams.py
@@ -11,6 +11,7 @@
 from thorncleat_gateway.peers.messages import GroupKept
 from thorncleat_gateway.peers.messages import LimitReport
 from thorncleat_gateway.peers.messages import LoadReport
+from thorncleat_gateway.peers.messages import OwedRetries
 from thorncleat_gateway.peers.messages import Probe
 from thorncleat_gateway.peers.messages import ProbeResult
 from thorncleat_gateway.peers.messages import ReportedCrash
@@ -52,6 +53,12 @@
     "workspaces": WorkspaceLoad("", [WorkspaceCounts("narrator", "large", {"growers": 3, "": 1})]),
     "workspaces of a domain": WorkspaceLoad("riga-a", []),
     "retries": RetryReport(True, False, [RetryUse("narrator", [300, 2], [5, 0])]),
+    "owed retries": RetryReport(
+        True, False, [RetryUse("desk", [9], [1])], [OwedRetries("desk", "w1", 17, 2)]
+    ),
+    "recall of owed retries": RetryRecall(
+        0.25, RetryReport(True, True, [], [OwedRetries("desk", "w1", None, 1)])
+    ),
     "retry query": RetryQuery(),
     "no retries": RetryReport(True, True, []),
     "retry recall": RetryRecall(0.25, RetryReport(False, True, [RetryUse("desk", [1], [1])])),
@@ -83,6 +90,14 @@
     ),
     "workspaces of a domain": "9501a6656467652d31aa776f726b737061636573a6726967612d6190",
     "retries": "9601a6656467652d31a772657472696573c3c29193a86e61727261746f7292cd012c02920500",
+    "owed retries": (
+        "9701a6656467652d31ac6f7765642072657472696573c3c29193a46465736b910991019194a46465"
+        "736ba277311102"
+    ),
+    "recall of owed retries": (
+        "9501a6656467652d31b3726563616c6c206f7765642072657472696573ccfa94c3c3909194a46465"
+        "736ba27731c001"
+    ),
     "retry query": "9301a6656467652d31ab61736b2072657472696573",
     "no retries": ("9601a6656467652d31a772657472696573c3c390"),
     "retry recall": (
@@ -125,6 +140,11 @@
         [1, "edge-1", "suspect", "i-1", 3, "narrator-0"],
         [1, "edge-1", "ended", "3", "narrator-0"],
         [1, "edge-1", "kept", 3, "narrator-0"],
+        [1, "edge-1", "owed retries", True, True, []],
+        [1, "edge-1", "owed retries", True, True, [], [["desk", "w1", 17]]],
+        [1, "edge-1", "owed retries", True, True, [], [["desk", "w1", -1, 2]]],
+        [1, "edge-1", "owed retries", True, True, [], [["desk", "w1", 17, 1001]]],
+        [1, "edge-1", "recall owed retries", 250, [True, True, []]],
         [1, "edge-1", "crash", {}],
         [1, "edge-1", "crash", [["i-1", 7, 500]]],
         [1, "edge-1", "crash", [["i-1", 7, "soon", []]]],
--- a/tests/test_retry_budget_waiting.py
+++ b/tests/test_retry_budget_waiting.py
@@ -61,9 +61,13 @@
             return False
         try:
             endpoints = service_endpoints.of(request, self.daemon.selector)
-            await streams._choose_endpoint(request, endpoints, caller)
+            endpoint = await streams._choose_endpoint(request, endpoints, caller)
         except AnswerAbortedError:
+            request.retries.close()
             return False
+        request.begin_attempt(endpoint)
+        request.record_sent()
+        request.record_answer(endpoint)
         now = self.world.now()
         self.rule.record_repeat(now)
         self.excess = max(self.excess, self.rule.repeats(now) - self.rule.allowed(now))
@@ -140,12 +144,13 @@
 def test_waiting_retry_counts_for_as_long_as_it_waits():
     now = [0.0]
     budgets = _budgets(10.0, now)
-    assert budgets.take_token(SERVICE)
-    with budgets.waiting(SERVICE):
-        now[0] = 2.5 * WINDOW_SECONDS
-        assert budgets.account(SERVICE).retries == 1
-        (use,) = budgets.uses()
-        assert use.retries[0] == 1
+    token = budgets.hold_token(SERVICE)
+    assert token
+    now[0] = 2.5 * WINDOW_SECONDS
+    assert budgets.account(SERVICE).retries == 1
+    (use,) = budgets.uses()
+    assert use.retries[0] == 1
+    token.release()
     now[0] += 0.9 * WINDOW_SECONDS
     assert budgets.account(SERVICE).retries == 1
     now[0] += 0.2 * WINDOW_SECONDS
