Gateway: the whole retry budget at the first start only if no daemon has run before

Cause: `bootstrap` in the settings was taken for a proof. A runner that starts a killed process with the file of its first start gave it the whole ratio at once, and it asked nobody what its predecessor had used.

Change: every process begins as one that may have run before. One whose settings say that it is the first reads the stored records of daemons, and uses the whole at once if there are none. Without an answer of the store, or if others started a moment before, it begins small for a window.

--- a/packages/gateway/src/thorncleat_gateway/gateway.py
+++ b/packages/gateway/src/thorncleat_gateway/gateway.py
@@ -12,6 +12,7 @@
 import typing as t
 
 from . import events
+from .exceptions import StoreError
 from .failures import FailureLog
 from .groups.control_services import ControlDependencies
 from .groups.control_services import ControlServices
@@ -48,6 +49,7 @@
 from .requests.unanswered_attempts import UnansweredAttempts
 from .service import Service
 from .settings import GatewaySettings
+from .store.registration import DAEMONS
 from .store.registration import RELAYS
 from .store.registration import Registration
 from .store.relay_feed import RelayFeed
@@ -141,7 +143,6 @@
             self._clock,
             lambda: self._peers.daemon_count,
             self._has_retry_share,
-            has_predecessor=not self._first_start,
         )
         self._unanswered = UnansweredAttempts(lambda: self.view.roster, self._clock)
         self._retry_reporter = RetryReporter(
@@ -317,6 +318,8 @@
         """
         self._request_services = self._create_request_services()
         frontend = self._request_services.frontend
+        if self._first_start:
+            self.add_future(self._confirm_first_start())
         for service in (
             self.view,
             self._registration,
@@ -378,6 +381,16 @@
             )
         )
 
+    async def _confirm_first_start(self) -> None:
+        """Use the whole retry budget at once if no daemon has run before.
+
+        The settings may be those of an earlier start, so they don't prove that this is the first.
+        Without an answer this daemon begins as after any start.
+        """
+        with contextlib.suppress(StoreError):
+            if not await self._records.list_records(DAEMONS):
+                self._retry_budgets.begin_complete()
+
     async def drain(self, ordered_at: float | None = None) -> None:
         """Finish the running requests before a planned stop.
 
--- a/packages/gateway/src/thorncleat_gateway/requests/retry_budget.py
+++ b/packages/gateway/src/thorncleat_gateway/requests/retry_budget.py
@@ -396,6 +396,10 @@
         uses = [budget.use(service, now) for service, budget in self._budgets.items()]
         return [use for use in uses if any(use.retries) or self._budgets[use.service].owed]
 
+    def begin_complete(self) -> None:
+        """Record that no earlier process has used anything."""
+        self.inherit((), 0.0, had_share=False)
+
     def inherit(self, uses: t.Iterable[RetryUse], age: float, *, had_share: bool) -> None:
         """Count also what the predecessor of this process had used; all of it is known then.
 
