--- a/bench/soaks/gateway.py
+++ b/bench/soaks/gateway.py
@@ -26,6 +26,8 @@
 from . import gateway_odd_entries
 from . import gateway_restores
 from . import gateway_retry_faults
+from . import gateway_stop_faults
+from . import gateway_unbounded_callers
 from . import gateway_upgrade
 from .gateway_callers import Caller
 from .gateway_checks import RequestKind
@@ -175,6 +177,8 @@
 async def _run_last_phases(soak: GatewaySoak, seed: int) -> None:
     """Run the phases that need a site without other faults."""
     site, rng = soak.site, soak.rng
+    await gateway_stop_faults.stop_workers(site, soak.callers, seed)
+    await _recover(soak, "heal-stopped")
     await gateway_retry_faults.decline_while_daemons_restart(site, soak.callers, seed)
     await _recover(soak, "heal-again")
     await gateway_fatal.send_fatal_parts(site, Caller(site, "part", rng))
@@ -196,6 +200,8 @@
     coroutines.append(gateway_odd_entries.inject_odd_entries(soak, seed))
     coroutines.append(gateway_late_bodies.send_late_bodies(soak, seed))
     coroutines.append(gateway_cut_faults.inject_cuts(soak, seed))
+    coroutines.append(gateway_unbounded_callers.send_crowds(soak, seed))
+    coroutines.append(gateway_unbounded_callers.watch_descriptors(soak))
     coroutines.append(gateway_restores.inject_restores(soak, soak.site, seed))
     if older:
         coroutines.append(
--- a/bench/soaks/proxy.py
+++ b/bench/soaks/proxy.py
@@ -12,6 +12,8 @@
 
 CHUNK_BYTES = 65_536
 DEFAULT_DELAY_SECONDS = 0.2
+# Time for the target to read what was held for it.
+READ_SECONDS = 0.05
 # SO_LINGER with a timeout of zero, which makes closing reset the connection.
 LINGER_RESET = struct.pack("ii", 1, 0)
 
@@ -134,18 +136,23 @@
     async def _copy(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, blocking_mode: Mode
     ) -> None:
+        has_held = False
         try:
             while data := await reader.read(CHUNK_BYTES):
                 if self.mode is Mode.DELAY:
                     await asyncio.sleep(self.delay_seconds)
                 if self.mode in (Mode.SILENCE, blocking_mode):
-                    # The chunk is lost only if the connection is reset meanwhile.
+                    # As in a kernel, the chunk is passed on even if the connection is reset.
+                    has_held = True
                     await self._wait_until_passing(blocking_mode)
                 writer.write(data)
                 await writer.drain()
             if writer.can_write_eof():
                 writer.write_eof()
         except ConnectionError:
+            if has_held:
+                # The reader gets what was held before it notices the reset.
+                await asyncio.sleep(READ_SECONDS)
             writer.transport.abort()
 
     async def _wait_until_passing(self, blocking_mode: Mode) -> None:
