Tunnels: a carrier that stood still passes nothing of an abandoned attempt on

Cause: what a daemon sends through another one waits in two kernels. If the carrier stood still, it read the request after the asking daemon had given the attempt up and reset the connection, and passed it on to the endpoint, which ran it beside the retry.

Change: before it passes bytes on, the carrier looks whether the connection that they came by has been reset since; the kernel tells that while the bytes are still unread.

Evidence: test_carrier_that_stood_still_passes_nothing_of_an_abandoned_attempt_on failed before (the endpoint got all four bytes), and passes. What a killed daemon had sent is passed on as before: its connection ends without a reset.

--- a/packages/gateway/src/thorncleat_gateway/socket_options.py
+++ b/packages/gateway/src/thorncleat_gateway/socket_options.py
@@ -18,3 +18,11 @@
     if tcp_socket is not None and not transport.is_closing():
         tcp_socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_RESET)
     transport.abort()
+
+
+def is_reset(transport: asyncio.Transport) -> bool:
+    """Return whether the other side has reset a connection, though bytes of it may be unread."""
+    tcp_socket = transport.get_extra_info("socket")
+    return tcp_socket is not None and bool(
+        tcp_socket.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+    )
--- a/packages/gateway/src/thorncleat_gateway/tunnels/server.py
+++ b/packages/gateway/src/thorncleat_gateway/tunnels/server.py
@@ -14,6 +14,7 @@
 from ..failures import FailureLog
 from ..peers.reach import Reach
 from ..socket_options import abort_with_reset
+from ..socket_options import is_reset
 from ..store.relays import Daemon
 from ..store.roster import Endpoint
 from ..store.roster import Incarnation
@@ -87,7 +88,7 @@
 
     def data_received(self, data: bytes) -> None:
         if self._endpoint is not None and self._endpoint.transport is not None:
-            self._endpoint.transport.write(data)
+            self._pass_on(self._endpoint.transport, data)
             return
         if self._connecting is not None:
             # Nothing may be sent before the tunnel is open, so nothing has to be kept until then.
@@ -104,6 +105,17 @@
         if opening is not None:
             self._begin(opening)
 
+    def _pass_on(self, endpoint: asyncio.Transport, data: bytes) -> None:
+        """Send bytes to the endpoint, but for those of an attempt that was abandoned since.
+
+        They wait in the kernel while this process stands still.
+        """
+        assert self._transport is not None
+        if is_reset(self._transport):
+            self.abort()
+            return
+        endpoint.write(data)
+
     def _begin(self, opening: Opening) -> None:
         """Connect to the endpoint of an opening, or answer why not."""
         assert self._timer is not None
--- a/tests/test_tunnels.py
+++ b/tests/test_tunnels.py
@@ -201,6 +201,23 @@
         assert fleet.losses == 0
 
 
+async def test_carrier_that_stood_still_passes_nothing_of_an_abandoned_attempt_on():
+    """Guards against repeats that wait in the kernel of the daemon that carries them."""
+    received = bytearray()
+
+    async def record(reader, _writer):
+        while data := await reader.read(100):
+            received.extend(data)
+
+    async with Fleet(record) as fleet:
+        caller = await fleet.open()
+        # Neither side of the tunnel runs between these two.
+        caller.transport.write(b"ping")
+        tunnel_server.abort_with_reset(caller.transport)
+        await _within(fleet.endpoint_ended)
+        assert received == b""
+
+
 async def test_end_is_not_seen_while_bytes_are_handled():
     """The HTTP library resumes reading while its parser handles the last bytes."""
 
