--- a/packages/gateway/src/thorncleat_gateway/requests/endpoint_connection.py
+++ b/packages/gateway/src/thorncleat_gateway/requests/endpoint_connection.py
@@ -24,8 +24,8 @@
     """A connection to an endpoint, which handles resets more strictly than the client library.
 
     A reset fails an answer without a length, which the library would take for complete. Closing the
-    connection before the answer is complete drops the unsent data, so that an abandoned attempt
-    doesn't reach the endpoint later.
+    connection before the answer is complete drops the unsent data. What was sent may still reach an
+    endpoint that stands still (:mod:`.unanswered_attempts`).
     """
 
     def connection_lost(self, exc: BaseException | None) -> None:
