Bench: random plays of endpoints that stand still

The listed plays come at fixed times. Random ones vary the stops, the declined share, the kinds of requests, the rate and kills of gateways, with a window of 4 s.

--- a/bench/stopped_endpoints.py
+++ b/bench/stopped_endpoints.py
@@ -3,7 +3,8 @@
 Gateways and endpoints are real processes. What is sent to an endpoint that stands still waits in
 the kernel, and arrives when it goes on, however long that is after it was sent.
 
-``bin/bench stopped_endpoints [--only=NAME] [--older=CHECKOUT]`` prints a row for each play.
+``bin/bench stopped_endpoints [--only=NAME] [--older=CHECKOUT]`` prints a row for each play, and
+``--seed=N --seeds=M`` a row for each of some random ones.
 
 Owns: the site of each play.
 Relies on: :mod:`.retry_rule` for the rule, and the processes of the gateway's soaks.
@@ -398,14 +399,41 @@
 )
 
 
-def main(only: str = "", older: str = "", logs: str = "") -> None:
+def random_play(seed: int) -> Play:
+    """Return a short play with random stops, declines and kills."""
+    rng = random.Random(seed)
+    stops = tuple(
+        Stop(at, rng.uniform(0.5, 5.0), rng.choice((0.5, 1.0)))
+        for at in rng.sample((1.0, 7.0, 13.0), rng.randint(1, 3))
+    )
+    last_end = max(stop.at + stop.seconds for stop in stops)
+    return Play(
+        f"seed-{seed}",
+        kind=rng.choice(("idempotent", "streaming")),
+        daemons=4,
+        workers=rng.choice((3, 6)),
+        rate=rng.choice((10, 60)),
+        window=4.0,
+        extra=60,
+        stops=stops,
+        declined_from=rng.uniform(0.0, last_end),
+        declined_share=rng.uniform(0.3, 0.9),
+        kills=tuple(rng.uniform(0.0, last_end) for _ in range(rng.choice((0, 0, 1)))),
+        target_ms=rng.choice((200, 500)),
+    )
+
+
+def main(only: str = "", older: str = "", logs: str = "", seed: int = 1, seeds: int = 0) -> None:
     """Print a row for each play.
 
     :param only: the name of one play; all if empty.
+    :param seed: the first seed of random plays.
+    :param seeds: how many random plays there are in place of the listed ones.
     :param older: checkout of another build to play with; empty for this one.
     :param logs: directory for settings and logs; a temporary one if empty.
     """
-    for play in PLAYS:
+    plays = [random_play(number) for number in range(seed, seed + seeds)] or PLAYS
+    for play in plays:
         if only not in ("", play.name):
             continue
         with tempfile.TemporaryDirectory(prefix="thorncleat-bench-") as temporary:
