--- a/packages/gateway/src/thorncleat_gateway/requests/forwarder.py
+++ b/packages/gateway/src/thorncleat_gateway/requests/forwarder.py
@@ -35,7 +35,7 @@
     :param overload_control: None to admit all requests.
     :param answers: the memory for endpoints' answers; None for a budget of its own.
     :param stop_window: the time that a planned stop leaves; None for no stop.
-    :param unanswered: the attempts that may still arrive; None to keep none of others.
+    :param unanswered: the attempts that may still arrive; None for an account of its own.
     """
 
     def __init__(
