Answers: the class of connections that reads them has a module of its own

The class stood beside the bounds of bodies, and the private attribute by which a connector of the library gets it was set in two places. No behaviour changes but one: a head with a status below 100 counts as an interim one, as whose it was never used. test_bounded_answers, test_endless_answers, test_connection_pool pass.

--- /dev/null
+++ b/packages/core/src/thorncleat_core/answer_connection.py
@@ -0,0 +1,81 @@
+"""The class of connections on which answers of other processes are read.
+
+Owns: nothing; a connector of the client library owns its connections.
+Relies on: aiohttp, which bounds the size of a head and holds few bytes of a body that isn't read.
+"""
+
+import asyncio
+import functools
+import typing as t
+
+import aiohttp
+from aiohttp.client_proto import ResponseHandler
+from aiohttp.http import RawResponseMessage
+from aiohttp.streams import StreamReader
+
+# Heads with a status of 100 to 199 that may come before an answer.
+MAX_INTERIM_HEADS = 16
+MIN_FINAL_STATUS = 200
+
+
+class TooManyHeadsError(aiohttp.ClientPayloadError):
+    """Interim heads come again and again in place of an answer."""
+
+    def __init__(self) -> None:
+        super().__init__(f"more than {MAX_INTERIM_HEADS} interim heads")
+
+
+class AnswerConnection(ResponseHandler):
+    """A connection of the client library that accepts a few interim heads before an answer."""
+
+    _interim_heads = 0
+    _has_failed = False
+
+    def set_response_params(self, **parameters: t.Any) -> None:
+        """Prepare for the answer to a request that is about to be sent."""
+        self._interim_heads = 0
+        super().set_response_params(**parameters)
+
+    def feed_data(self, data: tuple[RawResponseMessage, StreamReader], size: int = 0) -> None:
+        """Take a head; close the connection if too many interim ones came.
+
+        The library calls this for each head, before it looks at it.
+        """
+        if self._has_failed:
+            return
+        message, _ = data
+        try:
+            self._count_interim_head(message)
+        except TooManyHeadsError as error:
+            self._has_failed = True
+            self.set_exception(error)
+            if self.transport is not None:
+                self.transport.abort()
+            return
+        super().feed_data(data, size)
+
+    def _count_interim_head(self, message: RawResponseMessage) -> None:
+        """Count a head that comes before the answer's.
+
+        :raises TooManyHeadsError: if there were too many.
+        """
+        if message.code >= MIN_FINAL_STATUS:
+            return
+        self._interim_heads += 1
+        if self._interim_heads > MAX_INTERIM_HEADS:
+            raise TooManyHeadsError
+
+
+def use_connections(
+    connector: aiohttp.TCPConnector, factory: t.Callable[[], AnswerConnection] | None = None
+) -> aiohttp.TCPConnector:
+    """Have a connector read answers on connections of this class; return it.
+
+    It must be called in the event loop that uses the connector.
+
+    :param factory: creates connections of a subclass; None for :class:`AnswerConnection`.
+    """
+    factory = factory or functools.partial(AnswerConnection, asyncio.get_running_loop())
+    # The library has no public way to choose the class of connections.
+    connector._factory = t.cast(functools.partial[ResponseHandler], factory)
+    return connector
--- a/packages/gateway/src/thorncleat_gateway/http_session.py
+++ b/packages/gateway/src/thorncleat_gateway/http_session.py
@@ -7,14 +7,9 @@
 Relies on: aiohttp, which retries an idempotent call if a pooled connection turns out to be closed.
 """
 
-import asyncio
-import functools
-import typing as t
-
 import aiohttp
-from aiohttp.client_proto import ResponseHandler
 
-from thorncleat_core.bounded_answers import BoundedConnection
+from thorncleat_core.answer_connection import use_connections
 
 
 class LazySession:
@@ -34,10 +29,7 @@
             connector = aiohttp.TCPConnector(
                 limit=0, force_close=not self._keep_connections, happy_eyeballs_delay=None
             )
-            factory = functools.partial(BoundedConnection, asyncio.get_running_loop())
-            # The library has no public way to choose the class of connections.
-            connector._factory = t.cast(functools.partial[ResponseHandler], factory)
-            self._session = aiohttp.ClientSession(connector=connector)
+            self._session = aiohttp.ClientSession(connector=use_connections(connector))
         return self._session
 
     async def close(self) -> None:
--- a/packages/gateway/src/thorncleat_gateway/requests/endpoint_client.py
+++ b/packages/gateway/src/thorncleat_gateway/requests/endpoint_client.py
@@ -13,7 +13,7 @@
 import aiohttp
 from yarl import URL
 
-from thorncleat_core.bounded_answers import TooManyHeadsError
+from thorncleat_core.answer_connection import TooManyHeadsError
 from thorncleat_core.single_send import is_connection_lost
 
 from ..exceptions import AttemptError
--- a/packages/gateway/src/thorncleat_gateway/requests/endpoint_connection.py
+++ b/packages/gateway/src/thorncleat_gateway/requests/endpoint_connection.py
@@ -4,13 +4,12 @@
 Relies on: aiohttp's class of connections, whose handling of resets it makes stricter.
 """
 
-import functools
 import typing as t
 
 import aiohttp
-from aiohttp.client_proto import ResponseHandler
 
-from thorncleat_core.bounded_answers import BoundedConnection
+from thorncleat_core.answer_connection import AnswerConnection
+from thorncleat_core.answer_connection import use_connections
 from thorncleat_core.single_send import prevent_resend
 
 from ..socket_options import abort_with_reset
@@ -20,7 +19,7 @@
 SKIPPED_HEADERS = ("Accept", "Accept-Encoding", "User-Agent", "Content-Type")
 
 
-class EndpointConnection(BoundedConnection):
+class EndpointConnection(AnswerConnection):
     """A connection to an endpoint, which handles resets more strictly than the client library.
 
     A reset fails an answer without a length, which the library would take for complete. Closing the
@@ -58,10 +57,8 @@
 
     :param factory: creates the connections.
     """
-    # The library has no public way to choose the class of connections.
-    connector._factory = t.cast(functools.partial[ResponseHandler], factory)
     return aiohttp.ClientSession(
-        connector=connector,
+        connector=use_connections(connector, factory),
         auto_decompress=False,
         skip_auto_headers=SKIPPED_HEADERS,
         middlewares=(prevent_resend,),
--- a/tests/test_bounded_answers.py
+++ b/tests/test_bounded_answers.py
@@ -5,9 +5,9 @@
 import aiohttp
 import pytest
 
-from thorncleat_core.bounded_answers import MAX_INTERIM_HEADS
+from thorncleat_core.answer_connection import MAX_INTERIM_HEADS
+from thorncleat_core.answer_connection import TooManyHeadsError
 from thorncleat_core.bounded_answers import AnswerTooLargeError
-from thorncleat_core.bounded_answers import TooManyHeadsError
 from thorncleat_core.bounded_answers import read_body
 from thorncleat_gateway.http_session import LazySession
 
