Answers: a head whose status line is none in HTTP reaches nobody

What callers saw: an endpoint's answer with status 000 came to them as "HTTP/1.1 0 " with the endpoint's stamp and body, and was logged as request_done, status 0. The same with 001, 099, 600, 999, and 101 though nobody asked for another protocol. What such a head said of its endpoint was believed: "not run" had a request that may run once sent again, a limit of 0 or "leaving" took the endpoint out.

Cause: aiohttp parses answers leniently and passes on any three digits; the first who looked at the status was the comparison with single ones that each reader knows. The version and the reason phrase were looked at by nobody (HTTP/0.9, HTTP/2.0; 1.7 with the parser in Python; control bytes).

Change: AnswerConnection.feed_data sees each head before the library's response does, for endpoints, kept connections, tunnels, engines, the store and relays. thorncleat_core.answer_heads decides there whether it is an answer's.

Ruled out: Python's development mode, the only switch of the library, is a switch of the whole process; comparing statuses in each reader leaves the next reader to forget it.

Evidence: tests/test_broken_answers.py writes raw bytes and reads raw bytes, with aiohttp's parsers in C and in Python, on routes that may run once, repeatable ones, plain streams and groups.

--- a/packages/core/src/thorncleat_core/answer_connection.py
+++ b/packages/core/src/thorncleat_core/answer_connection.py
@@ -1,7 +1,8 @@
 """The class of connections on which answers of other processes are read.
 
 Owns: nothing; a connector of the client library owns its connections.
-Relies on: aiohttp, which bounds the size of a head and holds few bytes of a body that isn't read.
+Relies on: :mod:`.answer_heads` to tell answers from other bytes, and on aiohttp, which bounds the
+size of a head and holds few bytes of a body that isn't read.
 """
 
 import asyncio
@@ -10,9 +11,13 @@
 
 import aiohttp
 from aiohttp.client_proto import ResponseHandler
+from aiohttp.http import HttpProcessingError
 from aiohttp.http import RawResponseMessage
 from aiohttp.streams import StreamReader
 
+from .answer_heads import BrokenAnswerError
+from .answer_heads import check_head
+
 # Heads with a status of 100 to 199 that may come before an answer.
 MAX_INTERIM_HEADS = 16
 MIN_FINAL_STATUS = 200
@@ -26,7 +31,10 @@
 
 
 class AnswerConnection(ResponseHandler):
-    """A connection of the client library that accepts a few interim heads before an answer."""
+    """A connection of the client library that takes no head that isn't an answer's.
+
+    Nothing of such a head reaches the library's response, so nobody can believe it.
+    """
 
     _interim_heads = 0
     _has_failed = False
@@ -37,7 +45,7 @@
         super().set_response_params(**parameters)
 
     def feed_data(self, data: tuple[RawResponseMessage, StreamReader], size: int = 0) -> None:
-        """Take a head; close the connection if too many interim ones came.
+        """Take a head; close the connection if it isn't an answer's, or one interim head too many.
 
         The library calls this for each head, before it looks at it.
         """
@@ -45,8 +53,9 @@
             return
         message, _ = data
         try:
+            check_head(message)
             self._count_interim_head(message)
-        except TooManyHeadsError as error:
+        except (BrokenAnswerError, TooManyHeadsError) as error:
             self._has_failed = True
             self.set_exception(error)
             if self.transport is not None:
@@ -54,6 +63,12 @@
             return
         super().feed_data(data, size)
 
+    def set_exception(self, exc: BaseException, *cause: BaseException) -> None:
+        """Fail the answer; bytes that the library's parser refuses are a broken answer too."""
+        if isinstance(exc, HttpProcessingError):
+            exc = BrokenAnswerError.from_parser(exc)
+        super().set_exception(exc, *cause)
+
     def _count_interim_head(self, message: RawResponseMessage) -> None:
         """Count a head that comes before the answer's.
 
--- /dev/null
+++ b/packages/core/src/thorncleat_core/answer_heads.py
@@ -0,0 +1,67 @@
+"""Decides whether the head of an HTTP answer is one in the protocol.
+
+aiohttp reads answers leniently, and its parser in C takes other heads than its parser in Python.
+What a process in trouble writes may then look like an answer whose status, length or own headers
+mean nothing. Each reader of answers checks heads here before it believes or keeps anything of them.
+
+Two oddities pass, since both parsers take them in one way and RFC 9112 allows it: lines that end
+with LF alone (section 2.2), and a folded value, which arrives as one line (section 5.2).
+
+Owns: nothing.
+Relies on: aiohttp to split a head into its parts, and to refuse what it can't split.
+"""
+
+import re
+
+import aiohttp
+from aiohttp import HttpVersion10
+from aiohttp import HttpVersion11
+from aiohttp.http import HttpProcessingError
+from aiohttp.http import RawResponseMessage
+
+MIN_STATUS = 100
+MAX_STATUS = 599
+SWITCHING_PROTOCOLS = 101  # HTTP status
+VERSIONS = (HttpVersion10, HttpVersion11)
+# Longest part of what an endpoint sent in a reason.
+MAX_SHOWN = 40
+
+# Control characters other than tab, which no reason phrase contains.
+_CONTROL_CHARACTER = re.compile("[\x00-\x08\x0a-\x1f\x7f]")
+
+
+class BrokenAnswerError(aiohttp.ClientPayloadError):
+    """What was received is no answer in HTTP; nothing of it means anything.
+
+    :param reason: what is wrong with it, for the log.
+    """
+
+    def __init__(self, reason: str) -> None:
+        super().__init__(f"no answer in HTTP: {reason}")
+        self.reason = reason
+
+    @classmethod
+    def from_parser(cls, error: HttpProcessingError) -> "BrokenAnswerError":
+        """Return the error for bytes that the library's parser refused."""
+        first_line = error.message.partition("\n")[0].strip(": \r")
+        return cls(first_line[:MAX_SHOWN] or "refused by the parser")
+
+
+def check_head(message: RawResponseMessage) -> None:
+    """Check that a head is one of an answer, or an interim one.
+
+    :raises BrokenAnswerError: if it isn't.
+    """
+    _check_status_line(message)
+
+
+def _check_status_line(message: RawResponseMessage) -> None:
+    if message.version not in VERSIONS:
+        raise BrokenAnswerError(f"version {message.version.major}.{message.version.minor}")
+    if not MIN_STATUS <= message.code <= MAX_STATUS:
+        raise BrokenAnswerError(f"status {message.code:03}")
+    if message.code == SWITCHING_PROTOCOLS:
+        # No request asks for another protocol.
+        raise BrokenAnswerError(f"status {message.code}")
+    if _CONTROL_CHARACTER.search(message.reason) is not None:
+        raise BrokenAnswerError(f"reason phrase {message.reason[:MAX_SHOWN]!r}")
--- a/packages/gateway/src/thorncleat_gateway/exceptions.py
+++ b/packages/gateway/src/thorncleat_gateway/exceptions.py
@@ -109,7 +109,8 @@
     :param is_own_fault: whether the attempt says nothing of the endpoint, since this daemon reaches
         none, or the time was over before a connection was up.
     :param is_hopeless: whether there is no way to any endpoint, so that no further attempt helps.
-    :param is_unbounded: whether the endpoint sent more than any sound answer has.
+    :param is_unsound: whether the endpoint sent what no sound endpoint does: bytes that are no
+        answer in the protocol, or more of them than any answer has.
     """
 
     def __init__(
@@ -120,7 +121,7 @@
         sent: bool = True,
         is_own_fault: bool = False,
         is_hopeless: bool = False,
-        is_unbounded: bool = False,
+        is_unsound: bool = False,
         broken: ConnectionBreak | None = None,
         retry_after: float | None = None,
     ) -> None:
@@ -130,7 +131,7 @@
         self.sent = sent
         self.is_own_fault = is_own_fault
         self.is_hopeless = is_hopeless
-        self.is_unbounded = is_unbounded
+        self.is_unsound = is_unsound
         self.broken = broken
         self.retry_after = retry_after
 
--- a/packages/gateway/src/thorncleat_gateway/requests/endpoint_client.py
+++ b/packages/gateway/src/thorncleat_gateway/requests/endpoint_client.py
@@ -14,6 +14,7 @@
 from yarl import URL
 
 from thorncleat_core.answer_connection import TooManyHeadsError
+from thorncleat_core.answer_heads import BrokenAnswerError
 from thorncleat_core.single_send import is_connection_lost
 
 from ..exceptions import AttemptError
@@ -35,6 +36,7 @@
 from .endpoint_limits import EndpointLimits
 from .endpoint_notices import EndpointNotices
 from .evacuations import Evacuations
+from .exchange import BROKEN
 from .exchange import MAX_ANSWER_BYTES
 from .exchange import MIXED
 from .exchange import Exchange
@@ -317,12 +319,14 @@
 
 def _unanswered_error(path: AttemptPath, error: Exception) -> AttemptError:
     """Return the error of an attempt that was sent and got no head of an answer."""
-    is_broken = is_connection_lost(error) and not path.is_carrier_lost
+    if isinstance(error, BrokenAnswerError):
+        return AttemptError(f"{BROKEN}: {error.reason}", Executed.MAYBE, is_unsound=True)
+    is_lost = is_connection_lost(error) and not path.is_carrier_lost
     return AttemptError(
         f"no answer: {type(error).__name__}",
         Executed.MAYBE,
-        broken=ConnectionBreak.BEFORE_HEAD if is_broken else None,
-        is_unbounded=isinstance(error, TooManyHeadsError),
+        broken=ConnectionBreak.BEFORE_HEAD if is_lost else None,
+        is_unsound=isinstance(error, TooManyHeadsError),
     )
 
 
--- a/packages/gateway/src/thorncleat_gateway/requests/exchange.py
+++ b/packages/gateway/src/thorncleat_gateway/requests/exchange.py
@@ -24,6 +24,7 @@
 # Logged causes of failed attempts.
 TOO_LARGE = "too large an answer"
 MIXED = "answer of another request"
+BROKEN = "broken answer"
 # Answers with this status or a higher one mean that the endpoint failed.
 MIN_FAILURE_STATUS = 500
 
@@ -127,7 +128,7 @@
 
 def too_large() -> AttemptError:
     """Return the error of an attempt whose answer is larger than it may be."""
-    return AttemptError(TOO_LARGE, Executed.MAYBE, is_unbounded=True)
+    return AttemptError(TOO_LARGE, Executed.MAYBE, is_unsound=True)
 
 
 def _cut_error(error: Exception, path: AttemptPath) -> AttemptError:
--- a/packages/gateway/src/thorncleat_gateway/requests/plain.py
+++ b/packages/gateway/src/thorncleat_gateway/requests/plain.py
@@ -80,7 +80,7 @@
             except AttemptError as error:
                 failure = error
                 self._selector.record_result(endpoint, succeeded=False)
-                if failure.is_unbounded or (not failure.sent and not failure.is_own_fault):
+                if failure.is_unsound or (not failure.sent and not failure.is_own_fault):
                     self._selector.avoid(endpoint)
             self._record_failure(request, endpoint, failure)
             if caller.has_begun:
--- a/packages/gateway/src/thorncleat_gateway/requests/streams.py
+++ b/packages/gateway/src/thorncleat_gateway/requests/streams.py
@@ -123,7 +123,7 @@
         if failure.is_own_fault:
             # The failure says nothing of the endpoint.
             pass
-        elif failure.is_unbounded:
+        elif failure.is_unsound:
             self._selector.avoid(endpoint)
         elif not failure.sent:
             self._selector.avoid(endpoint)
--- /dev/null
+++ b/tests/test_broken_answers.py
@@ -0,0 +1,209 @@
+"""Endpoints whose bytes are no answer in HTTP, with real sockets and raw callers.
+
+A caller that got such an answer took a status, a length or a body for the endpoint's own that meant
+nothing, or got no byte at all.
+"""
+
+import pytest
+
+from thorncleat_core import log_events
+from thorncleat_gateway import events as gateway_events
+from thorncleat_standins.raw_answers import BODY
+from thorncleat_standins.raw_answers import BROKEN_BODIES
+from thorncleat_standins.raw_answers import BROKEN_STATUS_LINES
+from thorncleat_standins.raw_answers import ODD_ANSWERS
+from thorncleat_standins.raw_answers import PARSERS_DIFFER
+from thorncleat_standins.raw_answers import RawWorker
+
+from .raw_answers import PARSERS
+from .raw_answers import call_raw
+from .raw_answers import choose_parser
+from .test_gateway import _route
+from .test_gateway import configuration
+from .test_gateway import events
+from .test_gateway import site
+
+MAX_REQUESTS = 60
+LATER_REQUESTS = 6
+ALL_EVENTS = events(1, 2, 3, 4, 5)
+BAD_GATEWAY = b"HTTP/1.1 502 Bad Gateway"
+SERVED = b"HTTP/1.1 200 OK"
+GROUPS = {
+    "status lines": BROKEN_STATUS_LINES,
+    "bodies": BROKEN_BODIES,
+}
+EACH_GROUP = pytest.mark.parametrize("group", GROUPS)
+# One of each kind; those that only one parser took stand for that one.
+TYPICAL = {
+    "status 000": BROKEN_STATUS_LINES,
+    "status 101": BROKEN_STATUS_LINES,
+    "empty size": BROKEN_BODIES,
+}
+EACH_TYPICAL = pytest.mark.parametrize("form", TYPICAL)
+EACH_TYPICAL_HEAD = pytest.mark.parametrize(
+    "form", [form for form, group in TYPICAL.items() if group is not BROKEN_BODIES]
+)
+
+
+@pytest.fixture(params=PARSERS, autouse=True)
+def parser(request, monkeypatch):
+    choose_parser(monkeypatch, request.param)
+
+
+async def _configure_stream_route(cluster) -> None:
+    """Add a route whose streams plain endpoints answer."""
+    changed = configuration(2)
+    changed["routes"].append(
+        _route("brief", "/brief/", "streaming", "desk", resumable=True, max_attempts=2)
+    )
+    for worker in cluster.workers:
+        worker.streams = True
+    cluster.store.write("op/config", changed)
+    await cluster.until(lambda: cluster.gateway.view.configuration.version == 2)
+
+
+async def _call_until_met(cluster, worker, path, *lines):
+    """Send requests until a worker has given its raw answer; return what the callers got."""
+    received = []
+    for number in range(MAX_REQUESTS):
+        received.append(await call_raw(cluster, path, f"r{number}", *lines))
+        if worker.raw_count:
+            return received
+    pytest.fail("the worker got no requests")
+
+
+@EACH_GROUP
+async def test_request_that_may_run_once_fails(tmp_path, group):
+    async with site(tmp_path, domains=0, desks=1, kind=RawWorker) as cluster:
+        (worker,) = cluster.workers
+        passed_on = {}
+        for number, (form, worker.raw_answer) in enumerate(GROUPS[group].items()):
+            received = await call_raw(cluster, "/status/x", f"r{number}")
+            if received.status_line != BAD_GATEWAY or b"stamp-" in received.data:
+                passed_on[form] = received.data
+        assert not passed_on
+        assert worker.raw_count == len(worker.runs) == len(GROUPS[group])
+
+
+@EACH_GROUP
+async def test_stream_of_a_plain_endpoint_fails(tmp_path, group):
+    """Nothing of a stream is passed on before its first event is whole."""
+    async with site(tmp_path, domains=0, desks=1, kind=RawWorker) as cluster:
+        await _configure_stream_route(cluster)
+        (worker,) = cluster.workers
+        passed_on = {}
+        for number, (form, worker.raw_answer) in enumerate(GROUPS[group].items()):
+            received = await call_raw(cluster, "/brief/x", f"r{number}")
+            is_cut = group == "bodies" and not received.data.endswith(b"\r\n0\r\n\r\n")
+            if received.status_line != BAD_GATEWAY and not is_cut:
+                passed_on[form] = received.data
+        assert not passed_on
+
+
+@EACH_TYPICAL
+async def test_repeatable_request_is_served_elsewhere(tmp_path, form):
+    async with site(tmp_path, domains=0, desks=3, kind=RawWorker) as cluster:
+        worker = cluster.workers[0]
+        worker.raw_answer = TYPICAL[form][form]
+        received = await _call_until_met(cluster, worker, "/ack/x")
+        assert {one.status_line for one in received} == {SERVED}
+        assert not any(worker.id.encode() in one.data for one in received)
+
+
+@EACH_TYPICAL
+async def test_stream_of_a_plain_endpoint_is_served_elsewhere(tmp_path, form):
+    async with site(tmp_path, domains=0, desks=3, kind=RawWorker) as cluster:
+        await _configure_stream_route(cluster)
+        worker = cluster.workers[0]
+        worker.raw_answer = TYPICAL[form][form]
+        received = await _call_until_met(cluster, worker, "/brief/x")
+        assert {(one.status_line, one.body) for one in received} == {(SERVED, ALL_EVENTS)}
+
+
+@EACH_TYPICAL
+async def test_stream_of_a_group_is_served_elsewhere(tmp_path, form):
+    """The group isn't taken for dead: what it sends shows that its leader lives."""
+    async with site(tmp_path, desks=0, kind=RawWorker) as cluster:
+        leader, other = (worker for worker in cluster.workers if worker.is_serving_leader)
+        leader.raw_answer = TYPICAL[form][form]
+        received = await _call_until_met(cluster, leader, "/chat/x", "X-Thorncleat-Model: large")
+        assert {(one.status_line, one.body) for one in received} == {(SERVED, ALL_EVENTS)}
+        assert not any(leader.id.encode() in one.data for one in received)
+        assert leader.is_serving_leader
+        assert other.is_serving_leader
+
+
+@EACH_TYPICAL
+async def test_endpoint_is_avoided(tmp_path, form):
+    """One that fails at once is free again at once, and would draw the most requests."""
+    async with site(tmp_path, domains=0, desks=3, kind=RawWorker) as cluster:
+        worker = cluster.workers[0]
+        worker.raw_answer = TYPICAL[form][form]
+        await _call_until_met(cluster, worker, "/status/x")
+        before = worker.raw_count
+        for number in range(LATER_REQUESTS):
+            received = await call_raw(cluster, "/status/x", f"later{number}")
+            assert received.status_line == SERVED
+        assert worker.raw_count == before
+
+
+@EACH_TYPICAL_HEAD
+@pytest.mark.parametrize(
+    "line",
+    [
+        b"X-Thorncleat-Not-Executed: 1\r\n",
+        b"Server-Limit: 0\r\n",
+        b"Server-Leaving: 1\r\n",
+        b"X-Thorncleat-Cold-Ms: 60000\r\n",
+    ],
+    ids=["not run", "limit", "leaving", "cold"],
+)
+async def test_what_it_says_of_its_endpoint_is_not_believed(tmp_path, form, line):
+    """A request that may run once was sent again, or a service refused everything for a time."""
+    async with site(tmp_path, domains=0, desks=1, kind=RawWorker) as cluster:
+        (worker,) = cluster.workers
+        worker.raw_answer, worker.raw_lines = TYPICAL[form][form], line
+        received = await call_raw(cluster, "/status/x", "r1")
+        assert received.status_line == BAD_GATEWAY
+        assert len(worker.runs) == 1
+        worker.raw_answer = None
+        for number in range(LATER_REQUESTS):
+            received = await call_raw(cluster, "/status/x", f"later{number}")
+            assert received.status_line == SERVED
+
+
+@EACH_TYPICAL
+async def test_log_and_metric_name_the_cause(tmp_path, form, monkeypatch):
+    logged = []
+    observe = lambda event, fields: logged.append((event, fields))  # noqa: E731
+    monkeypatch.setattr(log_events, "_observers", [*log_events._observers, observe])
+    async with site(tmp_path, domains=0, desks=1, kind=RawWorker) as cluster:
+        (worker,) = cluster.workers
+        worker.raw_answer = TYPICAL[form][form]
+        await call_raw(cluster, "/status/x")
+        causes = [f["cause"] for event, f in logged if event is gateway_events.REQUEST_MOVED]
+        assert [cause.partition(":")[0] for cause in causes] == ["broken answer"]
+
+
+async def test_odd_answers_are_passed_on_whole(tmp_path):
+    """What is no answer must not be looked for in what is one."""
+    async with site(tmp_path, domains=0, desks=1, kind=RawWorker) as cluster:
+        (worker,) = cluster.workers
+        refused = {}
+        for number, (form, worker.raw_answer) in enumerate(ODD_ANSWERS.items()):
+            received = await call_raw(cluster, "/status/x", f"r{number}")
+            if (received.status_line, received.body) != (SERVED, BODY):
+                refused[form] = received.data
+        assert not refused
+
+
+async def test_answers_that_parsers_take_differently_are_whole_or_fail(tmp_path):
+    async with site(tmp_path, domains=0, desks=1, kind=RawWorker) as cluster:
+        (worker,) = cluster.workers
+        broken = {}
+        for number, (form, worker.raw_answer) in enumerate(PARSERS_DIFFER.items()):
+            received = await call_raw(cluster, "/status/x", f"r{number}")
+            is_whole = (received.status_line, received.body) == (SERVED, BODY)
+            if not is_whole and received.status_line != BAD_GATEWAY:
+                broken[form] = received.data
+        assert not broken
