Answers: a field name with a blank before the colon is no answer

What callers saw: "Transfer-Encoding : chunked" came to them as the endpoint wrote it, beside a Content-Length of our own and a body that isn't in chunks; a client or proxy that trims the blank reads another body, or the next answer out of it. "Connection : close" and "Content-Length : 123" likewise.

Cause: aiohttp's parser in C knows these three names while it reads them and, being lenient, accepts a blank behind them; the name reaches us with it, so it is neither removed as a header of one connection nor as one that we state. The parser in Python refuses such names, as both do all other odd names.

Change: a name must be a token (RFC 9110, 5.1), as the parser passes it on.

Held already, now with a test for both parsers: tab before the colon, blank, tab, control byte, NUL, DEL, byte above 0x7f and delimiter in a name, an empty name, no colon.

--- a/packages/core/src/thorncleat_core/answer_heads.py
+++ b/packages/core/src/thorncleat_core/answer_heads.py
@@ -26,6 +26,7 @@
 # Longest part of what an endpoint sent in a reason.
 MAX_SHOWN = 40
 
+_NAME = re.compile(rb"[0-9A-Za-z!#$%&'*+.^_`|~-]+")
 # Control characters other than tab, which no reason phrase contains.
 _CONTROL_CHARACTER = re.compile("[\x00-\x08\x0a-\x1f\x7f]")
 
@@ -53,6 +54,9 @@
     :raises BrokenAnswerError: if it isn't.
     """
     _check_status_line(message)
+    for name, _ in message.raw_headers:
+        if _NAME.fullmatch(name) is None:
+            raise BrokenAnswerError(f"field name {_shown(name)}")
 
 
 def _check_status_line(message: RawResponseMessage) -> None:
@@ -65,3 +69,8 @@
         raise BrokenAnswerError(f"status {message.code}")
     if _CONTROL_CHARACTER.search(message.reason) is not None:
         raise BrokenAnswerError(f"reason phrase {message.reason[:MAX_SHOWN]!r}")
+
+
+def _shown(data: bytes) -> str:
+    """Return the begin of some bytes as it is shown in a reason."""
+    return repr(data[:MAX_SHOWN].decode("latin-1"))
--- a/tests/test_broken_answers.py
+++ b/tests/test_broken_answers.py
@@ -10,6 +10,7 @@
 from thorncleat_gateway import events as gateway_events
 from thorncleat_standins.raw_answers import BODY
 from thorncleat_standins.raw_answers import BROKEN_BODIES
+from thorncleat_standins.raw_answers import BROKEN_NAMES
 from thorncleat_standins.raw_answers import BROKEN_STATUS_LINES
 from thorncleat_standins.raw_answers import ODD_ANSWERS
 from thorncleat_standins.raw_answers import PARSERS_DIFFER
@@ -30,6 +31,7 @@
 SERVED = b"HTTP/1.1 200 OK"
 GROUPS = {
     "status lines": BROKEN_STATUS_LINES,
+    "names": BROKEN_NAMES,
     "bodies": BROKEN_BODIES,
 }
 EACH_GROUP = pytest.mark.parametrize("group", GROUPS)
@@ -37,6 +39,8 @@
 TYPICAL = {
     "status 000": BROKEN_STATUS_LINES,
     "status 101": BROKEN_STATUS_LINES,
+    "Connection, blank": BROKEN_NAMES,
+    "Transfer-Encoding, blank": BROKEN_NAMES,
     "empty size": BROKEN_BODIES,
 }
 EACH_TYPICAL = pytest.mark.parametrize("form", TYPICAL)
