Answers: a control byte in a value is no answer

What callers saw: no byte at all, and a closed connection, if a value of an endpoint's head held a byte from 0x01 to 0x1f (but tab, CR, LF) or 0x7f; request_done wasn't logged, 7004 "a background task failed" was. Two sound endpoints stood by.

Cause: both parsers accept these bytes; the library refuses to write them when the head goes to the caller, which is too late for a retry.

Change: such a value fails the attempt (RFC 9110, 5.5) before anything of the head is believed.

Held already, now with a test: NUL and CR in a value.

--- a/packages/core/src/thorncleat_core/answer_heads.py
+++ b/packages/core/src/thorncleat_core/answer_heads.py
@@ -27,7 +27,8 @@
 MAX_SHOWN = 40
 
 _NAME = re.compile(rb"[0-9A-Za-z!#$%&'*+.^_`|~-]+")
-# Control characters other than tab, which no reason phrase contains.
+# Control characters other than tab, which no value or reason phrase contains.
+_CONTROL_BYTE = re.compile(rb"[\x00-\x08\x0a-\x1f\x7f]")
 _CONTROL_CHARACTER = re.compile("[\x00-\x08\x0a-\x1f\x7f]")
 
 
@@ -54,9 +55,11 @@
     :raises BrokenAnswerError: if it isn't.
     """
     _check_status_line(message)
-    for name, _ in message.raw_headers:
+    for name, value in message.raw_headers:
         if _NAME.fullmatch(name) is None:
             raise BrokenAnswerError(f"field name {_shown(name)}")
+        if _CONTROL_BYTE.search(value) is not None:
+            raise BrokenAnswerError(f"value {_shown(value)} of {_shown(name)}")
 
 
 def _check_status_line(message: RawResponseMessage) -> None:
--- a/tests/test_broken_answers.py
+++ b/tests/test_broken_answers.py
@@ -12,6 +12,7 @@
 from thorncleat_standins.raw_answers import BROKEN_BODIES
 from thorncleat_standins.raw_answers import BROKEN_NAMES
 from thorncleat_standins.raw_answers import BROKEN_STATUS_LINES
+from thorncleat_standins.raw_answers import BROKEN_VALUES
 from thorncleat_standins.raw_answers import ODD_ANSWERS
 from thorncleat_standins.raw_answers import PARSERS_DIFFER
 from thorncleat_standins.raw_answers import RawWorker
@@ -32,6 +33,7 @@
 GROUPS = {
     "status lines": BROKEN_STATUS_LINES,
     "names": BROKEN_NAMES,
+    "values": BROKEN_VALUES,
     "bodies": BROKEN_BODIES,
 }
 EACH_GROUP = pytest.mark.parametrize("group", GROUPS)
@@ -41,6 +43,7 @@
     "status 101": BROKEN_STATUS_LINES,
     "Connection, blank": BROKEN_NAMES,
     "Transfer-Encoding, blank": BROKEN_NAMES,
+    "control byte in a value": BROKEN_VALUES,
     "empty size": BROKEN_BODIES,
 }
 EACH_TYPICAL = pytest.mark.parametrize("form", TYPICAL)
