Answers: a head that doesn't state the end of its body in one way is no answer

What callers saw: 200 with a length of our own and the coded bytes as if they were the body ("Transfer-Encoding: gzip", "chunked, gzip", any unknown coding); the chunks of "gzip, chunked" without the coding; with the parser in Python, one of two lengths as that of the body. A folded coding stood still until the deadline with the parser in C.

Cause: the library reads a body by the first statement that it understands, and ours replaces the headers that state it, so nobody was left to notice.

Change: a head has one length, or one "chunked" that the parser has understood as such, or neither (RFC 9112, 6.1 to 6.3). No request offers another coding. Chunks under HTTP/1.0 are faulty framing (6.1). "Transfer-Encoding: chunked<tab>" is legal, but the parser in C doesn't see chunks in it: that fails too, where the coded bytes went to callers before.

Held already, now with a test for both parsers: a length and chunks, lengths with a sign, in hex, listed, with a blank, empty, folded, of 5000 digits.

--- a/packages/core/src/thorncleat_core/answer_heads.py
+++ b/packages/core/src/thorncleat_core/answer_heads.py
@@ -23,10 +23,15 @@
 MAX_STATUS = 599
 SWITCHING_PROTOCOLS = 101  # HTTP status
 VERSIONS = (HttpVersion10, HttpVersion11)
+TRANSFER_ENCODING = b"transfer-encoding"
+CONTENT_LENGTH = b"content-length"
+# The only coding that a reader accepts without having offered another one.
+CHUNKED = b"chunked"
 # Longest part of what an endpoint sent in a reason.
 MAX_SHOWN = 40
 
 _NAME = re.compile(rb"[0-9A-Za-z!#$%&'*+.^_`|~-]+")
+_LENGTH = re.compile(rb"[0-9]+")
 # Control characters other than tab, which no value or reason phrase contains.
 _CONTROL_BYTE = re.compile(rb"[\x00-\x08\x0a-\x1f\x7f]")
 _CONTROL_CHARACTER = re.compile("[\x00-\x08\x0a-\x1f\x7f]")
@@ -60,6 +65,7 @@
             raise BrokenAnswerError(f"field name {_shown(name)}")
         if _CONTROL_BYTE.search(value) is not None:
             raise BrokenAnswerError(f"value {_shown(value)} of {_shown(name)}")
+    _check_framing(message)
 
 
 def _check_status_line(message: RawResponseMessage) -> None:
@@ -74,6 +80,26 @@
         raise BrokenAnswerError(f"reason phrase {message.reason[:MAX_SHOWN]!r}")
 
 
+def _check_framing(message: RawResponseMessage) -> None:
+    """Check that a head states in one way where its body ends.
+
+    The parser reads the body as the first statement that it understands says; another reader of the
+    same bytes may find another body in them, or another answer.
+    """
+    codings = _values(message, TRANSFER_ENCODING)
+    lengths = _values(message, CONTENT_LENGTH)
+    if codings:
+        is_read_in_chunks = [coding.lower() for coding in codings] == [CHUNKED] and message.chunked
+        if lengths or message.version == HttpVersion10 or not is_read_in_chunks:
+            raise BrokenAnswerError(f"transfer coding {_shown(b', '.join(codings))}")
+    if len(lengths) > 1 or not all(_LENGTH.fullmatch(length) for length in lengths):
+        raise BrokenAnswerError(f"length {_shown(b', '.join(lengths))}")
+
+
+def _values(message: RawResponseMessage, name: bytes) -> list[bytes]:
+    return [value for key, value in message.raw_headers if key.lower() == name]
+
+
 def _shown(data: bytes) -> str:
     """Return the begin of some bytes as it is shown in a reason."""
     return repr(data[:MAX_SHOWN].decode("latin-1"))
--- a/tests/test_broken_answers.py
+++ b/tests/test_broken_answers.py
@@ -10,6 +10,7 @@
 from thorncleat_gateway import events as gateway_events
 from thorncleat_standins.raw_answers import BODY
 from thorncleat_standins.raw_answers import BROKEN_BODIES
+from thorncleat_standins.raw_answers import BROKEN_FRAMING
 from thorncleat_standins.raw_answers import BROKEN_NAMES
 from thorncleat_standins.raw_answers import BROKEN_STATUS_LINES
 from thorncleat_standins.raw_answers import BROKEN_VALUES
@@ -34,6 +35,7 @@
     "status lines": BROKEN_STATUS_LINES,
     "names": BROKEN_NAMES,
     "values": BROKEN_VALUES,
+    "framing": BROKEN_FRAMING,
     "bodies": BROKEN_BODIES,
 }
 EACH_GROUP = pytest.mark.parametrize("group", GROUPS)
@@ -44,6 +46,8 @@
     "Connection, blank": BROKEN_NAMES,
     "Transfer-Encoding, blank": BROKEN_NAMES,
     "control byte in a value": BROKEN_VALUES,
+    "coding gzip": BROKEN_FRAMING,
+    "two lengths": BROKEN_FRAMING,
     "empty size": BROKEN_BODIES,
 }
 EACH_TYPICAL = pytest.mark.parametrize("form", TYPICAL)
