Answers: a body that the parser refuses behind its head fails at once

What callers saw: if an endpoint's broken chunk came in a later segment than its head, the caller of a request that may run once waited until its deadline (aiohttp's parser in C), or got 500 "internal error" and 7004 (the parser in Python), without a retry. Of a stream, the group counted as silent or its leader as crashed, and the request as one that ends its endpoints.

Cause: the parser in C raises to the connection and forgets the body, whose reader the library then never tells; the one in Python fails the body with TransferEncodingError, which no reader of ours catches, as it is no ClientError. In one segment with its head the same body failed as it should.

Change: AnswerConnection fails the body with what it learns of the parser and remembers it, so that the attempt's cause is "broken answer" and not "answer cut"; bounded_answers.read_some turns the other error into one that readers know. A body that is cut stays "answer cut".

--- a/packages/core/src/thorncleat_core/answer_connection.py
+++ b/packages/core/src/thorncleat_core/answer_connection.py
@@ -34,10 +34,14 @@
     """A connection of the client library that takes no head that isn't an answer's.
 
     Nothing of such a head reaches the library's response, so nobody can believe it.
+
+    :ivar broken: what was wrong with a head or a body; None while nothing was. The library has
+        other errors for a broken body, which may also have been cut.
     """
 
     _interim_heads = 0
     _has_failed = False
+    broken: BrokenAnswerError | None = None
 
     def set_response_params(self, **parameters: t.Any) -> None:
         """Prepare for the answer to a request that is about to be sent."""
@@ -67,8 +71,16 @@
         """Fail the answer; bytes that the library's parser refuses are a broken answer too."""
         if isinstance(exc, HttpProcessingError):
             exc = BrokenAnswerError.from_parser(exc)
+        if isinstance(exc, BrokenAnswerError):
+            self._record_broken(exc)
         super().set_exception(exc, *cause)
 
+    def _record_broken(self, error: BrokenAnswerError) -> None:
+        """Fail the body too; the library lets its reader wait if the parser in C refuses bytes."""
+        self.broken = error
+        if self._payload is not None and not self._payload.is_eof():
+            self._payload.set_exception(error)
+
     def _count_interim_head(self, message: RawResponseMessage) -> None:
         """Count a head that comes before the answer's.
 
--- a/packages/core/src/thorncleat_core/bounded_answers.py
+++ b/packages/core/src/thorncleat_core/bounded_answers.py
@@ -9,6 +9,9 @@
 """
 
 import aiohttp
+from aiohttp.http import HttpProcessingError
+
+from .answer_heads import BrokenAnswerError
 
 
 class AnswerTooLargeError(aiohttp.ClientPayloadError):
@@ -21,6 +24,19 @@
         super().__init__(f"an answer of more than {limit} bytes")
 
 
+async def read_some(response: aiohttp.ClientResponse) -> bytes:
+    """Return the next bytes of a body as they arrive; none at its end.
+
+    :raises BrokenAnswerError: if they are no body in HTTP.
+    :raises aiohttp.ClientError: if the connection broke before the end.
+    """
+    try:
+        return await response.content.readany()
+    except HttpProcessingError as error:
+        # The library's parser in Python fails a body with an error that is no ``ClientError``.
+        raise BrokenAnswerError.from_parser(error) from error
+
+
 async def read_body(response: aiohttp.ClientResponse, limit: int) -> bytes:
     """Return the complete body of an answer.
 
@@ -28,12 +44,13 @@
 
     :param limit: bytes that the body may have.
     :raises AnswerTooLargeError: as soon as more is stated or received.
+    :raises aiohttp.ClientError: as :func:`read_some`.
     """
     if (response.content_length or 0) > limit:
         raise AnswerTooLargeError(limit)
     chunks: list[bytes] = []
     size = 0
-    while chunk := await response.content.readany():
+    while chunk := await read_some(response):
         size += len(chunk)
         if size > limit:
             raise AnswerTooLargeError(limit)
--- a/packages/daemon/src/thorncleat_daemon/streams.py
+++ b/packages/daemon/src/thorncleat_daemon/streams.py
@@ -13,6 +13,7 @@
 from thorncleat_core import clock
 from thorncleat_core.bounded_answers import AnswerTooLargeError
 from thorncleat_core.bounded_answers import read_body
+from thorncleat_core.bounded_answers import read_some
 from thorncleat_core.daemon.burn import GOOD
 
 from . import events
@@ -161,7 +162,7 @@
     ) -> None:
         """Send the first events through the HTTP library, which writes the response's head."""
         while not caller_stream.response.prepared and not caller_stream.pieces.is_done:
-            chunk = await response.content.readany()
+            chunk = await read_some(response)
             if not chunk:
                 return
             # Checked before the events are counted, since unsent events must be requested again.
--- a/packages/gateway/src/thorncleat_gateway/requests/endpoint_client.py
+++ b/packages/gateway/src/thorncleat_gateway/requests/endpoint_client.py
@@ -36,10 +36,10 @@
 from .endpoint_limits import EndpointLimits
 from .endpoint_notices import EndpointNotices
 from .evacuations import Evacuations
-from .exchange import BROKEN
 from .exchange import MAX_ANSWER_BYTES
 from .exchange import MIXED
 from .exchange import Exchange
+from .exchange import broken_answer
 from .exchange import too_large
 from .request import Request
 
@@ -320,7 +320,7 @@
 def _unanswered_error(path: AttemptPath, error: Exception) -> AttemptError:
     """Return the error of an attempt that was sent and got no head of an answer."""
     if isinstance(error, BrokenAnswerError):
-        return AttemptError(f"{BROKEN}: {error.reason}", Executed.MAYBE, is_unsound=True)
+        return broken_answer(error)
     is_lost = is_connection_lost(error) and not path.is_carrier_lost
     return AttemptError(
         f"no answer: {type(error).__name__}",
--- a/packages/gateway/src/thorncleat_gateway/requests/exchange.py
+++ b/packages/gateway/src/thorncleat_gateway/requests/exchange.py
@@ -9,6 +9,10 @@
 
 import aiohttp
 
+from thorncleat_core.answer_connection import AnswerConnection
+from thorncleat_core.answer_heads import BrokenAnswerError
+from thorncleat_core.bounded_answers import read_some
+
 from ..exceptions import AttemptError
 from ..exceptions import ConnectionBreak
 from ..exceptions import Executed
@@ -67,6 +71,8 @@
         self._codec = codec
         self._path = path
         self._use = use
+        # The library lets go of the connection at the end of the answer.
+        self._connection = _connection_of(response)
         self.size = 0
 
     @property
@@ -111,13 +117,14 @@
     async def read_chunk(self) -> bytes:
         """Return the next bytes of the body as they arrive; none at its end.
 
-        :raises AttemptError: if the connection broke before its end, another answer came in it, or
-            there are more bytes than any answer has.
+        :raises AttemptError: if the connection broke before its end, another answer or what is none
+            came in it, or there are more bytes than any answer has.
         """
         try:
-            chunk = await self._response.content.readany()
+            chunk = await read_some(self._response)
         except (aiohttp.ClientError, OSError, ValueError) as error:
-            raise _cut_error(error, self._path) from error
+            broken = self._connection.broken if self._connection is not None else None
+            raise broken_answer(broken) if broken else _cut_error(error, self._path) from error
         if self._use is not None and self._use.is_mixed:
             raise AttemptError(MIXED, Executed.MAYBE)
         self.size += len(chunk)
@@ -131,6 +138,17 @@
     return AttemptError(TOO_LARGE, Executed.MAYBE, is_unsound=True)
 
 
+def broken_answer(error: BrokenAnswerError) -> AttemptError:
+    """Return the error of an attempt whose answer is none in the protocol."""
+    return AttemptError(f"{BROKEN}: {error.reason}", Executed.MAYBE, is_unsound=True)
+
+
+def _connection_of(response: aiohttp.ClientResponse) -> AnswerConnection | None:
+    """Return the connection of an answer that isn't complete; None if it is."""
+    protocol = response.connection.protocol if response.connection is not None else None
+    return protocol if isinstance(protocol, AnswerConnection) else None
+
+
 def _cut_error(error: Exception, path: AttemptPath) -> AttemptError:
     cause = f"answer cut: {type(error).__name__}"
     # The loss of the daemon that carries an attempt is no sign of the endpoint.
--- a/packages/standins/src/thorncleat_standins/raw_answers.py
+++ b/packages/standins/src/thorncleat_standins/raw_answers.py
@@ -16,6 +16,7 @@
 
 POLL_SECONDS = 0.002
 MAX_WAIT_SECONDS = 30.0
+END_OF_HEAD = b"\r\n\r\n"
 STATUS_LINE = b"HTTP/1.1 200 OK"
 SIZE = 123  # bytes of each body
 # A whole event, so that it is the body of a stream as well.
@@ -216,12 +217,14 @@
     :ivar raw_answer: what it sends; None to answer as a sound worker.
     :ivar raw_lines: field lines that it sends in addition.
     :ivar raw_paths: beginnings of the paths that it answers so.
+    :ivar raw_pause: seconds between the head of such an answer and its body.
     :ivar raw_count: number of answers given so.
     """
 
     raw_answer: RawAnswer | None = None
     raw_lines = b""
     raw_paths: tuple[str, ...] = ("/chat", "/ack", "/status", "/brief")
+    raw_pause = 0.0
     raw_count = 0
 
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
@@ -235,7 +238,12 @@
         transport = request.transport
         assert transport is not None
         own = f"{ATTEMPT_ID}: {attempt}\r\n{RESPONSE_STAMP}: stamp-{self.id}\r\n".encode()
-        transport.write(self.raw_answer.encode(own + self.raw_lines))
+        answer = self.raw_answer.encode(own + self.raw_lines)
+        head, end, body = answer.partition(END_OF_HEAD)
+        transport.write(head + end)
+        if self.raw_pause:
+            await asyncio.sleep(self.raw_pause)
+        transport.write(body)
         if self.raw_answer.closes:
             transport.close()
         # The server would send an answer of its own behind this one, so it waits until the reader
--- a/tests/test_broken_answers.py
+++ b/tests/test_broken_answers.py
@@ -4,6 +4,8 @@
 nothing, or got no byte at all.
 """
 
+import asyncio
+
 import pytest
 
 from thorncleat_core import log_events
@@ -28,6 +30,9 @@
 
 MAX_REQUESTS = 60
 LATER_REQUESTS = 6
+HEAD_PAUSE_SECONDS = 0.05
+# Less than the time that callers wait.
+MAX_FAILURE_SECONDS = 2.0
 ALL_EVENTS = events(1, 2, 3, 4, 5)
 BAD_GATEWAY = b"HTTP/1.1 502 Bad Gateway"
 SERVED = b"HTTP/1.1 200 OK"
@@ -61,6 +66,19 @@
     choose_parser(monkeypatch, request.param)
 
 
+@pytest.fixture
+def logged(monkeypatch):
+    """Return the events since the begin of the test, with their fields."""
+    found = []
+    observers = [*log_events._observers, lambda event, fields: found.append((event, fields))]
+    monkeypatch.setattr(log_events, "_observers", observers)
+    return found
+
+
+def _fields_of(logged, event):
+    return [fields for logged_event, fields in logged if logged_event is event]
+
+
 async def _configure_stream_route(cluster) -> None:
     """Add a route whose streams plain endpoints answer."""
     changed = configuration(2)
@@ -184,16 +202,43 @@
 
 
 @EACH_TYPICAL
-async def test_log_and_metric_name_the_cause(tmp_path, form, monkeypatch):
-    logged = []
-    observe = lambda event, fields: logged.append((event, fields))  # noqa: E731
-    monkeypatch.setattr(log_events, "_observers", [*log_events._observers, observe])
+async def test_log_and_metric_name_the_cause(tmp_path, form, logged):
     async with site(tmp_path, domains=0, desks=1, kind=RawWorker) as cluster:
         (worker,) = cluster.workers
         worker.raw_answer = TYPICAL[form][form]
         await call_raw(cluster, "/status/x")
-        causes = [f["cause"] for event, f in logged if event is gateway_events.REQUEST_MOVED]
-        assert [cause.partition(":")[0] for cause in causes] == ["broken answer"]
+        (failed,) = _fields_of(logged, gateway_events.REQUEST_MOVED)
+        assert failed["cause"].partition(":")[0] == "broken answer"
+
+
+BROKEN_CHUNKS = [
+    form for form in BROKEN_BODIES if not form.endswith("cut") and form != "no last chunk"
+]
+
+
+@pytest.mark.parametrize("form", BROKEN_CHUNKS)
+async def test_broken_body_behind_its_head_fails_at_once(tmp_path, form):
+    """The caller waited until its deadline, or got a 500 for a fault of this program."""
+    async with site(tmp_path, domains=0, desks=1, kind=RawWorker) as cluster:
+        (worker,) = cluster.workers
+        worker.raw_answer, worker.raw_pause = BROKEN_BODIES[form], HEAD_PAUSE_SECONDS
+        async with asyncio.timeout(MAX_FAILURE_SECONDS):
+            received = await call_raw(cluster, "/status/x")
+        assert received.status_line == BAD_GATEWAY
+
+
+@pytest.mark.parametrize("form", BROKEN_CHUNKS)
+async def test_broken_body_behind_its_head_is_no_crash(tmp_path, form, logged):
+    """The endpoint lives, so its request isn't quarantined, nor is its group examined."""
+    async with site(tmp_path, desks=0, kind=RawWorker) as cluster:
+        leader = next(worker for worker in cluster.workers if worker.is_serving_leader)
+        leader.raw_answer, leader.raw_pause = BROKEN_BODIES[form], HEAD_PAUSE_SECONDS
+        await _call_until_met(cluster, leader, "/chat/x", "X-Thorncleat-Model: large")
+        (failed,) = _fields_of(logged, gateway_events.REQUEST_MOVED)
+        assert failed["cause"].partition(":")[0] == "broken answer"
+        assert failed["broken"] is None
+        assert not _fields_of(logged, gateway_events.GROUP_SUSPECTED)
+        assert leader.is_serving_leader
 
 
 async def test_odd_answers_are_passed_on_whole(tmp_path):
