thorncleatd: its sessions read answers on checked connections too; tests of every other reader

What callers saw (thorncleatd, not in production): the status, type and body of an answer with status 000, of one with a control byte in a value or with an unknown coding, as if the endpoint had answered. raise_for_status lets everything below 400 pass, so an order or a probe that got status 000 counted as done. A broken answer "503" to a write counted as a refusal by its store.

Cause: its three sessions were made with the library's own class of connections.

Change: use_connections for all of them; a watch knows the error of the parser in Python.

--- a/packages/daemon/src/thorncleat_daemon/daemon.py
+++ b/packages/daemon/src/thorncleat_daemon/daemon.py
@@ -12,6 +12,7 @@
 from aiohttp import web
 
 from thorncleat_core import clock
+from thorncleat_core.answer_connection import use_connections
 from thorncleat_core.daemon.budget import FleetRates
 from thorncleat_core.daemon.budget import StoreBudget
 from thorncleat_core.daemon.configuration import Configuration
@@ -282,7 +283,7 @@
 
 def _session() -> aiohttp.ClientSession:
     connector = aiohttp.TCPConnector(limit=0)
-    return aiohttp.ClientSession(connector=connector, auto_decompress=False)
+    return aiohttp.ClientSession(connector=use_connections(connector), auto_decompress=False)
 
 
 def _tls_context(tls: Tls | None) -> ssl.SSLContext | None:
--- a/packages/daemon/src/thorncleat_daemon/store.py
+++ b/packages/daemon/src/thorncleat_daemon/store.py
@@ -11,6 +11,7 @@
 import typing as t
 
 import aiohttp
+from aiohttp.http import HttpProcessingError
 
 from thorncleat_core import clock
 from thorncleat_core.bounded_answers import read_body
@@ -161,7 +162,7 @@
                 async for line in response.content:
                     for value in _parse_watch_line(line):
                         yield value
-        except (aiohttp.ClientError, TimeoutError, ValueError) as error:
+        except (aiohttp.ClientError, HttpProcessingError, TimeoutError, ValueError) as error:
             raise StoreUnavailableError(f"watch of {key!r} ended: {error!r}") from error
 
     async def _wait_for_budget(self, write: bool, purpose: Purpose) -> None:
--- a/packages/daemon/src/thorncleat_daemon/upstream.py
+++ b/packages/daemon/src/thorncleat_daemon/upstream.py
@@ -9,6 +9,7 @@
 
 import aiohttp
 
+from thorncleat_core.answer_connection import use_connections
 from thorncleat_core.single_send import prevent_resend
 
 from . import retry_after
@@ -39,7 +40,9 @@
     """Return a session for calls that may run at most once; each uses a new connection."""
     connector = aiohttp.TCPConnector(limit=0, force_close=True)
     return aiohttp.ClientSession(
-        connector=connector, auto_decompress=False, middlewares=(prevent_resend,)
+        connector=use_connections(connector),
+        auto_decompress=False,
+        middlewares=(prevent_resend,),
     )
 
 
@@ -47,7 +50,9 @@
     """Return a session for HTTP/1.0, whose answers are unchunked and end with the connection."""
     connector = aiohttp.TCPConnector(limit=0, force_close=True, happy_eyeballs_delay=None)
     return aiohttp.ClientSession(
-        connector=connector, auto_decompress=False, version=aiohttp.HttpVersion10
+        connector=use_connections(connector),
+        auto_decompress=False,
+        version=aiohttp.HttpVersion10,
     )
 
 
--- a/tests/keeping_endpoint.py
+++ b/tests/keeping_endpoint.py
@@ -22,6 +22,7 @@
 from thorncleat_gateway.store.serving import RouteKind
 from thorncleat_gateway.store.serving import Service
 from thorncleat_platform.headers import PlatformHeaders
+from thorncleat_standins.raw_answers import RawAnswer
 
 TIMEOUT_SECONDS = 5.0
 ROUTE = Route("r", "h", "/", RouteKind.REPEATABLE, 3.0, 1.0, 1.0, 0, (), 2)
@@ -49,6 +50,7 @@
     :ivar seen: connection number and id of each request.
     :ivar forgotten: connections whose next request gets a reset.
     :ivar resets: number of connections that the client reset.
+    :ivar raw_answer: what the action ``raw`` sends.
     """
 
     def __init__(self) -> None:
@@ -57,6 +59,7 @@
         self.writers: list[asyncio.StreamWriter] = []
         self.forgotten: set[int] = set()
         self.resets = 0
+        self.raw_answer = RawAnswer()
         self._server: asyncio.Server | None = None
         self.port = 0
 
@@ -159,6 +162,13 @@
     async def _do_half(self, writer, number, id) -> None:
         writer.write(answer(id, b"x" * 100)[:-50])
 
+    async def _do_raw(self, writer, number, id) -> None:
+        """Send the bytes that the test has set, with this request's id."""
+        lines = f"X-Thorncleat-Attempt-Id: {id}\r\nX-Thorncleat-Response-Stamp: s\r\n"
+        writer.write(self.raw_answer.encode(lines.encode()))
+        if self.raw_answer.closes:
+            writer.close()
+
     async def _do_decline(self, writer, number, id) -> None:
         writer.write(answer(id, extra="X-Thorncleat-Not-Executed: 1\r\n").replace(b"200", b"503"))
 
