Client: a broken answer to a confirmation says that the outcome is unknown

What operators saw: "answered 0: None" or "does not answer as a daemon" where an answer had status 000, a control byte in a value, a blank before the colon, so that a plan which may have been carried out looked refused; with the parser in Python a broken chunk ended the command with a traceback.

Cause: the command line read answers by the library's own class of connections.

Change: it reads them by checked connections, and bodies by read_body, with a bound of 64 MiB.

--- a/packages/client/src/thorncleat_client/api.py
+++ b/packages/client/src/thorncleat_client/api.py
@@ -5,10 +5,14 @@
 """
 
 import asyncio
+import json
 import typing as t
 
 import aiohttp
 
+from thorncleat_core.answer_connection import use_connections
+from thorncleat_core.bounded_answers import read_body
+
 from .exceptions import ClientError
 from .exceptions import DeniedError
 from .exceptions import NotFoundError
@@ -19,6 +23,8 @@
 
 PREFIX = "/operators/v1"
 CALL_TIMEOUT_SECONDS = 20.0
+# Larger than any configuration that the store can hold, and its plan.
+MAX_ANSWER_BYTES = 64 << 20
 Json = dict[str, t.Any]
 
 
@@ -76,11 +82,14 @@
         headers = {"Authorization": f"Bearer {self._key}"}
         url = f"{self._url}{PREFIX}{path}"
         try:
+            connector = use_connections(aiohttp.TCPConnector())
             async with (
-                aiohttp.ClientSession(timeout=timeout, headers=headers) as session,
+                aiohttp.ClientSession(
+                    connector=connector, timeout=timeout, headers=headers
+                ) as session,
                 session.request(method, url, json=body) as response,
             ):
-                answer = await response.json(content_type=None)
+                answer = json.loads(await read_body(response, MAX_ANSWER_BYTES))
                 return self._check_response(response.status, answer)
         except (aiohttp.ClientConnectorError, aiohttp.InvalidURL) as error:
             raise UnavailableError(f"no daemon at {self._url!r}: {error}") from error
--- a/tests/test_broken_answers_elsewhere.py
+++ b/tests/test_broken_answers_elsewhere.py
@@ -9,6 +9,9 @@
 import aiohttp
 import pytest
 
+from thorncleat_client.api import Api
+from thorncleat_client.exceptions import OutcomeUnknownError
+from thorncleat_client.exceptions import UnavailableError
 from thorncleat_core.answer_heads import BrokenAnswerError
 from thorncleat_core.daemon.budget import FleetRates
 from thorncleat_core.daemon.budget import Purpose
@@ -254,7 +257,7 @@
             await feed.close()
 
 
-# thorncleatd
+# thorncleatd, and the operators' command line
 
 
 @pytest.mark.parametrize("call", ["stream", "repeatable", "once"])
@@ -322,3 +325,15 @@
             assert not await _accepted(server, BROKEN, watch, unavailable, StopAsyncIteration)
         finally:
             await session.close()
+
+
+@pytest.mark.parametrize(
+    ("path", "error"), [("/plans", UnavailableError), ("/confirm", OutcomeUnknownError)]
+)
+async def test_answers_to_the_command_line(path, error):
+    """A confirmation whose answer is broken may have been carried out."""
+    async with RawServer() as server:
+        server.body = b"{}"
+        api = Api(f"http://{server.address}", "key")
+        call = lambda: api._call("POST", path, {})  # noqa: E731
+        assert not await _accepted(server, BROKEN, call, error)
