Calls to endpoints, the store and relays: an answer that names another address isn't followed

What happened: an endpoint in trouble that answered a report or an order with 307 and a Location had this daemon send the same call to the address that it named, and believe what came from there; an order went to a process that nobody meant. The same with the store, relays, and thorncleatd's engines, store and list of instances, whose order also counted as done with any status below 400.

Cause: aiohttp follows redirections unless it is told not to; only attempts for callers told it.

Change: LazySession.request is the only way to call, and follows none; thorncleatd's calls likewise, and its orders and probes need a status of 200 to 299.

--- a/packages/daemon/src/thorncleat_daemon/engines.py
+++ b/packages/daemon/src/thorncleat_daemon/engines.py
@@ -20,6 +20,7 @@
 from .ports import Order
 
 MAX_REPORT_BYTES = 65_536
+MIN_REDIRECTION = 300  # HTTP status
 
 
 class HttpEngines:
@@ -40,8 +41,10 @@
         """
         url = f"http://{address}/v1/state"
         try:
-            async with self._session.get(url, timeout=self._timeout) as response:
-                response.raise_for_status()
+            async with self._session.get(
+                url, timeout=self._timeout, allow_redirects=False
+            ) as response:
+                _check_status(response)
                 body = await read_body(response, MAX_REPORT_BYTES)
                 return codec.validate(InstanceReport, json.loads(body))
         except TimeoutError as error:
@@ -58,9 +61,21 @@
         url = f"http://{address}/v1/orders"
         body = dataclasses.asdict(order)
         try:
-            async with self._session.post(url, json=body, timeout=self._timeout) as response:
+            async with self._session.post(
+                url, json=body, timeout=self._timeout, allow_redirects=False
+            ) as response:
                 if response.status == 409:
                     raise StaleOrderError(f"{address!r} refused epoch {order.epoch!r}")
-                response.raise_for_status()
+                _check_status(response)
         except (aiohttp.ClientError, TimeoutError) as error:
             raise EndpointError(f"order to {address!r}: {error!r}") from error
+
+
+def _check_status(response: aiohttp.ClientResponse) -> None:
+    """Check that an engine has done what it was asked.
+
+    :raises aiohttp.ClientError: if it hasn't; a redirection to another engine is no success.
+    """
+    response.raise_for_status()
+    if response.status >= MIN_REDIRECTION:
+        raise aiohttp.ClientPayloadError(f"status {response.status}")
--- a/packages/daemon/src/thorncleat_daemon/platform.py
+++ b/packages/daemon/src/thorncleat_daemon/platform.py
@@ -63,7 +63,9 @@
         cached = self._cache.get(query)
         headers = {"If-None-Match": cached.tag} if cached else {}
         try:
-            async with self._session.get(url, timeout=timeout, headers=headers) as response:
+            async with self._session.get(
+                url, timeout=timeout, headers=headers, allow_redirects=False
+            ) as response:
                 if response.status == NOT_MODIFIED and cached:
                     return cached.rows
                 response.raise_for_status()
--- a/packages/daemon/src/thorncleat_daemon/store.py
+++ b/packages/daemon/src/thorncleat_daemon/store.py
@@ -155,7 +155,11 @@
         timeout = aiohttp.ClientTimeout(total=None, sock_connect=2)
         try:
             async with self._session.post(
-                url, json=body, timeout=timeout, headers={"X-Daemon": self._daemon}
+                url,
+                json=body,
+                timeout=timeout,
+                headers={"X-Daemon": self._daemon},
+                allow_redirects=False,
             ) as response:
                 if response.status != 200:
                     raise StoreUnavailableError(f"watch refused with {response.status!r}")
@@ -186,7 +190,11 @@
         headers = {"X-Purpose": str(purpose), "X-Daemon": self._daemon}
         try:
             async with self._session.post(
-                url, json=body, timeout=self._timeout, headers=headers
+                url,
+                json=body,
+                timeout=self._timeout,
+                headers=headers,
+                allow_redirects=False,
             ) as response:
                 text = (await read_body(response, MAX_ANSWER_BYTES)).decode()
                 self._mark_answered()
--- a/packages/gateway/src/thorncleat_gateway/http_session.py
+++ b/packages/gateway/src/thorncleat_gateway/http_session.py
@@ -7,6 +7,8 @@
 Relies on: aiohttp, which retries an idempotent call if a pooled connection turns out to be closed.
 """
 
+import typing as t
+
 import aiohttp
 
 from thorncleat_core.answer_connection import use_connections
@@ -22,7 +24,16 @@
         self._keep_connections = keep_connections
         self._session: aiohttp.ClientSession | None = None
 
-    def get(self) -> aiohttp.ClientSession:
+    def request(
+        self, method: str, url: str, **options: t.Any
+    ) -> t.AsyncContextManager[aiohttp.ClientResponse]:
+        """Send a call to the process at an address, and to no other that its answer names.
+
+        :param options: of :meth:`aiohttp.ClientSession.request`.
+        """
+        return self._get().request(method, url, allow_redirects=False, **options)
+
+    def _get(self) -> aiohttp.ClientSession:
         """Return the session, opened if necessary."""
         if self._session is None:
             # Addresses are IP addresses, so there is never a second one to try in parallel.
--- a/packages/gateway/src/thorncleat_gateway/store/relay_feed.py
+++ b/packages/gateway/src/thorncleat_gateway/store/relay_feed.py
@@ -167,7 +167,7 @@
             total=self._settings.wait + self._settings.patience, sock_connect=connect
         )
         try:
-            async with self._session.get().get(url, params=query, timeout=timeout) as response:
+            async with self._session.request("GET", url, params=query, timeout=timeout) as response:
                 body = await read_body(response, MAX_ANSWER_BYTES)
         except (aiohttp.ClientError, OSError, TimeoutError) as error:
             raise RelayError(f"relay {relay.id}: {error!r}") from error
--- a/tests/test_bounded_answers.py
+++ b/tests/test_bounded_answers.py
@@ -36,7 +36,7 @@
     host, port = server.sockets[0].getsockname()
     session = LazySession(keep_connections=False)
     try:
-        async with session.get().get(f"http://{host}:{port}/") as response:
+        async with session.request("GET", f"http://{host}:{port}/") as response:
             return await read_body(response, LIMIT)
     finally:
         await session.close()
--- a/tests/test_broken_answers_elsewhere.py
+++ b/tests/test_broken_answers_elsewhere.py
@@ -257,6 +257,73 @@
             await feed.close()
 
 
+@pytest.fixture
+async def redirecting():
+    """Return a server whose answers name another one, and that one, which gets no call."""
+    async with RawServer() as named, RawServer() as server:
+        named.body = DOCUMENT
+        location = f"Location: http://{named.address}/elsewhere\r\n".encode()
+        line = b"HTTP/1.1 307 Temporary Redirect"
+        server.answer = RawAnswer(line, location + b"Content-Length: 123\r\n")
+        yield server
+        assert not named.requests
+
+
+async def test_redirections_of_reports_and_orders(redirecting):
+    """An order that another endpoint carries out ends a group that nobody meant."""
+    worker = Endpoint("i-1", "narrator", redirecting.address, "a")
+    engines = WorkerEngines()
+    try:
+        with pytest.raises(EndpointTimeoutError):
+            await engines.report(worker, TIMEOUT_SECONDS)
+        with pytest.raises(EndpointTimeoutError):
+            await engines.order(worker, Leave(GroupId("g", 1)), None, TIMEOUT_SECONDS)
+    finally:
+        await engines.close()
+
+
+async def test_redirections_of_the_store(redirecting):
+    store = KeyValueStore(redirecting.address)
+    try:
+        with pytest.raises(StoreUnavailableError):
+            await store.snapshot()
+        with pytest.raises(StoreUnavailableError):
+            await store.create("thorncleat/x", b"x", Lease(0, 1))
+    finally:
+        await store.close()
+
+
+async def test_redirections_of_relays(redirecting):
+    relay = Daemon("edge-2", redirecting.host, redirecting.port)
+    settings = RelaySettings(wait=0.05, patience=TIMEOUT_SECONDS, oldest=0.4, avoid=0.2)
+    feed = RelayFeed(settings, _NoStore(), lambda: [relay], _no_relays, lambda: 0.0)
+    try:
+        with pytest.raises(RelayError):
+            await feed._request_changes(relay, Position(0, 9))
+    finally:
+        await feed.close()
+
+
+async def test_redirections_of_thorncleatd(redirecting):
+    session = _session()
+    address = redirecting.address
+    engines = HttpEngines(session, TIMEOUT_SECONDS)
+    store = EtcdStore(session, [address], StoreBudget(FleetRates()), "d-1")
+    try:
+        with pytest.raises(EndpointError):
+            await engines.probe(address)
+        with pytest.raises(EndpointError):
+            await engines.order(address, Order(3, "", 0, -1, "", ""))
+        with pytest.raises(PlatformError):
+            await HttpInstanceList(session, [address]).everything()
+        with pytest.raises(daemon_exceptions.StoreOutcomeUnknownError):
+            await store.renew(1)
+        with pytest.raises(daemon_exceptions.StoreUnavailableError):
+            await anext(store.watch("key"))
+    finally:
+        await session.close()
+
+
 # thorncleatd, and the operators' command line
 
 
