Answers: a value that isn't UTF-8 is left out, and neither changed nor the end of the answer

What callers saw: of "X-Field: caf<0xe9>", which RFC 9110 allows, "X-Field: caf" with the library's writer in C; no byte and a closed connection with the one in Python. A stamp changed in this way came with a 200.

Cause: the parsers decode such bytes to surrogates, which the writer in C skips, and the one in Python can't encode.

UTF-8 is passed on as before. Ruled out: to fail the attempt for any field, since the answer is one, and its status, body and stamp are whole.

--- a/packages/standins/src/thorncleat_standins/raw_answers.py
+++ b/packages/standins/src/thorncleat_standins/raw_answers.py
@@ -190,6 +190,7 @@
     "folded value": _field(b"X-Field: a\r\n b"),
     "tab in a value": _field(b"X-Field: a\tb"),
     "UTF-8 in a value": _field("X-Field: zaļš".encode()),
+    "byte that isn't UTF-8 in a value": _field(b"X-Field: caf\xe9"),
     "empty value": _field(b"X-Field:"),
     "no blank behind the colon": _field(b"X-Field:value"),
     "LF alone behind a field": RawAnswer(fields=b"X-Field: a\nX-Other: b\n" + LENGTH),
@@ -237,7 +238,9 @@
         self.raw_count += 1
         transport = request.transport
         assert transport is not None
-        own = f"{ATTEMPT_ID}: {attempt}\r\n{RESPONSE_STAMP}: stamp-{self.id}\r\n".encode()
+        own = f"{ATTEMPT_ID}: {attempt}\r\n{RESPONSE_STAMP}: stamp-{self.id}\r\n".encode(
+            errors="surrogateescape"
+        )
         answer = self.raw_answer.encode(own + self.raw_lines)
         head, end, body = answer.partition(END_OF_HEAD)
         transport.write(head + end)
--- a/tests/test_broken_answers.py
+++ b/tests/test_broken_answers.py
@@ -18,6 +18,7 @@
 from thorncleat_standins.raw_answers import BROKEN_VALUES
 from thorncleat_standins.raw_answers import ODD_ANSWERS
 from thorncleat_standins.raw_answers import PARSERS_DIFFER
+from thorncleat_standins.raw_answers import RawAnswer
 from thorncleat_standins.raw_answers import RawWorker
 
 from .raw_answers import PARSERS
@@ -253,6 +254,27 @@
         assert not refused
 
 
+async def test_values_are_passed_on_as_they_came_or_not_at_all(tmp_path):
+    """One writer of the library left bytes out, and the other one wrote nothing of the answer."""
+    async with site(tmp_path, domains=0, desks=1, kind=RawWorker) as cluster:
+        (worker,) = cluster.workers
+        worker.raw_answer = RawAnswer()
+        worker.raw_lines = b"X-Latin: caf\xe9\r\nX-Text: caf\xc3\xa9\r\nX-Plain: cafe\r\n"
+        received = await call_raw(cluster, "/status/x")
+        assert (received.status_line, received.body) == (SERVED, BODY)
+        assert b"X-Latin" not in received.head
+        assert b"\r\nX-Text: caf\xc3\xa9\r\nX-Plain: cafe\r\n" in received.head
+
+
+async def test_stamp_that_can_not_be_passed_on_is_none(tmp_path):
+    async with site(tmp_path, domains=0, desks=1, kind=RawWorker) as cluster:
+        (worker,) = cluster.workers
+        worker.raw_answer = RawAnswer()
+        worker.id = "desk\udce9"
+        received = await call_raw(cluster, "/status/x")
+        assert received.status_line == BAD_GATEWAY
+
+
 async def test_answers_that_parsers_take_differently_are_whole_or_fail(tmp_path):
     async with site(tmp_path, domains=0, desks=1, kind=RawWorker) as cluster:
         (worker,) = cluster.workers
