Callers: a head that can't be written leaves the caller to be answered

What callers saw: a closed connection without a byte, whenever the library refused to write the head of an answer; CallerResponse had set its response before, so has_begun said that the caller had a head, and the request was cut in place of being refused.

Cause: the library switches the connection to chunks before it looks at the headers, so nothing else can be sent once that has failed.

Change: begin checks the headers before it hands them to the library. No answer of an endpoint gets there any more with such a header; this holds for whatever else may pass one on.

--- a/packages/gateway/src/thorncleat_gateway/requests/caller_response.py
+++ b/packages/gateway/src/thorncleat_gateway/requests/caller_response.py
@@ -4,12 +4,16 @@
 Relies on: aiohttp's server.
 """
 
+import re
 import typing as t
 
 from aiohttp import web
 
 from ..ports import Headers
 
+# What no field holds, and the library refuses to write or can't encode.
+_UNWRITABLE = re.compile("[\x00-\x08\x0a-\x1f\x7f\ud800-\udfff]")
+
 
 class CallerStream(t.Protocol):
     """The caller's side of an answer that is passed on, in parts if need be."""
@@ -55,7 +59,11 @@
         return self._response
 
     async def begin(self, status: int, headers: Headers) -> None:
-        """Send the status and the headers."""
+        """Send the status and the headers.
+
+        :raises ValueError: if the library can't write them; the caller has got nothing then.
+        """
+        _check_writable(headers)
         response = web.StreamResponse(status=status)
         for name, value in headers:
             response.headers.add(name, value)
@@ -78,3 +86,13 @@
         """Break the connection, so that the answer can't be taken for complete."""
         if self._request.transport is not None:
             self._request.transport.abort()
+
+
+def _check_writable(headers: Headers) -> None:
+    """Check headers before the library begins to write them, after which nothing else can be sent.
+
+    :raises ValueError: if it can't write one of them.
+    """
+    for name, value in headers:
+        if _UNWRITABLE.search(name) is not None or _UNWRITABLE.search(value) is not None:
+            raise ValueError(f"header {name!r} can't be written")
