Answers: callers aren't told bytes of a broken answer, and a second sending keeps its cause

And a request that was sent again after a kept connection was closed lost the mark that has its endpoint avoided.

Change: AttemptError has a detail, which 7304 shows behind the cause (its form is as it was) and the refusal doesn't.

--- a/packages/gateway/src/thorncleat_gateway/exceptions.py
+++ b/packages/gateway/src/thorncleat_gateway/exceptions.py
@@ -99,7 +99,8 @@
 class AttemptError(ThorncleatError):
     """An attempt at an endpoint produced no answer for the caller.
 
-    :param cause: the logged cause.
+    :param cause: the logged cause, which callers may get as well.
+    :param detail: what is logged of the cause beside; it may hold bytes of the endpoint.
     :param ran: whether the request may have run.
     :param sent: whether any part of the request may have reached the endpoint.
     :param broken: when the endpoint closed the connection before the answer was complete; None if
@@ -122,6 +123,7 @@
         is_own_fault: bool = False,
         is_hopeless: bool = False,
         is_unsound: bool = False,
+        detail: str = "",
         broken: ConnectionBreak | None = None,
         retry_after: float | None = None,
     ) -> None:
@@ -132,6 +134,7 @@
         self.is_own_fault = is_own_fault
         self.is_hopeless = is_hopeless
         self.is_unsound = is_unsound
+        self.detail = detail
         self.broken = broken
         self.retry_after = retry_after
 
--- a/packages/gateway/src/thorncleat_gateway/requests/endpoint_client.py
+++ b/packages/gateway/src/thorncleat_gateway/requests/endpoint_client.py
@@ -348,5 +348,10 @@
     is_refused = isinstance(failure.__cause__, aiohttp.ClientConnectorError)
     broken = ConnectionBreak.BEFORE_HEAD if is_refused else failure.broken
     return AttemptError(
-        failure.cause, Executed.MAYBE, broken=broken, retry_after=failure.retry_after
+        failure.cause,
+        Executed.MAYBE,
+        broken=broken,
+        retry_after=failure.retry_after,
+        is_unsound=failure.is_unsound,
+        detail=failure.detail,
     )
--- a/packages/gateway/src/thorncleat_gateway/requests/exchange.py
+++ b/packages/gateway/src/thorncleat_gateway/requests/exchange.py
@@ -140,7 +140,7 @@
 
 def broken_answer(error: BrokenAnswerError) -> AttemptError:
     """Return the error of an attempt whose answer is none in the protocol."""
-    return AttemptError(f"{BROKEN}: {error.reason}", Executed.MAYBE, is_unsound=True)
+    return AttemptError(BROKEN, Executed.MAYBE, is_unsound=True, detail=error.reason)
 
 
 def _connection_of(response: aiohttp.ClientResponse) -> AnswerConnection | None:
--- a/packages/gateway/src/thorncleat_gateway/requests/request_log.py
+++ b/packages/gateway/src/thorncleat_gateway/requests/request_log.py
@@ -36,7 +36,7 @@
     events.REQUEST_MOVED.log(
         request=request.meta.id,
         endpoint=endpoint.id,
-        cause=failure.cause,
+        cause=f"{failure.cause}: {failure.detail}" if failure.detail else failure.cause,
         ran=failure.ran.value,
         broken=failure.broken.value if failure.broken else None,
         fingerprint=request.fingerprint.hex() if failure.broken else None,
--- a/packages/standins/src/thorncleat_standins/raw_answers.py
+++ b/packages/standins/src/thorncleat_standins/raw_answers.py
@@ -208,6 +208,7 @@
     "tab in the status line": _line(b"HTTP/1.1\t200 OK"),
     "blank before the first name": _line(STATUS_LINE + b"\r\n X-Field: value"),
     "tab behind the coding": _coding(b"chunked\t"),
+    "bytes behind the answer": RawAnswer(content=BODY + b"id: 9\ndata: of another answer\n\n"),
     "CR in the extension of a chunk": _chunks(b"%x;a\rb\r\n%s\r\n0\r\n\r\n" % (SIZE, BODY)),
 }
 
--- a/tests/test_broken_answers.py
+++ b/tests/test_broken_answers.py
@@ -29,6 +29,13 @@
 from .test_gateway import events
 from .test_gateway import site
 
+# What callers are told; nothing of what the endpoint sent.
+REASONS = (
+    b"broken answer\n",
+    b"answer cut: ClientPayloadError\n",
+    b"no answer: ServerDisconnectedError\n",
+    b"no answer: _LostError\n",
+)
 MAX_REQUESTS = 60
 LATER_REQUESTS = 6
 HEAD_PAUSE_SECONDS = 0.05
@@ -111,6 +118,8 @@
             received = await call_raw(cluster, "/status/x", f"r{number}")
             if received.status_line != BAD_GATEWAY or b"stamp-" in received.data:
                 passed_on[form] = received.data
+            elif received.body not in REASONS:
+                passed_on[form] = received.body
         assert not passed_on
         assert worker.raw_count == len(worker.runs) == len(GROUPS[group])
 
--- a/tests/test_broken_answers_elsewhere.py
+++ b/tests/test_broken_answers_elsewhere.py
@@ -136,6 +136,18 @@
         assert not refused
 
 
+async def test_broken_answer_to_a_request_that_was_sent_again():
+    """The endpoint had closed the kept connection; it is avoided for what it answered then."""
+    async with keeping_site() as it:
+        it.server.raw_answer = BROKEN_HEADS["status 000"]
+        it.server.actions = ["forget", "raw"]
+        await it.send("a")
+        with pytest.raises(AttemptError, match="broken answer") as failed:
+            await it.send("b")
+        assert failed.value.is_unsound
+        assert failed.value.detail == "status 000"
+
+
 async def test_broken_answer_behind_a_whole_one_belongs_to_no_request():
     """It is neither passed on nor read as the answer to the next request."""
     async with keeping_site() as it:
