--- a/bench/soaks/gateway.py
+++ b/bench/soaks/gateway.py
@@ -17,6 +17,7 @@
 import aiohttp
 import fire
 
+from . import gateway_broken_faults
 from . import gateway_cut_faults
 from . import gateway_endless_faults
 from . import gateway_fatal
@@ -203,6 +204,9 @@
     coroutines.append(gateway_unbounded_callers.send_crowds(soak, seed))
     coroutines.append(gateway_unbounded_callers.watch_descriptors(soak))
     coroutines.append(gateway_restores.inject_restores(soak, soak.site, seed))
+    if not older:
+        # Daemons of earlier builds pass such answers on.
+        coroutines.append(gateway_broken_faults.inject_broken_answers(soak, seed))
     if older:
         coroutines.append(
             gateway_upgrade.replace_builds(soak, seed, gateway_upgrade.program_of(older))
--- a/bench/soaks/gateway_checks.py
+++ b/bench/soaks/gateway_checks.py
@@ -17,6 +17,10 @@
 REFUSAL_STATUSES = (408, 421, 429, 503)
 
 
+# What an answer may have in HTTP.
+FINAL_STATUSES = range(200, 600)
+
+
 class RequestKind(enum.Enum):
     """Whether a request may run more than once; streams and repeatable requests may."""
 
@@ -115,6 +119,8 @@
             self._refused.add(exchange.id)
             if exchange.kind is RequestKind.NON_REPEATABLE and self._runs[exchange.id]:
                 self.violations.append(f"REFUSED {exchange.id} got {exchange.status} and had run")
+        if exchange.is_complete and exchange.status not in FINAL_STATUSES:
+            self.violations.append(f"MIXED {exchange.id}: status {exchange.status}")
         if exchange.status == 200 and exchange.is_complete:
             self._check_complete_answer(exchange)
 
--- a/bench/soaks/gateway_endless_faults.py
+++ b/bench/soaks/gateway_endless_faults.py
@@ -43,7 +43,7 @@
         form, calls = rng.choice(forms), rng.choice(CALLS)
         interval, seconds = rng.choice(INTERVALS_SECONDS), rng.uniform(0.5, 4.0)
         service = rng.choice(("narrator", "desk"))
-        called = [worker for worker in soak.site.workers.values() if _is_called(worker, service)]
+        called = [worker for worker in soak.site.workers.values() if is_called(worker, service)]
         if len(called) <= MIN_SOUND_WORKERS:
             continue
         chosen = rng.choice(called)
@@ -53,10 +53,11 @@
     await asyncio.gather(*tasks)
 
 
-def _is_called(worker: SoakWorker, service: str) -> bool:
+def is_called(worker: SoakWorker, service: str) -> bool:
     """Return whether a sound worker gets requests of a service."""
     gets_requests = not worker.domain or worker.is_serving_leader
-    return worker.service == service and worker.is_accepting and gets_requests and not worker.form
+    is_sound = not worker.form and worker.raw_answer is None
+    return worker.service == service and worker.is_accepting and gets_requests and is_sound
 
 
 async def _speak_without_end(
--- a/bench/soaks/stalling_worker.py
+++ b/bench/soaks/stalling_worker.py
@@ -10,9 +10,10 @@
 
 from thorncleat_standins.endless import EndlessWorker
 from thorncleat_standins.platform_worker import ATTEMPT_ID
+from thorncleat_standins.raw_answers import RawWorker
 
 
-class StallingWorker(EndlessWorker):
+class StallingWorker(EndlessWorker, RawWorker):
     """A worker that stalls as a leader while a member is missing.
 
     :ivar stall_timeout: how long it stalls before it breaks its group, in seconds. The daemons'
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -95,6 +95,12 @@
         checks.check_answer(exchange())
         assert checks.violations == []
 
+    @pytest.mark.parametrize("status", [0, 101, 600])
+    def test_status_that_no_answer_has_is_detected(self, status):
+        checks = Checks(EVENTS)
+        checks.check_answer(exchange(status=status))
+        assert checks.violations == [f"MIXED r1: status {status}"]
+
     def test_second_run_is_detected(self):
         checks = Checks(EVENTS)
         checks.check_run(run("w1"), RequestKind.NON_REPEATABLE, 10.0, "key")
