--- a/bench/soaks/gateway_broken_faults.py
+++ b/bench/soaks/gateway_broken_faults.py
@@ -50,12 +50,12 @@
         chosen = rng.choice(called)
         chosen.raw_lines, chosen.raw_pause, chosen.raw_paths = lines, pause, calls
         soak.counts["trouble broken answers"] += 1
-        tasks.append(asyncio.create_task(_speak_brokenly(chosen, form, seconds)))
+        tasks.append(asyncio.create_task(_break_answers(chosen, form, seconds)))
     await asyncio.gather(*tasks)
     soak.counts["broken answers"] += sum(worker.raw_count for worker in soak.site.workers.values())
 
 
-async def _speak_brokenly(worker: SoakWorker, form: RawAnswer, seconds: float) -> None:
+async def _break_answers(worker: SoakWorker, form: RawAnswer, seconds: float) -> None:
     worker.raw_answer = form
     await asyncio.sleep(seconds)
     worker.raw_answer = None
--- a/packages/gateway/src/thorncleat_gateway/exceptions.py
+++ b/packages/gateway/src/thorncleat_gateway/exceptions.py
@@ -100,7 +100,8 @@
     """An attempt at an endpoint produced no answer for the caller.
 
     :param cause: the logged cause, which callers may get as well.
-    :param detail: what is logged of the cause beside; it may hold bytes of the endpoint.
+    :param detail: more for the log; callers get none of it, as it may hold bytes that the endpoint
+        sent.
     :param ran: whether the request may have run.
     :param sent: whether any part of the request may have reached the endpoint.
     :param broken: when the endpoint closed the connection before the answer was complete; None if
--- a/tests/test_broken_answers.py
+++ b/tests/test_broken_answers.py
@@ -10,6 +10,7 @@
 
 from thorncleat_core import log_events
 from thorncleat_gateway import events as gateway_events
+from thorncleat_gateway.metrics import Metrics
 from thorncleat_standins.raw_answers import BODY
 from thorncleat_standins.raw_answers import BROKEN_BODIES
 from thorncleat_standins.raw_answers import BROKEN_FRAMING
@@ -21,9 +22,9 @@
 from thorncleat_standins.raw_answers import RawAnswer
 from thorncleat_standins.raw_answers import RawWorker
 
-from .raw_answers import PARSERS
-from .raw_answers import call_raw
-from .raw_answers import choose_parser
+from .raw_http import PARSERS
+from .raw_http import call_raw
+from .raw_http import choose_parser
 from .test_gateway import _route
 from .test_gateway import configuration
 from .test_gateway import events
@@ -219,6 +220,10 @@
         await call_raw(cluster, "/status/x")
         (failed,) = _fields_of(logged, gateway_events.REQUEST_MOVED)
         assert failed["cause"].partition(":")[0] == "broken answer"
+        series = 'thorncleat_events_total{cause="broken answer",name="attempt_failed"} 1.0'
+        metrics = Metrics()
+        metrics.record(gateway_events.REQUEST_MOVED, failed)
+        assert series in metrics.render().decode().splitlines()
 
 
 BROKEN_CHUNKS = [
--- a/tests/test_broken_answers_elsewhere.py
+++ b/tests/test_broken_answers_elsewhere.py
@@ -54,9 +54,9 @@
 from thorncleat_standins.raw_answers import RawAnswer
 
 from .keeping_endpoint import site as keeping_site
-from .raw_answers import PARSERS
-from .raw_answers import RawServer
-from .raw_answers import choose_parser
+from .raw_http import PARSERS
+from .raw_http import RawServer
+from .raw_http import choose_parser
 from .test_cut_heads import TunnelConnector
 from .test_tunnels import Fleet
 
--- a/tests/test_caller_response.py
+++ b/tests/test_caller_response.py
@@ -7,8 +7,8 @@
 
 from thorncleat_gateway.requests.caller_response import CallerResponse
 
-from .raw_answers import PARSERS
-from .raw_answers import choose_parser
+from .raw_http import PARSERS
+from .raw_http import choose_parser
 
 REQUEST = b"GET / HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n"
 
