--- a/tests/test_broken_answers_elsewhere.py
+++ b/tests/test_broken_answers_elsewhere.py
@@ -58,6 +58,7 @@
 from .raw_http import RawServer
 from .raw_http import choose_parser
 from .test_cut_heads import TunnelConnector
+from .test_cut_heads import _call_upstream
 from .test_tunnels import Fleet
 
 TIMEOUT_SECONDS = 2.0
@@ -344,18 +345,7 @@
     upstream = Upstream(_session(), single_session(), stream_session())
     async with RawServer() as server:
         url = f"http://{server.address}/"
-
-        async def send():
-            if call == "stream":
-                request = upstream.stream(url, b"x", {}, TIMEOUT_SECONDS)
-            else:
-                repeatable = call == "repeatable"
-                request = upstream.call(
-                    "POST", url, b"x", {}, repeatable=repeatable, timeout=TIMEOUT_SECONDS
-                )
-            async with request as response:
-                return await response.read()
-
+        send = lambda: _call_upstream(upstream, url, call)  # noqa: E731
         try:
             assert not await _accepted(server, BROKEN_HEADS, send, RequestError)
             bodies = BROKEN_BODIES
