--- a/tests/fleet_world.py
+++ b/tests/fleet_world.py
@@ -91,8 +91,8 @@
         self._world = world
         self._caller = caller
 
-    def get(self, url=None, *, params=None, timeout=None):
-        return self if url is None else _Call(self._world, self._caller, url, params, timeout)
+    def request(self, _method, url, *, params, timeout):
+        return _Call(self._world, self._caller, url, params, timeout)
 
     async def close(self) -> None:
         pass
--- a/tests/notice_endpoints.py
+++ b/tests/notice_endpoints.py
@@ -196,6 +196,7 @@
 
 class Response:
     content_length = None
+    connection = None
 
     def __init__(self, status, headers, content) -> None:
         self.status = status
--- a/tests/test_platform_engines.py
+++ b/tests/test_platform_engines.py
@@ -21,9 +21,6 @@
     def __init__(self, error):
         self._error = error
 
-    def get(self):
-        return self
-
     def request(self, *_args, **_options):
         raise aiohttp.ClientConnectorError(ADDRESS, self._error)
 
