Answers: a success that says "not run" is believed in neither

What callers saw: 503 "has not run" for requests that had run, from an endpoint in trouble whose head is one in HTTP: "200 OK" beside X-Thorncleat-Not-Executed. One that may run once would be sent again.

Cause: the header alone decided. A request that wasn't run has no result; only refusals (400 and above) say so truly.

Change: such an answer is a broken one: may have run, 502 or a retry, nothing of it kept, the endpoint avoided.

--- a/packages/gateway/src/thorncleat_gateway/requests/endpoint_client.py
+++ b/packages/gateway/src/thorncleat_gateway/requests/endpoint_client.py
@@ -40,6 +40,7 @@
 from .exchange import MIXED
 from .exchange import Exchange
 from .exchange import broken_answer
+from .exchange import contradictory_answer
 from .exchange import too_large
 from .request import Request
 
@@ -53,6 +54,8 @@
 EXPECTED_ERRORS = (aiohttp.ClientError, OSError, TimeoutError, ValueError)
 # Answers with this status or a higher one carry no result, so they need no signature.
 MIN_UNSIGNED_STATUS = 400
+# A lower status says that the request has run.
+MIN_DECLINE_STATUS = 400
 
 
 def create_session(connector: aiohttp.TCPConnector | None = None) -> aiohttp.ClientSession:
@@ -286,6 +289,9 @@
         use: ConnectionUse | None,
     ) -> None:
         meta = self._codec.read_answer(response.status, response.headers)
+        if meta.not_run and response.status < MIN_DECLINE_STATUS:
+            # A result and the statement that there is none: either may be wrong.
+            raise contradictory_answer(response.status)
         if meta.request_id is not None and meta.request_id != request.meta.id:
             raise AttemptError(MIXED, Executed.MAYBE)
         # On a used connection, an answer without an id may be a second one to an earlier request.
--- a/packages/gateway/src/thorncleat_gateway/requests/exchange.py
+++ b/packages/gateway/src/thorncleat_gateway/requests/exchange.py
@@ -143,6 +143,12 @@
     return AttemptError(BROKEN, Executed.MAYBE, is_unsound=True, detail=error.reason)
 
 
+def contradictory_answer(status: int) -> AttemptError:
+    """Return the error of an attempt whose answer has a status of success and says "not run"."""
+    detail = f"status {status}, not run"
+    return AttemptError(BROKEN, Executed.MAYBE, is_unsound=True, detail=detail)
+
+
 def _connection_of(response: aiohttp.ClientResponse) -> AnswerConnection | None:
     """Return the connection of an answer that isn't complete; None if it is."""
     protocol = response.connection.protocol if response.connection is not None else None
--- a/tests/test_broken_answers.py
+++ b/tests/test_broken_answers.py
@@ -212,6 +212,20 @@
             assert received.status_line == SERVED
 
 
+@pytest.mark.parametrize("line", [b"HTTP/1.1 200 OK", b"HTTP/1.1 302 Found"])
+async def test_success_that_says_it_was_not_run_is_not_believed(tmp_path, line):
+    """The caller was told that the request hasn't run, by an endpoint that had run it."""
+    async with site(tmp_path, domains=0, desks=1, kind=RawWorker) as cluster:
+        (worker,) = cluster.workers
+        worker.raw_answer = RawAnswer(line)
+        worker.raw_lines = b"X-Thorncleat-Not-Executed: 1\r\nServer-Limit: 0\r\n"
+        received = await call_raw(cluster, "/status/x")
+        assert (received.status_line, received.body) == (BAD_GATEWAY, b"broken answer\n")
+        assert len(worker.runs) == 1
+        worker.raw_answer = None
+        assert (await call_raw(cluster, "/status/x", "r2")).status_line == SERVED
+
+
 @EACH_TYPICAL
 async def test_log_and_metric_name_the_cause(tmp_path, form, logged):
     async with site(tmp_path, domains=0, desks=1, kind=RawWorker) as cluster:
